--- /dev/null
+++ b/auburnproxy/admission/__init__.py
@@ -0,0 +1,1 @@
+"""Who may call, and which call is dispatched next."""
--- /dev/null
+++ b/auburnproxy/ctl/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' tool ``auburnctl``."""
--- /dev/null
+++ b/auburnproxy/daemon/__init__.py
@@ -0,0 +1,1 @@
+"""The daemon ``auburnproxyd``."""
--- /dev/null
+++ b/auburnproxy/journal/record.py
@@ -0,0 +1,41 @@
+"""The records that the system keeps in the platform's log."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from typing import Any, NamedTuple
+
+
+class Record(NamedTuple):
+    """One record, as its author writes it."""
+
+    id: str
+    """Operation id; a second record with the same id is ignored."""
+    author: str
+    """Name and incarnation of the author."""
+    kind: str
+    """Slice and verb, ``replica.form``; the slice's reducer takes it."""
+    body: Mapping[str, Any]
+    expects: Mapping[str, int]
+    """Version that the author saw of each key that the record touches.
+
+    A key's version is the offset of the last accepted record that touched it,
+    0 if there is none. Offsets are counted from 1.
+    """
+
+
+class Entry(NamedTuple):
+    """A record at its place in the log."""
+
+    offset: int
+    record: Record
+
+
+class Outcome(NamedTuple):
+    """What became of a record; the same in every process."""
+
+    id: str
+    offset: int
+    accepted: bool
+    reason: str = ""
+    """Code of the rejection, empty if accepted."""
--- /dev/null
+++ b/auburnproxy/quotas/__init__.py
@@ -0,0 +1,1 @@
+"""Limits divided ahead of time between daemons."""
--- /dev/null
+++ b/auburnproxy/replicas/__init__.py
@@ -0,0 +1,5 @@
+"""Groups of hosts that serve one copy of a model."""
+
+from .replica import Replica
+
+__all__ = ["Replica"]
--- /dev/null
+++ b/auburnproxy/routing/__init__.py
@@ -0,0 +1,1 @@
+"""The choice of an upstream for a call."""
--- /dev/null
+++ b/auburnproxy/serving/__init__.py
@@ -0,0 +1,1 @@
+"""The HTTP face towards callers."""
--- /dev/null
+++ b/auburnproxy/telemetry/__init__.py
@@ -0,0 +1,1 @@
+"""Histograms, group downtime, stranded accelerators and logs."""
--- /dev/null
+++ b/auburnproxy/upstreams/__init__.py
@@ -0,0 +1,1 @@
+"""Upstreams: model engines and plain services."""
--- /dev/null
+++ b/features/findings.feature
@@ -0,0 +1,36 @@
+Feature: Findings in YAML documents
+
+  Scenario: Every finding is reported with its line and key
+    Given the document
+      """
+      name: 3
+      ports:
+        peer: none
+      """
+    When it is checked against name text and peer number
+    Then the findings are
+      | line | key        | code |
+      | 1    | name       | type |
+      | 3    | ports.peer | type |
+
+  Scenario: Broken YAML names its line
+    Given the document
+      """
+      name: [1
+      ports: }
+      """
+    When it is parsed
+    Then the findings are
+      | line | key | code |
+      | 2    |     | yaml |
+
+  Scenario: A repeated key is a finding
+    Given the document
+      """
+      name: a
+      name: b
+      """
+    When it is parsed
+    Then the findings are
+      | line | key  | code     |
+      | 2    | name | repeated |
--- /dev/null
+++ b/features/machines/search.py
@@ -0,0 +1,45 @@
+"""Runs hypothesis state machines: fixed in CI, seeded from ``bin/fuzz``."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Coroutine
+from typing import Any
+
+import async_solipsism
+from hypothesis import HealthCheck, seed, settings
+from hypothesis.stateful import RuleBasedStateMachine, run_state_machine_as_test
+
+
+def search(
+    machine: type[RuleBasedStateMachine],
+    *,
+    examples: int,
+    steps: int,
+    seed_with: int | None = None,
+) -> None:
+    """Run a machine's examples; the same ones every time unless a seed is given."""
+    chosen = settings(
+        max_examples=examples,
+        stateful_step_count=steps,
+        derandomize=seed_with is None,
+        database=None,
+        deadline=None,
+        print_blob=False,
+        suppress_health_check=list(HealthCheck),
+    )
+    seeded = machine if seed_with is None else seed(seed_with)(machine)
+    run_state_machine_as_test(seeded, settings=chosen)
+
+
+def run_virtual(coroutine: Coroutine[Any, Any, Any]) -> Any:
+    """Run a coroutine on a loop whose clock jumps to the next timer."""
+    loop = async_solipsism.EventLoop()
+    try:
+        return loop.run_until_complete(coroutine)
+    finally:
+        pending = asyncio.all_tasks(loop)
+        for task in pending:
+            task.cancel()
+        loop.run_until_complete(asyncio.gather(*pending, return_exceptions=True))
+        loop.close()
