Add the roster, the settled window, shares, gates and peer links

One rule divides limits and custody: each slot has a fixed order of members and the first that is not gone holds it, so views that differ in who is gone or in the limit never hold one slot twice. A daemon acts within every epoch from the settled one to its newest, and acknowledges an epoch once its work fits.

--- a/auburnproxy/errors.py
+++ b/auburnproxy/errors.py
@@ -91,3 +91,9 @@
         self.status = status
         self.ran = ran
         self.retry_after_s = retry_after_s
+
+
+class PeerError(AuburnError):
+    """A peer could not be reached, is not authentic, or broke the protocol."""
+
+    code = "peer"
--- a/auburnproxy/membership/__init__.py
+++ b/auburnproxy/membership/__init__.py
@@ -1,5 +1,21 @@
 """The daemons of a failure domain and what they divide among themselves."""
 
+from .beat import Beat, Summary
+from .epoch import Division, Epoch, Weight, Window
 from .member import Member
+from .membership import Membership
+from .roster import Roster
+from .view import View
 
-__all__ = ["Member"]
+__all__ = [
+    "Beat",
+    "Division",
+    "Epoch",
+    "Member",
+    "Membership",
+    "Roster",
+    "Summary",
+    "View",
+    "Weight",
+    "Window",
+]
--- /dev/null
+++ b/auburnproxy/membership/_journal.py
@@ -0,0 +1,47 @@
+"""What membership needs of the journal."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Mapping, Sequence
+from typing import Any, Protocol
+
+from ..journal import Entry, Outcome
+
+
+class JournalPort(Protocol):
+    """The part of the journal that is relayed, and proposed to."""
+
+    @property
+    def offset(self) -> int:
+        """Return the offset of the last folded entry."""
+
+    @property
+    def up(self) -> bool:
+        """Return whether the log answered last time."""
+
+    @property
+    def ready(self) -> bool:
+        """Return whether the state is usable."""
+
+    async def propose(
+        self,
+        kind: str,
+        body: Mapping[str, Any],
+        *,
+        expects: Mapping[str, int],
+        timeout_s: float,
+        record_id: str = "",
+    ) -> Outcome:
+        """Append a record and return what became of it."""
+
+    def entries_after(self, offset: int, limit: int) -> Sequence[Entry]:
+        """Return kept entries after an offset."""
+
+    def offer(self, entries: Iterable[Entry]) -> None:
+        """Fold entries that a peer relayed."""
+
+    def checkpoint(self) -> bytes:
+        """Return the state as a checkpoint."""
+
+    def adopt(self, checkpoint: bytes) -> bool:
+        """Take a peer's checkpoint if it is newer."""
--- /dev/null
+++ b/auburnproxy/membership/_wire.py
@@ -0,0 +1,162 @@
+"""Peer messages as Cap'n Proto frames."""
+
+from __future__ import annotations
+
+from pathlib import Path
+from typing import Any, NamedTuple
+
+import capnp
+import msgspec
+
+from ..errors import PeerError
+from ..journal import Entry
+from .beat import Beat, Summary
+from .member import Member
+
+_schema = capnp.load(str(Path(__file__).with_name("peer.capnp")))
+_entries = msgspec.msgpack.Decoder(list[Entry])
+
+
+class Hello(NamedTuple):
+    """The first message of both sides."""
+
+    member: Member
+    nonce: bytes
+
+
+class Proof(NamedTuple):
+    """Shows that the sender knows the secret."""
+
+    mac: bytes
+
+
+class Fetch(NamedTuple):
+    """Asks for journal entries."""
+
+    after: int
+    """Offset of the last entry that the sender has."""
+
+
+class Entries(NamedTuple):
+    """Journal entries in offset order."""
+
+    entries: list[Entry]
+
+
+class CheckpointPart(NamedTuple):
+    """A piece of a checkpoint; pieces are sent in order."""
+
+    part: int
+    parts: int
+    data: bytes
+
+
+Message = Hello | Proof | Beat | Fetch | Entries | CheckpointPart
+
+
+def encode(message: Message) -> bytes:
+    """Return a message as a packed frame.
+
+    :param message: the message
+    """
+    frame = _schema.Frame.new_message()
+    match message:
+        case Hello(member, nonce):
+            _fill_hello(frame.init("hello"), member, nonce)
+        case Proof(mac):
+            frame.proof = mac
+        case Beat():
+            _fill_beat(frame.init("beat"), message)
+        case Fetch(after):
+            frame.fetch = after
+        case Entries(entries):
+            frame.entries = msgspec.msgpack.encode(entries)
+        case CheckpointPart(part, parts, data):
+            frame.checkpoint = {"part": part, "parts": parts, "data": data}
+    return bytes(frame.to_bytes_packed())
+
+
+def decode(data: bytes) -> Message:
+    """Return the message of a packed frame.
+
+    :param data: the frame
+    :raises PeerError: if it is malformed
+    """
+    try:
+        return _read(_schema.Frame.from_bytes_packed(data))
+    except (capnp.KjException, msgspec.DecodeError, ValueError, KeyError) as error:
+        raise PeerError(f"malformed frame of {len(data)} bytes") from error
+
+
+def _fill_hello(hello: Any, member: Member, nonce: bytes) -> None:
+    hello.name = member.name
+    hello.incarnation = member.incarnation
+    hello.failureDomain = member.failure_domain
+    hello.peerAddress = member.peer_address
+    hello.internalAddress = member.internal_address
+    hello.nonce = nonce
+
+
+def _fill_beat(target: Any, beat: Beat) -> None:
+    target.epoch = beat.epoch
+    target.acked = beat.acked
+    target.settled = beat.settled
+    target.offset = beat.offset
+    target.version = beat.version
+    target.needsRelay = beat.needs_relay
+    target.gone = list(beat.gone)
+    free = target.init("free", len(beat.free))
+    for place, (digest, slots) in enumerate(beat.free.items()):
+        free[place].keyDigest = digest
+        free[place].slots = slots
+    summaries = target.init("summaries", len(beat.summaries))
+    for place, summary in enumerate(beat.summaries):
+        summaries[place].failureDomain = summary.failure_domain
+        summaries[place].settled = summary.settled
+        summaries[place].version = summary.version
+
+
+def _read(frame: Any) -> Message:
+    kind = str(frame.which())
+    if kind == "beat":
+        return _read_beat(frame.beat)
+    if kind == "hello":
+        return _read_hello(frame.hello)
+    if kind == "proof":
+        return Proof(bytes(frame.proof))
+    if kind == "fetch":
+        return Fetch(frame.fetch)
+    if kind == "entries":
+        return Entries(_entries.decode(frame.entries))
+    if kind == "checkpoint":
+        piece = frame.checkpoint
+        return CheckpointPart(piece.part, piece.parts, bytes(piece.data))
+    raise ValueError(kind)
+
+
+def _read_hello(hello: Any) -> Hello:
+    member = Member(
+        name=hello.name,
+        incarnation=hello.incarnation,
+        failure_domain=hello.failureDomain,
+        peer_address=hello.peerAddress,
+        internal_address=hello.internalAddress,
+    )
+    return Hello(member, bytes(hello.nonce))
+
+
+def _read_beat(beat: Any) -> Beat:
+    return Beat(
+        epoch=beat.epoch,
+        acked=beat.acked,
+        settled=beat.settled,
+        offset=beat.offset,
+        version=beat.version,
+        needs_relay=beat.needsRelay,
+        gone=tuple(beat.gone),
+        free={item.keyDigest: item.slots for item in beat.free},
+        summaries=tuple(
+            Summary(item.failureDomain, item.settled, item.version)
+            for item in beat.summaries
+        ),
+    )
--- /dev/null
+++ b/auburnproxy/membership/membership.py
@@ -0,0 +1,355 @@
+"""This daemon among its peers: beats, the window, and who is gone."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections.abc import Callable, Mapping, Sequence
+from typing import Protocol
+
+from loguru import logger
+
+from ..errors import AuburnError, PeerError
+from . import link as links
+from ._dialer import Dialer
+from ._journal import JournalPort
+from ._relay import Relay
+from ._steward import Steward
+from ._wire import encode
+from .beat import Beat, choose_free, key_digest
+from .epoch import NOTHING, Epoch, Window
+from .link import Link
+from .member import Member
+from .roster import JOIN, LEAVE, Roster
+from .view import View
+
+TICK_S = 0.25
+BEAT_MIN_S = 0.5
+BEAT_PER_LINK_S = 0.1
+SILENCE_BEATS = 5
+SILENCE_MIN_S = 8.0
+PAUSE_BOUND_S = 30.0
+"""A daemon that did not run for this long asks its peers before it acts again."""
+MAX_FREE_TOLD = 24
+MAX_SUMMARIES_TOLD = 6
+PROPOSE_TIMEOUT_S = 10.0
+RETRY_S = 1.0
+
+log = logger.bind(part="membership")
+
+
+class SharedLimits(Protocol):
+    """What membership needs of the gates."""
+
+    def fits(self, epoch: Epoch) -> bool:
+        """Return whether everything in flight fits an epoch."""
+
+    @property
+    def free_by_key(self) -> Mapping[str, int]:
+        """Return the free slots by key."""
+
+
+class Membership:
+    """One daemon's place among the others.
+
+    :param me: this daemon; it listens at its ``peer_address``
+    :param roster: reducer of ``journal``
+    :param journal: the journal
+    :param secret: the secret that all daemons share
+    :param seeds: addresses of peers to ask before the roster is known
+    :param version: returns the configuration version in force here
+    :param lost_hosts: returns names of daemons whose hosts can run nothing any more
+    """
+
+    def __init__(
+        self,
+        me: Member,
+        roster: Roster,
+        journal: JournalPort,
+        *,
+        secret: bytes,
+        seeds: Sequence[str] = (),
+        version: Callable[[], int] = lambda: 0,
+        lost_hosts: Callable[[], frozenset[str]] = frozenset,
+    ) -> None:
+        self.me = me
+        self.roster = roster
+        self.journal = journal
+        self.secret = secret
+        self.seeds = tuple(seeds)
+        self.view = View(me, roster)
+        self.links_by_id: dict[str, Link] = {}
+        self.beats_by_member: dict[str, Beat] = {}
+        """Newest beat of each connected member, by member id."""
+        self._version = version
+        self._lost_hosts = lost_hosts
+        self._conditions: list[Callable[[Epoch], bool]] = []
+        self._limits: SharedLimits | None = None
+        self._dialer = Dialer(self)
+        self._relay = Relay(self)
+        self._steward = Steward(self)
+        self._told: tuple[object, ...] = ()
+        self._summaries_told = 0
+        self._ran_at = time.clock_gettime(time.CLOCK_BOOTTIME)
+        self._suspended = False
+
+    @property
+    def window(self) -> Window:
+        """Return what this daemon has to obey now; empty when it may not act."""
+        paused_s = time.clock_gettime(time.CLOCK_BOOTTIME) - self._ran_at
+        if self._suspended or paused_s > PAUSE_BOUND_S:
+            return NOTHING
+        return self.view.window
+
+    @property
+    def gone(self) -> frozenset[str]:
+        """Return the ids of members that can never act again."""
+        return self.view.gone
+
+    @property
+    def joined(self) -> bool:
+        """Return whether this daemon is on its failure domain's roster."""
+        return self.me in self.roster.members(self.me.failure_domain)
+
+    @property
+    def in_force(self) -> Mapping[str, int]:
+        """Return the newest configuration version in force, by failure domain."""
+        by_domain = dict(self.view.version_by_domain)
+        mine = self.me.failure_domain
+        by_domain[mine] = max(by_domain.get(mine, 0), self._version())
+        return by_domain
+
+    @property
+    def live(self) -> tuple[Member, ...]:
+        """Return this daemon and the connected members of its failure domain."""
+        members = self.roster.members(self.me.failure_domain)
+        return tuple(m for m in members if m == self.me or m.id in self.beats_by_member)
+
+    def attach(self, limits: SharedLimits) -> None:
+        """Tell peers of the free slots of gates, and acknowledge only what fits them.
+
+        :param limits: this daemon's gates
+        """
+        self._limits = limits
+        self.require(limits.fits)
+
+    def require(self, obeys: Callable[[Epoch], bool]) -> None:
+        """Add a condition that has to hold before an epoch is acknowledged.
+
+        :param obeys: whether this daemon acts within an epoch already
+        """
+        self._conditions.append(obeys)
+
+    def delegate(self, failure_domain: str) -> Member | None:
+        """Return the member of a failure domain that the own one links with.
+
+        :param failure_domain: its name; the own one's answer is among :attr:`live`
+        """
+        return self._dialer.delegate(failure_domain)
+
+    def free_slots(self, key: str) -> Mapping[str, int]:
+        """Return the free slots that connected members told of, by member id.
+
+        :param key: the quota's key
+        """
+        digest = key_digest(key)
+        return {
+            member_id: beat.free[digest]
+            for member_id, beat in self.beats_by_member.items()
+            if digest in beat.free
+        }
+
+    async def run(self) -> None:
+        """Listen, keep the links, and join the roster; until cancelled."""
+        host, _, port = self.me.peer_address.rpartition(":")
+        async with asyncio.TaskGroup() as group:
+
+            def take(
+                reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+            ) -> None:
+                group.create_task(self._accept(reader, writer))
+
+            server = await asyncio.start_server(take, host, int(port))
+            log.info("Listening for peers on {}.", self.me.peer_address)
+            try:
+                group.create_task(self._join())
+                group.create_task(self._beat())
+                group.create_task(self._dialer.run())
+                group.create_task(self._relay.run())
+                await self._steward.run()
+            finally:
+                server.close()
+
+    async def leave(self, *, timeout_s: float) -> None:
+        """Say farewell: nothing of this daemon is in flight any more, nor will be.
+
+        :param timeout_s: seconds to wait for the journal; peers are told at once
+        """
+        self.view.mark_gone((self.me.id,))
+        self._send_beat()
+        try:
+            body = {"member": self.me.id}
+            await self.journal.propose(LEAVE, body, expects={}, timeout_s=timeout_s)
+        except AuburnError as error:
+            log.warning("The leave was not recorded: {}.", error)
+
+    def mark_gone(self, member_id: str, *, reason: str) -> None:
+        """Take a member for gone for good.
+
+        :param member_id: the member
+        :param reason: what shows it, for the log
+        """
+        if self.view.mark_gone((member_id,)):
+            log.warning("{} is gone: {}.", member_id, reason)
+
+    async def serve(self, link: Link) -> None:
+        """Take a link's messages until it ends.
+
+        :param link: an authenticated link
+        """
+        peer = link.peer
+        older = self.links_by_id.get(peer.id)
+        if older:
+            older.close()
+        self.links_by_id[peer.id] = link
+        log.debug("Linked with {}.", peer.id)
+        try:
+            link.send(self._frame())
+            while True:
+                message = await link.receive(timeout_s=self.silence_s)
+                if isinstance(message, Beat):
+                    self._hear(peer, message)
+                else:
+                    self._relay.take(link, message)
+        except AuburnError as error:
+            log.debug("The link with {} ended: {}.", peer.id, error)
+        finally:
+            link.close()
+            if self.links_by_id.get(peer.id) is link:
+                del self.links_by_id[peer.id]
+                self.beats_by_member.pop(peer.id, None)
+
+    @property
+    def beat_interval_s(self) -> float:
+        """Return the seconds between beats; more links, slower beats."""
+        return max(BEAT_MIN_S, BEAT_PER_LINK_S * len(self.links_by_id))
+
+    @property
+    def silence_s(self) -> float:
+        """Return the seconds of silence after which a link is given up."""
+        return max(SILENCE_MIN_S, SILENCE_BEATS * self.beat_interval_s)
+
+    async def _accept(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        try:
+            link = await links.accept(reader, writer, self.me, self.secret)
+        except PeerError as error:
+            log.warning("A peer was turned away: {}.", error)
+            return
+        await self.serve(link)
+
+    async def _join(self) -> None:
+        while not self.joined and not self.view.expelled:
+            if self.journal.ready and self.journal.up:
+                await self._propose_join()
+            await asyncio.sleep(RETRY_S)
+
+    async def _propose_join(self) -> None:
+        try:
+            outcome = await self.journal.propose(
+                JOIN,
+                self.me._asdict(),
+                expects={},
+                timeout_s=PROPOSE_TIMEOUT_S,
+                record_id=f"join/{self.me.id}",
+            )
+        except AuburnError as error:
+            log.warning("The join was not recorded yet: {}.", error)
+            return
+        if not outcome.accepted:
+            log.error("The join was rejected: {}.", outcome.reason)
+
+    async def _beat(self) -> None:
+        due = 0.0
+        while True:
+            self._ran()
+            self._check_hosts()
+            self.view.acknowledge(self._obeys)
+            now = asyncio.get_running_loop().time()
+            if now >= due or self._news() != self._told:
+                self._send_beat()
+                due = now + self.beat_interval_s
+            await asyncio.sleep(TICK_S)
+
+    def _ran(self) -> None:
+        """Note that this daemon runs; after a long pause it has to ask first."""
+        now = time.clock_gettime(time.CLOCK_BOOTTIME)
+        if now - self._ran_at > PAUSE_BOUND_S:
+            self._suspended = True
+            log.warning("Paused for {:.0f} s; asking peers.", now - self._ran_at)
+            for link in list(self.links_by_id.values()):
+                link.close()
+            self.links_by_id.clear()
+            self.beats_by_member.clear()
+        self._ran_at = now
+        if self._suspended and not self._others():
+            self._suspended = False
+
+    def _others(self) -> list[Member]:
+        members = self.roster.members(self.me.failure_domain)
+        return [m for m in members if m != self.me and m.id not in self.gone]
+
+    def _check_hosts(self) -> None:
+        lost = self._lost_hosts()
+        if not lost:
+            return
+        for domain in self.roster.failure_domains:
+            for epoch in self.roster.epochs(domain):
+                for member in epoch.members:
+                    if member.name in lost and member != self.me:
+                        self.mark_gone(member.id, reason="its host was lost")
+
+    def _obeys(self, epoch: Epoch) -> bool:
+        return all(obeys(epoch) for obeys in self._conditions)
+
+    def _hear(self, peer: Member, beat: Beat) -> None:
+        self.view.hear(peer, beat)
+        self.beats_by_member[peer.id] = beat
+        if self._suspended and not self.view.expelled:
+            self._suspended = False
+            log.info("{} answered after the pause.", peer.id)
+
+    def _news(self) -> tuple[object, ...]:
+        """Return what peers are told of before the next beat is due."""
+        view = self.view
+        relayed = any(beat.needs_relay for beat in self.beats_by_member.values())
+        offset = self.journal.offset if relayed else 0
+        facts = (view.acked, view.settled, view.gone, tuple(self.in_force.values()))
+        return (*facts, view.epoch, offset)
+
+    def _send_beat(self) -> None:
+        self._told = self._news()
+        frame = self._frame()
+        for link in list(self.links_by_id.values()):
+            link.send(frame)
+
+    def _frame(self) -> bytes:
+        view = self.view
+        free = self._limits.free_by_key if self._limits else {}
+        summaries = view.summaries()
+        start = self._summaries_told
+        chosen = (summaries[start:] + summaries[:start])[:MAX_SUMMARIES_TOLD]
+        self._summaries_told = (start + MAX_SUMMARIES_TOLD) % max(len(summaries), 1)
+        beat = Beat(
+            epoch=view.epoch,
+            acked=view.acked,
+            settled=view.settled,
+            offset=self.journal.offset,
+            version=self.in_force[self.me.failure_domain],
+            needs_relay=not self.journal.up,
+            gone=view.gone_to_tell(),
+            free=choose_free(free, self.me.id, most=MAX_FREE_TOLD),
+            summaries=chosen,
+        )
+        return encode(beat)
--- /dev/null
+++ b/auburnproxy/membership/view.py
@@ -0,0 +1,188 @@
+"""What one daemon knows of the others, and the window that follows from it."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable
+
+from .beat import Beat, Summary
+from .epoch import NOTHING, Epoch, Window
+from .member import Member
+from .roster import Roster, since
+
+
+class View:
+    """Facts from the roster and from beats; each of them is stable.
+
+    :param me: this daemon
+    :param roster: the fold of the journal
+    """
+
+    def __init__(self, me: Member, roster: Roster) -> None:
+        self.me = me
+        self.acked = 0
+        """Newest epoch that this daemon obeys."""
+        self.settled_by_domain: dict[str, int] = {}
+        self.version_by_domain: dict[str, int] = {}
+        self._roster = roster
+        self._acked_by_id: dict[str, int] = {}
+        self._gone: frozenset[str] = frozenset()
+        self._facts = 0
+        self._window = NOTHING
+        self._window_of = (-1, -1)
+
+    @property
+    def epochs(self) -> tuple[Epoch, ...]:
+        """Return the kept epochs of the own failure domain, oldest first."""
+        return self._roster.epochs(self.me.failure_domain)
+
+    @property
+    def epoch(self) -> int:
+        """Return the number of the newest epoch, 0 if there is none."""
+        epochs = self.epochs
+        return epochs[-1].number if epochs else 0
+
+    @property
+    def settled(self) -> int:
+        """Return the newest epoch of the own failure domain known to be settled."""
+        return self._settled(self.me.failure_domain)
+
+    @property
+    def gone(self) -> frozenset[str]:
+        """Return the ids of all members known to be gone."""
+        return self._gone | self._roster.gone
+
+    @property
+    def expelled(self) -> bool:
+        """Return whether this daemon itself is taken for gone."""
+        return self.me.id in self._gone or self.me.id in self._roster.gone
+
+    @property
+    def window(self) -> Window:
+        """Return what this daemon has to obey; the same object until it changes."""
+        now = (self._roster.revision, self._facts)
+        if now != self._window_of:
+            self._window = self._make_window()
+            self._window_of = now
+        return self._window
+
+    def mark_gone(self, member_ids: Iterable[str]) -> bool:
+        """Take members for gone, which is never undone.
+
+        :param member_ids: ids of members that can never act again
+        :return: whether one of them is news
+        """
+        gone = self._gone | frozenset(member_ids)
+        if gone == self._gone:
+            return False
+        self._gone = gone
+        self._facts += 1
+        return True
+
+    def hear(self, member: Member, beat: Beat) -> bool:
+        """Take in a beat; late and repeated ones do no harm.
+
+        :param member: its authenticated sender
+        :param beat: what it says
+        :return: whether anything is news that others should hear soon
+        """
+        domain = member.failure_domain
+        news = self.mark_gone(beat.gone)
+        if beat.acked > self._acked_by_id.get(member.id, 0):
+            self._acked_by_id[member.id] = beat.acked
+        summaries = (Summary(domain, beat.settled, beat.version), *beat.summaries)
+        for summary in summaries:
+            news |= self._learn(summary)
+        return self.settle() or news
+
+    def acknowledge(self, obeys: Callable[[Epoch], bool]) -> bool:
+        """Acknowledge the epochs that this daemon obeys, in their order.
+
+        :param obeys: whether the work in flight fits an epoch
+        :return: whether a newer one was acknowledged
+        """
+        before = self.acked
+        for epoch in self.epochs:
+            if epoch.number <= self.acked:
+                continue
+            if not obeys(epoch):
+                break
+            self.acked = epoch.number
+        self._acked_by_id[self.me.id] = self.acked
+        return self.settle() or self.acked > before
+
+    def settle(self) -> bool:
+        """Find the newest epoch that everybody obeys who could act on an older one.
+
+        :return: whether it is newer than before
+        """
+        before = self.settled
+        could_act: set[str] = set()
+        newest = before
+        for epoch in self.epochs:
+            if epoch.number > before and self._all_obey(could_act, epoch.number):
+                newest = epoch.number
+            if epoch.number >= before:
+                could_act |= {member.id for member in epoch.members}
+        return self._learn(Summary(self.me.failure_domain, newest, 0))
+
+    def summaries(self) -> tuple[Summary, ...]:
+        """Return what is known of the other failure domains, in order of name."""
+        domains = self.settled_by_domain.keys() | self.version_by_domain.keys()
+        return tuple(
+            Summary(
+                domain,
+                self.settled_by_domain.get(domain, 0),
+                self.version_by_domain.get(domain, 0),
+            )
+            for domain in sorted(domains - {self.me.failure_domain})
+        )
+
+    def gone_to_tell(self) -> tuple[str, ...]:
+        """Return the gone ids that the journal does not tell, in order."""
+        told = self._gone - self._roster.gone
+        if not told:
+            return ()
+        domains = self._roster.failure_domains
+        epochs = (epoch for domain in domains for epoch in self._roster.epochs(domain))
+        kept = {member.id for epoch in epochs for member in epoch.members}
+        return tuple(sorted(told & (kept | {self.me.id})))
+
+    def _all_obey(self, member_ids: set[str], number: int) -> bool:
+        gone = self.gone
+        return all(
+            self._acked_by_id.get(member_id, 0) >= number
+            for member_id in member_ids
+            if member_id not in gone
+        )
+
+    def _learn(self, summary: Summary) -> bool:
+        domain, settled, version = summary
+        news = False
+        if settled > self.settled_by_domain.get(domain, 0):
+            self.settled_by_domain[domain] = settled
+            self._facts += 1
+            news = True
+        if version > self.version_by_domain.get(domain, 0):
+            self.version_by_domain[domain] = version
+            news = True
+        return news
+
+    def _settled(self, domain: str) -> int:
+        epochs = self._roster.epochs(domain)
+        oldest = epochs[0].number if epochs else 0
+        return max(self.settled_by_domain.get(domain, 0), oldest)
+
+    def _obeyed(self, domain: str) -> int:
+        """Return the offset whose division a failure domain obeys at least."""
+        epochs = self._roster.epochs(domain)
+        ids = {member.id for epoch in epochs for member in epoch.members}
+        return epochs[-1].number if ids <= self.gone else self._settled(domain)
+
+    def _make_window(self) -> Window:
+        settled = self.settled
+        epochs = tuple(e for e in self.epochs if e.number >= settled)
+        if not epochs or self.expelled:
+            return NOTHING
+        obeyed = min(self._obeyed(domain) for domain in self._roster.failure_domains)
+        divisions = since(self._roster.divisions, obeyed)
+        return Window(epochs, self.gone, divisions, self.me.failure_domain)
