--- /dev/null
+++ b/auburnproxy/telemetry/telemetry.py
@@ -0,0 +1,180 @@
+"""Histograms and counters, bounded in number and mergeable between daemons."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from typing import NamedTuple, TypedDict
+
+from hdrh.histogram import HdrHistogram
+
+from .measure import Counter, Measure
+
+LOWEST_US = 1
+HIGHEST_US = 3_600_000_000
+SIGNIFICANT_DIGITS = 2
+US_PER_S = 1_000_000
+PERCENTILES = (50.0, 95.0, 99.0)
+
+MAX_SERIES = 512
+"""Histograms kept; further plans and targets share one named ``OTHER``."""
+OTHER = "other"
+
+
+class SeriesKey(NamedTuple):
+    """What one histogram is about."""
+
+    measure: Measure
+    plan: str
+    target: str
+
+
+class CountKey(NamedTuple):
+    """What one count is about."""
+
+    counter: Counter
+    plan: str
+    target: str
+    code: str
+
+
+class SeriesSummary(TypedDict):
+    """One histogram in a report; durations in seconds."""
+
+    measure: str
+    plan: str
+    target: str
+    count: int
+    p50_s: float
+    p95_s: float
+    p99_s: float
+    encoded: str
+    """The histogram itself, to merge with those of other daemons."""
+
+
+class CountSummary(TypedDict):
+    """One count in a report."""
+
+    counter: str
+    plan: str
+    target: str
+    code: str
+    count: int
+
+
+class TelemetryReport(TypedDict):
+    """Everything that one daemon has measured since its start."""
+
+    histograms: list[SeriesSummary]
+    counts: list[CountSummary]
+
+
+def _new_histogram() -> HdrHistogram:
+    return HdrHistogram(LOWEST_US, HIGHEST_US, SIGNIFICANT_DIGITS)
+
+
+class Telemetry:
+    """The measures of one daemon.
+
+    :param max_series: greatest number of histograms
+    """
+
+    def __init__(self, *, max_series: int = MAX_SERIES) -> None:
+        self.histogram_by_key: dict[SeriesKey, HdrHistogram] = {}
+        self.count_by_key: dict[CountKey, int] = {}
+        self._max_series = max_series
+
+    def observe(self, measure: Measure, plan: str, target: str, seconds: float) -> None:
+        """Record one duration.
+
+        :param measure: what was measured
+        :param plan: name of the caller's plan
+        :param target: name of the model or plain service
+        :param seconds: the duration, cut to an hour
+        """
+        histogram = self.histogram(measure, plan, target)
+        microseconds = int(seconds * US_PER_S)
+        histogram.record_value(min(max(microseconds, LOWEST_US), HIGHEST_US))
+
+    def histogram(self, measure: Measure, plan: str, target: str) -> HdrHistogram:
+        """Return the histogram of a measure, made if there is room.
+
+        Callers on a hot path keep it and record microseconds themselves.
+        """
+        key = SeriesKey(measure, plan, target)
+        found = self.histogram_by_key.get(key)
+        if found is not None:
+            return found
+        if len(self.histogram_by_key) >= self._max_series:
+            key = SeriesKey(measure, OTHER, OTHER)
+        return self.histogram_by_key.setdefault(key, _new_histogram())
+
+    def count(self, counter: Counter, plan: str, target: str, code: str = "") -> None:
+        """Add one to a count.
+
+        :param counter: what happened
+        :param plan: name of the caller's plan
+        :param target: name of the model or plain service
+        :param code: stable code that tells the reason
+        """
+        key = CountKey(counter, plan, target, code)
+        if key not in self.count_by_key and len(self.count_by_key) >= self._max_series:
+            key = CountKey(counter, OTHER, OTHER, code)
+        self.count_by_key[key] = self.count_by_key.get(key, 0) + 1
+
+    def report(self) -> TelemetryReport:
+        """Return everything measured, ready to be merged with other daemons'."""
+        histograms = [
+            _summary(key, histogram)
+            for key, histogram in sorted(self.histogram_by_key.items())
+        ]
+        counts = [
+            CountSummary(
+                counter=key.counter,
+                plan=key.plan,
+                target=key.target,
+                code=key.code,
+                count=count,
+            )
+            for key, count in sorted(self.count_by_key.items())
+        ]
+        return TelemetryReport(histograms=histograms, counts=counts)
+
+
+def _summary(key: SeriesKey, histogram: HdrHistogram) -> SeriesSummary:
+    p50, p95, p99 = (
+        histogram.get_value_at_percentile(p) / US_PER_S for p in PERCENTILES
+    )
+    return SeriesSummary(
+        measure=key.measure,
+        plan=key.plan,
+        target=key.target,
+        count=histogram.total_count,
+        p50_s=p50,
+        p95_s=p95,
+        p99_s=p99,
+        encoded=histogram.encode().decode(),
+    )
+
+
+def merge(reports: Iterable[TelemetryReport]) -> TelemetryReport:
+    """Return the reports of several daemons as one.
+
+    :param reports: each daemon's own report
+    """
+    merged = Telemetry()
+    for report in reports:
+        for series in report["histograms"]:
+            histogram = merged.histogram(
+                Measure(series["measure"]), series["plan"], series["target"]
+            )
+            histogram.decode_and_add(series["encoded"])
+        for count in report["counts"]:
+            key = CountKey(
+                Counter(count["counter"]),
+                count["plan"],
+                count["target"],
+                count["code"],
+            )
+            previous = merged.count_by_key.get(key, 0)
+            merged.count_by_key[key] = previous + count["count"]
+    return merged.report()
