--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks: each module measures one slope or comparison and prints a table."""
--- /dev/null
+++ b/bench/fit.py
@@ -0,0 +1,73 @@
+"""Straight lines through measured points, and their table."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from statistics import linear_regression
+from typing import NamedTuple
+
+from rich.console import Console
+from rich.table import Table
+
+
+class Fit(NamedTuple):
+    """A line through points, with the largest distance of a point from it."""
+
+    slope: float
+    intercept: float
+    residual: float
+    """Largest absolute distance, as a part of the largest value."""
+
+    def at(self, size: float) -> float:
+        """Return the line's value at a size."""
+        return self.intercept + self.slope * size
+
+
+def fit(sizes: Sequence[float], values: Sequence[float]) -> Fit:
+    """Fit a line by least squares.
+
+    :param sizes: at least four sizes
+    :param values: the value measured at each size
+    """
+    slope, intercept = linear_regression(sizes, values)
+    distances = [
+        abs(value - intercept - slope * size)
+        for size, value in zip(sizes, values, strict=True)
+    ]
+    return Fit(slope, intercept, max(distances) / max(map(abs, values)))
+
+
+def print_fit(
+    title: str,
+    size_name: str,
+    sizes: Sequence[float],
+    values: Sequence[float],
+    unit: str,
+    *,
+    target: float | None = None,
+) -> Fit:
+    """Print the points, the line through them and its value at the target size.
+
+    :param title: what is measured
+    :param size_name: name of the size
+    :param sizes: the sizes
+    :param values: the value measured at each size
+    :param unit: unit of the values
+    :param target: size to work the value out for
+    """
+    line = fit(sizes, values)
+    table = Table(title=title)
+    table.add_column(size_name, justify="right")
+    table.add_column(f"measured, {unit}", justify="right")
+    table.add_column(f"line, {unit}", justify="right")
+    for size, value in zip(sizes, values, strict=True):
+        table.add_row(f"{size:g}", f"{value:.4g}", f"{line.at(size):.4g}")
+    if target is not None:
+        table.add_row(f"{target:g}", "worked out", f"{line.at(target):.4g}")
+    console = Console(width=88)
+    console.print(table)
+    console.print(
+        f"slope {line.slope:.4g} {unit} for each of {size_name}, intercept "
+        f"{line.intercept:.4g} {unit}, residual {line.residual:.1%}\n"
+    )
+    return line
