--- /dev/null
+++ b/auburnproxy/platform/_client.py
@@ -0,0 +1,97 @@
+"""The HTTP client that every adapter of the platform shares."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from aiohttp import (
+    ClientConnectorError,
+    ClientError,
+    ClientSession,
+    ClientTimeout,
+    ConnectionTimeoutError,
+    TCPConnector,
+)
+
+from ..errors import PlatformError
+
+CONNECT_TIMEOUT_S = 1.0
+ANSWER_TIMEOUT_S = 3.0
+UNAVAILABLE_STATUS = 503
+ERROR_STATUS = 400
+
+
+class LostAnswerError(PlatformError):
+    """A request was sent, and no complete answer came back."""
+
+    code = "answer_lost"
+
+
+class Client:
+    """Requests to one platform service; the session opens with the first one.
+
+    :param base_url: root of the service, ``http://127.0.0.1:9000``
+    """
+
+    def __init__(self, base_url: str) -> None:
+        self._base_url = base_url.rstrip("/")
+        self._session: ClientSession | None = None
+
+    def _open(self) -> ClientSession:
+        if self._session is None:
+            self._session = ClientSession(connector=TCPConnector(limit=0))
+        return self._session
+
+    async def get(
+        self,
+        path: str,
+        *,
+        params: dict[str, int] | None = None,
+        wait_s: float = 0.0,
+    ) -> bytes:
+        """Return the body of a read.
+
+        :param path: path below the base URL
+        :param params: query of the request
+        :param wait_s: seconds that the service may take before it answers
+        :raises PlatformError: if the service does not answer
+        """
+        return await self._request("GET", path, wait_s=wait_s, params=params)
+
+    async def post(self, path: str, body: bytes) -> bytes:
+        """Return the answer to a write.
+
+        :param path: path below the base URL
+        :param body: the request's body
+        :raises LostAnswerError: if the write may have taken effect
+        :raises PlatformError: if it surely has not
+        """
+        return await self._request("POST", path, data=body)
+
+    async def _request(
+        self, method: str, path: str, *, wait_s: float = 0.0, **options: Any
+    ) -> bytes:
+        timeout = ClientTimeout(
+            total=ANSWER_TIMEOUT_S + wait_s, sock_connect=CONNECT_TIMEOUT_S
+        )
+        url = self._base_url + path
+        try:
+            async with self._open().request(
+                method, url, timeout=timeout, allow_redirects=False, **options
+            ) as response:
+                body = await response.read()
+        except (ClientConnectorError, ConnectionTimeoutError) as error:
+            raise PlatformError(f"{url}: {error}") from error
+        except (TimeoutError, ClientError, OSError) as error:
+            raise LostAnswerError(f"{url}: {error!r}") from error
+        if response.status == UNAVAILABLE_STATUS:
+            raise PlatformError(f"{url}: unavailable")
+        if response.status >= ERROR_STATUS:
+            raise LostAnswerError(f"{url}: status {response.status}")
+        return body
+
+    async def close(self) -> None:
+        """Close every connection."""
+        if self._session is not None:
+            await self._session.close()
+            self._session = None
--- /dev/null
+++ b/auburnproxy/upstreams/http_engine.py
@@ -0,0 +1,137 @@
+"""A model engine that speaks HTTP: JSON reports and orders, streamed events."""
+
+from __future__ import annotations
+
+from collections.abc import AsyncGenerator
+
+import msgspec
+from aiohttp import ClientResponse, ClientSession
+
+from ..errors import Ran, StaleFenceError, UpstreamError
+from ._client import CONTROL, STREAM, open_session, upstream_errors
+from ._events import split
+from .engine import Chunk, Engine, EngineReport, ModelCall, Order
+
+OK = 200
+ACCEPTED = 202
+CONFLICT = 409
+REFUSALS = frozenset({400, 404, 409, 413, 429, 503})
+MS_PER_S = 1000
+
+
+def call_headers(call: ModelCall) -> dict[str, str]:
+    """Return the headers that carry all of a call but its body.
+
+    :param call: the call
+    """
+    return {
+        "Content-Type": "application/json",
+        "X-Request-Id": call.request_id,
+        "X-Model": call.model,
+        "X-Priority": str(call.priority),
+        "X-Deadline-Ms": str(round(call.deadline_s * MS_PER_S)),
+        "X-Resume-From": str(call.resume_from),
+        "X-Incarnation": call.incarnation,
+        "X-Generation": str(call.generation),
+    }
+
+
+class HttpEngine(Engine):
+    """An engine behind an address.
+
+    :param address: IP number and port, ``127.0.0.1:9100``
+    """
+
+    def __init__(self, address: str) -> None:
+        self._address = address
+        self._session: ClientSession | None = None
+
+    def _open(self) -> ClientSession:
+        if self._session is None:
+            self._session = open_session()
+        return self._session
+
+    async def _control(
+        self, method: str, path: str, *, body: bytes | None = None
+    ) -> tuple[int, bytes]:
+        url = f"http://{self._address}{path}"
+        with upstream_errors(self._address):
+            async with self._open().request(
+                method, url, data=body, timeout=CONTROL
+            ) as response:
+                return response.status, await response.read()
+
+    async def report(self) -> EngineReport:
+        """Return the engine's newest report.
+
+        :raises UpstreamError: if the engine does not answer
+        """
+        status, body = await self._control("GET", "/report")
+        if status != OK:
+            raise UpstreamError(f"{self._address}: report has status {status}")
+        try:
+            return msgspec.json.decode(body, type=EngineReport)
+        except msgspec.MsgspecError as error:
+            raise UpstreamError(f"{self._address}: {error}") from error
+
+    async def order(self, order: Order) -> None:
+        """Order the engine to play a part in a replica, or none.
+
+        :param order: the order
+        :raises StaleFenceError: if the engine checks fencing and the token is old
+        :raises UpstreamError: if the engine does not answer
+        """
+        body = msgspec.json.encode(order)
+        status, _ = await self._control("POST", "/order", body=body)
+        if status == CONFLICT:
+            raise StaleFenceError(f"{self._address}: fence {order.fence} is old")
+        if status != ACCEPTED:
+            raise UpstreamError(f"{self._address}: order has status {status}")
+
+    async def generate(self, call: ModelCall) -> AsyncGenerator[Chunk, None]:
+        """Run a model call and yield its chunks as they arrive.
+
+        The caller bounds the wait; closing the generator closes the connection,
+        which cancels the call at the engine.
+
+        :param call: the call
+        :raises UpstreamError: with ``ran`` NO if the engine refused the call
+        """
+        url = f"http://{self._address}/generate"
+        with upstream_errors(self._address):
+            response = await self._open().post(
+                url, data=call.body, headers=call_headers(call), timeout=STREAM
+            )
+            try:
+                self._check_accepted(response)
+                read = response.content.readany
+                rest = b""
+                while block := await read():
+                    chunks, rest = split(rest + block if rest else block)
+                    for chunk in chunks:
+                        yield chunk
+            finally:
+                if not response.content.at_eof():
+                    response.close()
+                response.release()
+
+    def _check_accepted(self, response: ClientResponse) -> None:
+        if response.status == OK:
+            return
+        ran = Ran.NO if response.status in REFUSALS else Ran.UNKNOWN
+        reason = f"{self._address}: call has status {response.status}"
+        raise UpstreamError(reason, ran=ran)
+
+    async def close(self) -> None:
+        """Close every connection to the engine."""
+        if self._session is not None:
+            await self._session.close()
+            self._session = None
+
+
+def connect_engine(address: str) -> HttpEngine:
+    """Return the engine at an address.
+
+    :param address: IP number and port, ``127.0.0.1:9100``
+    """
+    return HttpEngine(address)
--- /dev/null
+++ b/auburnproxy/upstreams/http_service.py
@@ -0,0 +1,86 @@
+"""A plain service that speaks HTTP."""
+
+from __future__ import annotations
+
+import msgspec
+from aiohttp import ClientSession, ClientTimeout
+
+from ..errors import UpstreamError
+from ._client import CONNECT_TIMEOUT_S, CONTROL, open_session, upstream_errors
+from .service import PlainAnswer, PlainCall, PlainService, ServiceReport
+
+OK = 200
+ROOT = "/calls"
+DEFAULT_CONTENT_TYPE = "application/octet-stream"
+
+
+class HttpPlainService(PlainService):
+    """A plain service behind an address.
+
+    :param address: IP number and port, ``127.0.0.1:9200``
+    """
+
+    def __init__(self, address: str) -> None:
+        self._address = address
+        self._session: ClientSession | None = None
+
+    def _open(self) -> ClientSession:
+        if self._session is None:
+            self._session = open_session()
+        return self._session
+
+    async def report(self) -> ServiceReport:
+        """Return the service's newest report.
+
+        :raises UpstreamError: if the service does not answer
+        """
+        url = f"http://{self._address}/report"
+        with upstream_errors(self._address):
+            async with self._open().get(url, timeout=CONTROL) as response:
+                status, body = response.status, await response.read()
+        if status != OK:
+            raise UpstreamError(f"{self._address}: report has status {status}")
+        try:
+            return msgspec.json.decode(body, type=ServiceReport)
+        except msgspec.MsgspecError as error:
+            raise UpstreamError(f"{self._address}: {error}") from error
+
+    async def call(self, call: PlainCall) -> PlainAnswer:
+        """Run a call; it is sent at most once.
+
+        :param call: the call
+        :raises UpstreamError: with ``ran`` NO only if nothing was sent
+        """
+        url = f"http://{self._address}{ROOT}/{call.path.lstrip('/')}"
+        timeout = ClientTimeout(total=call.deadline_s, sock_connect=CONNECT_TIMEOUT_S)
+        headers = {"X-Request-Id": call.request_id}
+        if call.content_type:
+            headers["Content-Type"] = call.content_type
+        if call.idempotency_key:
+            headers["Idempotency-Key"] = call.idempotency_key
+        with upstream_errors(self._address):
+            async with self._open().request(
+                call.method,
+                url,
+                data=call.body or None,
+                headers=headers,
+                timeout=timeout,
+                allow_redirects=False,
+            ) as response:
+                body = await response.read()
+        content_type = response.headers.get("Content-Type", DEFAULT_CONTENT_TYPE)
+        return PlainAnswer(response.status, content_type, body)
+
+    async def close(self) -> None:
+        """Close every connection to the service."""
+        if self._session is not None:
+            await self._session.close()
+            self._session = None
+
+
+def connect_service(address: str) -> HttpPlainService:
+    """Return the plain service at an address.
+
+    :param address: IP number and port, ``127.0.0.1:9200``
+    """
+    return HttpPlainService(address)
