Add stand-ins of the platform and the upstreams, and prove the adapters

The log, host list, weight store, engines and plain services each take faults over HTTP. Engines batch continuously, collapse when a cold start is overdriven, and check incarnation and generation before they run a call. Breaks on a scratch copy and the scenarios that caught them: no send-once middleware, refused connection as unknown (never sent is told apart); lost append answer as a plain failure (lossy log); left-over bytes dropped (chunks however the bytes arrive); no incarnation or no generation header (another start or generation); replica not watched (dead member); no collapse (cold engine); no cancel at the engine (closed iterator). Leaving out an explicit close of a closed iterator's connection was not caught: the library's release closes an unread response already, so the explicit close went.

--- a/auburnproxy/upstreams/http_engine.py
+++ b/auburnproxy/upstreams/http_engine.py
@@ -98,22 +98,17 @@
         :raises UpstreamError: with ``ran`` NO if the engine refused the call
         """
         url = f"http://{self._address}/generate"
+        headers = call_headers(call)
         with upstream_errors(self._address):
-            response = await self._open().post(
-                url, data=call.body, headers=call_headers(call), timeout=STREAM
-            )
-            try:
+            async with self._open().post(
+                url, data=call.body, headers=headers, timeout=STREAM
+            ) as response:
                 self._check_accepted(response)
-                read = response.content.readany
                 rest = b""
-                while block := await read():
+                while block := await response.content.readany():
                     chunks, rest = split(rest + block if rest else block)
                     for chunk in chunks:
                         yield chunk
-            finally:
-                if not response.content.at_eof():
-                    response.close()
-                response.release()
 
     def _check_accepted(self, response: ClientResponse) -> None:
         if response.status == OK:
--- /dev/null
+++ b/features/loopback.py
@@ -0,0 +1,88 @@
+"""Stand-ins and adapters on loopback, for the steps that need real sockets."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import socket
+from collections.abc import AsyncIterator
+
+from auburnproxy.platform import ModelSpec
+from auburnproxy.upstreams.engine import Assignment, Fence, ModelCall, Order
+from standins._listen import listening
+from standins.settings import EngineSettings, ServiceSettings, UpstreamSettings
+from standins.upstreams import Upstreams
+from standins.weights import make_weights
+
+MODEL = ModelSpec("quilt", "1", 2)
+PATIENCE_S = 10.0
+
+
+def free_addresses(count: int) -> list[str]:
+    """Return addresses on which nothing listens."""
+    with contextlib.ExitStack() as stack:
+        sockets = [stack.enter_context(socket.socket()) for _ in range(count)]
+        for each in sockets:
+            each.bind(("127.0.0.1", 0))
+        return [f"127.0.0.1:{each.getsockname()[1]}" for each in sockets]
+
+
+@contextlib.asynccontextmanager
+async def running_upstreams() -> AsyncIterator[Upstreams]:
+    """Run two engines and a plain service in this process."""
+    store, control, *addresses = free_addresses(5)
+    names = ["e0", "e1"]
+    engines = tuple(
+        EngineSettings(name, address, load_s=0.02, report_every_s=0.02)
+        for name, address in zip(names, addresses, strict=False)
+    )
+    services = (ServiceSettings("s0", addresses[2]),)
+    settings = UpstreamSettings(control, f"http://{store}", engines, services)
+    upstreams = Upstreams(settings)
+    weights = make_weights([MODEL], loads_per_minute=60_000)
+    async with listening(weights.app(), store):
+        task = asyncio.create_task(upstreams.run())
+        await until_connects(control)
+        yield upstreams
+        task.cancel()
+        with contextlib.suppress(asyncio.CancelledError):
+            await task
+
+
+async def until_connects(address: str) -> None:
+    """Wait until something listens on an address."""
+    host, _, port = address.rpartition(":")
+    async with asyncio.timeout(PATIENCE_S):
+        while True:
+            try:
+                _, writer = await asyncio.open_connection(host, int(port))
+            except OSError:
+                await asyncio.sleep(0.01)
+                continue
+            writer.close()
+            return
+
+
+async def form(engines, addresses, *, generation=1) -> None:
+    """Order engines to form a replica and wait until each is ready."""
+    for rank, engine in enumerate(engines):
+        part = Assignment("r0", generation, MODEL.name, rank, tuple(addresses))
+        await engine.order(Order(Fence(generation, 0), part))
+    for engine in engines:
+        await until_reported(engine, lambda report: report.state == "ready")
+
+
+async def until_reported(engine, wanted) -> None:
+    """Wait until an engine's report is as wanted."""
+    async with asyncio.timeout(PATIENCE_S):
+        while True:
+            if wanted(await engine.report()):
+                return
+            await asyncio.sleep(0.01)
+
+
+def model_call(*, tokens=4, request_id="q1", **options) -> ModelCall:
+    """Return a call for some tokens."""
+    body = b'{"max_tokens":%d,"messages":[{"content":"%b"}]}'
+    body %= (tokens, request_id.encode())
+    return ModelCall(request_id, MODEL.name, body, 0, PATIENCE_S, **options)
--- /dev/null
+++ b/features/steps/adapters.py
@@ -0,0 +1,283 @@
+"""Steps for the adapters and the stand-ins."""
+
+import asyncio
+import contextlib
+
+from aiohttp import web
+from behave import given, then, when
+from hypothesis import given as given_example
+from hypothesis import settings as search_settings
+from hypothesis import strategies as st
+
+from auburnproxy.errors import AppendUncertainError, PlatformError, Ran, UpstreamError
+from auburnproxy.platform.http import connect_log
+from auburnproxy.upstreams._events import render, split
+from auburnproxy.upstreams.engine import Chunk, ChunkKind
+from auburnproxy.upstreams.http_engine import connect_engine
+from auburnproxy.upstreams.http_service import connect_service
+from auburnproxy.upstreams.service import PlainCall
+from features import loopback
+from standins._listen import cut, listening
+from standins.log import LogFault, make_log
+from standins.tokens import answer, read_prompt, token_data
+from standins.upstreams import FaultKind, UpstreamFault
+
+METHODS = ("GET", "POST", "DELETE")
+
+
+async def outcome(service, method):
+    call = PlainCall("q", method, "/x", b"", "", "", loopback.PATIENCE_S)
+    try:
+        await service.call(call)
+    except UpstreamError as error:
+        return error.ran
+    return None
+
+
+@given("a plain service that runs each call and then breaks the connection")
+def take_breaking_service(context):
+    context.ran = []
+
+    async def run_and_break(request):
+        if request.path != "/report":
+            context.ran.append(request.method)
+            return cut(request)
+        return web.json_response(["s0", "i", False, 0])
+
+    context.app = web.Application()
+    context.app.router.add_route("*", "/{tail:.*}", run_and_break)
+
+
+@when("a GET, a POST and a DELETE are called there and where nothing listens")
+def call_both(context):
+    async def call():
+        address, nowhere = loopback.free_addresses(2)
+        async with listening(context.app, address):
+            for place in (address, nowhere):
+                service = connect_service(place)
+                for method in METHODS:
+                    with contextlib.suppress(UpstreamError):
+                        await service.report()
+                    yield place == address, await outcome(service, method)
+                await service.close()
+
+    async def collect():
+        return [seen async for seen in call()]
+
+    context.seen = asyncio.run(collect())
+
+
+@then("those that were sent are unknown and ran once, the others did not run")
+def check_both(context):
+    sent = [(True, Ran.UNKNOWN)] * len(METHODS)
+    assert context.seen == sent + [(False, Ran.NO)] * len(METHODS), context.seen
+    assert context.ran == list(METHODS), context.ran
+
+
+@given("a log that loses the next answer")
+def take_lossy_log(context):
+    context.fault = LogFault(lose_answers=1)
+
+
+@given("a log in an outage")
+def take_dark_log(context):
+    context.fault = LogFault(outage_s=loopback.PATIENCE_S)
+
+
+async def append(log, payload):
+    try:
+        return await log.append(payload)
+    except PlatformError as error:
+        return type(error)
+
+
+def with_log(context, use):
+    async def run():
+        standin = make_log(retention=10)
+        (address,) = loopback.free_addresses(1)
+        async with listening(standin.app(), address):
+            standin.fail(context.fault)
+            log = connect_log(f"http://{address}")
+            seen = await use(log)
+            await log.close()
+        return seen, standin.page(1, 10)
+
+    context.seen, context.page = asyncio.run(run())
+
+
+@when("a record is appended twice")
+def append_twice(context):
+    async def use(log):
+        appended = [await append(log, b"a"), await append(log, b"a")]
+        return appended, await log.read(1, limit=10, wait_s=0.0)
+
+    with_log(context, use)
+
+
+@then("the first append is uncertain, the second has offset 2 and both are read")
+def check_lossy(context):
+    appended, page = context.seen
+    assert appended == [AppendUncertainError, 2], appended
+    assert [(r.offset, r.payload) for r in page.records] == [(1, b"a"), (2, b"a")]
+
+
+@when("a record is appended")
+def append_once(context):
+    with_log(context, lambda log: append(log, b"a"))
+
+
+@then("it was surely not appended")
+def check_outage(context):
+    assert context.seen is PlatformError, context.seen
+    assert context.page.records == ()
+
+
+CHUNKS = st.builds(
+    Chunk,
+    request_id=st.binary(min_size=1).filter(lambda each: b"\n" not in each),
+    position=st.integers(0, 10**6),
+    data=st.binary().filter(lambda each: b"\n" not in each),
+    kind=st.sampled_from(ChunkKind),
+)
+
+
+@then("any chunks cut into any blocks are parsed as they were rendered")
+def check_blocks(context):
+    @search_settings(derandomize=True, database=None, deadline=None)
+    @given_example(st.lists(CHUNKS), st.lists(st.integers(1, 40), min_size=1))
+    def search(chunks, sizes):
+        wire = b"".join(render(chunk) for chunk in chunks)
+        seen, rest, turn = [], b"", 0
+        while wire:
+            size = sizes[turn % len(sizes)]
+            turn += 1
+            parsed, rest = split(rest + wire[:size])
+            wire = wire[size:]
+            seen += parsed
+        assert (seen, rest) == (chunks, b"")
+
+    search()
+
+
+@given("a replica of two engines")
+def take_replica(context):
+    context.options = {}
+
+
+def with_replica(context, use):
+    async def run():
+        async with loopback.running_upstreams() as upstreams:
+            context.upstreams = upstreams
+            addresses = list(upstreams.addresses_by_host.values())[:2]
+            engines = [connect_engine(address) for address in addresses]
+            await loopback.form(engines, addresses)
+            seen = await use(engines)
+            for engine in engines:
+                await engine.close()
+            return seen
+
+    context.seen = asyncio.run(run())
+
+
+async def chunks_of(engine, call):
+    seen = []
+    try:
+        async for chunk in engine.generate(call):
+            seen.append(chunk)
+    except UpstreamError as error:
+        return seen, error.ran
+    return seen, None
+
+
+@when(
+    "calls are sent with the wrong incarnation, the wrong generation and the right ones"
+)
+def call_each(context):
+    async def use(engines):
+        head = engines[0]
+        incarnation = (await head.report()).incarnation
+        options = [("other", 1), (incarnation, 2), (incarnation, 1)]
+        return [
+            await chunks_of(
+                head, loopback.model_call(incarnation=start, generation=generation)
+            )
+            for start, generation in options
+        ]
+
+    with_replica(context, use)
+
+
+@then("only the last one ran, and its answer is whole")
+def check_fenced(context):
+    wrong_start, wrong_generation, (chunks, failed) = context.seen
+    assert wrong_start == wrong_generation == ([], Ran.NO), context.seen
+    prompt = read_prompt(loopback.model_call().body)
+    tokens = [token_data(prompt.seed, position) for position in range(prompt.tokens)]
+    assert [chunk.data for chunk in chunks] == [*tokens, b""], (chunks, failed)
+    assert chunks[-1].kind is ChunkKind.END and answer(prompt)
+    assert sum(context.upstreams.runs.report()["runs_by_key"].values()) == 1
+
+
+@when("its second host dies during a stream")
+def kill_member(context):
+    async def use(engines):
+        stream = engines[0].generate(loopback.model_call(tokens=10_000))
+        await anext(stream)
+        fault = UpstreamFault(FaultKind.DEAD, ("e1",))
+        killed = asyncio.create_task(context.upstreams.fail(fault))
+        async with asyncio.timeout(loopback.PATIENCE_S):
+            *_, last = [chunk async for chunk in stream]
+        await killed
+        return last, await chunks_of(engines[0], loopback.model_call())
+
+    with_replica(context, use)
+
+
+@then("the stream ends with an error chunk and the next call is refused as not run")
+def check_member_lost(context):
+    last, refused = context.seen
+    assert last.kind is ChunkKind.ERROR, last
+    assert refused == ([], Ran.NO), refused
+
+
+@when("a long stream is closed after its first chunk")
+def close_stream(context):
+    async def use(engines):
+        stream = engines[0].generate(loopback.model_call(tokens=10_000))
+        await anext(stream)
+        await loopback.until_reported(engines[0], lambda report: report.in_flight)
+        await stream.aclose()
+        await loopback.until_reported(engines[0], lambda report: not report.in_flight)
+        return True
+
+    with_replica(context, use)
+
+
+@then("the engine soon reports nothing in flight")
+def check_cancelled(context):
+    assert context.seen
+
+
+@when("one call more than a cold engine bears is sent at once")
+def overload(context):
+    async def use(engines):
+        before = (await engines[0].report()).incarnation
+        calls = [
+            loopback.model_call(tokens=500, request_id=f"q{number}")
+            for number in range(3)
+        ]
+        async with asyncio.timeout(loopback.PATIENCE_S):
+            answers = await asyncio.gather(
+                *(chunks_of(engines[0], call) for call in calls)
+            )
+            return before, (await engines[0].report()).incarnation, answers
+
+    with_replica(context, use)
+
+
+@then("the engine has a new incarnation and no answer is whole")
+def check_collapse(context):
+    before, after, answers = context.seen
+    assert before != after
+    assert all(ran is Ran.UNKNOWN for _, ran in answers), answers
+    assert context.upstreams.runs.report()["collapses_by_host"] == {"e0": 1}
--- /dev/null
+++ b/standins/engine.py
@@ -0,0 +1,309 @@
+"""Stand-in of a model engine on one host."""
+
+from __future__ import annotations
+
+import asyncio
+import secrets
+from collections import OrderedDict
+from collections.abc import Awaitable, Callable, Mapping
+
+import msgspec
+import xxhash
+from aiohttp import web
+from aiohttp.typedefs import Handler
+
+from auburnproxy.upstreams._events import render
+from auburnproxy.upstreams.engine import (
+    Assignment,
+    ChunkKind,
+    EngineReport,
+    EngineState,
+    Fence,
+    Order,
+)
+
+from ._listen import cut, json_answer
+from .batch import Batch, Stream
+from .runs import Runs
+from .settings import EngineSettings
+from .tokens import PREFIX_BLOCK_CHARS, Prompt, read_prompt
+from .warmth import Warmth
+
+ACCEPTED = 202
+BAD_REQUEST = 400
+CONFLICT = 409
+BUSY = 429
+UNAVAILABLE = 503
+MS_PER_S = 1000
+PEER_CHECK_S = 0.05
+CACHED_LOAD_PART = 0.1
+"""Part of a load's time that weights on the host need."""
+NO_FENCE = Fence(0, 0)
+
+
+class Engine:
+    """One host's engine; the engines of a process see each other fail.
+
+    :param settings: the engine's settings
+    :param engines_by_address: engines of the process
+    :param fetch: waits until the weight store has served a model's load
+    :param runs: counters of the process
+    """
+
+    def __init__(
+        self,
+        settings: EngineSettings,
+        *,
+        engines_by_address: Mapping[str, Engine],
+        fetch: Callable[[str], Awaitable[None]],
+        runs: Runs,
+    ) -> None:
+        self.settings = settings
+        self.is_up = True
+        self.slowness = 1.0
+        self.resumed = asyncio.Event()
+        self.resumed.set()
+        self._engines_by_address = engines_by_address
+        self._fetch = fetch
+        self._runs = runs
+        self._weights: set[str] = set()
+        self._batch = Batch(settings.slots, self._step_s, self.resumed)
+        self._load: asyncio.Task[None] | None = None
+        self._begin()
+
+    def _begin(self) -> None:
+        settings = self.settings
+        self.incarnation = secrets.token_hex(8)
+        self.state = EngineState.IDLE
+        self.assignment: Assignment | None = None
+        self._fence = NO_FENCE
+        self._prefixes: OrderedDict[str, None] = OrderedDict()
+        self.warmth = Warmth(
+            slots=settings.slots,
+            cold_slots=settings.cold_slots,
+            warm_calls=settings.warm_calls,
+            warm_s=settings.warm_s,
+        )
+        self._published = self._snapshot()
+
+    def _step_s(self, calls: int) -> float:
+        growth = 1 + self.settings.step_growth * (calls - 1)
+        return self.settings.step_ms * growth * self.slowness / MS_PER_S
+
+    def _snapshot(self) -> EngineReport:
+        return EngineReport(
+            host=self.settings.name,
+            incarnation=self.incarnation,
+            state=self.state,
+            fence=self._fence,
+            assignment=self.assignment,
+            in_flight=self._batch.in_flight,
+            queued=self._batch.queued,
+            weights=tuple(sorted(self._weights)),
+            prefixes=tuple(reversed(self._prefixes)),
+            prefix_gaps=0,
+        )
+
+    def stop(self) -> None:
+        """Lose everything but the weights on the host, as at a crash."""
+        self.is_up = False
+        self._drop_load()
+        self._batch.cut()
+        self._begin()
+
+    def start(self) -> None:
+        """Come back as a new incarnation."""
+        self.is_up = True
+        self._published = self._snapshot()
+
+    def forget_weights(self) -> None:
+        """Lose the weights too, as a replaced host does."""
+        self._weights.clear()
+
+    def leave(self) -> None:
+        """Start to leave: serve what runs and report so."""
+        self.state = EngineState.LEAVING
+
+    async def _restart(self) -> None:
+        self._runs.collapses[self.settings.name] += 1
+        self.stop()
+        await asyncio.sleep(self.settings.restart_s)
+        self.start()
+
+    async def run(self) -> None:
+        """Batch, publish reports and watch the replica's hosts until cancelled."""
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self._batch.run())
+            group.create_task(self._publish())
+            group.create_task(self._watch_replica())
+
+    async def _publish(self) -> None:
+        while True:
+            await asyncio.sleep(self.settings.report_every_s)
+            await self.resumed.wait()
+            self._published = self._snapshot()
+
+    async def _watch_replica(self) -> None:
+        while True:
+            await asyncio.sleep(PEER_CHECK_S)
+            if self.state is EngineState.READY and not self._is_whole:
+                self._batch.fail(b"member_lost")
+
+    @property
+    def _is_whole(self) -> bool:
+        """Tell whether every host of the replica plays its part."""
+        if self.assignment is None:
+            return False
+        return all(
+            self._plays(address, rank)
+            for rank, address in enumerate(self.assignment.addresses)
+        )
+
+    def _plays(self, address: str, rank: int) -> bool:
+        wanted = self.assignment
+        peer = self._engines_by_address.get(address)
+        if wanted is None or peer is None or not peer.is_up:
+            return False
+        if not peer.resumed.is_set() or peer.state is EngineState.LOADING:
+            return False
+        return peer.assignment == wanted._replace(rank=rank)
+
+    def _drop_load(self) -> None:
+        if self._load is not None:
+            self._load.cancel()
+            self._load = None
+
+    def take(self, order: Order) -> bool:
+        """Take an order, or tell that its token is old.
+
+        :param order: the order
+        """
+        if self.settings.checks_fence and order.fence < self._fence:
+            return False
+        self._fence = order.fence
+        if order.assignment != self.assignment:
+            self._change(order.assignment)
+        return True
+
+    def _change(self, assignment: Assignment | None) -> None:
+        self._drop_load()
+        self._batch.fail(b"reassigned")
+        self.assignment = assignment
+        if assignment is None:
+            self.state = EngineState.IDLE
+            return
+        self.state = EngineState.LOADING
+        self._load = asyncio.create_task(self._load_model(assignment.model))
+
+    async def _load_model(self, model: str) -> None:
+        load_s = self.settings.load_s
+        if model in self._weights:
+            load_s *= CACHED_LOAD_PART
+        else:
+            await self._fetch(model)
+        await asyncio.sleep(load_s)
+        self._weights.add(model)
+        self.warmth.chill()
+        self.state = EngineState.READY
+
+    def _refusal(self, request: web.Request) -> int:
+        """Return the status to refuse a call with, 0 to run it."""
+        headers = request.headers
+        assignment = self.assignment
+        if self.state is EngineState.LEAVING:
+            self._runs.late[self.settings.name] += 1
+        if headers.get("X-Incarnation", "") not in ("", self.incarnation):
+            return CONFLICT
+        if assignment is None or assignment.rank != 0:
+            return CONFLICT
+        if headers.get("X-Generation", "0") not in ("0", str(assignment.generation)):
+            return CONFLICT
+        if headers.get("X-Model", assignment.model) != assignment.model:
+            return CONFLICT
+        if self.state is EngineState.LOADING or not self._is_whole:
+            return UNAVAILABLE
+        full = self._batch.queued >= self.settings.queue
+        return BUSY if full else 0
+
+    def _cache(self, prompt: Prompt) -> bool:
+        """Keep the prompt's first block; tell whether it was cached."""
+        block = prompt.text[:PREFIX_BLOCK_CHARS].encode()
+        digest = xxhash.xxh64_hexdigest(block)
+        cached = digest in self._prefixes
+        self._prefixes[digest] = None
+        self._prefixes.move_to_end(digest)
+        if len(self._prefixes) > self.settings.cached_prefixes:
+            self._prefixes.popitem(last=False)
+        return cached
+
+    async def _handle_report(self, request: web.Request) -> web.StreamResponse:
+        return json_answer(self._published)
+
+    async def _handle_order(self, request: web.Request) -> web.StreamResponse:
+        order = msgspec.json.decode(await request.read(), type=Order)
+        return web.Response(status=ACCEPTED if self.take(order) else CONFLICT)
+
+    async def _handle_generate(self, request: web.Request) -> web.StreamResponse:
+        body = await request.read()
+        status = self._refusal(request)
+        if status == CONFLICT:
+            self._runs.refused[self.settings.name] += 1
+        if status:
+            return web.Response(status=status)
+        try:
+            prompt = read_prompt(body)
+        except ValueError:
+            return web.Response(status=BAD_REQUEST)
+        calls = self._batch.in_flight + self._batch.queued + 1
+        if self.warmth.collapses(calls):
+            restart = asyncio.create_task(self._restart())
+            await asyncio.shield(restart)
+            return cut(request)
+        self._runs.count(xxhash.xxh64_hexdigest(body))
+        return await self._stream(request, prompt)
+
+    async def _stream(self, request: web.Request, prompt: Prompt) -> web.StreamResponse:
+        stream = Stream(
+            request.headers.get("X-Request-Id", ""),
+            prompt,
+            position=int(request.headers.get("X-Resume-From", "0")),
+            prefill_steps=0 if self._cache(prompt) else self.settings.prefill_steps,
+        )
+        self._batch.add(stream, int(request.headers.get("X-Priority", "0")))
+        response = web.StreamResponse(headers={"Content-Type": "text/event-stream"})
+        try:
+            await response.prepare(request)
+            return await self._write(request, response, stream)
+        finally:
+            self._batch.cancel(stream)
+
+    async def _write(
+        self, request: web.Request, response: web.StreamResponse, stream: Stream
+    ) -> web.StreamResponse:
+        while True:
+            chunk = await stream.chunks.get()
+            if chunk is None:
+                return cut(request)
+            await response.write(render(chunk))
+            if chunk.kind is ChunkKind.TOKEN:
+                continue
+            if chunk.kind is ChunkKind.END:
+                self.warmth.served()
+            return response
+
+    @web.middleware
+    async def _while_up(
+        self, request: web.Request, handler: Handler
+    ) -> web.StreamResponse:
+        await self.resumed.wait()
+        if not self.is_up:
+            return cut(request)
+        return await handler(request)
+
+    def app(self) -> web.Application:
+        """Return the application that serves the engine."""
+        app = web.Application(middlewares=[self._while_up])
+        app.router.add_get("/report", self._handle_report)
+        app.router.add_post("/order", self._handle_order)
+        app.router.add_post("/generate", self._handle_generate)
+        return app
--- /dev/null
+++ b/standins/hosts.py
@@ -0,0 +1,96 @@
+"""Stand-in of the host list, which shows every change late."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import deque
+from collections.abc import Iterable
+
+import msgspec
+from aiohttp import web
+
+from auburnproxy.platform import HostEntry, Presence
+
+from ._listen import cut, json_answer
+
+GONE = "gone"
+
+
+class HostFault(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """An order to show hosts in another way, or to fail."""
+
+    hosts: tuple[str, ...] = ()
+    presence: str = Presence.LIVE
+    """``live``, ``leaving`` or ``gone``."""
+    lag_s: float | None = None
+    dark_s: float = 0.0
+    """Seconds for which connections break without an answer."""
+
+
+class Hosts:
+    """The list as it is, and as it shows.
+
+    :param entries: the hosts at the start
+    :param lag_s: seconds after which a change shows
+    """
+
+    def __init__(self, entries: Iterable[HostEntry], *, lag_s: float) -> None:
+        self._entries_by_name = {entry.name: entry for entry in entries}
+        self._shown_by_name = dict(self._entries_by_name)
+        self._changes: deque[tuple[float, str, str]] = deque()
+        self._lag_s = lag_s
+        self._dark_until = 0.0
+
+    @property
+    def _now(self) -> float:
+        return asyncio.get_running_loop().time()
+
+    def fail(self, fault: HostFault) -> None:
+        """Take an order.
+
+        :param fault: the order
+        """
+        if fault.lag_s is not None:
+            self._lag_s = fault.lag_s
+        self._dark_until = self._now + fault.dark_s
+        for name in fault.hosts:
+            self._changes.append((self._now + self._lag_s, name, fault.presence))
+
+    def shown(self) -> tuple[HostEntry, ...]:
+        """Return the list as it shows now."""
+        while self._changes and self._changes[0][0] <= self._now:
+            _, name, presence = self._changes.popleft()
+            self._show(name, presence)
+        return tuple(self._shown_by_name.values())
+
+    def _show(self, name: str, presence: str) -> None:
+        if presence == GONE:
+            self._shown_by_name.pop(name, None)
+            return
+        entry = self._entries_by_name[name]
+        self._shown_by_name[name] = entry._replace(presence=Presence(presence))
+
+    async def _handle_list(self, request: web.Request) -> web.StreamResponse:
+        if self._now < self._dark_until:
+            return cut(request)
+        return json_answer(self.shown())
+
+    async def _handle_fault(self, request: web.Request) -> web.StreamResponse:
+        self.fail(msgspec.json.decode(await request.read(), type=HostFault))
+        return web.Response()
+
+    def app(self) -> web.Application:
+        """Return the application that serves the list."""
+        app = web.Application()
+        app.router.add_get("/hosts", self._handle_list)
+        app.router.add_post("/fault", self._handle_fault)
+        return app
+
+
+def make_hosts(entries: Iterable[HostEntry], *, lag_s: float) -> Hosts:
+    """Return a host list.
+
+    :param entries: the hosts at the start
+    :param lag_s: seconds after which a change shows
+    """
+    return Hosts(entries, lag_s=lag_s)
--- /dev/null
+++ b/standins/service.py
@@ -0,0 +1,169 @@
+"""Stand-in of a plain service: stock lookups and fabric orders."""
+
+from __future__ import annotations
+
+import asyncio
+import secrets
+
+import msgspec
+import xxhash
+from aiohttp import web
+from aiohttp.typedefs import Handler
+
+from auburnproxy.upstreams.service import ServiceReport
+
+from ._listen import cut, json_answer
+from .runs import Runs
+from .settings import ServiceSettings
+from .warmth import Warmth
+
+BAD_REQUEST = 400
+CREATED = 201
+MS_PER_S = 1000
+STOCK_RANGE = 1000
+
+
+class StockAnswer(msgspec.Struct, frozen=True):
+    """What a lookup returns; it follows from the item."""
+
+    item: str
+    stock: int
+
+
+class PlacedOrder(msgspec.Struct, frozen=True):
+    """What an order returns."""
+
+    order: str
+    run: int
+    """Runs of this order with this one; the service itself drops none."""
+
+
+def stock_of(item: str) -> StockAnswer:
+    """Return the stock of an item.
+
+    :param item: name of the item
+    """
+    return StockAnswer(item, xxhash.xxh32_intdigest(item.encode()) % STOCK_RANGE)
+
+
+class Service:
+    """One host's plain service.
+
+    :param settings: the service's settings
+    :param runs: counters of the process
+    """
+
+    def __init__(self, settings: ServiceSettings, *, runs: Runs) -> None:
+        self.settings = settings
+        self.is_up = True
+        self.slowness = 1.0
+        self.resumed = asyncio.Event()
+        self.resumed.set()
+        self._runs = runs
+        self._in_flight = 0
+        self._begin()
+
+    def _begin(self) -> None:
+        settings = self.settings
+        self.incarnation = secrets.token_hex(8)
+        self._is_leaving = False
+        self.warmth = Warmth(
+            slots=settings.slots,
+            cold_slots=settings.cold_slots,
+            warm_calls=settings.warm_calls,
+            warm_s=settings.warm_s,
+        )
+        self._published = self._snapshot()
+
+    def _snapshot(self) -> ServiceReport:
+        return ServiceReport(
+            self.settings.name, self.incarnation, self._is_leaving, self._in_flight
+        )
+
+    def stop(self) -> None:
+        """Lose everything, as at a crash."""
+        self.is_up = False
+        self._begin()
+
+    def start(self) -> None:
+        """Come back as a new incarnation."""
+        self.is_up = True
+
+    def forget_weights(self) -> None:
+        """Do nothing: a plain service has no weights."""
+
+    def leave(self) -> None:
+        """Start to leave: serve what runs and report so."""
+        self._is_leaving = True
+
+    async def _restart(self) -> None:
+        self._runs.collapses[self.settings.name] += 1
+        self.stop()
+        await asyncio.sleep(self.settings.restart_s)
+        self.start()
+
+    async def run(self) -> None:
+        """Publish reports until cancelled."""
+        while True:
+            await asyncio.sleep(self.settings.report_every_s)
+            await self.resumed.wait()
+            self._published = self._snapshot()
+
+    async def _handle_report(self, request: web.Request) -> web.StreamResponse:
+        return json_answer(self._published)
+
+    async def _work(self) -> None:
+        answer_s = self.settings.answer_ms / MS_PER_S
+        await asyncio.sleep(answer_s * self.slowness)
+        await self.resumed.wait()
+
+    async def _handle_stock(self, request: web.Request) -> web.StreamResponse:
+        self._runs.count(request.path_qs)
+        await self._work()
+        return json_answer(stock_of(request.match_info["item"]))
+
+    async def _handle_order(self, request: web.Request) -> web.StreamResponse:
+        body = await request.read()
+        try:
+            order = msgspec.json.decode(body, type=dict[str, str])["order"]
+        except (msgspec.MsgspecError, KeyError):
+            return web.Response(status=BAD_REQUEST)
+        run = self._runs.count(order, order=True)
+        await self._work()
+        return json_answer(PlacedOrder(order, run), CREATED)
+
+    @web.middleware
+    async def _bear(self, request: web.Request, handler: Handler) -> web.StreamResponse:
+        await self.resumed.wait()
+        if not self.is_up:
+            return cut(request)
+        if request.path == "/report":
+            return await handler(request)
+        if self._is_leaving:
+            self._runs.late[self.settings.name] += 1
+        if self.warmth.collapses(self._in_flight + 1):
+            await asyncio.shield(asyncio.create_task(self._restart()))
+            return cut(request)
+        return await self._count(request, handler)
+
+    async def _count(
+        self, request: web.Request, handler: Handler
+    ) -> web.StreamResponse:
+        incarnation = self.incarnation
+        self._in_flight += 1
+        try:
+            response = await handler(request)
+        finally:
+            self._in_flight -= 1
+        if incarnation != self.incarnation:
+            return cut(request)
+        self.warmth.served()
+        return response
+
+    def app(self) -> web.Application:
+        """Return the application that serves the plain service."""
+        app = web.Application(middlewares=[self._bear])
+        app.router.add_get("/report", self._handle_report)
+        app.router.add_get("/calls/stock/{item}", self._handle_stock)
+        app.router.add_post("/calls/orders", self._handle_order)
+        return app
--- /dev/null
+++ b/standins/upstreams.py
@@ -0,0 +1,168 @@
+"""Stand-in of upstreams: ``python -m standins.upstreams --settings FILE``.
+
+One process stands for many hosts, each on its own address. ``POST /fault`` to the
+control address makes hosts fail; ``GET /runs`` there shows what they ran.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from enum import StrEnum
+from pathlib import Path
+
+import defopt
+import msgspec
+from aiohttp import ClientError, ClientSession, web
+
+from ._listen import json_answer, listen, listening, run_until_told
+from .engine import Engine
+from .runs import Runs
+from .service import Service
+from .settings import UpstreamSettings, read
+
+RETRY_FETCH_S = 0.5
+
+
+class FaultKind(StrEnum):
+    """What can be done to a host."""
+
+    DEAD = "dead"
+    """Nothing listens; state and weights are lost."""
+    ALIVE = "alive"
+    """A dead host comes back; a paused or slow one recovers."""
+    PAUSED = "paused"
+    """It listens, and does not answer."""
+    SLOW = "slow"
+    COLD = "cold"
+    """It turns cold without a new incarnation."""
+    LEAVING = "leaving"
+
+
+class UpstreamFault(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """An order to fail."""
+
+    fault: FaultKind
+    hosts: tuple[str, ...]
+    slowness: float = 5.0
+    """Factor on the time of each step while slow."""
+
+
+class Upstreams:
+    """The hosts of one process.
+
+    :param settings: settings of the hosts
+    """
+
+    def __init__(self, settings: UpstreamSettings) -> None:
+        self._settings = settings
+        self.runs = Runs()
+        self._engines_by_address: dict[str, Engine] = {}
+        self._upstreams_by_host: dict[str, Engine | Service] = {}
+        self._runners_by_host: dict[str, web.AppRunner] = {}
+        self._session: ClientSession | None = None
+
+    @property
+    def addresses_by_host(self) -> dict[str, str]:
+        """Return the address of each host."""
+        settings = [each.settings for each in self._upstreams_by_host.values()]
+        return {each.name: each.address for each in settings}
+
+    async def run(self) -> None:
+        """Serve every host until cancelled."""
+        async with ClientSession() as self._session, asyncio.TaskGroup() as group:
+            self._make()
+            for upstream in self._upstreams_by_host.values():
+                group.create_task(upstream.run())
+                await self._open(upstream)
+            async with listening(self._control_app(), self._settings.control):
+                await asyncio.Event().wait()
+
+    def _make(self) -> None:
+        for settings in self._settings.engines:
+            engine = Engine(
+                settings,
+                engines_by_address=self._engines_by_address,
+                fetch=self._fetch,
+                runs=self.runs,
+            )
+            self._engines_by_address[settings.address] = engine
+            self._upstreams_by_host[settings.name] = engine
+        for plain in self._settings.services:
+            self._upstreams_by_host[plain.name] = Service(plain, runs=self.runs)
+
+    async def _open(self, upstream: Engine | Service) -> None:
+        settings = upstream.settings
+        runner = await listen(upstream.app(), settings.address)
+        self._runners_by_host[settings.name] = runner
+
+    async def _fetch(self, model: str) -> None:
+        assert self._session is not None
+        url = f"{self._settings.weights}/loads/{model}"
+        while True:
+            try:
+                async with self._session.post(url) as response:
+                    if response.ok:
+                        return
+            except ClientError:
+                pass
+            await asyncio.sleep(RETRY_FETCH_S)
+
+    async def fail(self, fault: UpstreamFault) -> None:
+        """Make hosts fail as ordered.
+
+        :param fault: the order
+        """
+        for host in fault.hosts:
+            upstream = self._upstreams_by_host[host]
+            if fault.fault is FaultKind.DEAD:
+                await self._kill(upstream)
+            elif fault.fault is FaultKind.ALIVE:
+                await self._revive(upstream)
+            elif fault.fault is FaultKind.PAUSED:
+                upstream.resumed.clear()
+            elif fault.fault is FaultKind.SLOW:
+                upstream.slowness = fault.slowness
+            elif fault.fault is FaultKind.COLD:
+                upstream.warmth.chill()
+            else:
+                upstream.leave()
+
+    async def _kill(self, upstream: Engine | Service) -> None:
+        upstream.stop()
+        upstream.forget_weights()
+        runner = self._runners_by_host.pop(upstream.settings.name, None)
+        if runner is not None:
+            await runner.cleanup()
+
+    async def _revive(self, upstream: Engine | Service) -> None:
+        upstream.slowness = 1.0
+        upstream.resumed.set()
+        upstream.start()
+        if upstream.settings.name not in self._runners_by_host:
+            await self._open(upstream)
+
+    async def _handle_fault(self, request: web.Request) -> web.StreamResponse:
+        body = await request.read()
+        await self.fail(msgspec.json.decode(body, type=UpstreamFault))
+        return web.Response()
+
+    async def _handle_runs(self, request: web.Request) -> web.StreamResponse:
+        return json_answer(self.runs.report())
+
+    def _control_app(self) -> web.Application:
+        app = web.Application()
+        app.router.add_post("/fault", self._handle_fault)
+        app.router.add_get("/runs", self._handle_runs)
+        return app
+
+
+def main(*, settings: Path) -> None:
+    """Stand in for upstreams.
+
+    :param settings: the YAML settings
+    """
+    run_until_told(Upstreams(read(settings, UpstreamSettings)).run())
+
+
+if __name__ == "__main__":
+    defopt.run(main)
