--- a/auburnproxy/journal/__init__.py
+++ b/auburnproxy/journal/__init__.py
@@ -1,6 +1,16 @@
 """The platform's log folded into state that is the same in every process."""
 
+from ._codec import decode_entries, encode_entries
+from .journal import Journal
 from .record import Entry, Outcome, Record
 from .reducer import Reducer
 
-__all__ = ["Entry", "Outcome", "Record", "Reducer"]
+__all__ = [
+    "Entry",
+    "Journal",
+    "Outcome",
+    "Record",
+    "Reducer",
+    "decode_entries",
+    "encode_entries",
+]
--- a/auburnproxy/journal/record.py
+++ b/auburnproxy/journal/record.py
@@ -22,6 +22,12 @@
     A key's version is the offset of the last accepted record that touched it,
     0 if there is none. Offsets are counted from 1.
     """
+    since: int = 0
+    """Offset that the author had folded when it first appended the record.
+
+    A copy that lands further from it than the window of known ids is rejected,
+    so no copy can be accepted after its id was forgotten.
+    """
 
 
 class Entry(NamedTuple):
--- /dev/null
+++ b/features/fakes/log.py
@@ -0,0 +1,71 @@
+"""A log service in memory, with one faulty connection for each process."""
+
+from __future__ import annotations
+
+import asyncio
+
+from auburnproxy.errors import AppendUncertainError, PlatformError
+from auburnproxy.platform import LogPage, LogRecord, LogService
+
+POLL_S = 0.05
+
+
+class FakeLog:
+    """The records that the service ever took; the oldest ones expire."""
+
+    def __init__(self) -> None:
+        self.payloads: list[bytes] = []
+        self.start = 1
+
+    @property
+    def end(self) -> int:
+        return len(self.payloads) + 1
+
+    def take(self, payload: bytes) -> int:
+        self.payloads.append(payload)
+        return len(self.payloads)
+
+    def expire(self, start: int) -> None:
+        self.start = max(self.start, min(start, self.end))
+
+
+class LogPort(LogService):
+    """One process's connection to the log."""
+
+    def __init__(self, log: FakeLog) -> None:
+        self.log = log
+        self.cut = False
+        self.lag = 0
+        self.lose_answers = 0
+        self.refuse_reads = False
+        self.latency_s = 0.01
+
+    async def append(self, payload: bytes) -> int:
+        await asyncio.sleep(self.latency_s)
+        if self.cut:
+            raise PlatformError("cut off")
+        offset = self.log.take(payload)
+        if self.lose_answers:
+            self.lose_answers -= 1
+            raise AppendUncertainError("the answer was lost")
+        await asyncio.sleep(self.latency_s)
+        return offset
+
+    async def read(self, offset: int, *, limit: int, wait_s: float) -> LogPage:
+        end = asyncio.get_running_loop().time() + wait_s
+        await asyncio.sleep(self.latency_s)
+        while True:
+            if self.cut or self.refuse_reads:
+                raise PlatformError("cut off")
+            page = self._page(offset, limit)
+            if page.records or asyncio.get_running_loop().time() >= end:
+                return page
+            await asyncio.sleep(POLL_S)
+
+    def _page(self, offset: int, limit: int) -> LogPage:
+        log = self.log
+        seen = max(log.end - self.lag, log.start)
+        first = max(offset, log.start)
+        offsets = range(first, min(first + limit, seen))
+        records = tuple(LogRecord(at, log.payloads[at - 1]) for at in offsets)
+        return LogPage(records, log.start, seen)
--- /dev/null
+++ b/features/journal.feature
@@ -0,0 +1,11 @@
+Feature: The journal
+
+  Scenario: A record whose answer was lost is folded once
+    Given two processes on one log
+    When one of them proposes a record and its answer is lost twice
+    Then both processes have folded the record once
+
+  Scenario: One of two racing authors wins in every process
+    Given two processes on one log
+    When both propose a change of the same version
+    Then one is accepted and both processes agree which
