Watch upstreams and form, repair and order replicas

A first version: presence by fresh reports, slow start, ejection of stragglers; the fold of replicas with disjoint hosts; the choice of hosts, its planner, the custodian that orders and reads back, readiness, and the measures of group downtime and stranded accelerators. run_virtual no longer fails when no task is left over at its end: gather of nothing looked for another loop.

--- a/auburnproxy/replicas/__init__.py
+++ b/auburnproxy/replicas/__init__.py
@@ -1,5 +1,25 @@
 """Groups of hosts that serve one copy of a model."""
 
+from .assignment import custody_key
+from .custodian import Custodian
+from .downtime import Downtime
+from .placement import Placement, Policy, Want
+from .planner import Planner
+from .readiness import Readiness
 from .replica import Replica
+from .replicas import Replicas, host_key, replica_key
 
-__all__ = ["Replica"]
+__all__ = [
+    "Custodian",
+    "Downtime",
+    "Placement",
+    "Planner",
+    "Policy",
+    "Readiness",
+    "Replica",
+    "Replicas",
+    "Want",
+    "custody_key",
+    "host_key",
+    "replica_key",
+]
--- /dev/null
+++ b/auburnproxy/replicas/downtime.py
@@ -0,0 +1,86 @@
+"""Group downtime and stranded accelerators, the measures of placement."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import Counter
+from collections.abc import Callable, Mapping
+
+from ..platform import HostKind
+from ..upstreams import Watcher
+from .readiness import Readiness
+from .replicas import Replicas
+
+SAMPLE_INTERVAL_S = 1.0
+"""Seconds between two samples."""
+
+
+class Downtime:
+    """Adds up what the replicas of one failure domain fall short of.
+
+    :param replicas: the recorded replicas
+    :param watcher: what is known of the hosts
+    :param readiness: which replicas serve
+    :param wanted: replicas wanted in the failure domain, by model
+    """
+
+    def __init__(
+        self,
+        replicas: Replicas,
+        watcher: Watcher,
+        readiness: Readiness,
+        *,
+        wanted: Callable[[], Mapping[str, int]],
+    ) -> None:
+        self._replicas = replicas
+        self._watcher = watcher
+        self._readiness = readiness
+        self._wanted = wanted
+        self.group_downtime_s = 0.0
+        self.stranded_host_s = 0.0
+        self.live_host_s = 0.0
+
+    @property
+    def missing_replicas(self) -> int:
+        """Return how many wanted replicas do not serve now."""
+        if self._watcher.domain_out:
+            return 0
+        serving = Counter(
+            replica.model
+            for replica in self._replicas.by_name.values()
+            if self._readiness.serves(replica)
+        )
+        lacking = (count - serving[model] for model, count in self._wanted().items())
+        return sum(max(0, count) for count in lacking)
+
+    @property
+    def live_hosts(self) -> frozenset[str]:
+        """Return the engine hosts that could serve now."""
+        return frozenset(
+            entry.name
+            for entry in self._watcher.entries_by_host.values()
+            if entry.kind is HostKind.ENGINE and self._watcher.usable(entry.name)
+        )
+
+    @property
+    def stranded_hosts(self) -> frozenset[str]:
+        """Return the live engine hosts that are in no serving replica."""
+        replicas = self._replicas.by_name.values()
+        serving = [r for r in replicas if self._readiness.serves(r)]
+        return self.live_hosts - {host for r in serving for host in r.hosts}
+
+    async def run(self) -> None:
+        """Sample until cancelled."""
+        loop = asyncio.get_running_loop()
+        last = loop.time()
+        while True:
+            await asyncio.sleep(SAMPLE_INTERVAL_S)
+            now = loop.time()
+            self.sample(now - last)
+            last = now
+
+    def sample(self, seconds: float) -> None:
+        """Add a span of time, in seconds, as it is seen now."""
+        self.group_downtime_s += self.missing_replicas * seconds
+        self.stranded_host_s += len(self.stranded_hosts) * seconds
+        self.live_host_s += len(self.live_hosts) * seconds
--- /dev/null
+++ b/auburnproxy/upstreams/warmth.py
@@ -0,0 +1,111 @@
+"""The slow start of an upstream: how much load it has shown that it bears."""
+
+from __future__ import annotations
+
+from .observation import Observation, Result
+
+STEP_S = 5.0
+"""Least seconds between two doublings of the limit."""
+STEP_EVIDENCE = 4
+"""Answers, or reports under load, that a doubling needs."""
+JUMP_FACTOR = 4.0
+"""Times the usual time to first token that count as a jump."""
+JUMP_FLOOR_S = 1.0
+"""Times to first token below this many seconds never count as a jump."""
+JUMPS = 2
+"""Jumps in a row that show an upstream to be cold again."""
+BASELINE_SAMPLES = 5
+"""Answers that a usual time to first token rests on at least."""
+SMOOTHING = 0.2
+"""Weight of the newest sample in the usual time to first token."""
+
+
+class Warmth:
+    """The limit of one upstream, doubled by evidence and put back by trouble.
+
+    :param cold_slots: calls that a freshly started upstream bears at once
+    :param slots: calls that a warm upstream bears at once
+    """
+
+    def __init__(self, cold_slots: int, slots: int) -> None:
+        self.cold_slots = cold_slots
+        self.slots = slots
+        self.start = ("", 0)
+        self.usual_first_token_s = 0.0
+        self._samples = 0
+        self._steps = 0
+        self._evidence = 0
+        self._jumps = 0
+        self._stepped_at = 0.0
+
+    @property
+    def limit(self) -> int:
+        """Return how many calls the upstream bears at once, from all daemons."""
+        return min(self.slots, self.cold_slots << self._steps)
+
+    @property
+    def warm(self) -> bool:
+        """Return whether the limit has risen to the warm one."""
+        return self.limit == self.slots
+
+    def see_start(self, incarnation: str, generation: int, now: float) -> None:
+        """Go back to cold if the upstream has started or was formed anew.
+
+        :param incarnation: the upstream's incarnation, from its report
+        :param generation: generation of its replica, 0 for none
+        :param now: the loop's time in seconds
+        """
+        if (incarnation, generation) == self.start:
+            return
+        self.start = (incarnation, generation)
+        self._samples = 0
+        self._reset(now)
+
+    def see_load(self, in_flight: int, queued: int, now: float) -> None:
+        """Take a report of load: calls that run with none waiting are evidence."""
+        if in_flight and not queued:
+            self._add_evidence(now)
+
+    def see_call(self, observation: Observation, now: float) -> None:
+        """Take what a call showed; what was meant for another start is ignored."""
+        if observation.incarnation not in ("", self.start[0]):
+            return
+        if observation.result is Result.COMPLETED:
+            self._see_answer(observation.first_token_s, now)
+        elif observation.result is not Result.FAILED:
+            self._reset(now)
+
+    def _see_answer(self, first_token_s: float | None, now: float) -> None:
+        if first_token_s is None:
+            self._add_evidence(now)
+            return
+        if self._is_jump(first_token_s):
+            self._jumps += 1
+            if self._jumps >= JUMPS:
+                self._reset(now)
+            return
+        self._jumps = 0
+        self._samples += 1
+        weight = max(SMOOTHING, 1 / self._samples)
+        self.usual_first_token_s += weight * (first_token_s - self.usual_first_token_s)
+        self._add_evidence(now)
+
+    def _is_jump(self, first_token_s: float) -> bool:
+        if self._samples < BASELINE_SAMPLES or first_token_s < JUMP_FLOOR_S:
+            return False
+        return first_token_s > JUMP_FACTOR * self.usual_first_token_s
+
+    def _add_evidence(self, now: float) -> None:
+        if self.warm:
+            return
+        self._evidence += 1
+        if self._evidence >= STEP_EVIDENCE and now - self._stepped_at >= STEP_S:
+            self._steps += 1
+            self._evidence = 0
+            self._stepped_at = now
+
+    def _reset(self, now: float) -> None:
+        self._steps = 0
+        self._evidence = 0
+        self._jumps = 0
+        self._stepped_at = now
--- a/features/machines/search.py
+++ b/features/machines/search.py
@@ -41,5 +41,6 @@
         pending = asyncio.all_tasks(loop)
         for task in pending:
             task.cancel()
-        loop.run_until_complete(asyncio.gather(*pending, return_exceptions=True))
+        if pending:
+            loop.run_until_complete(asyncio.gather(*pending, return_exceptions=True))
         loop.close()
--- /dev/null
+++ b/features/steps/replicas.py
@@ -0,0 +1,85 @@
+"""Steps for replicas over several hosts."""
+
+import asyncio
+
+import async_solipsism
+from behave import given, then, when
+
+from auburnproxy.platform import ModelSpec
+from features.fakes.replicas import FakeDaemon, FakePlatform
+
+
+@given('the failure domain "{domain}" with {count:d} hosts in each of "{a}" and "{b}"')
+def make_domain(context, domain, count, a, b):
+    context.loop = async_solipsism.EventLoop()
+    context.add_cleanup(stop, context)
+    context.platform = FakePlatform(())
+    context.marks, context.wanted, context.domain = set(), {}, domain
+    context.platform.add(domain, a, count)
+    context.platform.add(domain, b, count)
+
+
+@given('{count:d} replicas of "{model}" over {hosts:d} hosts are wanted')
+def want(context, count, model, hosts):
+    context.model = model
+    context.wanted[model] = count
+    context.platform.specs += (ModelSpec(model, "1", hosts),)
+    context.daemon = FakeDaemon(
+        context.platform, context.domain, context.wanted, marks=context.marks
+    )
+    run(context, start(context.daemon))
+
+
+async def start(daemon):
+    daemon.start()
+
+
+def run(context, coroutine):
+    return context.loop.run_until_complete(coroutine)
+
+
+def stop(context):
+    run(context, context.daemon.stop())
+    context.loop.close()
+
+
+def serving(context):
+    async def look():
+        return context.daemon.readiness.serving(context.model)
+
+    return run(context, look())
+
+
+@when("{seconds:d} seconds pass")
+def wait(context, seconds):
+    run(context, asyncio.sleep(seconds))
+
+
+@when("a host of a serving replica dies")
+def kill(context):
+    context.replica = serving(context)[0]
+    context.host = context.replica.hosts[-1]
+    context.platform.engines_by_host[context.host].alive = False
+
+
+@then('at least {count:d} replicas of "{model}" serve')
+def compare_count(context, count, model):
+    assert len(serving(context)) >= count, serving(context)
+
+
+@then('replicas of "{model}" serve in {count:d} fabric domains')
+def compare_fabrics(context, model, count):
+    assert len({r.fabric_domain for r in serving(context)}) == count
+
+
+@then("no replica with that host serves")
+def compare_dead(context):
+    assert not [r for r in serving(context) if context.host in r.hosts]
+
+
+@then("the replica serves again with one host changed")
+def compare_repaired(context):
+    by_name = {r.name: r for r in serving(context)}
+    hosts = by_name[context.replica.name].hosts
+    assert len(set(hosts) - set(context.replica.hosts)) == 1, hosts
+    assert context.host not in hosts
