Serve callers: admission, routing, streams, forwarding and the ledger

A first whole path. Calls wait in a queue for each target that is weighted fair between plans, take a slot of the plan and one of an upstream, and run here or, with no slot here, one signed hop away. Chunks are checked against request id and position; a lost, silent or broken engine is left and the answer resumed elsewhere from the next position.

--- /dev/null
+++ b/auburnproxy/admission/queue.py
@@ -0,0 +1,103 @@
+"""The waiting calls of one target."""
+
+from __future__ import annotations
+
+import asyncio
+import heapq
+from collections.abc import Callable
+from itertools import count
+from typing import Any, NamedTuple, Protocol
+
+from ..configuration import Plan
+
+
+class Placement(Protocol):
+    """A slot that a call holds at an upstream."""
+
+    def release(self) -> None:
+        """Give the slot back; a second call does nothing."""
+
+
+class Waiter(NamedTuple):
+    """One call that waits for a slot."""
+
+    plan: Plan
+    deadline: float
+    """The loop's time in seconds by which the call is to be answered."""
+    choose: Callable[[], Any]
+    """Takes a slot at an upstream, or returns None if none is free."""
+    placed: asyncio.Future[Any]
+    """Set to the placement, or to the refusal."""
+
+
+class Queue:
+    """Weighted fair between plans, earliest deadline first within one.
+
+    The order is that of start-time fair queueing: each plan has a tag that
+    grows by 1/weight for each of its calls; the lowest tag goes first.
+    """
+
+    def __init__(self) -> None:
+        self._heaps_by_plan: dict[str, list[tuple[float, int, Waiter]]] = {}
+        self._tags_by_plan: dict[str, float] = {}
+        self._virtual_time = 0.0
+        self._arrivals = count()
+
+    def __bool__(self) -> bool:
+        """Return whether any call waits."""
+        return any(self._first(plan) for plan in list(self._heaps_by_plan))
+
+    def push(self, waiter: Waiter) -> None:
+        """Add a call at the end of those with its deadline."""
+        name = waiter.plan.name
+        if not self._heaps_by_plan.get(name):
+            tag = self._tags_by_plan.get(name, 0.0)
+            self._tags_by_plan[name] = max(tag, self._virtual_time)
+        heap = self._heaps_by_plan.setdefault(name, [])
+        heapq.heappush(heap, (waiter.deadline, next(self._arrivals), waiter))
+
+    def pop(self, plan: Plan) -> Waiter:
+        """Remove a plan's first call and charge the plan for it."""
+        heap = self._heaps_by_plan[plan.name]
+        waiter = heapq.heappop(heap)[2]
+        tag = self._tags_by_plan[plan.name]
+        self._virtual_time = max(self._virtual_time, tag)
+        self._tags_by_plan[plan.name] = tag + 1.0 / plan.weight
+        if not heap:
+            del self._heaps_by_plan[plan.name]
+        return waiter
+
+    def heads(self) -> list[Waiter]:
+        """Return the first call of each plan, the plan to be served next first."""
+        plans = sorted(self._heaps_by_plan, key=lambda p: (self._tags_by_plan[p], p))
+        return [waiter for plan in plans if (waiter := self._first(plan))]
+
+    def length(self, plan: str) -> int:
+        """Return how many calls of a plan wait."""
+        heap = self._heaps_by_plan.get(plan, ())
+        return sum(not waiter.placed.done() for _, _, waiter in heap)
+
+    def ahead(self, plan: Plan, deadline: float) -> float:
+        """Return how many calls are served before a new one of a plan.
+
+        Those of the plan with an earlier deadline count, and of each other plan
+        as many as its weight lets it start meanwhile.
+        """
+        heap = self._heaps_by_plan.get(plan.name, ())
+        own = sum(d <= deadline and not w.placed.done() for d, _, w in heap)
+        others = 0.0
+        for name, rival in self._heaps_by_plan.items():
+            if name != plan.name and rival:
+                weight = rival[0][2].plan.weight / plan.weight
+                others += min(self.length(name), weight * (own + 1))
+        return own + others
+
+    def _first(self, plan: str) -> Waiter | None:
+        """Return a plan's first call, dropping those that have given up."""
+        heap = self._heaps_by_plan[plan]
+        while heap and heap[0][2].placed.done():
+            heapq.heappop(heap)
+        if heap:
+            return heap[0][2]
+        del self._heaps_by_plan[plan]
+        return None
--- a/auburnproxy/errors.py
+++ b/auburnproxy/errors.py
@@ -47,6 +47,19 @@
     code = "append_uncertain"
 
 
+class OutcomeUnknownError(AuburnError):
+    """A record may or may not have been accepted by the time limit.
+
+    :param record_id: id under which the record can be appended again, safely
+    """
+
+    code = "outcome_unknown"
+
+    def __init__(self, record_id: str) -> None:
+        super().__init__(f"the outcome of record {record_id} is not known yet")
+        self.record_id = record_id
+
+
 class UpstreamError(AuburnError):
     """A call to an upstream failed.
 
--- /dev/null
+++ b/auburnproxy/routing/router.py
@@ -0,0 +1,162 @@
+"""The choice of an upstream for one call."""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from collections.abc import Collection, Iterable, Sequence
+from typing import NamedTuple
+
+from ..admission._protocols import Gate, Gates
+from ..errors import RefusalError
+from ..replicas import Replica
+from ._protocols import Readiness, Watcher
+
+AFFINITY_WEIGHT = 0.5
+"""Load, as a part of the limit, that a wholly cached prompt makes up for."""
+REMEMBERED_PREFIXES = 4096
+"""Digests remembered for each head until its reports catch up."""
+RETRY_AFTER_S = 2.0
+
+
+class Candidate(NamedTuple):
+    """An upstream that may take the call, the best one smallest."""
+
+    score: float
+    host: str
+    replica: Replica | None
+
+
+class Router:
+    """Chooses by load, slots and cached prefixes, among local upstreams.
+
+    :param watcher: what is known of the upstreams
+    :param readiness: which replicas serve
+    :param gates: this daemon's shares; upstreams have the keys ``upstream/HOST``
+    :param affinity_weight: load, as a part of the limit, that a wholly cached
+        prompt makes up for; 0 chooses the least loaded
+    """
+
+    def __init__(
+        self,
+        watcher: Watcher,
+        readiness: Readiness,
+        gates: Gates,
+        *,
+        affinity_weight: float = AFFINITY_WEIGHT,
+    ) -> None:
+        self._watcher = watcher
+        self._readiness = readiness
+        self._gates = gates
+        self._affinity_weight = affinity_weight
+        self._sent_by_head: dict[str, OrderedDict[str, None]] = {}
+
+    def choose_replica(
+        self, model: str, prefixes: Sequence[str], *, exclude: Collection[str] = ()
+    ) -> Replica | None:
+        """Take a slot of the replica that suits a call best.
+
+        :param model: the model that the caller asks for
+        :param prefixes: digests of the prompt's leading blocks, shortest first
+        :param exclude: heads that the call has failed on
+        :return: the replica, or None if no slot is free
+        :raises RefusalError: if no replica of the model serves here
+        """
+        replicas = self._readiness.serving(model)
+        usable = [r for r in replicas if self._may_use(r.head, exclude)]
+        if not usable:
+            message = f"No replica of {model} serves here."
+            raise RefusalError("no_replica", message, retry_after_s=RETRY_AFTER_S)
+        candidates = [
+            Candidate(self._score(r.head, prefixes), r.head, r)
+            for r in self._preferred(usable)
+        ]
+        chosen = self._take(candidates)
+        if chosen is None or chosen.replica is None:
+            return None
+        self._remember(chosen.host, prefixes)
+        return chosen.replica
+
+    def choose_service(
+        self, service: str, *, exclude: Collection[str] = ()
+    ) -> str | None:
+        """Take a slot of the least loaded host of a plain service.
+
+        :param service: name of the service
+        :param exclude: hosts that the call has failed on
+        :return: the host, or None if no slot is free
+        :raises RefusalError: if no host of the service is usable here
+        """
+        hosts = [
+            name
+            for name, entry in self._watcher.entries_by_host.items()
+            if entry.service == service and self._may_use(name, exclude)
+        ]
+        if not hosts:
+            message = f"No host of {service} is usable here."
+            raise RefusalError("no_service", message, retry_after_s=RETRY_AFTER_S)
+        ejected = self._watcher.ejected
+        kept = [host for host in hosts if host not in ejected] or hosts
+        chosen = self._take(Candidate(self._load(host), host, None) for host in kept)
+        return chosen.host if chosen else None
+
+    def release(self, host: str) -> None:
+        """Give back the slot that a choice took."""
+        self._gates.gate(f"upstream/{host}").release()
+
+    def refresh(self) -> None:
+        """Set the limit of every upstream's gate, so that peers see free slots."""
+        for host in self._watcher.entries_by_host:
+            self._gate(host)
+
+    def _may_use(self, host: str, exclude: Collection[str]) -> bool:
+        return host not in exclude and self._watcher.usable(host)
+
+    def _preferred(self, replicas: list[Replica]) -> list[Replica]:
+        ejected = self._watcher.ejected
+        return [r for r in replicas if r.head not in ejected] or replicas
+
+    def _take(self, candidates: Iterable[Candidate]) -> Candidate | None:
+        for candidate in sorted(candidates, key=lambda c: (c.score, c.host)):
+            if self._gate(candidate.host).try_acquire():
+                return candidate
+        return None
+
+    def _gate(self, host: str) -> Gate:
+        gate = self._gates.gate(f"upstream/{host}")
+        gate.limit = self._watcher.limit(host)
+        return gate
+
+    def _load(self, host: str) -> float:
+        """Return the calls at a host as a part of its limit."""
+        gate = self._gate(host)
+        report = self._watcher.report(host) or self._watcher.service_report(host)
+        reported = report.in_flight if report else 0
+        return max(reported, gate.in_flight) / max(gate.limit, 1)
+
+    def _score(self, head: str, prefixes: Sequence[str]) -> float:
+        load = self._load(head)
+        if not prefixes or not self._affinity_weight:
+            return load
+        cached = self._cached(head, prefixes) / len(prefixes)
+        return load - self._affinity_weight * cached
+
+    def _cached(self, head: str, prefixes: Sequence[str]) -> int:
+        """Return how many leading blocks a head is thought to hold."""
+        report = self._watcher.report(head)
+        reported = frozenset(report.prefixes) if report else frozenset()
+        sent = self._sent_by_head.get(head) or OrderedDict[str, None]()
+        for length in range(len(prefixes), 0, -1):
+            digest = prefixes[length - 1]
+            if digest in reported or digest in sent:
+                return length
+        return 0
+
+    def _remember(self, head: str, prefixes: Sequence[str]) -> None:
+        sent = self._sent_by_head.get(head)
+        if sent is None:
+            sent = self._sent_by_head[head] = OrderedDict()
+        for digest in prefixes:
+            sent[digest] = None
+            sent.move_to_end(digest)
+        while len(sent) > REMEMBERED_PREFIXES:
+            sent.popitem(last=False)
--- a/auburnproxy/serving/__init__.py
+++ b/auburnproxy/serving/__init__.py
@@ -1,1 +1,7 @@
-"""The HTTP face towards callers."""
+"""The HTTP face: dispatch, streams, retries, forwarding, graceful shutdown."""
+
+from .face import Face
+from .limits import Limits
+from .spill import Spill
+
+__all__ = ["Face", "Limits", "Spill"]
--- /dev/null
+++ b/auburnproxy/serving/_protocols.py
@@ -0,0 +1,29 @@
+"""What serving needs of the other slices."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from typing import Protocol
+
+from ..membership import Member
+
+
+class Peers(Protocol):
+    """The other daemons, as their newest beats show them."""
+
+    @property
+    def members_by_id(self) -> Mapping[str, Member]:
+        """Return the daemons that are connected."""
+
+    def free_slots(self, key: str) -> Mapping[str, int]:
+        """Return the free slots of a gate by member id."""
+
+
+class Telemetry(Protocol):
+    """Histograms and counters."""
+
+    def observe(self, measure: str, plan: str, target: str, seconds: float) -> None:
+        """Record a duration."""
+
+    def count(self, counter: str, plan: str, target: str, code: str = "") -> None:
+        """Count an event."""
--- /dev/null
+++ b/auburnproxy/serving/face.py
@@ -0,0 +1,249 @@
+"""The HTTP face of a daemon, towards callers and towards peers."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections.abc import Awaitable, Callable, Iterator
+from contextlib import contextmanager
+
+import msgspec
+from aiohttp import web
+from loguru import logger
+
+from ..admission import Admission
+from ..admission._protocols import Configuration
+from ..configuration import Plan, TargetKind
+from ..errors import DocumentError, Ran, RefusalError
+from ..ledger import LedgerRunner
+from ..routing import Router
+from ..routing._protocols import Readiness, Watcher
+from ._protocols import Telemetry
+from .forward import MODEL_PATH, SERVICE_PATH, Forwarder
+from .intake import bearer, request_id
+from .limits import Limits
+from .models import Models
+from .refusal import findings_response, refusal_response
+from .services import Services
+from .signature import Signer
+from .spill import Spill
+
+REFRESH_S = 0.5
+"""Seconds between two updates of the gates' limits."""
+DRAIN_RETRY_S = 1.0
+
+log = logger.bind(part="serving")
+Handler = Callable[[web.Request, Plan], Awaitable[web.StreamResponse]]
+Bare = Callable[[web.Request], Awaitable[web.StreamResponse]]
+
+
+class Face:
+    """Answers callers and peers.
+
+    :param configuration: the operators' lists in force
+    :param admission: checks callers and hands out slots
+    :param router: chooses upstreams
+    :param readiness: which replicas serve
+    :param watcher: what is known of the upstreams
+    :param ledger: runs calls that may not be repeated
+    :param spill: chooses peers
+    :param telemetry: histograms and counters
+    :param secret: the secret that the daemons share
+    :param incarnation: of this daemon, unique for every start
+    :param ready: whether the daemon has what it needs to serve
+    :param limits: bounds on requests
+    """
+
+    def __init__(
+        self,
+        configuration: Configuration,
+        admission: Admission,
+        router: Router,
+        readiness: Readiness,
+        watcher: Watcher,
+        ledger: LedgerRunner,
+        spill: Spill,
+        telemetry: Telemetry,
+        *,
+        secret: bytes,
+        incarnation: str,
+        ready: Callable[[], bool],
+        limits: Limits | None = None,
+    ) -> None:
+        limits = limits or Limits()
+        self.draining = False
+        self._configuration = configuration
+        self._admission = admission
+        self._router = router
+        self._telemetry = telemetry
+        self._ready = ready
+        self._limits = limits
+        self._signer = Signer(secret)
+        self._forwarder = Forwarder(self._signer)
+        self._models = Models(
+            admission,
+            router,
+            readiness,
+            watcher,
+            spill,
+            self._forwarder,
+            telemetry,
+            limits=limits,
+            incarnation=incarnation,
+        )
+        self._services = Services(
+            admission,
+            router,
+            watcher,
+            ledger,
+            spill,
+            self._forwarder,
+            telemetry,
+            limits=limits,
+        )
+        self._in_flight = 0
+        self._idle = asyncio.Event()
+        self._idle.set()
+
+    @property
+    def in_flight(self) -> int:
+        """Return the requests that are not yet answered."""
+        return self._in_flight
+
+    async def run(self) -> None:
+        """Keep the gates' limits current until cancelled."""
+        while True:
+            self._admission.refresh()
+            self._router.refresh()
+            await asyncio.sleep(REFRESH_S)
+
+    def caller_app(self) -> web.Application:
+        """Return the application of the callers' listener.
+
+        Its runner is to be made with ``handler_cancellation=True``, so that a
+        caller that leaves frees what it holds.
+        """
+        app = web.Application(client_max_size=self._limits.body_bytes)
+        any_method = "*"
+        app.router.add_get("/v1/models", self._caller(self._list_models))
+        app.router.add_post("/v1/chat/completions", self._caller(self._models.chat))
+        app.router.add_route(
+            any_method,
+            "/v1/services/{service}/{path:.*}",
+            self._caller(self._services.called),
+        )
+        app.router.add_get("/healthz", self._health)
+        app.router.add_get("/readyz", self._readiness)
+        return app
+
+    def forward_routes(self) -> list[web.RouteDef]:
+        """Return the routes of the internal listener for peers' calls."""
+        return [
+            web.post(MODEL_PATH, self._peer(self._models.forwarded)),
+            web.post(SERVICE_PATH, self._peer(self._services.forwarded)),
+        ]
+
+    async def drain(self) -> None:
+        """Refuse new requests and wait until those in flight are answered."""
+        self.draining = True
+        log.info("Draining {} requests.", self._in_flight)
+        await self._idle.wait()
+        await self._services.finished()
+        log.info("Drained.")
+
+    async def close(self) -> None:
+        """Close every connection to a peer."""
+        await self._forwarder.close()
+
+    def _caller(self, handler: Handler) -> Bare:
+        async def answered(http: web.Request) -> web.StreamResponse:
+            return await handler(
+                http, self._admission.authenticate(bearer(http.headers))
+            )
+
+        return self._guarded(answered)
+
+    def _peer(self, handler: Handler) -> Bare:
+        async def answered(http: web.Request) -> web.StreamResponse:
+            body = await http.read()
+            self._signer.check(
+                http.method, http.path, http.headers, body, now_s=time.time()
+            )
+            name = http.headers.get("X-Plan", "")
+            plan = self._configuration.plans_by_name.get(name)
+            if plan is None:
+                message = "The plan is not known here."
+                raise RefusalError("unknown_plan", message, status=503)
+            return await handler(http, plan)
+
+        return self._guarded(answered)
+
+    def _guarded(self, handler: Bare) -> Bare:
+        """Return a handler that counts requests and words every refusal."""
+
+        async def guarded(http: web.Request) -> web.StreamResponse:
+            with self._counted():
+                response = await self._worded(handler, http)
+                if self.draining:
+                    response.force_close()
+                if not response.prepared:
+                    await response.prepare(http)
+                await response.write_eof()
+                return response
+
+        return guarded
+
+    async def _worded(self, handler: Bare, http: web.Request) -> web.StreamResponse:
+        """Return the handler's response, or the one that tells of its refusal."""
+        try:
+            self._check_open()
+            return await handler(http)
+        except RefusalError as error:
+            refusal = error
+        except DocumentError as error:
+            return findings_response(error, request_id(http.headers))
+        except (asyncio.CancelledError, ConnectionError):
+            raise
+        except Exception:
+            log.exception("A request failed.")
+            message = "The daemon failed on the request."
+            refusal = RefusalError("internal", message, status=500, ran=Ran.UNKNOWN)
+        self._telemetry.count("refusals", "", http.path, refusal.code)
+        return refusal_response(refusal, request_id(http.headers))
+
+    def _check_open(self) -> None:
+        if self.draining or not self._ready():
+            code = "draining" if self.draining else "not_ready"
+            message = "This daemon takes no requests now."
+            raise RefusalError(code, message, retry_after_s=DRAIN_RETRY_S)
+
+    @contextmanager
+    def _counted(self) -> Iterator[None]:
+        self._in_flight += 1
+        self._idle.clear()
+        try:
+            yield
+        finally:
+            self._in_flight -= 1
+            if not self._in_flight:
+                self._idle.set()
+
+    async def _list_models(self, http: web.Request, plan: Plan) -> web.Response:
+        grants = self._configuration.lists.grants
+        names = sorted(
+            grant.target
+            for grant in grants
+            if grant.plan == plan.name and grant.kind is TargetKind.MODEL
+        )
+        data = [{"id": name, "object": "model"} for name in names]
+        body = msgspec.json.encode({"object": "list", "data": data})
+        return web.Response(body=body, content_type="application/json")
+
+    async def _health(self, http: web.Request) -> web.Response:
+        return web.Response(text="ok\n")
+
+    async def _readiness(self, http: web.Request) -> web.Response:
+        ready = self._ready() and not self.draining
+        return web.Response(
+            status=200 if ready else 503, text="ready\n" if ready else "not ready\n"
+        )
--- /dev/null
+++ b/auburnproxy/serving/forward.py
@@ -0,0 +1,200 @@
+"""Calls that run at a peer with a free slot, one hop away."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections.abc import AsyncGenerator, AsyncIterator
+
+import msgspec
+from aiohttp import (
+    ClientConnectorError,
+    ClientError,
+    ClientResponse,
+    ClientSession,
+    ClientTimeout,
+    DummyCookieJar,
+    TCPConnector,
+)
+
+from ..errors import Ran, RefusalError, UpstreamError
+from ..membership import Member
+from ..upstreams.engine import Chunk, ChunkKind, ModelCall
+from ..upstreams.service import PlainAnswer, PlainCall
+from ._frames import FrameReader
+from .placement import ModelPlacement
+from .signature import HOP, ONE_HOP, SIGNATURE, Signer
+
+MODEL_PATH = "/forward/model"
+SERVICE_PATH = "/forward/service"
+CONNECT_TIMEOUT_S = 0.5
+MS_PER_S = 1000
+OK = 200
+
+
+class RemoteRefusal(msgspec.Struct):
+    """The error object in a peer's refusal."""
+
+    code: str = "forward_failed"
+    message: str = "The peer refused the call."
+    ran: Ran = Ran.UNKNOWN
+
+
+class RemoteError(msgspec.Struct):
+    """A peer's refusal."""
+
+    error: RemoteRefusal
+
+
+class Forwarder:
+    """Sends calls to peers, signed.
+
+    :param signer: signs with the shared secret
+    """
+
+    def __init__(self, signer: Signer) -> None:
+        self._signer = signer
+        self._session: ClientSession | None = None
+
+    async def close(self) -> None:
+        """Close every connection to a peer."""
+        if self._session is not None:
+            await self._session.close()
+            self._session = None
+
+    async def generate(
+        self, member: Member, plan: str, call: ModelCall, *, stream: bool
+    ) -> AsyncGenerator[Chunk, None]:
+        """Run a model call at a peer and yield its chunks.
+
+        :raises UpstreamError: with ``ran`` NO if the peer refused the call
+        """
+        headers = _headers(plan, call.model, call.request_id, call.deadline_s)
+        headers["X-Resume-From"] = str(call.resume_from)
+        headers["X-Stream"] = "1" if stream else "0"
+        response = await self._post(member, MODEL_PATH, headers, call.body)
+        whole = False
+        try:
+            if response.status != OK:
+                raise _remote_error(await response.read())
+            reader = FrameReader(call.request_id.encode())
+            while block := await response.content.readany():
+                for chunk in reader.feed(block):
+                    whole = chunk.kind is ChunkKind.END
+                    yield chunk
+        except (ClientError, OSError, ValueError) as error:
+            raise UpstreamError(f"{member.name}: {error!r}") from error
+        finally:
+            if not whole:
+                response.close()
+            response.release()
+
+    async def call(
+        self, member: Member, plan: str, service: str, call: PlainCall
+    ) -> PlainAnswer:
+        """Run a plain call at a peer.
+
+        :raises RefusalError: if the peer answers that it gives the call up
+        :raises UpstreamError: if the peer gives no whole answer
+        """
+        headers = _headers(plan, service, call.request_id, call.deadline_s)
+        headers["X-Method"] = call.method
+        headers["X-Path"] = call.path
+        headers["X-Call-Type"] = call.content_type
+        headers["Idempotency-Key"] = call.idempotency_key
+        try:
+            async with asyncio.timeout(call.deadline_s):
+                response = await self._post(member, SERVICE_PATH, headers, call.body)
+                async with response:
+                    body = await response.read()
+            if response.status == OK:
+                return msgspec.msgpack.decode(body, type=PlainAnswer)
+        except (TimeoutError, ClientError, OSError, msgspec.MsgspecError) as error:
+            raise UpstreamError(f"{member.name}: {error!r}") from error
+        raise _remote_refusal(response, body)
+
+    async def _post(
+        self, member: Member, path: str, headers: dict[str, str], body: bytes
+    ) -> ClientResponse:
+        headers["X-Issued-Ms"] = str(round(time.time() * MS_PER_S))
+        headers[SIGNATURE] = self._signer.sign("POST", path, headers, body)
+        url = f"http://{member.internal_address}{path}"
+        timeout = ClientTimeout(sock_connect=CONNECT_TIMEOUT_S)
+        try:
+            return await self._open().post(
+                url, data=body, headers=headers, timeout=timeout
+            )
+        except ClientConnectorError as error:
+            raise UpstreamError(f"{member.name}: {error}", ran=Ran.NO) from error
+        except (ClientError, OSError) as error:
+            raise UpstreamError(f"{member.name}: {error!r}") from error
+
+    def _open(self) -> ClientSession:
+        if self._session is None:
+            self._session = ClientSession(
+                connector=TCPConnector(limit=0), cookie_jar=DummyCookieJar()
+            )
+        return self._session
+
+
+class PeerReplica(ModelPlacement):
+    """A peer that is thought to have a free slot for a model call.
+
+    :param member: the peer
+    :param plan: name of the caller's plan
+    :param stream: whether the caller wants a stream
+    """
+
+    refusal_is_free = True
+
+    def __init__(
+        self, forwarder: Forwarder, member: Member, plan: str, *, stream: bool
+    ) -> None:
+        self.host = member.id
+        self._forwarder = forwarder
+        self._member = member
+        self._plan = plan
+        self._stream = stream
+
+    def generate(self, call: ModelCall) -> AsyncIterator[Chunk]:
+        """Run the call at the peer."""
+        return self._forwarder.generate(
+            self._member, self._plan, call, stream=self._stream
+        )
+
+
+def _headers(
+    plan: str, target: str, request_id: str, deadline_s: float
+) -> dict[str, str]:
+    return {
+        HOP: ONE_HOP,
+        "Content-Type": "application/octet-stream",
+        "X-Plan": plan,
+        "X-Target": target,
+        "X-Request-Id": request_id,
+        "X-Deadline-Ms": str(max(int(deadline_s * MS_PER_S), 1)),
+    }
+
+
+def _remote_refusal(response: ClientResponse, body: bytes) -> RefusalError:
+    error = _decoded(body)
+    retry_after = response.headers.get("Retry-After", "")
+    return RefusalError(
+        error.code,
+        error.message,
+        status=response.status,
+        ran=error.ran,
+        retry_after_s=float(retry_after) if retry_after.isdigit() else None,
+    )
+
+
+def _decoded(body: bytes) -> RemoteRefusal:
+    try:
+        return msgspec.json.decode(body, type=RemoteError).error
+    except msgspec.MsgspecError:
+        return RemoteRefusal()
+
+
+def _remote_error(body: bytes) -> UpstreamError:
+    error = _decoded(body)
+    return UpstreamError(f"peer: {error.code}: {error.message}", ran=error.ran)
--- /dev/null
+++ b/auburnproxy/serving/refusal.py
@@ -0,0 +1,65 @@
+"""Refusals as callers are told them."""
+
+from __future__ import annotations
+
+import math
+from typing import Any
+
+import msgspec
+from aiohttp import web
+
+from ..errors import DocumentError, Ran, RefusalError
+
+JSON = "application/json"
+
+
+def error_body(refusal: RefusalError, request_id: str) -> dict[str, Any]:
+    """Return the JSON object of a refusal.
+
+    :param refusal: why the request is given up
+    :param request_id: the caller's request id
+    """
+    error = {
+        "code": refusal.code,
+        "message": str(refusal),
+        "ran": refusal.ran,
+        "request_id": request_id,
+    }
+    return {"error": error}
+
+
+def error_event(refusal: RefusalError, request_id: str) -> bytes:
+    """Return the event that ends a stream which can't be completed."""
+    body = msgspec.json.encode(error_body(refusal, request_id))
+    return b"event: error\ndata: " + body + b"\n\n"
+
+
+def refusal_response(refusal: RefusalError, request_id: str) -> web.Response:
+    """Return the response of a refusal."""
+    headers = {"X-Request-Id": request_id, "X-Ran": str(refusal.ran)}
+    if refusal.retry_after_s is not None:
+        headers["Retry-After"] = str(max(math.ceil(refusal.retry_after_s), 1))
+    body = msgspec.json.encode(error_body(refusal, request_id))
+    return web.Response(
+        status=refusal.status, body=body, content_type=JSON, headers=headers
+    )
+
+
+def findings_response(error: DocumentError, request_id: str) -> web.Response:
+    """Return the response to a request with findings, all of them named."""
+    refusal = RefusalError("invalid_request", "The request is not valid.", status=400)
+    body = error_body(refusal, request_id)
+    body["error"]["findings"] = [
+        {
+            "in": f.file,
+            "line": f.line,
+            "key": f.key,
+            "code": f.code,
+            "message": f.message,
+        }
+        for f in error.findings
+    ]
+    headers = {"X-Request-Id": request_id, "X-Ran": str(Ran.NO)}
+    return web.Response(
+        status=400, body=msgspec.json.encode(body), content_type=JSON, headers=headers
+    )
--- /dev/null
+++ b/features/fakes/serving.py
@@ -0,0 +1,277 @@
+"""Small fakes at the interfaces of admission, routing, serving and the ledger."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import Counter
+from hashlib import sha256
+from types import SimpleNamespace
+
+from auburnproxy.admission import Admission
+from auburnproxy.configuration import Grant, Lists, Plan, TargetKind
+from auburnproxy.errors import Ran, UpstreamError
+from auburnproxy.ledger import Ledger, LedgerRunner
+from auburnproxy.platform import HostEntry, HostKind, Presence
+from auburnproxy.replicas import Replica
+from auburnproxy.routing import Router
+from auburnproxy.serving import Face, Limits, Spill
+from auburnproxy.serving.forward import Forwarder
+from auburnproxy.serving.models import Models
+from auburnproxy.serving.services import Services
+from auburnproxy.serving.signature import Signer
+from auburnproxy.upstreams.engine import (
+    Chunk,
+    ChunkKind,
+    EngineReport,
+    EngineState,
+    Fence,
+)
+from auburnproxy.upstreams.service import PlainAnswer
+
+SECRET = b"shared"
+
+
+def make_plan(name, *, weight=1, concurrent=8, queue=16):
+    return Plan(name, (sha256(name.encode()).hexdigest(),), weight, concurrent, queue)
+
+
+class FakeConfiguration:
+    """Plans that may use every target; the bearer key is the plan's name."""
+
+    def __init__(self, plans, *, models=("m",), services=("s",), repeatable=()):
+        kinds = [(TargetKind.MODEL, name) for name in models]
+        kinds += [(TargetKind.SERVICE, name) for name in services]
+        grants = tuple(
+            Grant(plan.name, kind, name, repeatable=repeatable)
+            for plan in plans
+            for kind, name in kinds
+        )
+        self.lists = Lists(tuple(plans), grants)
+        self.plans_by_name = {plan.name: plan for plan in plans}
+        self.plan_by_digest = {plan.key_digests[0]: plan for plan in plans}
+
+    def grant(self, plan, kind, target):
+        wanted = (plan, kind, target)
+        found = (g for g in self.lists.grants if (g.plan, g.kind, g.target) == wanted)
+        return next(found, None)
+
+
+class FakeGate:
+    def __init__(self):
+        self.limit = 0
+        self.in_flight = 0
+        self.peak = 0
+
+    @property
+    def free(self):
+        return max(self.limit - self.in_flight, 0)
+
+    def try_acquire(self):
+        if not self.free:
+            return False
+        self.in_flight += 1
+        self.peak = max(self.peak, self.in_flight)
+        return True
+
+    def release(self):
+        assert self.in_flight > 0, "released twice"
+        self.in_flight -= 1
+
+
+class FakeGates:
+    def __init__(self):
+        self.by_key = {}
+
+    def gate(self, key):
+        return self.by_key.setdefault(key, FakeGate())
+
+
+class FakeUpstreams:
+    """Watcher and readiness in one: every replica is one host."""
+
+    def __init__(self, engines_by_host, services_by_host=None, *, slots=4, service="s"):
+        self.engines_by_host = engines_by_host
+        self.services_by_host = services_by_host or {}
+        self.ejected = frozenset()
+        self.unusable = set()
+        self.lost_by_host = {host: asyncio.Event() for host in engines_by_host}
+        self.prefixes_by_host = {}
+        self.observations = []
+        self.slots = slots
+        self.entries_by_host = {
+            host: _entry(host, HostKind.ENGINE, "") for host in engines_by_host
+        }
+        for host in self.services_by_host:
+            self.entries_by_host[host] = _entry(host, HostKind.SERVICE, service)
+
+    def report(self, host):
+        if host not in self.engines_by_host:
+            return None
+        prefixes = self.prefixes_by_host.get(host, ())
+        fence = Fence(0, 0)
+        return EngineReport(
+            host, "1", EngineState.READY, fence, None, 0, 0, (), prefixes, 0
+        )
+
+    def service_report(self, host):
+        return None
+
+    def usable(self, host):
+        return host not in self.unusable
+
+    def limit(self, host):
+        return self.slots
+
+    def observe(self, host, observation):
+        self.observations.append((host, observation))
+
+    def serving(self, model):
+        return tuple(
+            Replica(f"r-{host}", 1, model, "d", "f", (host,))
+            for host in self.engines_by_host
+            if self.usable(host) and not self.lost_by_host[host].is_set()
+        )
+
+    async def lost(self, replica):
+        await self.lost_by_host[replica.head].wait()
+
+    def lose(self, host):
+        self.lost_by_host[host].set()
+
+
+def _entry(host, kind, service):
+    return HostEntry(host, "127.0.0.1:1", "d", "f", kind, Presence.LIVE, service)
+
+
+class FakeEngine:
+    """Answers ``length`` chunks, one every ``gap_s`` seconds; faults are scripted.
+
+    :param script: maps the chunks of a call to those that arrive
+    """
+
+    def __init__(self, *, length=5, first_s=0.05, gap_s=0.01, script=None):
+        self.length = length
+        self.first_s = first_s
+        self.gap_s = gap_s
+        self.script = script or (lambda call, chunks: chunks)
+        self.calls = []
+        self.running = 0
+        self.cancelled = 0
+
+    def chunks(self, call):
+        rid = call.request_id.encode()
+        places = range(call.resume_from, self.length)
+        tokens = [Chunk(rid, i, b"t%d" % i, ChunkKind.TOKEN) for i in places]
+        return [*tokens, Chunk(rid, self.length, b"", ChunkKind.END)]
+
+    async def generate(self, call):
+        self.calls.append(call)
+        self.running += 1
+        whole = False
+        try:
+            await asyncio.sleep(self.first_s)
+            for chunk in self.script(call, self.chunks(call)):
+                if isinstance(chunk, Exception):
+                    raise chunk
+                yield chunk
+                await asyncio.sleep(self.gap_s)
+            whole = True
+        finally:
+            self.running -= 1
+            self.cancelled += not whole
+
+
+class FakeService:
+    """Counts the runs of each idempotency key, or of each request id."""
+
+    def __init__(self, *, takes_s=0.02):
+        self.takes_s = takes_s
+        self.runs = Counter()
+        self.fault = None
+
+    async def call(self, call):
+        if self.fault == "unreachable":
+            raise UpstreamError("refused", ran=Ran.NO)
+        if self.fault == "black hole":
+            await asyncio.get_running_loop().create_future()
+        self.runs[call.idempotency_key or call.request_id] += 1
+        await asyncio.sleep(self.takes_s)
+        if self.fault == "lost answer":
+            raise UpstreamError("closed")
+        return PlainAnswer(200, "text/plain", b"done " + call.body)
+
+
+class FakePeers:
+    def __init__(self):
+        self.members_by_id = {}
+        self.free_by_key = {}
+
+    def free_slots(self, key):
+        return self.free_by_key.get(key, {})
+
+
+class FakeTelemetry:
+    def __init__(self):
+        self.counts = Counter()
+        self.seconds_by_measure = {}
+
+    def observe(self, measure, plan, target, seconds):
+        self.seconds_by_measure.setdefault((measure, plan), []).append(seconds)
+
+    def count(self, counter, plan, target, code=""):
+        self.counts[counter, code] += 1
+
+
+def make_site(plans, upstreams, *, journal=None, limits=None, **lists):
+    """Return a daemon's serving parts over fakes, without listeners."""
+    site = SimpleNamespace(upstreams=upstreams, gates=FakeGates(), peers=FakePeers())
+    site.configuration = FakeConfiguration(plans, **lists)
+    site.telemetry = FakeTelemetry()
+    site.admission = Admission(site.configuration, site.gates)
+    site.router = Router(upstreams, upstreams, site.gates)
+    keys = [f"upstream/{host}" for host in upstreams.entries_by_host]
+    site.spill = Spill(site.peers, lambda target: keys, failure_domain="d")
+    site.ledger = Ledger()
+    site.runner = LedgerRunner(site.ledger, journal)
+    forwarder = Forwarder(Signer(SECRET))
+    limits = limits or Limits()
+    site.models = Models(
+        site.admission,
+        site.router,
+        upstreams,
+        upstreams,
+        site.spill,
+        forwarder,
+        site.telemetry,
+        limits=limits,
+        incarnation="i",
+    )
+    site.services = Services(
+        site.admission,
+        site.router,
+        upstreams,
+        site.runner,
+        site.spill,
+        forwarder,
+        site.telemetry,
+        limits=limits,
+    )
+    return site
+
+
+def make_face(site, *, limits=None):
+    """Return the face over a site's parts."""
+    return Face(
+        site.configuration,
+        site.admission,
+        site.router,
+        site.upstreams,
+        site.upstreams,
+        site.runner,
+        site.spill,
+        site.telemetry,
+        secret=SECRET,
+        incarnation="i",
+        ready=lambda: True,
+        limits=limits,
+    )
--- /dev/null
+++ b/features/serving.feature
@@ -0,0 +1,51 @@
+Feature: The face towards callers and peers
+
+  Background:
+    Given a daemon with 2 engines and 1 plain service
+
+  Scenario: A streamed answer is whole and ends with its marker
+    When the caller streams an answer
+    Then the stream has 5 chunks in order and ends with the done marker
+
+  Scenario: A whole answer is the chunks joined
+    When the caller asks for a whole answer
+    Then the answer is t0t1t2t3t4
+
+  Scenario: A request names all that is wrong with it
+    When the caller sends a request with 2 bad headers and 3 bad fields
+    Then the refusal is invalid_request with 5 findings and was not run
+
+  Scenario Outline: A bad request gets a coded refusal that was not run
+    When the caller sends <request>
+    Then the refusal is <code> with status <status> and was not run
+
+    Examples:
+      | request              | code            | status |
+      | broken JSON          | invalid_request | 400    |
+      | no key               | unauthenticated | 401    |
+      | an unknown model     | not_granted     | 403    |
+      | a body that is slow  | body_too_slow   | 408    |
+      | an oversized body    | body_too_long   | 413    |
+
+  @point9
+  Scenario: A shutdown finishes what is in flight and refuses the rest
+    Given a slow stream in flight
+    When the daemon drains
+    Then the slow stream is whole
+    And a new request is refused as draining and was not run
+    And the daemon is drained only after the stream was whole
+
+  Scenario: A caller that leaves frees its engine and its slots
+    Given a slow stream in flight
+    When the caller leaves
+    Then the engine was cancelled and every slot is free
+
+  Scenario: A call without a slot here runs at a peer, once
+    Given a peer with a free slot and no slot here
+    When the caller streams an answer
+    Then the stream has 5 chunks in order and ends with the done marker
+    And only the peer ran it
+
+  Scenario: A forwarded call is taken only as it was signed, and once
+    Given a peer with a free slot and no slot here
+    Then a forwarded call that was changed, repeated or sent on is forbidden
--- /dev/null
+++ b/features/steps/serving.py
@@ -0,0 +1,295 @@
+"""Steps for the face, on loopback sockets."""
+
+import asyncio
+import json
+
+from aiohttp import ClientSession, ClientTimeout, web
+from behave import given, then, when
+
+from auburnproxy.membership import Member
+from auburnproxy.serving import Limits
+from auburnproxy.serving.forward import MODEL_PATH
+from auburnproxy.serving.signature import SIGNATURE, Signer
+from features.fakes.serving import (
+    SECRET,
+    FakeEngine,
+    FakeService,
+    FakeUpstreams,
+    make_face,
+    make_plan,
+    make_site,
+)
+
+LIMITS = Limits(body_bytes=4096, body_timeout_s=0.2)
+TIMEOUT = ClientTimeout(total=20)
+
+
+class Daemon:
+    """One face on two loopback listeners."""
+
+    def __init__(self, *, slots=4, length=5, gap_s=0.001):
+        self.engines = [
+            FakeEngine(length=length, first_s=0.01, gap_s=gap_s) for _ in range(2)
+        ]
+        hosts = {f"e{i}": engine for i, engine in enumerate(self.engines)}
+        upstreams = FakeUpstreams(hosts, {"p0": FakeService()}, slots=slots)
+        self.site = make_site([make_plan("alpha")], upstreams, limits=LIMITS)
+        self.face = make_face(self.site, limits=LIMITS)
+        self.runners = []
+
+    async def __aenter__(self):
+        internal = web.Application()
+        internal.add_routes(self.face.forward_routes())
+        apps = (self.face.caller_app(), internal)
+        self.caller_port, self.internal_port = [await self._listen(a) for a in apps]
+        self.url = f"http://127.0.0.1:{self.caller_port}"
+        self.session = ClientSession(timeout=TIMEOUT)
+        return self
+
+    async def _listen(self, app):
+        runner = web.AppRunner(app, handler_cancellation=True, access_log=None)
+        await runner.setup()
+        self.runners.append(runner)
+        await web.TCPSite(runner, "127.0.0.1", 0).start()
+        return runner.addresses[0][1]
+
+    async def __aexit__(self, *error):
+        await self.session.close()
+        for runner in self.runners:
+            await runner.cleanup()
+        await self.face.close()
+
+    def post(self, body, *, key="alpha", **headers):
+        sent = {"Authorization": f"Bearer {key}"} if key else {}
+        data = json.dumps(body).encode() if isinstance(body, dict) else body
+        url = f"{self.url}/v1/chat/completions"
+        return self.session.post(url, data=data, headers=sent | headers)
+
+    async def read(self, body, **options):
+        async with self.post(body, **options) as response:
+            return response.status, await response.text(), response.headers
+
+    @property
+    def held(self):
+        return {key: g.in_flight for key, g in self.site.gates.by_key.items()}
+
+
+def chat(*, stream, model="m"):
+    return {"model": model, "messages": [{"role": "user"}], "stream": stream}
+
+
+async def until(true, *, within_s=10.0):
+    async with asyncio.timeout(within_s):
+        while not true():  # noqa: ASYNC110
+            await asyncio.sleep(0.01)
+
+
+def run(context, steps):
+    """Run steps against the scenario's daemon, and its peer if it has one."""
+
+    async def whole():
+        async with Daemon(**context.options) as daemon:
+            if not context.with_peer:
+                return await steps(daemon, None)
+            async with Daemon(slots=4) as peer:
+                address = f"127.0.0.1:{peer.internal_port}"
+                member = Member("b", "1", "d", "127.0.0.1:1", address)
+                daemon.site.peers.members_by_id = {member.id: member}
+                free = {member.id: 4}
+                keys = ("plan/alpha", "upstream/e0")
+                daemon.site.peers.free_by_key = dict.fromkeys(keys, free)
+                return await steps(daemon, peer)
+
+    return asyncio.run(whole())
+
+
+@given("a daemon with 2 engines and 1 plain service")
+def plain_daemon(context):
+    context.options, context.with_peer = {}, False
+
+
+@given("a peer with a free slot and no slot here")
+def with_peer(context):
+    context.options, context.with_peer = {"slots": 0}, True
+
+
+@given("a slow stream in flight")
+def slow_stream(context):
+    context.options = {"length": 40, "gap_s": 0.01}
+
+
+@when("the caller streams an answer")
+def stream_answer(context):
+    async def steps(daemon, peer):
+        context.answer = await daemon.read(chat(stream=True))
+        context.calls = [len(e.calls) for e in daemon.engines]
+        context.peer_calls = sum(len(e.calls) for e in peer.engines) if peer else 0
+
+    run(context, steps)
+
+
+@then("the stream has {count:d} chunks in order and ends with the done marker")
+def whole_stream(context, count):
+    status, text, headers = context.answer
+    events = [f"data: t{i}" for i in range(count)] + ["data: [DONE]", ""]
+    assert status == 200, text
+    assert headers["Content-Type"] == "text/event-stream"
+    assert text.split("\n\n") == events, text
+
+
+@then("only the peer ran it")
+def peer_ran(context):
+    assert sum(context.calls) == 0 and context.peer_calls == 1
+
+
+@when("the caller asks for a whole answer")
+def whole_answer(context):
+    async def steps(daemon, peer):
+        context.answer = await daemon.read(chat(stream=False))
+
+    run(context, steps)
+
+
+@then("the answer is {text}")
+def answer_is(context, text):
+    assert context.answer[:2] == (200, text), context.answer
+
+
+@when("the caller sends a request with 2 bad headers and 3 bad fields")
+def send_findings(context):
+    async def steps(daemon, peer):
+        body = {"model": 3, "stream": "yes"}
+        headers = {"X-Deadline-Ms": "soon", "X-Request-Id": "a b"}
+        context.answer = await daemon.read(body, **headers)
+
+    run(context, steps)
+
+
+@then("the refusal is invalid_request with {count:d} findings and was not run")
+def findings(context, count):
+    status, text, _ = context.answer
+    error = json.loads(text)["error"]
+    assert (status, error["code"], error["ran"]) == (400, "invalid_request", "no")
+    assert len(error["findings"]) == count, error["findings"]
+
+
+async def slow_body():
+    yield b"{"
+    await asyncio.sleep(2)
+    yield b"}"
+
+
+@when("the caller sends {request}")
+def send(context, request):
+    async def steps(daemon, peer):
+        good = chat(stream=True)
+        key, body = "alpha", good
+        if request == "broken JSON":
+            body = b'{"model": "m", '
+        elif request == "no key":
+            key = ""
+        elif request == "an unknown model":
+            body = chat(stream=True, model="other")
+        elif request == "a body that is slow":
+            body = slow_body()
+        else:
+            body = b" " * 5000
+        context.answer = await daemon.read(body, key=key)
+        assert not any(engine.calls for engine in daemon.engines)
+
+    run(context, steps)
+
+
+@then("the refusal is {code} with status {status:d} and was not run")
+def refusal(context, code, status):
+    seen, text, headers = context.answer
+    error = json.loads(text)["error"]
+    assert (seen, error["code"], error["ran"]) == (status, code, "no"), error
+    assert headers["X-Ran"] == "no"
+    assert error["request_id"]
+
+
+@when("the daemon drains")
+def drain(context):
+    async def steps(daemon, peer):
+        slow = asyncio.create_task(daemon.read(chat(stream=True)))
+        await until(lambda: any(engine.running for engine in daemon.engines))
+        drained = asyncio.create_task(daemon.face.drain())
+        await until(lambda: daemon.face.draining)
+        context.refused = await daemon.read(chat(stream=True))
+        context.early = drained.done()
+        context.answer = await slow
+        async with asyncio.timeout(10):
+            await drained
+
+    run(context, steps)
+
+
+@then("the slow stream is whole")
+def slow_whole(context):
+    whole_stream(context, 40)
+
+
+@then("a new request is refused as draining and was not run")
+def refused_draining(context):
+    context.answer = context.refused
+    refusal(context, "draining", 503)
+    assert int(context.refused[2]["Retry-After"]) >= 1
+
+
+@then("the daemon is drained only after the stream was whole")
+def drained_late(context):
+    assert not context.early
+
+
+@when("the caller leaves")
+def leave(context):
+    async def steps(daemon, peer):
+        async with daemon.post(chat(stream=True)) as response:
+            await response.content.readany()
+            response.close()
+        await until(lambda: not any(daemon.held.values()))
+        context.cancelled = sum(engine.cancelled for engine in daemon.engines)
+
+    run(context, steps)
+
+
+@then("the engine was cancelled and every slot is free")
+def cancelled(context):
+    assert context.cancelled == 1
+
+
+@then("a forwarded call that was changed, repeated or sent on is forbidden")
+def forged(context):
+    async def steps(daemon, peer):
+        url = f"http://127.0.0.1:{peer.internal_port}{MODEL_PATH}"
+        taken = []
+        post = daemon.session.post
+
+        async def forward(body, headers):
+            async with post(url, data=body, headers=headers) as response:
+                return response.status
+
+        original = Signer.sign
+
+        def kept(signer, method, path, headers, body):
+            signature = original(signer, method, path, headers, body)
+            taken.append((dict(headers), body, signature))
+            return signature
+
+        Signer.sign = kept
+        try:
+            assert (await daemon.read(chat(stream=True)))[0] == 200
+        finally:
+            Signer.sign = original
+        headers, body, signature = taken[0]
+        headers = {k: v for k, v in headers.items() if k != SIGNATURE}
+        signed = headers | {SIGNATURE: signature}
+        assert await forward(body, signed) == 403
+        assert await forward(body + b" ", signed) == 403
+        assert await forward(body, signed | {"X-Plan": "beta"}) == 403
+        second = headers | {"X-Hop": "2"}
+        again = Signer(SECRET).sign("POST", MODEL_PATH, second, body)
+        assert await forward(body, second | {SIGNATURE: again}) == 403
+
+    run(context, steps)
