Join the slices into the daemon: the whole path runs

SIGTERM drains, says farewell and closes the listeners last, so that late requests are refused as not run rather than reset.

--- a/auburnproxy/daemon/__init__.py
+++ b/auburnproxy/daemon/__init__.py
@@ -1,1 +1,5 @@
 """The daemon ``auburnproxyd``."""
+
+from .main import main
+
+__all__ = ["main"]
--- /dev/null
+++ b/auburnproxy/daemon/__main__.py
@@ -0,0 +1,5 @@
+"""Runs the daemon as ``python -m auburnproxy.daemon``."""
+
+from . import main
+
+main()
--- /dev/null
+++ b/auburnproxy/daemon/daemon.py
@@ -0,0 +1,216 @@
+"""One daemon: its slices, joined."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections.abc import Coroutine
+from typing import Any
+
+from ..admission import Admission
+from ..configuration import Configuration
+from ..journal import Journal
+from ..ledger import Ledger, LedgerRunner
+from ..membership import Epoch, Member, Membership, Roster
+from ..platform.http import connect_hosts, connect_log, connect_weights
+from ..quotas import Gates, custodian, holds, share
+from ..replicas import Custodian, Downtime, Planner, Readiness, Replicas
+from ..routing import Router
+from ..serving import Face, Limits, Spill
+from ..telemetry import Telemetry, part
+from ..upstreams import Watcher
+from ..upstreams.http_engine import connect_engine
+from ..upstreams.http_service import connect_service
+from ._peers import LinkedPeers
+from ._wants import Wants, upstream_keys
+from .settings import Calls, Settings
+
+FAREWELL_S = 3.0
+"""Longest wait for the journal at a shutdown."""
+STORE_KEY = "plan/weight-store"
+"""Quota of the weight store's loads, divided like a plan's limit."""
+
+log = part("daemon")
+
+
+def new_member(settings: Settings) -> Member:
+    """Return this start of the daemon.
+
+    :param settings: the daemon's settings
+    """
+    return Member(
+        name=settings.name,
+        incarnation=f"{time.time_ns():016x}",
+        failure_domain=settings.failure_domain,
+        peer_address=settings.listen.peers,
+        internal_address=settings.listen.internal,
+    )
+
+
+class Daemon:
+    """Owns the slices of one process and the tasks that they run in.
+
+    It is made on the event loop that it runs on.
+
+    :param settings: checked settings
+    """
+
+    def __init__(self, settings: Settings) -> None:
+        self.settings = settings
+        self.me = new_member(settings)
+        self.telemetry = Telemetry()
+        self.drained = asyncio.Event()
+        self._tasks: list[asyncio.Task[None]] = []
+        self._join_journal(settings)
+        self._join_members(settings)
+        self._join_upstreams(settings)
+        self._join_serving(settings)
+
+    def _join_journal(self, settings: Settings) -> None:
+        self.roster = Roster()
+        self.configuration = Configuration()
+        self.replicas = Replicas()
+        self.ledger = Ledger()
+        self.log_service = connect_log(settings.platform.log)
+        reducers = [self.roster, self.configuration, self.replicas, self.ledger]
+        self.journal = Journal(self.log_service, reducers, author=self.me.id)
+
+    def _join_members(self, settings: Settings) -> None:
+        self.membership = Membership(
+            self.me,
+            self.roster,
+            self.journal,
+            secret=settings.secret.encode(),
+            seeds=[seed.peers for seed in settings.seeds],
+            version=lambda: self.configuration.version,
+        )
+        self.gates = Gates(lambda: self.membership.window, self.me.id)
+        self.membership.attach(self.gates)
+        self.membership.require(self._gave_up_custody)
+
+    def _join_upstreams(self, settings: Settings) -> None:
+        self.hosts = connect_hosts(settings.platform.hosts)
+        self.weights = connect_weights(settings.platform.weights)
+        self.wants = Wants(self.configuration)
+        self.watcher = Watcher(
+            self.hosts,
+            lambda entry: connect_engine(entry.address),
+            lambda entry: connect_service(entry.address),
+            failure_domain=self.me.failure_domain,
+            is_out=self.configuration.is_out,
+        )
+        self.readiness = Readiness(self.replicas, self.watcher)
+        self.downtime = Downtime(
+            self.replicas, self.watcher, self.readiness, wanted=self.wants.replicas
+        )
+        self.planner = Planner(
+            self.replicas,
+            self.journal,
+            self.watcher,
+            self.weights,
+            wanted=self.wants.replicas,
+            holds=self._holds,
+            demand=self.wants.demand,
+        )
+        self.custodian = Custodian(
+            self.replicas,
+            self.watcher,
+            self.weights,
+            holds=self._holds,
+            fence_epoch=lambda: self.membership.view.epoch,
+            store_share=self._store_share,
+        )
+
+    def _join_serving(self, settings: Settings) -> None:
+        self.admission = Admission(self.configuration, self.gates)
+        self.router = Router(self.watcher, self.readiness, self.gates)
+        self.runner = LedgerRunner(self.ledger, self.journal)
+        spill = Spill(
+            LinkedPeers(self.membership),
+            lambda target: upstream_keys(target, self.replicas, self.watcher),
+            failure_domain=self.me.failure_domain,
+        )
+        self.face = Face(
+            self.configuration,
+            self.admission,
+            self.router,
+            self.readiness,
+            self.watcher,
+            self.runner,
+            spill,
+            self.telemetry,
+            secret=settings.secret.encode(),
+            incarnation=self.me.incarnation,
+            ready=lambda: self.ready,
+            limits=_limits(settings.calls),
+        )
+
+    @property
+    def ready(self) -> bool:
+        """Return whether the state is whole and this daemon has its shares."""
+        return self.journal.ready and bool(self.membership.window.epochs)
+
+    def start(self) -> None:
+        """Start the tasks of all slices."""
+        self._spawn("journal", self.journal.run())
+        self._spawn("membership", self.membership.run())
+        self._spawn("upstreams", self.watcher.run())
+        self._spawn("planner", self.planner.run())
+        self._spawn("custodian", self.custodian.run())
+        self._spawn("downtime", self.downtime.run())
+        self._spawn("serving", self.face.run())
+        log.info("{} started.", self.me.id)
+
+    async def stop(self) -> None:
+        """Finish what is in flight, hand over the parts and end every task."""
+        try:
+            async with asyncio.timeout(self.settings.drain_s):
+                await self.face.drain()
+        except TimeoutError:
+            log.warning("{} requests were cut off.", self.face.in_flight)
+        await self.membership.leave(timeout_s=FAREWELL_S)
+        self.drained.set()
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._close()
+        log.info("{} stopped.", self.me.id)
+
+    async def _close(self) -> None:
+        await self.face.close()
+        for service in (self.log_service, self.hosts, self.weights):
+            await service.close()
+
+    def _spawn(self, name: str, work: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.create_task(work, name=name)
+        task.add_done_callback(self._ended)
+        self._tasks.append(task)
+
+    def _ended(self, task: asyncio.Task[None]) -> None:
+        """Shut down if a slice has failed: a part of a daemon is worse than none."""
+        if task.cancelled():
+            return
+        log.opt(exception=task.exception()).critical("{} failed.", task.get_name())
+        asyncio.get_running_loop().stop()
+
+    def _holds(self, key: str) -> bool:
+        return holds(key, self.membership.window, self.me.id)
+
+    def _gave_up_custody(self, epoch: Epoch) -> bool:
+        """Return whether no order is under way for a host that an epoch takes away."""
+        gone = self.membership.gone
+        keys = self.custodian.keys_under_way
+        return all(custodian(key, epoch, gone) == self.me for key in keys)
+
+    def _store_share(self, loads_per_minute: int) -> float:
+        window = self.membership.window
+        return float(share(loads_per_minute, STORE_KEY, window, self.me.id))
+
+
+def _limits(calls: Calls) -> Limits:
+    return Limits(
+        body_bytes=calls.body_bytes,
+        body_timeout_s=calls.body_timeout_s,
+        deadline_s=calls.default_deadline_s,
+        longest_deadline_s=calls.longest_deadline_s,
+    )
--- a/auburnproxy/serving/_protocols.py
+++ b/auburnproxy/serving/_protocols.py
@@ -17,13 +17,3 @@
 
     def free_slots(self, key: str) -> Mapping[str, int]:
         """Return the free slots of a gate by member id."""
-
-
-class Telemetry(Protocol):
-    """Histograms and counters."""
-
-    def observe(self, measure: str, plan: str, target: str, seconds: float) -> None:
-        """Record a duration."""
-
-    def count(self, counter: str, plan: str, target: str, code: str = "") -> None:
-        """Count an event."""
--- a/auburnproxy/serving/face.py
+++ b/auburnproxy/serving/face.py
@@ -18,7 +18,7 @@
 from ..ledger import LedgerRunner
 from ..routing import Router
 from ..routing._protocols import Readiness, Watcher
-from ._protocols import Telemetry
+from ..telemetry import Counter, Telemetry
 from .forward import MODEL_PATH, SERVICE_PATH, Forwarder
 from .intake import bearer, request_id
 from .limits import Limits
@@ -208,7 +208,7 @@
             log.exception("A request failed.")
             message = "The daemon failed on the request."
             refusal = RefusalError("internal", message, status=500, ran=Ran.UNKNOWN)
-        self._telemetry.count("refusals", "", http.path, refusal.code)
+        self._telemetry.count(Counter.REFUSED, "", http.path, refusal.code)
         return refusal_response(refusal, request_id(http.headers))
 
     def _check_open(self) -> None:
--- a/auburnproxy/serving/models.py
+++ b/auburnproxy/serving/models.py
@@ -21,9 +21,9 @@
 from ..replicas import Replica
 from ..routing import Router, prefix_digests
 from ..routing._protocols import Readiness, Watcher
+from ..telemetry import Counter, Measure, Telemetry
 from ..upstreams.engine import ChunkKind, ModelCall
 from ._frames import frame
-from ._protocols import Telemetry
 from .budget import Budgets
 from .forward import Forwarder, PeerReplica
 from .intake import Headers, check, read_body, read_chat, read_headers
@@ -153,7 +153,7 @@
         except RefusalError as refusal:
             if not response.prepared:
                 raise
-            self._count("stream_errors", request, refusal.code)
+            self._count(Counter.UNKNOWN, request, refusal.code)
             await response.write(error_event(refusal, _id(request)))
         else:
             if not response.prepared:
@@ -222,7 +222,7 @@
             limits=self._limits,
         )
         await stream.run()
-        self._observe("answer", request)
+        self._observe(Measure.WHOLE_ANSWER, request)
 
     @asynccontextmanager
     async def _place(
@@ -245,7 +245,7 @@
             yield placement
 
     def _remote(self, peer: Member, request: Request) -> PeerReplica:
-        self._count("forwarded", request, "")
+        self._count(Counter.FORWARDED, request, "")
         return PeerReplica(
             self._forwarder, peer, request.plan.name, stream=request.stream
         )
@@ -267,13 +267,13 @@
         return LocalReplica(replica, self._router, self._watcher, self._readiness)
 
     def _first_chunk(self, request: Request) -> None:
-        self._observe("first_token", request)
+        self._observe(Measure.FIRST_CHUNK, request)
 
-    def _observe(self, measure: str, request: Request) -> None:
+    def _observe(self, measure: Measure, request: Request) -> None:
         took_s = asyncio.get_running_loop().time() - request.started
         self._telemetry.observe(measure, request.plan.name, request.target, took_s)
 
-    def _count(self, counter: str, request: Request, code: str) -> None:
+    def _count(self, counter: Counter, request: Request, code: str) -> None:
         self._telemetry.count(counter, request.plan.name, request.target, code)
 
 
--- a/auburnproxy/serving/services.py
+++ b/auburnproxy/serving/services.py
@@ -17,9 +17,9 @@
 from ..membership import Member
 from ..routing import Router
 from ..routing._protocols import Watcher
+from ..telemetry import Counter, Measure, Telemetry
 from ..upstreams.observation import Observation, Result
 from ..upstreams.service import PlainAnswer, PlainCall
-from ._protocols import Telemetry
 from .budget import Budgets
 from .forward import Forwarder
 from .intake import Headers, check, read_body, read_headers
@@ -114,7 +114,7 @@
         request = Request(plan, grant, headers.deadline, call, True)
         answer = await self.run(request)
         took_s = asyncio.get_running_loop().time() - now
-        self._telemetry.observe("answer", plan.name, request.target, took_s)
+        self._telemetry.observe(Measure.WHOLE_ANSWER, plan.name, request.target, took_s)
         return _response(answer, headers)
 
     async def forwarded(self, http: web.Request, plan: Plan) -> web.Response:
@@ -238,7 +238,7 @@
         :raises _NoSlotError: if the peer has not run it and is busy
         """
         plan, service = request.plan.name, request.grant.target
-        self._telemetry.count("forwarded", plan, request.target)
+        self._telemetry.count(Counter.FORWARDED, plan, request.target)
         call = request.call._replace(deadline_s=_remaining_s(request))
         try:
             return await self._forwarder.call(peer, plan, service, call)
--- a/auburnproxy/upstreams/watcher.py
+++ b/auburnproxy/upstreams/watcher.py
@@ -64,6 +64,8 @@
     ) -> None:
         self.failure_domain = failure_domain
         self.entries_by_host: dict[str, HostEntry] = {}
+        self.listed_by_name: dict[str, HostEntry] = {}
+        """The platform's whole list, all failure domains."""
         self.engines_by_host: dict[str, Engine] = {}
         self.services_by_host: dict[str, PlainService] = {}
         self.changes = Pulse()
@@ -188,6 +190,7 @@
         except PlatformError as error:
             log.warning("Host list not read: {}.", error)
             return
+        self.listed_by_name = {e.name: e for e in entries}
         own = {e.name: e for e in entries if self._is_upstream(e)}
         for host in list(self.entries_by_host):
             if host not in own or own[host].address != self._address(host):
