Count what callers are told, and take daemons off the host list for lost

Serving counts answers, refusals, unknown outcomes and cancelled callers by plan and target, and records queue waits and the time between chunks. A daemon that was listed, is off the list for 10 s and has no link is gone, so that its shares pass on also when its host died without refusing connections. Ruled out: its absence alone, since the list lags and may lack hosts for a moment.

--- a/auburnproxy/daemon/daemon.py
+++ b/auburnproxy/daemon/daemon.py
@@ -21,6 +21,7 @@
 from ..upstreams import Watcher
 from ..upstreams.http_engine import connect_engine
 from ..upstreams.http_service import connect_service
+from ._lost import LostDaemons
 from ._peers import LinkedPeers
 from ._wants import Wants, upstream_keys
 from .settings import Calls, Settings
@@ -83,7 +84,9 @@
             secret=settings.secret.encode(),
             seeds=[seed.peers for seed in settings.seeds],
             version=lambda: self.configuration.version,
+            lost_hosts=lambda: self.lost.names(),
         )
+        self.lost = LostDaemons(lambda: self.watcher.listed_by_name, self._linked)
         self.gates = Gates(lambda: self.membership.window, self.me.id)
         self.membership.attach(self.gates)
         self.membership.require(self._gave_up_custody)
@@ -196,6 +199,9 @@
     def _holds(self, key: str) -> bool:
         return holds(key, self.membership.window, self.me.id)
 
+    def _linked(self) -> set[str]:
+        return {link.peer.name for link in self.membership.links_by_id.values()}
+
     def _gave_up_custody(self, epoch: Epoch) -> bool:
         """Return whether no order is under way for a host that an epoch takes away."""
         gone = self.membership.gone
--- /dev/null
+++ b/auburnproxy/serving/_labels.py
@@ -0,0 +1,10 @@
+"""What a request is counted under, noted on it as soon as it is known."""
+
+from __future__ import annotations
+
+from aiohttp import web
+
+PLAN = web.RequestKey("plan", str)
+"""Name of the caller's plan."""
+TARGET = web.RequestKey("target", str)
+"""Kind and name of what the caller asks for."""
--- a/auburnproxy/serving/face.py
+++ b/auburnproxy/serving/face.py
@@ -19,6 +19,7 @@
 from ..routing import Router
 from ..routing._protocols import Readiness, Watcher
 from ..telemetry import Counter, Telemetry
+from ._labels import PLAN, TARGET
 from .forward import MODEL_PATH, SERVICE_PATH, Forwarder
 from .intake import bearer, request_id
 from .limits import Limits
@@ -157,9 +158,9 @@
 
     def _caller(self, handler: Handler) -> Bare:
         async def answered(http: web.Request) -> web.StreamResponse:
-            return await handler(
-                http, self._admission.authenticate(bearer(http.headers))
-            )
+            plan = self._admission.authenticate(bearer(http.headers))
+            http[PLAN] = plan.name
+            return await handler(http, plan)
 
         return self._guarded(answered)
 
@@ -203,14 +204,21 @@
         except DocumentError as error:
             return findings_response(error, request_id(http.headers))
         except (asyncio.CancelledError, ConnectionError):
+            plan, target = http.get(PLAN, ""), http.get(TARGET, "")
+            self._telemetry.count(Counter.CANCELLED, plan, target)
             raise
         except Exception:
             log.exception("A request failed.")
             message = "The daemon failed on the request."
             refusal = RefusalError("internal", message, status=500, ran=Ran.UNKNOWN)
-        self._telemetry.count(Counter.REFUSED, "", http.path, refusal.code)
+        self._count_refusal(http, refusal)
         return refusal_response(refusal, request_id(http.headers))
 
+    def _count_refusal(self, http: web.Request, refusal: RefusalError) -> None:
+        counter = Counter.REFUSED if refusal.ran is Ran.NO else Counter.UNKNOWN
+        plan, target = http.get(PLAN, ""), http.get(TARGET, "")
+        self._telemetry.count(counter, plan, target, refusal.code)
+
     def _check_open(self) -> None:
         if self.draining or not self._ready():
             code = "draining" if self.draining else "not_ready"
--- a/auburnproxy/serving/models.py
+++ b/auburnproxy/serving/models.py
@@ -24,6 +24,7 @@
 from ..telemetry import Counter, Measure, Telemetry
 from ..upstreams.engine import ChunkKind, ModelCall
 from ._frames import frame
+from ._labels import TARGET
 from .budget import Budgets
 from .forward import Forwarder, PeerReplica
 from .intake import Headers, check, read_body, read_chat, read_headers
@@ -108,6 +109,7 @@
         )
         prefixes = prefix_digests(body.prompt)
         request = Request(plan, headers, call, body.stream, prefixes, now, True)
+        http[TARGET] = request.target
         if body.stream:
             return await self._streamed(http, request)
         return await self._whole(request)
@@ -220,9 +222,13 @@
             deadline=request.headers.deadline,
             budget=budget,
             limits=self._limits,
+            between=self._telemetry.recorder(
+                Measure.BETWEEN_CHUNKS, request.plan.name, request.target
+            ),
         )
         await stream.run()
         self._observe(Measure.WHOLE_ANSWER, request)
+        self._count(Counter.ANSWERED, request, "")
 
     @asynccontextmanager
     async def _place(
@@ -238,6 +244,7 @@
             try:
                 ticket = self._ticket(request, avoid, wait=wait)
                 placement = await stack.enter_async_context(ticket)
+                self._observe(Measure.QUEUE_WAIT, request)
             except RefusalError as refusal:
                 if peer is None or refusal.code not in NO_SLOT_HERE:
                     raise
--- a/auburnproxy/serving/services.py
+++ b/auburnproxy/serving/services.py
@@ -20,6 +20,7 @@
 from ..telemetry import Counter, Measure, Telemetry
 from ..upstreams.observation import Observation, Result
 from ..upstreams.service import PlainAnswer, PlainCall
+from ._labels import TARGET
 from .budget import Budgets
 from .forward import Forwarder
 from .intake import Headers, check, read_body, read_headers
@@ -112,9 +113,11 @@
             headers.deadline - now,
         )
         request = Request(plan, grant, headers.deadline, call, True)
+        http[TARGET] = request.target
         answer = await self.run(request)
         took_s = asyncio.get_running_loop().time() - now
         self._telemetry.observe(Measure.WHOLE_ANSWER, plan.name, request.target, took_s)
+        self._telemetry.count(Counter.ANSWERED, plan.name, request.target)
         return _response(answer, headers)
 
     async def forwarded(self, http: web.Request, plan: Plan) -> web.Response:
--- a/auburnproxy/serving/stream.py
+++ b/auburnproxy/serving/stream.py
@@ -55,6 +55,7 @@
     :param write: passes the bytes of one chunk on to the caller
     :param deadline: the loop's time in seconds at which the call is given up
     :param budget: retries that the call may use
+    :param between: records the seconds between one chunk and the next
     """
 
     def __init__(
@@ -66,6 +67,7 @@
         deadline: float,
         budget: Budget,
         limits: Limits,
+        between: Callable[[float], None],
     ) -> None:
         self.position = call.resume_from
         """Chunks that the caller has."""
@@ -76,6 +78,7 @@
         self._deadline = deadline
         self._budget = budget
         self._limits = limits
+        self._between = between
         self._waiting_since = inf
         self._attempt_first_at: float | None = None
         self._may_have_run = False
@@ -156,6 +159,7 @@
 
     async def _pass_on(self, chunks: AsyncIterator[Chunk]) -> Cause | None:
         time, write, own = asyncio.get_running_loop().time, self._write, self._id
+        last_at: float | None = None
         async with aclosing(cast(AsyncGenerator[Chunk, None], chunks)) as source:
             async for chunk in source:
                 if chunk.request_id != own or chunk.position < self.position:
@@ -167,8 +171,12 @@
                     return None
                 self.position += 1
                 self._waiting_since = inf
-                if self._attempt_first_at is None:
-                    self._attempt_first_at = time()
+                arrived_at = time()
+                if last_at is None:
+                    self._attempt_first_at = arrived_at
+                else:
+                    self._between(arrived_at - last_at)
+                last_at = arrived_at
                 await write(chunk.data)
                 self._waiting_since = time()
         return Cause.TRUNCATED
--- a/auburnproxy/telemetry/telemetry.py
+++ b/auburnproxy/telemetry/telemetry.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from typing import NamedTuple, TypedDict
 
 from hdrh.histogram import HdrHistogram
@@ -20,6 +20,9 @@
 OTHER = "other"
 
 
+Record = Callable[[float], None]
+
+
 class SeriesKey(NamedTuple):
     """What one histogram is about."""
 
@@ -91,15 +94,23 @@
         :param target: name of the model or plain service
         :param seconds: the duration, cut to an hour
         """
-        histogram = self.histogram(measure, plan, target)
-        microseconds = int(seconds * US_PER_S)
-        histogram.record_value(min(max(microseconds, LOWEST_US), HIGHEST_US))
+        self.recorder(measure, plan, target)(seconds)
 
-    def histogram(self, measure: Measure, plan: str, target: str) -> HdrHistogram:
-        """Return the histogram of a measure, made if there is room.
+    def recorder(self, measure: Measure, plan: str, target: str) -> Record:
+        """Return a function that records durations in seconds.
 
-        Callers on a hot path keep it and record microseconds themselves.
+        Callers on a hot path keep it for the length of a call.
         """
+        record_value = self.histogram(measure, plan, target).record_value
+
+        def record(seconds: float) -> None:
+            microseconds = int(seconds * US_PER_S)
+            record_value(min(max(microseconds, LOWEST_US), HIGHEST_US))
+
+        return record
+
+    def histogram(self, measure: Measure, plan: str, target: str) -> HdrHistogram:
+        """Return the histogram of a measure, made if there is room."""
         key = SeriesKey(measure, plan, target)
         found = self.histogram_by_key.get(key)
         if found is not None:
--- a/features/fakes/serving.py
+++ b/features/fakes/serving.py
@@ -19,6 +19,7 @@
 from auburnproxy.serving.models import Models
 from auburnproxy.serving.services import Services
 from auburnproxy.serving.signature import Signer
+from auburnproxy.telemetry import Telemetry
 from auburnproxy.upstreams.engine import (
     Chunk,
     ChunkKind,
@@ -210,23 +211,11 @@
         return self.free_by_key.get(key, {})
 
 
-class FakeTelemetry:
-    def __init__(self):
-        self.counts = Counter()
-        self.seconds_by_measure = {}
-
-    def observe(self, measure, plan, target, seconds):
-        self.seconds_by_measure.setdefault((measure, plan), []).append(seconds)
-
-    def count(self, counter, plan, target, code=""):
-        self.counts[counter, code] += 1
-
-
 def make_site(plans, upstreams, *, journal=None, limits=None, **lists):
     """Return a daemon's serving parts over fakes, without listeners."""
     site = SimpleNamespace(upstreams=upstreams, gates=FakeGates(), peers=FakePeers())
     site.configuration = FakeConfiguration(plans, **lists)
-    site.telemetry = FakeTelemetry()
+    site.telemetry = Telemetry()
     site.admission = Admission(site.configuration, site.gates)
     site.router = Router(upstreams, upstreams, site.gates)
     keys = [f"upstream/{host}" for host in upstreams.entries_by_host]
--- /dev/null
+++ b/features/lost.feature
@@ -0,0 +1,13 @@
+Feature: Daemons whose hosts the platform has taken away
+
+  Scenario Outline: Only a listed daemon that is off the list for long is lost
+    Given a daemon that was <listed> and <linked>
+    When its host is off the list for <seconds> s
+    Then it is <verdict>
+
+    Examples:
+      | listed       | linked     | seconds | verdict  |
+      | listed       | not linked | 30      | lost     |
+      | listed       | not linked | 3       | not lost |
+      | listed       | linked     | 30      | not lost |
+      | never listed | not linked | 30      | not lost |
