Tell peers of free slots by target, and probe other failure domains

Cause: beats told of free slots for each upstream; at 89 engines a failure domain a beat's 24 places hold a quarter of them, and other failure domains were never told, so a call could spill only inside its own domain. Now a beat tells of each plan and each target. Ruled out: free slots in the summaries between failure domains (24 keys for each of 17 domains are 5 KB a beat, over the budget of 8 KB a second); one daemon there is probed with the call itself instead, and a refusal keeps further probes away for a second. A call that failed elsewhere is no probe, so it waits in the fair queue here.

--- a/auburnproxy/daemon/_wants.py
+++ b/auburnproxy/daemon/_wants.py
@@ -5,9 +5,6 @@
 from collections.abc import Iterator
 
 from ..configuration import Configuration, TargetKind
-from ..platform import HostEntry
-from ..replicas import Replicas
-from ..upstreams import Watcher
 
 
 class Wants:
@@ -37,18 +34,3 @@
         for grant in self._configuration.lists.grants:
             if grant.kind is TargetKind.MODEL:
                 yield grant.target, grant.replicas
-
-
-def upstream_keys(target: str, replicas: Replicas, watcher: Watcher) -> list[str]:
-    """Return the gate keys of a target's upstreams in every failure domain.
-
-    :param target: ``model/NAME`` or ``service/NAME``
-    :param replicas: the recorded replicas
-    :param watcher: holds the platform's whole list
-    """
-    kind, _, name = target.partition("/")
-    if kind == TargetKind.MODEL:
-        heads = (r.head for r in replicas.by_name.values() if r.model == name)
-        return [f"upstream/{head}" for head in heads]
-    entries: dict[str, HostEntry] = watcher.listed_by_name
-    return [f"upstream/{e.name}" for e in entries.values() if e.service == name]
--- a/auburnproxy/daemon/daemon.py
+++ b/auburnproxy/daemon/daemon.py
@@ -22,8 +22,8 @@
 from ..upstreams.http_engine import connect_engine
 from ..upstreams.http_service import connect_service
 from ._lost import LostDaemons
-from ._peers import LinkedPeers
-from ._wants import Wants, upstream_keys
+from ._peers import KnownPeers, Offers
+from ._wants import Wants
 from .settings import Calls, Settings
 
 FAREWELL_S = 3.0
@@ -88,7 +88,6 @@
         )
         self.lost = LostDaemons(lambda: self.watcher.listed_by_name, self._linked)
         self.gates = Gates(lambda: self.membership.window, self.me.id)
-        self.membership.attach(self.gates)
         self.membership.require(self._gave_up_custody)
 
     def _join_upstreams(self, settings: Settings) -> None:
@@ -106,6 +105,8 @@
         self.downtime = Downtime(
             self.replicas, self.watcher, self.readiness, wanted=self.wants.replicas
         )
+        offers = Offers(self.gates, self.configuration, self.readiness, self.watcher)
+        self.membership.attach(offers)
         self.planner = Planner(
             self.replicas,
             self.journal,
@@ -128,11 +129,7 @@
         self.admission = Admission(self.configuration, self.gates)
         self.router = Router(self.watcher, self.readiness, self.gates)
         self.runner = LedgerRunner(self.ledger, self.journal)
-        spill = Spill(
-            LinkedPeers(self.membership),
-            lambda target: upstream_keys(target, self.replicas, self.watcher),
-            failure_domain=self.me.failure_domain,
-        )
+        spill = Spill(KnownPeers(self.membership, self.configuration))
         self.face = Face(
             self.configuration,
             self.admission,
--- a/auburnproxy/serving/_protocols.py
+++ b/auburnproxy/serving/_protocols.py
@@ -2,18 +2,25 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 from typing import Protocol
 
 from ..membership import Member
 
 
 class Peers(Protocol):
-    """The other daemons, as their newest beats show them."""
+    """The other daemons."""
 
     @property
-    def members_by_id(self) -> Mapping[str, Member]:
-        """Return the daemons that are connected."""
+    def near_by_id(self) -> Mapping[str, Member]:
+        """Return the linked daemons of the own failure domain."""
+
+    @property
+    def far_by_domain(self) -> Mapping[str, Sequence[Member]]:
+        """Return the daemons of each other failure domain that is in service."""
 
     def free_slots(self, key: str) -> Mapping[str, int]:
-        """Return the free slots of a gate by member id."""
+        """Return the free slots by member id that near peers told of.
+
+        :param key: ``plan/NAME``, ``model/NAME`` or ``service/NAME``
+        """
--- a/auburnproxy/serving/forward.py
+++ b/auburnproxy/serving/forward.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import time
-from collections.abc import AsyncGenerator, AsyncIterator
+from collections.abc import AsyncGenerator, AsyncIterator, Callable
 
 import msgspec
 from aiohttp import (
@@ -20,6 +20,7 @@
 from ..errors import Ran, RefusalError, UpstreamError
 from ..membership import Member
 from ..upstreams.engine import Chunk, ChunkKind, ModelCall
+from ..upstreams.observation import Observation, Result
 from ..upstreams.service import PlainAnswer, PlainCall
 from ._frames import FrameReader
 from .placement import ModelPlacement
@@ -143,18 +144,31 @@
     :param member: the peer
     :param plan: name of the caller's plan
     :param stream: whether the caller wants a stream
+    :param on_refused: is told if the peer takes no calls, or does not answer
     """
 
     refusal_is_free = True
 
     def __init__(
-        self, forwarder: Forwarder, member: Member, plan: str, *, stream: bool
+        self,
+        forwarder: Forwarder,
+        member: Member,
+        plan: str,
+        *,
+        stream: bool,
+        on_refused: Callable[[], None],
     ) -> None:
         self.host = member.id
         self._forwarder = forwarder
         self._member = member
         self._plan = plan
         self._stream = stream
+        self._on_refused = on_refused
+
+    def observe(self, observation: Observation) -> None:
+        """Learn from how the attempt ended."""
+        if observation.result in (Result.REFUSED, Result.CLOSED):
+            self._on_refused()
 
     def generate(self, call: ModelCall) -> AsyncIterator[Chunk]:
         """Run the call at the peer."""
--- a/auburnproxy/serving/models.py
+++ b/auburnproxy/serving/models.py
@@ -253,8 +253,13 @@
 
     def _remote(self, peer: Member, request: Request) -> PeerReplica:
         self._count(Counter.FORWARDED, request, "")
+        plan, target = request.plan.name, request.target
         return PeerReplica(
-            self._forwarder, peer, request.plan.name, stream=request.stream
+            self._forwarder,
+            peer,
+            plan,
+            stream=request.stream,
+            on_refused=lambda: self._spill.refused(peer, plan, target),
         )
 
     def _ticket(
--- a/auburnproxy/serving/services.py
+++ b/auburnproxy/serving/services.py
@@ -247,10 +247,12 @@
             return await self._forwarder.call(peer, plan, service, call)
         except RefusalError as refusal:
             if refusal.ran is Ran.NO and refusal.status in BUSY:
+                self._spill.refused(peer, plan, request.target)
                 raise _NoSlotError(refusal) from None
             raise
         except UpstreamError as error:
             if error.ran is Ran.NO:
+                self._spill.refused(peer, plan, request.target)
                 raise _NoSlotError(_given_up(error.ran)) from error
             raise
 
--- a/auburnproxy/serving/spill.py
+++ b/auburnproxy/serving/spill.py
@@ -2,49 +2,85 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Collection, Iterable
+import asyncio
+from collections.abc import Collection
+from itertools import count
 
 from ..membership import Member
 from ._protocols import Peers
 
-UpstreamKeys = Callable[[str], Iterable[str]]
+PROBE_PAUSE_S = 1.0
+"""Seconds for which a failure domain that refused a call is not probed again."""
 
 
 class Spill:
-    """Chooses a peer that has a free slot of the plan and of the target.
+    """Chooses a peer that has, or may have, a slot of the plan and of the target.
+
+    Peers of the own failure domain tell of their free slots in beats. Those of
+    other failure domains do not: one of their daemons is probed with the call
+    itself, and a refusal keeps further ones away for a while. So the links
+    between failure domains carry nothing while nobody needs them.
 
     :param peers: the other daemons
-    :param upstream_keys: returns the gate keys of the upstreams of a target,
-        ``model/NAME`` or ``service/NAME``, in every failure domain
-    :param failure_domain: the own one, whose peers go first
     """
 
-    def __init__(
-        self, peers: Peers, upstream_keys: UpstreamKeys, *, failure_domain: str
-    ) -> None:
+    def __init__(self, peers: Peers) -> None:
         self._peers = peers
-        self._upstream_keys = upstream_keys
-        self._failure_domain = failure_domain
+        self._turns = count()
+        self._paused_until: dict[tuple[str, str, str], float] = {}
 
     def choose(
         self, plan: str, target: str, *, exclude: Collection[str] = ()
     ) -> Member | None:
-        """Return the peer with the most free slots, near ones first, or None.
+        """Return a peer to forward to, or None.
+
+        A call that has failed elsewhere already is not used as a probe.
 
         :param plan: name of the caller's plan
         :param target: ``model/NAME`` or ``service/NAME``
-        :param exclude: ids of peers that the call has failed on
+        :param exclude: hosts and ids of peers that the call has failed on
+        """
+        near = self._near(plan, target, exclude)
+        if near is not None or exclude:
+            return near
+        return self._probe(plan, target)
+
+    def refused(self, member: Member, plan: str, target: str) -> None:
+        """Note that a peer refused a call.
+
+        :param member: the peer
+        :param plan: name of the caller's plan
+        :param target: kind and name of the target
         """
+        key = (member.failure_domain, plan, target)
+        self._paused_until[key] = _now() + PROBE_PAUSE_S
+
+    def _near(self, plan: str, target: str, exclude: Collection[str]) -> Member | None:
         plan_free = self._peers.free_slots(f"plan/{plan}")
-        free_by_member: dict[str, int] = {}
-        for key in self._upstream_keys(target):
-            for member_id, free in self._peers.free_slots(key).items():
-                free_by_member[member_id] = free_by_member.get(member_id, 0) + free
-        members = self._peers.members_by_id
+        near = self._peers.near_by_id
         found = [
-            (members[m].failure_domain != self._failure_domain, -free, m)
-            for m, free in free_by_member.items()
-            if free > 0 and plan_free.get(m, 0) > 0 and m in members
+            (-free, member_id)
+            for member_id, free in self._peers.free_slots(target).items()
+            if free > 0 and plan_free.get(member_id, 0) > 0 and member_id in near
         ]
-        found = [entry for entry in found if entry[2] not in exclude]
-        return members[min(found)[2]] if found else None
+        found = [entry for entry in found if entry[1] not in exclude]
+        return near[min(found)[1]] if found else None
+
+    def _probe(self, plan: str, target: str) -> Member | None:
+        now = _now()
+        self._paused_until = {k: t for k, t in self._paused_until.items() if t > now}
+        members_by_domain = {
+            domain: members
+            for domain, members in self._peers.far_by_domain.items()
+            if members and (domain, plan, target) not in self._paused_until
+        }
+        if not members_by_domain:
+            return None
+        turn = next(self._turns)
+        domain = sorted(members_by_domain)[turn % len(members_by_domain)]
+        members = members_by_domain[domain]
+        return members[turn // len(members_by_domain) % len(members)]
+
+
+def _now() -> float:
+    return asyncio.get_running_loop().time()
--- a/features/fakes/serving.py
+++ b/features/fakes/serving.py
@@ -204,7 +204,8 @@
 
 class FakePeers:
     def __init__(self):
-        self.members_by_id = {}
+        self.near_by_id = {}
+        self.far_by_domain = {}
         self.free_by_key = {}
 
     def free_slots(self, key):
@@ -218,8 +219,7 @@
     site.telemetry = Telemetry()
     site.admission = Admission(site.configuration, site.gates)
     site.router = Router(upstreams, upstreams, site.gates)
-    keys = [f"upstream/{host}" for host in upstreams.entries_by_host]
-    site.spill = Spill(site.peers, lambda target: keys, failure_domain="d")
+    site.spill = Spill(site.peers)
     site.ledger = Ledger()
     site.runner = LedgerRunner(site.ledger, journal)
     forwarder = Forwarder(Signer(SECRET))
--- /dev/null
+++ b/features/spill.feature
@@ -0,0 +1,23 @@
+Feature: The choice of a peer for a call that has no slot here
+
+  Background:
+    Given near peers a1 and a2, and far peers b1, b2 in domain b and c1 in domain c
+
+  Scenario: The near peer with the most free slots goes first
+    Given a1 tells of 2 and a2 of 3 free slots of plan and target
+    Then peer a2 is chosen
+
+  Scenario: A near peer without a slot of the plan is passed over
+    Given a1 tells of 2 and a2 of 3 free slots of the target, only a1 of the plan
+    Then peer a1 is chosen
+
+  Scenario: Far domains are probed in turn when no near peer has a slot
+    Then 3 choices go to domains b, c, b
+
+  Scenario: A far domain that refused is left alone for a while
+    When a far peer of domain b refuses
+    Then 3 choices go to domains c, c, c
+    And 2 s later 2 choices go to both domains
+
+  Scenario: A call that failed elsewhere already is not used as a probe
+    Then no peer is chosen for a call that has failed on b1
--- a/features/steps/serving.py
+++ b/features/steps/serving.py
@@ -94,9 +94,9 @@
             async with Daemon(slots=4) as peer:
                 address = f"127.0.0.1:{peer.internal_port}"
                 member = Member("b", "1", "d", "127.0.0.1:1", address)
-                daemon.site.peers.members_by_id = {member.id: member}
+                daemon.site.peers.near_by_id = {member.id: member}
                 free = {member.id: 4}
-                keys = ("plan/alpha", "upstream/e0")
+                keys = ("plan/alpha", "model/m")
                 daemon.site.peers.free_by_key = dict.fromkeys(keys, free)
                 return await steps(daemon, peer)
 
--- /dev/null
+++ b/features/steps/spill.py
@@ -0,0 +1,80 @@
+"""Steps for the choice of a peer."""
+
+import asyncio
+
+from behave import given, then, when
+
+from auburnproxy.membership import Member
+from auburnproxy.serving import Spill
+from features.fakes.serving import FakePeers
+from features.machines.search import run_virtual
+
+PLAN, TARGET = "works", "model/quote"
+
+
+def make_peer(name):
+    return Member(name, "1", name[0], "127.0.0.1:1", "127.0.0.1:2")
+
+
+@given("near peers a1 and a2, and far peers b1, b2 in domain b and c1 in domain c")
+def make_peers(context):
+    context.peers = FakePeers()
+    context.peers.near_by_id = {p.id: p for p in map(make_peer, ("a1", "a2"))}
+    context.peers.far_by_domain = {
+        "b": [make_peer("b1"), make_peer("b2")],
+        "c": [make_peer("c1")],
+    }
+    context.spill = Spill(context.peers)
+    context.refused = False
+
+
+@given("a1 tells of 2 and a2 of 3 free slots of plan and target")
+def tell_both(context):
+    free = {"a1@1": 2, "a2@1": 3}
+    context.peers.free_by_key = {f"plan/{PLAN}": free, TARGET: free}
+
+
+@given("a1 tells of 2 and a2 of 3 free slots of the target, only a1 of the plan")
+def tell_one(context):
+    target = {"a1@1": 2, "a2@1": 3}
+    context.peers.free_by_key = {f"plan/{PLAN}": {"a1@1": 1}, TARGET: target}
+
+
+@when("a far peer of domain b refuses")
+def refuse(context):
+    context.refused = True
+
+
+def choose(context, times, *, wait_s=0.0, exclude=()):
+    async def chosen():
+        if context.refused:
+            context.spill.refused(make_peer("b1"), PLAN, TARGET)
+        await asyncio.sleep(wait_s)
+        choose_one = context.spill.choose
+        return [choose_one(PLAN, TARGET, exclude=exclude) for _ in range(times)]
+
+    return run_virtual(chosen())
+
+
+@then("peer {name} is chosen")
+def is_chosen(context, name):
+    (peer,) = choose(context, 1)
+    assert peer.name == name, peer
+
+
+@then("{times:d} choices go to domains {domains}")
+def go_to(context, times, domains):
+    peers = choose(context, times)
+    seen = [peer.failure_domain for peer in peers]
+    assert seen == domains.split(", "), seen
+
+
+@then("{wait_s:d} s later {times:d} choices go to both domains")
+def go_to_both(context, wait_s, times):
+    peers = choose(context, times, wait_s=wait_s)
+    assert {peer.failure_domain for peer in peers} == {"b", "c"}, peers
+
+
+@then("no peer is chosen for a call that has failed on b1")
+def none_chosen(context):
+    assert choose(context, 1, exclude=("b1@1",)) == [None]
