--- a/auburnproxy/upstreams/http_engine.py
+++ b/auburnproxy/upstreams/http_engine.py
@@ -8,6 +8,7 @@
 from aiohttp import ClientResponse, ClientSession
 
 from ..errors import Ran, StaleFenceError, UpstreamError
+from ..platform import HostEntry
 from ._client import CONTROL, STREAM, open_session, upstream_errors
 from ._events import split
 from .engine import Chunk, Engine, EngineReport, ModelCall, Order
@@ -124,9 +125,9 @@
             self._session = None
 
 
-def connect_engine(address: str) -> HttpEngine:
-    """Return the engine at an address.
+def connect_engine(entry: HostEntry) -> HttpEngine:
+    """Return the engine on a host.
 
-    :param address: IP number and port, ``127.0.0.1:9100``
+    :param entry: the host on the platform's list
     """
-    return HttpEngine(address)
+    return HttpEngine(entry.address)
--- a/auburnproxy/upstreams/http_service.py
+++ b/auburnproxy/upstreams/http_service.py
@@ -6,6 +6,7 @@
 from aiohttp import ClientSession, ClientTimeout
 
 from ..errors import UpstreamError
+from ..platform import HostEntry
 from ._client import CONNECT_TIMEOUT_S, CONTROL, open_session, upstream_errors
 from .service import PlainAnswer, PlainCall, PlainService, ServiceReport
 
@@ -78,9 +79,9 @@
             self._session = None
 
 
-def connect_service(address: str) -> HttpPlainService:
-    """Return the plain service at an address.
+def connect_service(entry: HostEntry) -> HttpPlainService:
+    """Return the plain service on a host.
 
-    :param address: IP number and port, ``127.0.0.1:9200``
+    :param entry: the host on the platform's list
     """
-    return HttpPlainService(address)
+    return HttpPlainService(entry.address)
--- a/features/steps/adapters.py
+++ b/features/steps/adapters.py
@@ -13,8 +13,8 @@
 from auburnproxy.platform.http import connect_log
 from auburnproxy.upstreams._events import render, split
 from auburnproxy.upstreams.engine import Chunk, ChunkKind
-from auburnproxy.upstreams.http_engine import connect_engine
-from auburnproxy.upstreams.http_service import connect_service
+from auburnproxy.upstreams.http_engine import HttpEngine
+from auburnproxy.upstreams.http_service import HttpPlainService
 from auburnproxy.upstreams.service import PlainCall
 from features import loopback
 from standins._listen import cut, listening
@@ -54,7 +54,7 @@
         address, nowhere = loopback.free_addresses(2)
         async with listening(context.app, address):
             for place in (address, nowhere):
-                service = connect_service(place)
+                service = HttpPlainService(place)
                 for method in METHODS:
                     with contextlib.suppress(UpstreamError):
                         await service.report()
@@ -169,7 +169,7 @@
         async with loopback.running_upstreams() as upstreams:
             context.upstreams = upstreams
             addresses = list(upstreams.addresses_by_host.values())[:2]
-            engines = [connect_engine(address) for address in addresses]
+            engines = [HttpEngine(address) for address in addresses]
             await loopback.form(engines, addresses)
             seen = await use(engines)
             for engine in engines:
