--- /dev/null
+++ b/bench/forward.py
@@ -0,0 +1,255 @@
+"""What forwarding costs: direct, a bare pass-through and the daemon, side by side.
+
+``python -m bench.forward`` starts a stand-in engine behind each and prints the
+processor time for each chunk and each request, and the time to the first byte. The
+costs come from short and long answers; what a process uses while idle is taken off.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import statistics
+import tempfile
+from collections.abc import Callable
+from pathlib import Path
+from typing import NamedTuple
+
+import defopt
+import msgspec
+import uvloop
+from aiohttp import ClientSession, TCPConnector
+from rich.console import Console
+from rich.table import Table
+
+from standins.deployment import Deployment, ModelShape, PlanShape, Shape, lay_out
+from standins.load import PlanLoad
+from standins.processes import Processes, processes, until_listens
+
+MODEL = "quilt"
+KEY = "bench-key"
+MOST_CHUNK_COST = 1.3
+"""Bound on the daemon's time for a chunk, as a multiple of the bare one's."""
+MOST_REQUEST_COST = 2.5
+MOST_FIRST_BYTE = 2.0
+LONG_TOKENS = 200
+SHORT_TOKENS = 1
+START_TIMEOUT_S = 15.0
+IDLE_S = 2.0
+US_PER_S = 1_000_000
+MS_PER_S = 1000
+SHAPE = Shape(
+    models=(ModelShape(MODEL, 1, 1),),
+    plans=(PlanShape(PlanLoad("bench", KEY, (MODEL,), "depot"), 1000, queue=1000),),
+    failure_domains=1,
+    daemons=1,
+    engines=1,
+    fabric_domains=1,
+    engine={
+        "slots": 64,
+        "cold_slots": 64,
+        "step_ms": 10.0,
+        "step_growth": 0.0,
+        "prefill_steps": 0,
+        "load_s": 0.05,
+    },
+)
+
+
+class Target(NamedTuple):
+    """One way to the engine."""
+
+    name: str
+    url: str
+    pid: int | None
+    """Process between the client and the engine, if there is one."""
+
+
+class Round(NamedTuple):
+    """What one round of calls took."""
+
+    cpu_s: float
+    """Processor time of the process in between, idle time taken off."""
+    calls: int
+    first_bytes_s: tuple[float, ...]
+
+
+class Cost(NamedTuple):
+    """What a target was measured at."""
+
+    chunk_us: float
+    request_us: float
+    first_byte_ms: float
+    """Median."""
+
+
+def cpu_s(pid: int | None) -> float:
+    """Return the processor time that a process has used, in seconds."""
+    if pid is None:
+        return 0.0
+    fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
+    return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
+
+
+class Client:
+    """Sends calls in a closed loop and counts what comes back."""
+
+    def __init__(self, session: ClientSession) -> None:
+        self._session = session
+        self._numbers = iter(range(1_000_000_000))
+
+    async def call(self, target: Target, tokens: int) -> float:
+        """Return the time to the first byte of one whole answer, in seconds."""
+        loop = asyncio.get_running_loop()
+        messages = [{"role": "user", "content": f"call {next(self._numbers)}"}]
+        body = msgspec.json.encode(
+            {"model": MODEL, "stream": True, "max_tokens": tokens, "messages": messages}
+        )
+        headers = {"Authorization": f"Bearer {KEY}", "Content-Type": "application/json"}
+        started, first, events = loop.time(), 0.0, 0
+        async with self._session.post(
+            target.url, data=body, headers=headers
+        ) as response:
+            async for block in response.content.iter_any():
+                first = first or loop.time()
+                events += block.count(b"\n\n")
+        if events != tokens + 1:
+            text = f"{target.name} gave {events} events, status {response.status}"
+            raise RuntimeError(text)
+        return first - started
+
+    async def measure(
+        self, target: Target, *, calls: int, workers: int, tokens: int, idle: float
+    ) -> Round:
+        """Send calls from several workers and return what they took.
+
+        :param idle: processor time of the target for each second of idling
+        """
+        loop = asyncio.get_running_loop()
+        left = iter(range(calls))
+        firsts: list[float] = []
+
+        async def work() -> None:
+            for _ in left:
+                firsts.append(await self.call(target, tokens))
+
+        began, used = loop.time(), cpu_s(target.pid)
+        await asyncio.gather(*(work() for _ in range(workers)))
+        took = loop.time() - began
+        used = cpu_s(target.pid) - used - idle * took
+        return Round(used, calls, tuple(firsts))
+
+
+class Measured(NamedTuple):
+    """The rounds of one target."""
+
+    short: list[Round]
+    long: list[Round]
+    single: list[Round]
+    """Short calls, one at a time."""
+
+    def cost(self) -> Cost:
+        """Return the costs; those of chunk and request are solved from both sizes."""
+        short, long = _cpu_per_call(self.short), _cpu_per_call(self.long)
+        chunk = (long - short) / (LONG_TOKENS - SHORT_TOKENS)
+        request = short - chunk * SHORT_TOKENS
+        firsts = [first for each in self.single for first in each.first_bytes_s]
+        first_ms = statistics.median(firsts) * MS_PER_S
+        return Cost(chunk * US_PER_S, request * US_PER_S, first_ms)
+
+
+def _cpu_per_call(rounds: list[Round]) -> float:
+    return sum(each.cpu_s for each in rounds) / sum(each.calls for each in rounds)
+
+
+async def idle_rate(target: Target) -> float:
+    """Return the processor time that a target uses in each idle second."""
+    before = cpu_s(target.pid)
+    await asyncio.sleep(IDLE_S)
+    return (cpu_s(target.pid) - before) / IDLE_S
+
+
+async def measure(targets: list[Target], *, rounds: int) -> dict[str, Cost]:
+    """Return the cost of each target, measured in alternating rounds."""
+    measured = {target.name: Measured([], [], []) for target in targets}
+    async with ClientSession(connector=TCPConnector(limit=0)) as session:
+        client = Client(session)
+        idle = {target.name: await idle_rate(target) for target in targets}
+        for _ in range(rounds):
+            for target in targets:
+                await _round(client, target, measured[target.name], idle[target.name])
+    return {name: each.cost() for name, each in measured.items()}
+
+
+async def _round(
+    client: Client, target: Target, measured: Measured, idle: float
+) -> None:
+    single = await client.measure(target, calls=40, workers=1, tokens=1, idle=idle)
+    short = await client.measure(
+        target, calls=600, workers=16, tokens=SHORT_TOKENS, idle=idle
+    )
+    long = await client.measure(
+        target, calls=32, workers=32, tokens=LONG_TOKENS, idle=idle
+    )
+    measured.single.append(single)
+    measured.short.append(short)
+    measured.long.append(long)
+
+
+async def start(deployment: Deployment, running: Processes) -> list[Target]:
+    """Start everything and return the targets."""
+    domain = deployment.domains[0]
+    for name, module in (("platform", "platform"), (domain.name, "upstreams")):
+        settings = str(deployment.settings_file(name))
+        await running.start(name, f"standins.{module}", "--settings", settings)
+    await until_listens(deployment.log, timeout_s=START_TIMEOUT_S)
+    await until_listens(domain.control, timeout_s=START_TIMEOUT_S)
+    return []
+
+
+def table(costs: dict[str, Cost]) -> Table:
+    """Return the costs as a table, and how the daemon compares with the bare one."""
+    result = Table("target", "us a chunk", "us a request", "first byte p50 ms")
+    for name, cost in costs.items():
+        result.add_row(name, *(f"{value:.2f}" for value in cost))
+    return result
+
+
+def verdicts(costs: dict[str, Cost]) -> list[str]:
+    """Return one line for each bound, met or not."""
+    bare, daemon = costs["bare"], costs["daemon"]
+    lines: list[tuple[str, Callable[[Cost], float], float]] = [
+        ("a chunk", lambda cost: cost.chunk_us, MOST_CHUNK_COST),
+        ("a request", lambda cost: cost.request_us, MOST_REQUEST_COST),
+        ("the first byte", lambda cost: cost.first_byte_ms, MOST_FIRST_BYTE),
+    ]
+    return [
+        f"{name}: {value(daemon) / value(bare):.2f} x bare, bound {most}: "
+        + ("met" if value(daemon) <= most * value(bare) else "NOT met")
+        for name, value, most in lines
+    ]
+
+
+async def run(rounds: int) -> dict[str, Cost]:
+    """Measure in a deployment of its own and leave no process."""
+    with tempfile.TemporaryDirectory() as folder:
+        deployment = lay_out(SHAPE, Path(folder))
+        async with processes(Path(folder)) as running:
+            targets = await start(deployment, running)
+            return await measure(targets, rounds=rounds)
+
+
+def main(*, rounds: int = 3) -> None:
+    """Measure and print.
+
+    :param rounds: rounds for each target
+    """
+    costs = uvloop.run(run(rounds))
+    console = Console()
+    console.print(table(costs))
+    for line in verdicts(costs):
+        console.print(line)
+
+
+if __name__ == "__main__":
+    defopt.run(main)
--- a/features/steps/load.py
+++ b/features/steps/load.py
@@ -16,7 +16,14 @@
 from standins.tokens import Prompt, read_prompt, token_data
 
 LOAD = PlanLoad(
-    "p", "k", "quilt", "s", calls_per_s=20, lookups_per_s=20, orders_per_s=20, tokens=3
+    "p",
+    "k",
+    ("quilt",),
+    "s",
+    calls_per_s=20,
+    lookups_per_s=20,
+    orders_per_s=20,
+    tokens=3,
 )
 REFUSAL = {"error": {"code": "full", "message": "", "ran": "no", "request_id": "q"}}
 
--- /dev/null
+++ b/standins/deployment.py
@@ -0,0 +1,312 @@
+"""A trial deployment on loopback: shape, addresses and settings files."""
+
+from __future__ import annotations
+
+import contextlib
+import socket
+from hashlib import sha256
+from pathlib import Path
+from typing import Any, NamedTuple
+
+import msgspec
+
+from .load import LoadSettings, PlanLoad
+
+SECRET = "a-secret-of-the-trial-daemons"
+OPERATOR_KEY = "a-key-of-the-trial-operators"
+DAEMON_MODULE = "auburnproxy.daemon"
+
+
+class ModelShape(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """One model and how often each failure domain is to serve it."""
+
+    name: str
+    hosts_per_replica: int
+    replicas: int
+
+
+class PlanShape(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """One customer's plan and the load that it sends."""
+
+    load: PlanLoad
+    concurrent: int
+    weight: int = 1
+    queue: int = 64
+
+
+class Shape(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """What a deployment consists of."""
+
+    models: tuple[ModelShape, ...]
+    plans: tuple[PlanShape, ...]
+    failure_domains: int = 3
+    daemons: int = 2
+    """Daemons in each failure domain."""
+    engines: int = 12
+    """Engine hosts in each failure domain."""
+    fabric_domains: int = 2
+    """Fabric domains that share the engines of a failure domain."""
+    service: str = "depot"
+    duration_s: float = 20.0
+    seed: int = 1
+    drain_s: float = 30.0
+    engine: dict[str, Any] = {}
+    """Settings that every engine gets."""
+    plain_service: dict[str, Any] = {}
+    """Settings that every plain service gets."""
+
+
+class Daemon(NamedTuple):
+    """One daemon and its listeners."""
+
+    name: str
+    failure_domain: str
+    callers: str
+    internal: str
+    peers: str
+
+
+class Domain(NamedTuple):
+    """One failure domain."""
+
+    name: str
+    control: str
+    """Address of the control listener of its stand-in upstreams."""
+    daemons: tuple[Daemon, ...]
+    engine_addresses: tuple[str, ...]
+    service_address: str
+
+
+class Addresses:
+    """Free addresses on loopback; none is given twice."""
+
+    def __init__(self) -> None:
+        self._given: set[str] = set()
+
+    def take(self) -> str:
+        """Return an address on which nothing listens."""
+        while True:
+            with contextlib.closing(socket.socket()) as probe:
+                probe.bind(("127.0.0.1", 0))
+                address = f"127.0.0.1:{probe.getsockname()[1]}"
+            if address not in self._given:
+                self._given.add(address)
+                return address
+
+
+class Deployment:
+    """The settings files of a deployment.
+
+    :param shape: what it consists of
+    :param folder: where the files are written
+    """
+
+    def __init__(self, shape: Shape, folder: Path) -> None:
+        self.shape = shape
+        self.folder = folder
+        addresses = Addresses()
+        self.log, self.hosts, self.weights = (addresses.take() for _ in range(3))
+        self.domains = tuple(
+            self._domain(f"fd{number}", addresses)
+            for number in range(1, shape.failure_domains + 1)
+        )
+
+    def _domain(self, name: str, addresses: Addresses) -> Domain:
+        daemons = tuple(
+            Daemon(f"{name}-{letter}", name, *(addresses.take() for _ in range(3)))
+            for letter in "abcdefgh"[: self.shape.daemons]
+        )
+        engines = tuple(addresses.take() for _ in range(self.shape.engines))
+        return Domain(name, addresses.take(), daemons, engines, addresses.take())
+
+    @property
+    def daemons(self) -> tuple[Daemon, ...]:
+        """Return the daemons of all failure domains."""
+        return tuple(daemon for domain in self.domains for daemon in domain.daemons)
+
+    @property
+    def plans_file(self) -> Path:
+        """Return the path of the operators' list of plans."""
+        return self.folder / "plans.yaml"
+
+    @property
+    def grants_file(self) -> Path:
+        """Return the path of the operators' list of grants."""
+        return self.folder / "grants.yaml"
+
+    def settings_file(self, name: str) -> Path:
+        """Return the path of a process's settings.
+
+        :param name: ``platform``, or the name of a daemon or failure domain
+        """
+        return self.folder / f"{name}.yaml"
+
+    def write(self) -> None:
+        """Write every file."""
+        self._write("platform", self._platform())
+        for domain in self.domains:
+            self._write(domain.name, self._upstreams(domain))
+        for daemon in self.daemons:
+            self._write(daemon.name, self._daemon(daemon))
+        self._write("plans", self._plans())
+        self._write("grants", self._grants())
+
+    def _write(self, name: str, value: Any) -> None:
+        self.settings_file(name).write_bytes(msgspec.yaml.encode(value))
+
+    def load(self) -> LoadSettings:
+        """Return the load of all plans."""
+        return LoadSettings(
+            targets=tuple(f"http://{daemon.callers}" for daemon in self.daemons),
+            controls=tuple(f"http://{domain.control}" for domain in self.domains),
+            plans=tuple(plan.load for plan in self.shape.plans),
+            seed=self.shape.seed,
+            duration_s=self.shape.duration_s,
+        )
+
+    def _platform(self) -> dict[str, Any]:
+        models = [
+            {"name": model.name, "hosts_per_replica": model.hosts_per_replica}
+            for model in self.shape.models
+        ]
+        return {
+            "log": {"listen": self.log},
+            "hosts": {"listen": self.hosts, "entries": self._entries()},
+            "weights": {"listen": self.weights, "models": models},
+        }
+
+    def _entries(self) -> list[dict[str, Any]]:
+        entries = []
+        for domain in self.domains:
+            entries += [self._daemon_entry(daemon) for daemon in domain.daemons]
+            entries += self._engine_entries(domain)
+            entries.append(self._service_entry(domain))
+        return entries
+
+    def _daemon_entry(self, daemon: Daemon) -> dict[str, Any]:
+        return {
+            "name": daemon.name,
+            "address": daemon.peers,
+            "failure_domain": daemon.failure_domain,
+            "kind": "daemon",
+        }
+
+    def _engine_entries(self, domain: Domain) -> list[dict[str, Any]]:
+        per_fabric = -(-self.shape.engines // self.shape.fabric_domains)
+        listed = ("slots", "cold_slots", "checks_fence")
+        return [
+            {
+                "name": settings["name"],
+                "address": settings["address"],
+                "failure_domain": domain.name,
+                "fabric_domain": f"{domain.name}-f{number // per_fabric + 1}",
+                "kind": "engine",
+                **{key: settings[key] for key in listed if key in settings},
+            }
+            for number, settings in enumerate(self._engines(domain))
+        ]
+
+    def _service_entry(self, domain: Domain) -> dict[str, Any]:
+        listed = ("slots", "cold_slots")
+        plain = self.shape.plain_service
+        return {
+            "name": f"{domain.name}-s1",
+            "address": domain.service_address,
+            "failure_domain": domain.name,
+            "kind": "service",
+            "service": self.shape.service,
+            **{key: plain[key] for key in listed if key in plain},
+        }
+
+    def _engines(self, domain: Domain) -> list[dict[str, Any]]:
+        """Return the engines' settings; every second one checks fencing."""
+        return [
+            {
+                "name": f"{domain.name}-e{number + 1:02}",
+                "address": address,
+                "checks_fence": number % 2 == 0,
+                **self.shape.engine,
+            }
+            for number, address in enumerate(domain.engine_addresses)
+        ]
+
+    def _upstreams(self, domain: Domain) -> dict[str, Any]:
+        service = {
+            "name": f"{domain.name}-s1",
+            "address": domain.service_address,
+            **self.shape.plain_service,
+        }
+        return {
+            "control": domain.control,
+            "weights": f"http://{self.weights}",
+            "engines": self._engines(domain),
+            "services": [service],
+        }
+
+    def _daemon(self, daemon: Daemon) -> dict[str, Any]:
+        others = [other for other in self.daemons if other.name != daemon.name]
+        seeds = [
+            {
+                "name": other.name,
+                "failure_domain": other.failure_domain,
+                "peers": other.peers,
+                "internal": other.internal,
+            }
+            for other in others
+        ]
+        return {
+            "name": daemon.name,
+            "failure_domain": daemon.failure_domain,
+            "listen": {
+                "callers": daemon.callers,
+                "internal": daemon.internal,
+                "peers": daemon.peers,
+            },
+            "platform": {
+                "log": f"http://{self.log}",
+                "hosts": f"http://{self.hosts}",
+                "weights": f"http://{self.weights}",
+            },
+            "secret": SECRET,
+            "operator_key": OPERATOR_KEY,
+            "seeds": seeds,
+            "drain_s": self.shape.drain_s,
+        }
+
+    def _plans(self) -> dict[str, Any]:
+        plans = [
+            {
+                "name": plan.load.name,
+                "key_digests": [sha256(plan.load.key.encode()).hexdigest()],
+                "weight": plan.weight,
+                "concurrent": plan.concurrent,
+                "queue": plan.queue,
+            }
+            for plan in self.shape.plans
+        ]
+        return {"plans": plans}
+
+    def _grants(self) -> dict[str, Any]:
+        replicas = {model.name: model.replicas for model in self.shape.models}
+        grants: list[dict[str, Any]] = []
+        for plan in self.shape.plans:
+            name = plan.load.name
+            grants += [
+                {"plan": name, "model": model, "replicas": replicas[model]}
+                for model in plan.load.models
+            ]
+            service = self.shape.service
+            repeatable = ["GET /stock"]
+            grants.append({"plan": name, "service": service, "repeatable": repeatable})
+        return {"grants": grants}
+
+
+def lay_out(shape: Shape, folder: Path) -> Deployment:
+    """Return a deployment whose files are written.
+
+    :param shape: what it consists of
+    :param folder: where the files are written
+    """
+    deployment = Deployment(shape, folder)
+    deployment.write()
+    return deployment
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -26,7 +26,7 @@
 from .batch import Batch, Stream
 from .runs import Runs
 from .settings import EngineSettings
-from .tokens import PREFIX_BLOCK_CHARS, Prompt, read_prompt
+from .tokens import Prompt, read_prompt
 from .warmth import Warmth
 
 ACCEPTED = 202
@@ -149,6 +149,11 @@
             if self.state is EngineState.READY and not self._is_whole:
                 self._batch.fail(b"member_lost")
 
+    @property
+    def serves(self) -> bool:
+        """Tell whether the host plays its part in a replica that is whole."""
+        return self.is_up and self.state is EngineState.READY and self._is_whole
+
     @property
     def _is_whole(self) -> bool:
         """Tell whether every host of the replica plays its part."""
@@ -225,16 +230,16 @@
         full = self._batch.queued >= self.settings.queue
         return BUSY if full else 0
 
-    def _cache(self, prompt: Prompt) -> bool:
-        """Keep the prompt's first block; tell whether it was cached."""
-        block = prompt.text[:PREFIX_BLOCK_CHARS].encode()
-        digest = xxhash.xxh64_hexdigest(block)
-        cached = digest in self._prefixes
-        self._prefixes[digest] = None
-        self._prefixes.move_to_end(digest)
-        if len(self._prefixes) > self.settings.cached_prefixes:
+    def _prefill_steps(self, prompt: Prompt) -> int:
+        """Cache the prompt's blocks; return the steps that the missing ones take."""
+        missing = sum(block not in self._prefixes for block in prompt.blocks)
+        for block in prompt.blocks:
+            self._prefixes[block] = None
+            self._prefixes.move_to_end(block)
+        while len(self._prefixes) > self.settings.cached_prefixes:
             self._prefixes.popitem(last=False)
-        return cached
+        part = missing / len(prompt.blocks) if prompt.blocks else 1.0
+        return round(self.settings.prefill_steps * part)
 
     async def _handle_report(self, request: web.Request) -> web.StreamResponse:
         return json_answer(self._published)
@@ -267,7 +272,7 @@
             request.headers.get("X-Request-Id", ""),
             prompt,
             position=int(request.headers.get("X-Resume-From", "0")),
-            prefill_steps=0 if self._cache(prompt) else self.settings.prefill_steps,
+            prefill_steps=self._prefill_steps(prompt),
         )
         self._batch.add(stream, int(request.headers.get("X-Priority", "0")))
         response = web.StreamResponse(headers={"Content-Type": "text/event-stream"})
--- a/standins/load.py
+++ b/standins/load.py
@@ -40,7 +40,8 @@
 
     name: str
     key: str
-    model: str
+    models: tuple[str, ...]
+    """The models that its calls choose from."""
     service: str
     calls_per_s: float = 0.0
     lookups_per_s: float = 0.0
@@ -154,7 +155,7 @@
         return await call_model(
             self._caller,
             request_id,
-            model=load.model,
+            model=self._random.choice(load.models),
             tokens=load.tokens,
             timing=self.audit.timing,
         )
--- /dev/null
+++ b/standins/processes.py
@@ -0,0 +1,104 @@
+"""Processes of a trial deployment, each ended by its id."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import signal
+import sys
+from asyncio.subprocess import Process
+from collections.abc import AsyncIterator
+from pathlib import Path
+
+END_TIMEOUT_S = 5.0
+CONNECT_TRY_S = 0.05
+
+
+class Processes:
+    """Starts Python modules and ends every one that is left.
+
+    :param folder: where each process writes its log
+    """
+
+    def __init__(self, folder: Path) -> None:
+        self.by_name: dict[str, Process] = {}
+        self._folder = folder
+
+    async def start(self, name: str, module: str, *arguments: str) -> Process:
+        """Start a module; a name may be started again once its process has ended.
+
+        :param name: name of the process and of its log
+        :param module: module to run
+        :param arguments: command-line arguments
+        """
+        command = (sys.executable, "-m", module, *arguments)
+        with self.log(name).open("ab") as log:
+            process = await asyncio.create_subprocess_exec(
+                *command, stdin=asyncio.subprocess.DEVNULL, stdout=log, stderr=log
+            )
+        self.by_name[name] = process
+        return process
+
+    def log(self, name: str) -> Path:
+        """Return the path of a process's log.
+
+        :param name: name of the process
+        """
+        return self._folder / f"{name}.log"
+
+    def signal(self, name: str, number: signal.Signals) -> None:
+        """Send a signal to a process that runs.
+
+        :param name: name of the process
+        :param number: the signal
+        """
+        process = self.by_name[name]
+        if process.returncode is None:
+            process.send_signal(number)
+
+    async def end(self) -> None:
+        """End every process, by force if it takes too long."""
+        for name in self.by_name:
+            self.signal(name, signal.SIGCONT)
+            self.signal(name, signal.SIGTERM)
+        await asyncio.gather(*map(self._end, self.by_name.values()))
+
+    async def _end(self, process: Process) -> None:
+        try:
+            async with asyncio.timeout(END_TIMEOUT_S):
+                await process.wait()
+        except TimeoutError:
+            process.kill()
+            await process.wait()
+
+
+@contextlib.asynccontextmanager
+async def processes(folder: Path) -> AsyncIterator[Processes]:
+    """Run processes while the context is open, and leave none.
+
+    :param folder: where each process writes its log
+    """
+    running = Processes(folder)
+    try:
+        yield running
+    finally:
+        await asyncio.shield(running.end())
+
+
+async def until_listens(address: str, *, timeout_s: float) -> None:
+    """Wait until something listens on an address.
+
+    :param address: IP number and port
+    :param timeout_s: longest wait in seconds
+    :raises TimeoutError: if nothing does
+    """
+    host, _, port = address.rpartition(":")
+    async with asyncio.timeout(timeout_s):
+        while True:
+            try:
+                _, writer = await asyncio.open_connection(host, int(port))
+            except OSError:
+                await asyncio.sleep(CONNECT_TRY_S)
+                continue
+            writer.close()
+            return
--- a/standins/tokens.py
+++ b/standins/tokens.py
@@ -2,15 +2,14 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
 from typing import Any, NamedTuple
 
 import msgspec
 import xxhash
 
+from auburnproxy.routing import prefix_digests
+
 DEFAULT_TOKENS = 16
-PREFIX_BLOCK_CHARS = 256
-"""Characters of a prompt that one cached block covers."""
 SEED_MASK = 0xFFFFFFFF
 
 
@@ -20,6 +19,8 @@
     text: str
     tokens: int
     """Tokens in the answer."""
+    blocks: tuple[str, ...] = ()
+    """Digests of the leading blocks that an engine may have cached."""
 
     @property
     def seed(self) -> int:
@@ -27,6 +28,11 @@
         return xxhash.xxh64_intdigest(self.text.encode())
 
 
+class _Call(msgspec.Struct):
+    messages: msgspec.Raw = msgspec.Raw(b"[]")
+    max_tokens: int = DEFAULT_TOKENS
+
+
 def read_prompt(body: bytes) -> Prompt:
     """Return the prompt in a call's JSON body.
 
@@ -34,10 +40,10 @@
     :raises ValueError: for a body that is no call
     """
     try:
-        call: Mapping[str, Any] = msgspec.json.decode(body, type=dict[str, Any])
-        messages = call.get("messages", ())
+        call = msgspec.json.decode(body, type=_Call)
+        messages: list[dict[str, Any]] = msgspec.json.decode(call.messages)
         text = "\n".join(str(message["content"]) for message in messages)
-        return Prompt(text, int(call.get("max_tokens", DEFAULT_TOKENS)))
+        return Prompt(text, call.max_tokens, prefix_digests(bytes(call.messages)))
     except (msgspec.MsgspecError, KeyError, TypeError) as error:
         raise ValueError(str(error)) from error
 
--- a/standins/upstreams.py
+++ b/standins/upstreams.py
@@ -1,7 +1,8 @@
 """Stand-in of upstreams: ``python -m standins.upstreams --settings FILE``.
 
 One process stands for many hosts, each on its own address. ``POST /fault`` to the
-control address makes hosts fail; ``GET /runs`` there shows what they ran.
+control address makes hosts fail; ``GET /runs`` and ``GET /hosts`` there show what
+they ran and do.
 """
 
 from __future__ import annotations
@@ -9,6 +10,7 @@
 import asyncio
 from enum import StrEnum
 from pathlib import Path
+from typing import NamedTuple
 
 import defopt
 import msgspec
@@ -47,6 +49,23 @@
     """Factor on the time of each step while slow."""
 
 
+class HostView(NamedTuple):
+    """What an engine's host does, seen without delay."""
+
+    host: str
+    up: bool
+    serves: bool
+    """Whether it plays its part in a replica that is whole."""
+    model: str
+    rank: int
+
+
+def _view(engine: Engine) -> HostView:
+    part = engine.assignment
+    model, rank = (part.model, part.rank) if part else ("", 0)
+    return HostView(engine.settings.name, engine.is_up, engine.serves, model, rank)
+
+
 class Upstreams:
     """The hosts of one process.
 
@@ -149,10 +168,14 @@
     async def _handle_runs(self, request: web.Request) -> web.StreamResponse:
         return json_answer(self.runs.report())
 
+    async def _handle_hosts(self, request: web.Request) -> web.StreamResponse:
+        return json_answer([_view(each) for each in self._engines_by_address.values()])
+
     def _control_app(self) -> web.Application:
         app = web.Application()
         app.router.add_post("/fault", self._handle_fault)
         app.router.add_get("/runs", self._handle_runs)
+        app.router.add_get("/hosts", self._handle_hosts)
         return app
 
 
