--- a/auburnproxy/daemon/daemon.py
+++ b/auburnproxy/daemon/daemon.py
@@ -96,8 +96,8 @@
         self.wants = Wants(self.configuration)
         self.watcher = Watcher(
             self.hosts,
-            lambda entry: connect_engine(entry.address),
-            lambda entry: connect_service(entry.address),
+            connect_engine,
+            connect_service,
             failure_domain=self.me.failure_domain,
             is_out=self.configuration.is_out,
         )
