--- /dev/null
+++ b/bench/control.py
@@ -0,0 +1,118 @@
+"""What a daemon spends while no caller calls, against the size of its domain.
+
+``python -m bench.control`` starts one failure domain of each size with one daemon
+and prints its processor time, its memory and the line through them.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import tempfile
+from pathlib import Path
+from typing import NamedTuple
+
+import defopt
+
+from standins.deployment import Shape, lay_out
+from standins.processes import Processes, processes, until_listens
+
+from .fit import print_fit
+
+ENGINES = (4, 8, 16, 32, 64)
+TARGET_ENGINES = 89
+SETTLE_S = 4.0
+MEASURE_S = 8.0
+START_TIMEOUT_S = 15.0
+KB_PER_MB = 1024
+UTIME, STIME = 11, 12
+"""Places in ``/proc/PID/stat`` after the command's name."""
+
+
+class Usage(NamedTuple):
+    """What one daemon used."""
+
+    core_percent: float
+    memory_mb: float
+
+
+def cpu_s(pid: int) -> float:
+    """Return the processor time of a process in seconds.
+
+    :param pid: its id
+    """
+    fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
+    ticks = int(fields[UTIME]) + int(fields[STIME])
+    return ticks / os.sysconf("SC_CLK_TCK")
+
+
+def memory_mb(pid: int) -> float:
+    """Return the resident memory of a process in MB.
+
+    :param pid: its id
+    """
+    lines = Path(f"/proc/{pid}/status").read_text().splitlines()
+    line = next(line for line in lines if line.startswith("VmRSS:"))
+    return int(line.split()[1]) / KB_PER_MB
+
+
+async def measure(engines: int, running: Processes, folder: Path) -> Usage:
+    """Return what an idle daemon uses in front of a number of engines.
+
+    :param engines: engines of its failure domain
+    :param running: starts processes
+    :param folder: where settings are written
+    """
+    shape = Shape((), (), failure_domains=1, daemons=1, engines=engines)
+    deployment = lay_out(shape, folder)
+    domain = deployment.domains[0]
+    starts = (
+        ("platform", "standins.platform", "platform", deployment.log),
+        ("upstreams", "standins.upstreams", domain.name, domain.control),
+        (
+            "daemon",
+            "auburnproxy.daemon",
+            domain.daemons[0].name,
+            domain.daemons[0].callers,
+        ),
+    )
+    for name, module, settings, address in starts:
+        path = str(deployment.settings_file(settings))
+        await running.start(name, module, "--settings", path)
+        await until_listens(address, timeout_s=START_TIMEOUT_S)
+    pid = running.by_name["daemon"].pid
+    await asyncio.sleep(SETTLE_S)
+    before = cpu_s(pid)
+    await asyncio.sleep(MEASURE_S)
+    return Usage((cpu_s(pid) - before) / MEASURE_S * 100, memory_mb(pid))
+
+
+async def measure_all(sizes: tuple[int, ...]) -> list[Usage]:
+    """Return the usage at each size.
+
+    :param sizes: numbers of engines
+    """
+    usages = []
+    for engines in sizes:
+        with tempfile.TemporaryDirectory() as name:
+            folder = Path(name)
+            async with processes(folder) as running:
+                usages.append(await measure(engines, running, folder))
+    return usages
+
+
+def main(*, sizes: tuple[int, ...] = ENGINES, target: int = TARGET_ENGINES) -> None:
+    """Measure an idle daemon at several sizes.
+
+    :param sizes: numbers of engines in its failure domain
+    :param target: number of engines to work the usage out for
+    """
+    usages = asyncio.run(measure_all(sizes))
+    core = [usage.core_percent for usage in usages]
+    memory = [usage.memory_mb for usage in usages]
+    print_fit("Idle daemon, core", "engines", sizes, core, "% of a core", target=target)
+    print_fit("Idle daemon, memory", "engines", sizes, memory, "MB", target=target)
+
+
+if __name__ == "__main__":
+    defopt.run(main)
