--- a/auburnproxy/journal/checkpoint.py
+++ b/auburnproxy/journal/checkpoint.py
@@ -4,12 +4,11 @@
 
 import hashlib
 import zlib
-from collections import defaultdict
 from typing import NamedTuple
 
 import msgspec
 
-from .fold import Snapshot
+from .fold import Hole, Snapshot
 from .record import Record
 
 PART_KIND = "journal.part"
@@ -21,16 +20,36 @@
 _decoder = msgspec.msgpack.Decoder(Snapshot)
 
 
-class Part(NamedTuple):
-    """One part of a checkpoint, as it stands in the log."""
+class CheckpointId(NamedTuple):
+    """What tells one checkpoint in the log from another."""
 
     offset: int
     """Offset up to which the state is folded."""
     digest: str
+    parts: int
+    """Number of parts."""
+    until: int = 0
+    """Of a restoration: offset that the state stands for, past what was lost."""
+    opened_at: int = 0
+    """Of a restoration: offset of the claim that opened its round."""
+
+    @property
+    def restores(self) -> bool:
+        """Return whether this is a restoration, and no ordinary checkpoint."""
+        return self.until > self.offset
+
+    @property
+    def hole(self) -> Hole:
+        """Return the records that a restoration gives up."""
+        return Hole(self.offset, self.until)
+
+
+class Part(NamedTuple):
+    """One part of a checkpoint, as it stands in the log."""
+
+    checkpoint: CheckpointId
     rank: int
     """Place among the parts, counted from 0."""
-    parts: int
-    """Number of parts of the checkpoint."""
     data: bytes
 
 
@@ -55,23 +74,33 @@
         return None
 
 
-def split(checkpoint: bytes, offset: int) -> list[Part]:
+def split(
+    checkpoint: bytes, offset: int, *, until: int = 0, opened_at: int = 0
+) -> list[Part]:
     """Return a checkpoint in parts that fit the log's records.
 
     :param checkpoint: bytes of the checkpoint
     :param offset: offset up to which its state is folded
+    :param until: of a restoration, offset that the state stands for
+    :param opened_at: of a restoration, offset of the claim that opened its round
     """
-    digest = checkpoint[:DIGEST_BYTES].hex()
     starts = range(0, len(checkpoint), PART_BYTES)
+    digest = checkpoint[:DIGEST_BYTES].hex()
+    identity = CheckpointId(offset, digest, len(starts), until, opened_at)
     return [
-        Part(offset, digest, rank, len(starts), checkpoint[at : at + PART_BYTES])
+        Part(identity, rank, checkpoint[at : at + PART_BYTES])
         for rank, at in enumerate(starts)
     ]
 
 
+def part_record(part: Part, author: str) -> Record:
+    """Return a record without an id, which no reducer takes."""
+    return Record("", author, PART_KIND, {"part": part}, {})
+
+
 def part_of(record: Record) -> Part | None:
     """Return the part of a checkpoint that a record carries, if it does."""
-    if record.kind != PART_KIND:
+    if record.kind != PART_KIND or record.id:
         return None
     try:
         return msgspec.convert(record.body["part"], Part)
@@ -83,18 +112,25 @@
     """Puts the parts of checkpoints together, in whatever order they are read."""
 
     def __init__(self) -> None:
-        self._parts: defaultdict[tuple[int, str, int], dict[int, bytes]]
-        self._parts = defaultdict(dict)
+        self._data_by_id: dict[CheckpointId, dict[int, bytes]] = {}
 
     def add(self, part: Part) -> bytes | None:
-        """Take a part and return its checkpoint once that is whole.
+        """Take a part and return its checkpoint if that is whole.
 
         :param part: a part read from the log
         """
-        key = (part.offset, part.digest, part.parts)
-        data_by_rank = self._parts[key]
+        data_by_rank = self._data_by_id.setdefault(part.checkpoint, {})
         data_by_rank[part.rank] = part.data
-        if len(data_by_rank) < part.parts:
+        return self._joined(part.checkpoint)
+
+    @property
+    def whole(self) -> dict[CheckpointId, bytes]:
+        """Return every whole checkpoint by its id."""
+        joined = {identity: self._joined(identity) for identity in self._data_by_id}
+        return {identity: data for identity, data in joined.items() if data is not None}
+
+    def _joined(self, identity: CheckpointId) -> bytes | None:
+        data_by_rank = self._data_by_id[identity]
+        if len(data_by_rank) < identity.parts:
             return None
-        del self._parts[key]
         return b"".join(data_by_rank[rank] for rank in sorted(data_by_rank))
--- a/auburnproxy/journal/journal.py
+++ b/auburnproxy/journal/journal.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Iterable, Mapping
+from collections.abc import Callable, Collection, Iterable, Mapping
 from typing import Any
 from uuid import uuid4
 
@@ -12,28 +12,46 @@
 from ..errors import AppendUncertainError, OutcomeUnknownError, PlatformError
 from ..platform import LogPage, LogService
 from . import checkpoint as checkpoints
-from ._codec import BLANK, decode_record, encode_record
+from ._access import LogAccess
+from ._codec import decode_record, encode_record
+from ._recovery import Recovery, same_history
 from ._relay import Relay
-from .fold import WINDOW, Fold
+from ._writer import Writer
+from .fold import WINDOW, Fold, Hole, Snapshot
 from .record import Entry, Outcome, Record
 from .reducer import Reducer
+from .restoration import Restorations, Sighting, bare, sighting_of
 
-PAGE_RECORDS = 512
 POLL_S = 5.0
-READ_MARGIN_S = 5.0
 RETRY_S = 0.5
 READ_BACK_S = 1.0
-APPEND_S = 3.0
+FOLLOWING_S = 1.0
+CHECKPOINT_S = 60.0
+REPLAY_RECORDS = 2048
+"""A longer log is searched for a checkpoint before it is replayed."""
 
 log = logger.bind(part="journal")
 
 
+def _first() -> int:
+    return 0
+
+
+def _none() -> Collection[str]:
+    return ()
+
+
 class Journal:
     """The platform's log folded into the state of the reducers.
 
     :param log: the platform's log service
     :param reducers: the slices' states, changed by this journal alone
     :param author: id of this process, unique for every start
+    :param failure_domain: failure domain of this process
+    :param failure_domains: those whose processes must have said how new their
+        state is before records that were lost to all are given up
+    :param rank: order of this process among its peers in writing checkpoints, from 0
+    :param checkpoint_s: seconds between checkpoints, well within the log's retention
     :param window: offsets for which ids are remembered, equal in all processes
     """
 
@@ -43,15 +61,36 @@
         reducers: Iterable[Reducer],
         *,
         author: str,
+        failure_domain: str = "",
+        failure_domains: Callable[[], Collection[str]] = _none,
+        rank: Callable[[], int] = _first,
+        checkpoint_s: float = CHECKPOINT_S,
         window: int = WINDOW,
     ) -> None:
-        self._log = log
+        self._access = LogAccess(log)
         self._author = author
         self._fold = Fold(reducers, window=window)
         self._relay = Relay()
+        self._restorations = Restorations()
+        self._recovery = Recovery(
+            self._access,
+            self._fold,
+            self._restorations,
+            author=author,
+            failure_domain=failure_domain,
+            failure_domains=failure_domains,
+            rank=rank,
+        )
+        self._writer = Writer(
+            self._access, self._fold, author=author, rank=rank, period_s=checkpoint_s
+        )
         self._turn = asyncio.Event()
         self._up = False
         self._ready = False
+        self._current = False
+        self._diverged = False
+        self._gap = False
+        self._searched = False
 
     @property
     def offset(self) -> int:
@@ -60,9 +99,22 @@
 
     @property
     def up(self) -> bool:
-        """Return whether the log answered the last time."""
+        """Return whether the log answered the last time and this state follows it."""
         return self._up
 
+    @property
+    def holes(self) -> tuple[Hole, ...]:
+        """Return the stretches of the log that were given up, oldest first."""
+        return tuple(self._fold.holes)
+
+    @property
+    def diverged(self) -> bool:
+        """Return whether the log went on from an older state than this one.
+
+        Such a process keeps its state and folds no more; a restart mends it.
+        """
+        return self._diverged
+
     @property
     def ready(self) -> bool:
         """Return whether the state was ever whole, from the log or from a peer."""
@@ -86,47 +138,88 @@
         return self.offset
 
     async def run(self) -> None:
-        """Read and fold the log until cancelled."""
-        while True:
-            try:
-                page = await self._read(self.offset + 1, wait_s=POLL_S)
-            except PlatformError as error:
-                self._lost(error)
-                await asyncio.sleep(RETRY_S)
-                continue
-            self._up = True
-            if page.start > self.offset + 1:
-                await asyncio.sleep(RETRY_S)
-                continue
-            self._take(page)
-
-    async def _read(self, offset: int, *, wait_s: float) -> LogPage:
+        """Read and fold the log, and write checkpoints, until cancelled."""
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self._writer.run(lambda: self._current))
+            while not self._diverged:
+                await self._turn_once()
+
+    async def _turn_once(self) -> None:
+        wait_s = POLL_S if self._current else 0.0
         try:
-            async with asyncio.timeout(wait_s + READ_MARGIN_S):
-                return await self._log.read(offset, limit=PAGE_RECORDS, wait_s=wait_s)
-        except TimeoutError as error:
-            raise PlatformError("the log did not answer in time") from error
+            page = await self._access.read(self.offset + 1, wait_s=wait_s)
+            self._restorations.forget(page.start)
+            if self._must_recover(page):
+                await self._recover(page)
+                return
+        except PlatformError as error:
+            self._lost(error)
+            await asyncio.sleep(RETRY_S)
+            return
+        self._up = True
+        self._recovery.over()
+        self._take(page)
+        if not page.records and not self._current:
+            await asyncio.sleep(RETRY_S)
+
+    def _must_recover(self, page: LogPage) -> bool:
+        self._gap = page.start > self.offset + 1
+        if self._gap or self.offset:
+            return self._gap
+        searched, self._searched = self._searched, True
+        return page.end > REPLAY_RECORDS and not searched
+
+    async def _recover(self, page: LogPage) -> None:
+        self._up = self._current = False
+        found = await self._recovery.search(page)
+        if found is None or not self._follows(found.snapshot):
+            await asyncio.sleep(RETRY_S)
+            return
+        log.info("The state of offset {} is taken from the log.", found.snapshot.offset)
+        self._restore(found.snapshot)
 
     def _lost(self, error: PlatformError) -> None:
         if self._up:
             log.warning("The log is away: {}", error)
-        self._up = False
+        self._up = self._current = False
 
     def _take(self, page: LogPage) -> None:
         for kept in page.records:
             self._step(Entry(kept.offset, decode_record(kept.payload)))
-        if page.end <= self.offset + 1:
+        self._current = page.end <= self.offset + 1 and not self._diverged
+        if self._current:
             self._ready = True
+            self._writer.saw_bounds(page.start, page.end)
         self._notify()
 
     def _step(self, entry: Entry) -> None:
-        if entry.offset <= self.offset:
+        if entry.offset <= self.offset or self._diverged:
             return
-        record = entry.record
-        if checkpoints.part_of(record) is not None:
-            record = BLANK
-        self._relay.add(entry.offset, record)
-        self._fold.step(Entry(entry.offset, record))
+        sighting = sighting_of(entry.offset, entry.record)
+        if sighting is not None:
+            if not self._see(sighting):
+                return
+            entry = Entry(entry.offset, bare(entry.record))
+        self._relay.add(entry.offset, entry.record)
+        self._fold.step(entry)
+
+    def _see(self, sighting: Sighting) -> bool:
+        """Take a claim or part, and return whether the fold may go on."""
+        self._restorations.see(sighting)
+        checkpoint = sighting.checkpoint
+        if checkpoint is None:
+            self._writer.want()
+            return True
+        if not checkpoint.restores:
+            self._writer.saw_checkpoint(sighting.at)
+            return True
+        if checkpoint.hole in self._fold.holes:
+            return True
+        self._diverged = self._restorations.valid(checkpoint, start=0)
+        if self._diverged:
+            self._up = self._current = False
+            log.error("The log went on from an older state; the fold stops here.")
+        return not self._diverged
 
     def _notify(self) -> None:
         turn, self._turn = self._turn, asyncio.Event()
@@ -155,19 +248,29 @@
         known = self.outcome(chosen)
         if known is not None:
             return known
-        record = Record(chosen, self._author, kind, body, expects, self.offset)
         try:
             async with asyncio.timeout(timeout_s):
+                await self._following()
+                record = Record(chosen, self._author, kind, body, expects, self.offset)
                 return await self._append_until_folded(record)
         except TimeoutError:
             raise OutcomeUnknownError(chosen) from None
 
+    async def _following(self) -> None:
+        """Wait for a state that follows the log; records could not be read back."""
+        try:
+            async with asyncio.timeout(FOLLOWING_S):
+                while self._gap or self._diverged or not self._ready:
+                    await self._turn.wait()
+        except TimeoutError:
+            raise PlatformError("this process does not follow the log") from None
+
     async def _append_until_folded(self, record: Record) -> Outcome:
         payload = encode_record(record)
         uncertain = False
         while True:
             try:
-                await self._append(payload)
+                await self._access.append(payload)
                 return await self._folded(record.id)
             except AppendUncertainError:
                 uncertain = True
@@ -180,13 +283,6 @@
             except TimeoutError:
                 log.info("Record {} is appended again.", record.id)
 
-    async def _append(self, payload: bytes) -> None:
-        try:
-            async with asyncio.timeout(APPEND_S):
-                await self._log.append(payload)
-        except TimeoutError as error:
-            raise AppendUncertainError("the append was not answered") from error
-
     async def _folded(self, record_id: str) -> Outcome:
         while (outcome := self.outcome(record_id)) is None:
             await self.changed(self.offset)
@@ -208,7 +304,9 @@
         self._notify()
 
     def checkpoint(self) -> bytes:
-        """Return the whole state, for a peer or for the log."""
+        """Return the whole state for a peer, nothing if it should not be taken."""
+        if not self._ready or self._diverged:
+            return b""
         return checkpoints.encode(self._fold.snapshot())
 
     def adopt(self, checkpoint: bytes) -> bool:
@@ -217,10 +315,22 @@
         :param checkpoint: the state of a peer, or one read from the log
         """
         snapshot = checkpoints.decode(checkpoint)
-        if snapshot is None or snapshot.offset <= self.offset:
+        if snapshot is None or not self._follows(snapshot):
+            return False
+        self._restore(snapshot)
+        return True
+
+    def _follows(self, snapshot: Snapshot) -> bool:
+        """Return whether a state is newer and went through all that this one holds."""
+        if self._diverged or snapshot.offset <= self.offset:
             return False
+        same = same_history(self._fold, snapshot)
+        if not same:
+            log.error("A state of offset {} is of another history.", snapshot.offset)
+        return same
+
+    def _restore(self, snapshot: Snapshot) -> None:
         self._fold.restore(snapshot)
         self._relay.clear()
         self._ready = True
         self._notify()
-        return True
--- a/features/fakes/log.py
+++ b/features/fakes/log.py
@@ -7,8 +7,6 @@
 from auburnproxy.errors import AppendUncertainError, PlatformError
 from auburnproxy.platform import LogPage, LogRecord, LogService
 
-POLL_S = 0.05
-
 
 class FakeLog:
     """The records that the service ever took; the oldest ones expire."""
@@ -16,6 +14,7 @@
     def __init__(self) -> None:
         self.payloads: list[bytes] = []
         self.start = 1
+        self.appended = asyncio.Event()
 
     @property
     def end(self) -> int:
@@ -23,6 +22,8 @@
 
     def take(self, payload: bytes) -> int:
         self.payloads.append(payload)
+        turn, self.appended = self.appended, asyncio.Event()
+        turn.set()
         return len(self.payloads)
 
     def expire(self, start: int) -> None:
@@ -52,17 +53,20 @@
         return offset
 
     async def read(self, offset: int, *, limit: int, wait_s: float) -> LogPage:
-        end = asyncio.get_running_loop().time() + wait_s
         await asyncio.sleep(self.latency_s)
-        while True:
-            if self.cut or self.refuse_reads:
-                raise PlatformError("cut off")
+        page = self._page(offset, limit)
+        try:
+            async with asyncio.timeout(wait_s):
+                while not page.records:
+                    await self.log.appended.wait()
+                    page = self._page(offset, limit)
+        except TimeoutError:
             page = self._page(offset, limit)
-            if page.records or asyncio.get_running_loop().time() >= end:
-                return page
-            await asyncio.sleep(POLL_S)
+        return page
 
     def _page(self, offset: int, limit: int) -> LogPage:
+        if self.cut or self.refuse_reads:
+            raise PlatformError("cut off")
         log = self.log
         seen = max(log.end - self.lag, log.start)
         first = max(offset, log.start)
--- /dev/null
+++ b/features/machines/journal.py
@@ -0,0 +1,240 @@
+"""Processes that fold one log, against the log folded in order as a list."""
+
+from __future__ import annotations
+
+import asyncio
+from itertools import combinations
+
+import async_solipsism
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
+
+from auburnproxy.errors import OutcomeUnknownError, PlatformError
+from auburnproxy.journal import Entry, Journal
+from auburnproxy.journal._codec import decode_record
+from features.fakes.log import FakeLog, LogPort
+from features.fakes.notes import REJECTED_VALUE, Notes
+
+DOMAINS = ("a", "b", "c")
+WINDOW = 40
+CHECKPOINT_S = 30.0
+SETTLE_S = 400.0
+PICK = st.integers(0, 3)
+KEYS = st.sampled_from(["", "k", "l"])
+
+
+class Oracle:
+    """One list, folded in order; lost stretches count as blank."""
+
+    def __init__(self, log, holes):
+        self.values, self.versions, self.outcomes = {0: ()}, {}, {}
+        self.values_now, self.offset = (), 0
+        self.log, self.holes = log, holes
+
+    def at(self, offset):
+        while self.offset < offset:
+            self.offset += 1
+            self.fold(self.offset, decode_record(self.log.payloads[self.offset - 1]))
+            self.values[self.offset] = self.values_now
+        return self.values[offset]
+
+    def fold(self, offset, record):
+        if any(hole.after < offset <= hole.until for hole in self.holes):
+            return
+        if not record.id or record.id in self.outcomes:
+            return
+        expired = offset - record.since > WINDOW
+        stale = any(self.versions.get(k, 0) != v for k, v in record.expects.items())
+        value = record.body.get("value")
+        known = record.kind.startswith("notes.")
+        accepted = known and not (expired or stale or value in (None, REJECTED_VALUE))
+        self.outcomes[record.id] = (offset, accepted)
+        if accepted:
+            self.versions |= dict.fromkeys(record.expects, offset)
+            self.values_now = (*self.values_now, (offset, value))
+
+
+class Process:
+    """One process; a restart makes a new one with nothing kept."""
+
+    starts = 0
+
+    def __init__(self, machine, place):
+        Process.starts += 1
+        self.place = place
+        self.port = LogPort(machine.log)
+        self.notes = Notes()
+        self.before = []
+        self.proposals = []
+        self.journal = Journal(
+            self.port,
+            [self.notes],
+            author=f"{place}@{Process.starts}",
+            failure_domain=DOMAINS[place % 3],
+            failure_domains=lambda: DOMAINS,
+            rank=lambda: place,
+            checkpoint_s=CHECKPOINT_S,
+            window=WINDOW,
+        )
+        self.task = machine.loop.create_task(self.journal.run())
+
+    async def propose(self, value, expects):
+        try:
+            return await self.journal.propose(
+                "notes.add", {"value": value}, expects=expects, timeout_s=20
+            )
+        except (OutcomeUnknownError, PlatformError):
+            return None
+
+
+class JournalMachine(RuleBasedStateMachine):
+    """Outages, lost answers, expired records, races, slow readers, relay."""
+
+    def __init__(self):
+        super().__init__()
+        self.loop = async_solipsism.EventLoop()
+        self.log = FakeLog()
+        self.values = iter(range(1, 10_000))
+        self.oracles = {}
+
+    @initialize()
+    def start(self):
+        self.processes = [Process(self, place) for place in range(4)]
+        self.loop.run_until_complete(asyncio.sleep(1))
+
+    @rule(pick=PICK, key=KEYS, behind=st.booleans())
+    def propose(self, pick, key, behind):
+        process = self.processes[pick]
+        seen = process.journal.version(key) - int(behind)
+        expects = {key: seen} if key else {}
+        task = self.loop.create_task(process.propose(next(self.values), expects))
+        process.proposals.append(task)
+
+    @rule(payload=st.sampled_from([b"", b"other", b"apj1\xc1", b"apj1\x96\xa1x"]))
+    def foreign(self, payload):
+        self.log.take(payload)
+
+    @rule(pick=PICK, cut=st.booleans(), lag=st.integers(0, 3), lose=st.integers(0, 2))
+    def connection(self, pick, cut, lag, lose):
+        port = self.processes[pick].port
+        port.cut, port.lag, port.lose_answers = cut, lag, lose
+
+    @rule(seconds=st.sampled_from([0.3, 3, 12, 100]))
+    def wait(self, seconds):
+        self.loop.run_until_complete(asyncio.sleep(seconds))
+
+    @rule(keep=st.sampled_from([0, 2, 20]))
+    def expire(self, keep):
+        self.log.expire(self.log.end - keep)
+
+    @rule(pick=PICK)
+    def restart(self, pick):
+        self.stop(self.processes[pick])
+        self.processes[pick] = Process(self, pick)
+
+    @rule(sender=PICK, receiver=PICK, limit=st.integers(1, 30))
+    def relay(self, sender, receiver, limit):
+        journal = self.processes[receiver].journal
+        entries = self.processes[sender].journal.entries_after(journal.offset, limit)
+        journal.offer(entries)
+
+    @rule(sender=PICK, receiver=PICK)
+    def hand_over(self, sender, receiver):
+        checkpoint = self.processes[sender].journal.checkpoint()
+        self.processes[receiver].journal.adopt(checkpoint)
+
+    @rule(records=st.integers(1, 4), read=st.tuples(*[st.integers(0, 4)] * 4))
+    def lose_tail(self, records, read):
+        """Records are appended, each process reads some, and all of them expire."""
+        for process in self.processes:
+            process.port.refuse_reads = True
+        before = self.log.end
+        for _ in range(records):
+            self.append_blindly()
+        for process, count in zip(self.processes, read, strict=True):
+            if process.journal.offset == before - 1:
+                process.journal.offer(self.entries(before, min(count, records)))
+        self.log.expire(self.log.end)
+        for process in self.processes:
+            process.port.refuse_reads = False
+
+    def append_blindly(self):
+        author = self.processes[0]
+        author.port.cut = False
+        process = author.propose(next(self.values), {})
+        author.proposals.append(self.loop.create_task(process))
+        self.loop.run_until_complete(asyncio.sleep(0.1))
+
+    def entries(self, first, count):
+        offsets = range(first, min(first + count, self.log.end))
+        return [Entry(at, decode_record(self.log.payloads[at - 1])) for at in offsets]
+
+    @rule()
+    def settle(self):
+        """Every connection works for a while; whoever can follow the log does."""
+        for process in self.processes:
+            port = process.port
+            port.cut, port.lag, port.lose_answers = False, 0, 0
+        self.loop.run_until_complete(asyncio.sleep(SETTLE_S))
+        following = [p.journal for p in self.processes if p.journal.up]
+        stuck = [p.journal for p in self.processes if not p.journal.up]
+        assert all(j.offset == self.log.end - 1 for j in following)
+        for journal in stuck:
+            assert (
+                journal.diverged
+                or not following
+                or journal.holes != (following[0].holes)
+            ), "a process that could have followed the log does not"
+
+    @invariant()
+    def states_are_the_list_folded_in_order(self):
+        for process in getattr(self, "processes", ()):
+            assert not process.task.done(), process.task
+            folded = self.oracle_of(process).at(process.journal.offset)
+            assert tuple(process.notes.values) == folded
+
+    @invariant()
+    def no_process_goes_back(self):
+        for process in getattr(self, "processes", ()):
+            values = process.notes.values
+            assert values[: len(process.before)] == process.before
+            process.before = list(values)
+
+    @invariant()
+    def one_history_goes_on(self):
+        end = self.log.end - 1
+        processes = getattr(self, "processes", ())
+        journals = [p.journal for p in processes if p.journal.up]
+        for one, other in combinations([j for j in journals if j.offset == end], 2):
+            assert one.holes == other.holes
+
+    @invariant()
+    def authors_are_told_what_was_folded(self):
+        for process in getattr(self, "processes", ()):
+            oracle = self.oracle_of(process)
+            for task in [t for t in process.proposals if t.done()]:
+                process.proposals.remove(task)
+                outcome = task.result()
+                if outcome is not None:
+                    seen = (outcome.offset, outcome.accepted)
+                    assert oracle.outcomes[outcome.id] == seen
+
+    def oracle_of(self, process):
+        holes = process.journal.holes
+        oracle = self.oracles.setdefault(holes, Oracle(self.log, holes))
+        oracle.at(process.journal.offset)
+        return oracle
+
+    def stop(self, process):
+        tasks = [process.task, *process.proposals]
+        for task in tasks:
+            task.cancel()
+        self.loop.run_until_complete(asyncio.gather(*tasks, return_exceptions=True))
+
+    def teardown(self):
+        for process in getattr(self, "processes", ()):
+            self.stop(process)
+        self.loop.close()
+
+
+MACHINES = [JournalMachine]
