Fuzz replicas and cold starts against what the engines did

The oracle notes each tick what every fake engine truly plays and checks serving replicas, marks, leaving hosts, recorded hosts and load against it.

--- a/auburnproxy/replicas/custodian.py
+++ b/auburnproxy/replicas/custodian.py
@@ -108,7 +108,12 @@
 
     def _settled(self, host: str) -> bool:
         report = self._watcher.report(host)
-        return report is None or settled(self._replicas, host, report.assignment)
+        if report is None:
+            return True
+        if not settled(self._replicas, host, report.assignment):
+            return False
+        self._repeat_at_by_host.pop(host, None)
+        return True
 
     def _urgency(self, host: str, unsettled: dict[str, str]) -> tuple[int, str, int]:
         replica = self._replicas.by_host.get(host)
--- a/auburnproxy/replicas/readiness.py
+++ b/auburnproxy/replicas/readiness.py
@@ -60,12 +60,17 @@
         await asyncio.shield(guard)
 
     async def _guard(self, replica: Replica) -> None:
+        starts = self._starts(replica)
         try:
-            while self.whole(replica):
+            while self.whole(replica) and self._starts(replica) == starts:
                 await self._watcher.changes.wait(CHECK_INTERVAL_S)
         finally:
             del self._guards_by_replica[replica]
 
+    def _starts(self, replica: Replica) -> tuple[str, ...]:
+        reports = [self._watcher.report(host) for host in replica.hosts]
+        return tuple(report.incarnation for report in reports if report)
+
     def _plays(self, replica: Replica, host: str, rank: int) -> bool:
         report = self._watcher.report(host)
         if report is None or not plays(report.assignment, replica, rank):
--- a/auburnproxy/upstreams/warmth.py
+++ b/auburnproxy/upstreams/warmth.py
@@ -5,9 +5,11 @@
 from .observation import Observation, Result
 
 STEP_S = 5.0
-"""Least seconds between two doublings of the limit."""
+"""Least seconds of evidence before the limit is doubled."""
 STEP_EVIDENCE = 4
-"""Answers, or reports under load, that a doubling needs."""
+"""Answers and reports under load that a doubling needs."""
+LOADED = 0.5
+"""Part of the limit from which an upstream counts as under load."""
 JUMP_FACTOR = 4.0
 """Times the usual time to first token that count as a jump."""
 JUMP_FLOOR_S = 1.0
@@ -36,7 +38,8 @@
         self._steps = 0
         self._evidence = 0
         self._jumps = 0
-        self._stepped_at = 0.0
+        self._loaded = False
+        self._evidence_since = 0.0
 
     @property
     def limit(self) -> int:
@@ -48,22 +51,22 @@
         """Return whether the limit has risen to the warm one."""
         return self.limit == self.slots
 
-    def see_start(self, incarnation: str, generation: int, now: float) -> None:
+    def see_start(self, incarnation: str, generation: int) -> None:
         """Go back to cold if the upstream has started or was formed anew.
 
         :param incarnation: the upstream's incarnation, from its report
         :param generation: generation of its replica, 0 for none
-        :param now: the loop's time in seconds
         """
         if (incarnation, generation) == self.start:
             return
         self.start = (incarnation, generation)
         self._samples = 0
-        self._reset(now)
+        self._reset()
 
     def see_load(self, in_flight: int, queued: int, now: float) -> None:
-        """Take a report of load: calls that run with none waiting are evidence."""
-        if in_flight and not queued:
+        """Take a report of load; a limit that is hardly used shows nothing."""
+        self._loaded = in_flight >= LOADED * self.limit and not queued
+        if self._loaded:
             self._add_evidence(now)
 
     def see_call(self, observation: Observation, now: float) -> None:
@@ -73,39 +76,43 @@
         if observation.result is Result.COMPLETED:
             self._see_answer(observation.first_token_s, now)
         elif observation.result is not Result.FAILED:
-            self._reset(now)
+            self._reset()
 
     def _see_answer(self, first_token_s: float | None, now: float) -> None:
         if first_token_s is None:
-            self._add_evidence(now)
+            self._add_answer(now)
             return
         if self._is_jump(first_token_s):
             self._jumps += 1
             if self._jumps >= JUMPS:
-                self._reset(now)
+                self._reset()
             return
         self._jumps = 0
         self._samples += 1
         weight = max(SMOOTHING, 1 / self._samples)
         self.usual_first_token_s += weight * (first_token_s - self.usual_first_token_s)
-        self._add_evidence(now)
+        self._add_answer(now)
 
     def _is_jump(self, first_token_s: float) -> bool:
         if self._samples < BASELINE_SAMPLES or first_token_s < JUMP_FLOOR_S:
             return False
         return first_token_s > JUMP_FACTOR * self.usual_first_token_s
 
+    def _add_answer(self, now: float) -> None:
+        if self._loaded:
+            self._add_evidence(now)
+
     def _add_evidence(self, now: float) -> None:
         if self.warm:
             return
+        if not self._evidence:
+            self._evidence_since = now
         self._evidence += 1
-        if self._evidence >= STEP_EVIDENCE and now - self._stepped_at >= STEP_S:
+        if self._evidence >= STEP_EVIDENCE and now - self._evidence_since >= STEP_S:
             self._steps += 1
             self._evidence = 0
-            self._stepped_at = now
 
-    def _reset(self, now: float) -> None:
+    def _reset(self) -> None:
         self._steps = 0
         self._evidence = 0
         self._jumps = 0
-        self._stepped_at = now
--- a/features/fakes/replicas.py
+++ b/features/fakes/replicas.py
@@ -25,7 +25,7 @@
     Readiness,
     Replicas,
 )
-from auburnproxy.upstreams import Watcher
+from auburnproxy.upstreams import Observation, Result, Watcher
 from auburnproxy.upstreams.engine import (
     Chunk,
     Engine,
@@ -55,8 +55,7 @@
         self.starts = 0
         self.weights: set[str] = set()
         self.loads = 0
-        self.in_flight = 0
-        self.calls: list[ModelCall] = []
+        self.first_token_s = 0.1
         self.restart()
 
     def restart(self):
@@ -65,7 +64,7 @@
         self.alive, self.leaving = True, False
         self.running.set()
         self.fence, self.part, self.ready_at = Fence(0, 0), None, 0.0
-        self.in_flight = 0
+        self.in_flight = self.calls = 0
         self.history = [(-1e9, self.now())]
 
     def lose_disk(self):
@@ -148,9 +147,20 @@
             wait_s += self.load_s
         self.ready_at = _now() + wait_s
 
+    def accept(self, incarnation: str, generation: int) -> bool:
+        """Take a call if it is meant for this start and this part."""
+        if not self.alive or self.part is None or self.state is EngineState.LOADING:
+            return False
+        meant = (incarnation, generation) == (
+            self.now().incarnation,
+            self.part.generation,
+        )
+        self.in_flight += meant
+        self.calls += meant
+        return meant
+
     async def generate(self, call: ModelCall) -> AsyncIterator[Chunk]:
         await self._reach()
-        self.calls.append(call)
         if call.incarnation not in ("", self.now().incarnation):
             raise UpstreamError("other incarnation", ran=Ran.NO)
         yield Chunk(call.request_id.encode(), 0, b"", "end")
@@ -306,6 +316,51 @@
         await asyncio.gather(*self.tasks, return_exceptions=True)
 
 
+class Caller:
+    """Calls replicas of a model with this daemon's share of each limit."""
+
+    def __init__(self, platform, daemon, model, rank, daemons):
+        self.platform, self.daemon, self.model = platform, daemon, model
+        self.rank, self.daemons = rank, daemons
+        self.in_flight: dict[str, int] = {}
+
+    def share(self, host):
+        least, rest = divmod(self.daemon.watcher.limit(host), self.daemons)
+        return least + (self.rank < rest)
+
+    def press(self, call_s):
+        """Start every call that is let through now."""
+        for replica in self.daemon.readiness.serving(self.model):
+            while self.in_flight.get(replica.head, 0) < self.share(replica.head):
+                if not self.call(replica, call_s):
+                    break
+
+    def call(self, replica, call_s):
+        """Start one call, which ends after a time; return whether it was taken."""
+        watcher, engine = (
+            self.daemon.watcher,
+            self.platform.engines_by_host[replica.head],
+        )
+        report = watcher.report(replica.head)
+        if not engine.accept(report.incarnation, replica.generation):
+            refused = Observation(Result.REFUSED, incarnation=report.incarnation)
+            watcher.observe(replica.head, refused)
+            return False
+        self.in_flight[replica.head] = self.in_flight.get(replica.head, 0) + 1
+        meant = (engine.starts, engine.part)
+        asyncio.get_running_loop().call_later(call_s, self.end, engine, meant, report)
+        return True
+
+    def end(self, engine, meant, report):
+        host = engine.entry.name
+        self.in_flight[host] -= 1
+        whole = engine.alive and (engine.starts, engine.part) == meant
+        engine.in_flight -= whole
+        result = Result.COMPLETED if whole else Result.CLOSED
+        observation = Observation(result, engine.first_token_s, report.incarnation)
+        self.daemon.watcher.observe(host, observation)
+
+
 def _now():
     try:
         return asyncio.get_running_loop().time()
--- a/features/steps/replicas.py
+++ b/features/steps/replicas.py
@@ -7,6 +7,8 @@
 
 from auburnproxy.platform import ModelSpec
 from features.fakes.replicas import FakeDaemon, FakePlatform
+from features.machines.replicas import MACHINES
+from features.machines.search import search
 
 
 @given('the failure domain "{domain}" with {count:d} hosts in each of "{a}" and "{b}"')
@@ -83,3 +85,9 @@
     hosts = by_name[context.replica.name].hosts
     assert len(set(hosts) - set(context.replica.hosts)) == 1, hosts
     assert context.host not in hosts
+
+
+@then('"{name}" finds no violation in {examples:d} runs of {steps:d} steps')
+def compare_machine(context, name, examples, steps):
+    machine = {kind.__name__: kind for kind in MACHINES}[name]
+    search(machine, examples=examples, steps=steps)
