--- a/features/fakes/replicas.py
+++ b/features/fakes/replicas.py
@@ -49,13 +49,13 @@
         self.entry = entry
         self.load_s, self.start_s, self.lag_s = load_s, start_s, lag_s
         self.alive, self.leaving = True, False
-        self.running = asyncio.Event()
+        self.running, self.polled = asyncio.Event(), asyncio.Event()
         self.order_delay_s = 0.0
         self.duplicates = False
         self.starts = 0
         self.weights: set[str] = set()
         self.loads = 0
-        self.first_token_s = 0.1
+        self.first_token_s, self.delay_s = 0.1, 0.005
         self.restart()
 
     def restart(self):
@@ -107,7 +107,10 @@
 
     async def report(self) -> EngineReport:
         await self._reach()
-        return self.publish()
+        self.polled.set()
+        seen = self.publish()
+        await asyncio.sleep(self.delay_s)
+        return seen
 
     async def order(self, order: Order) -> None:
         await self._reach()
--- a/features/machines/replicas.py
+++ b/features/machines/replicas.py
@@ -8,8 +8,10 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
 
+from auburnproxy.journal import Record
 from auburnproxy.platform import ModelSpec, Presence
-from auburnproxy.replicas import custody_key
+from auburnproxy.replicas import Replica, custody_key
+from auburnproxy.replicas.replicas import Kind
 from auburnproxy.upstreams.engine import EngineState
 from features.fakes.replicas import Caller, FakeDaemon, FakePlatform
 
@@ -20,6 +22,8 @@
 START_S = 15.0
 NOTICE_S = 3.0
 """A few seconds: how long a missing, leaving or marked host may get new work."""
+REFUSED_S = 1.0
+"""Two polls: how long a host that refuses connections may get new work."""
 HEALED_S = 120.0
 """Time in which everything wanted must serve again after the faults end."""
 COLD_S = 4.0
@@ -50,6 +54,8 @@
         self.marked_at: dict[str, float] = {}
         self.listed_at: dict[str, float] = {}
         self.left_at: dict[str, float] = {}
+        self.down_at: dict[str, float] = {}
+        self.streams: dict[asyncio.Task, Replica] = {}
         self.run(self.start())
 
     async def start(self):
@@ -218,6 +224,24 @@
     async def plan_all(self):
         await asyncio.gather(*(daemon.planner.step() for daemon in self.daemons))
 
+    @rule(
+        kind=st.sampled_from(list(Kind)),
+        names=st.lists(hosts, min_size=1, max_size=3, unique=True),
+    )
+    def append_unexpected(self, kind, names):
+        """Append a record that expects nothing, as an author gone wrong would."""
+        entries = [self.engines[number].entry for number in names]
+        body = {
+            "replica": f"odd-{names[0]}",
+            "model": "m",
+            "failure_domain": DOMAIN,
+            "fabric_domain": entries[0].fabric_domain,
+            "hosts": [entry.name for entry in entries],
+        }
+        if self.platform.log_up and len({e.fabric_domain for e in entries}) == 1:
+            name = f"odd{len(self.platform.records)}"
+            self.platform.records.append(Record(name, "", kind, body, {}))
+
     @rule(m=st.integers(0, 2), k=st.integers(0, 1))
     def want(self, m, k):
         self.wanted |= {"m": m, "k": k}
@@ -225,6 +249,10 @@
     def watch(self):
         """Note what each engine truly plays at this moment."""
         for engine in self.engines:
+            if engine.alive:
+                self.down_at.pop(engine.entry.name, None)
+            else:
+                self.down_at.setdefault(engine.entry.name, self.now)
             up = engine.alive and engine.running.is_set()
             ready = (EngineState.READY, EngineState.LEAVING)
             if up and engine.part and engine.state in ready:
@@ -238,14 +266,28 @@
             for replica in [r for m in "mk" for r in daemon.readiness.serving(m)]:
                 self.check_whole(replica)
                 self.check_left(replica)
+                self.open_stream(daemon, replica)
                 assert not taken & set(replica.hosts), "point2: host in two replicas"
                 taken |= set(replica.hosts)
 
+        for task, replica in self.streams.items():
+            if not task.done():
+                self.check_whole(replica)
+
+    def open_stream(self, daemon, replica):
+        """Hold one stream for each replica, cut when the replica is lost."""
+        open_ones = [r for task, r in self.streams.items() if not task.done()]
+        if replica not in open_ones:
+            task = asyncio.create_task(daemon.readiness.lost(replica))
+            self.streams[task] = replica
+
     def check_whole(self, replica):
         for rank, host in enumerate(replica.hosts):
             key = (host, replica.name, replica.generation, rank)
             seen_at = self.true_at.get(key, -NOTICE_S)
             assert self.now - seen_at < NOTICE_S, f"point1: {host} missing in {replica}"
+            down_at = self.down_at.get(host, self.now)
+            assert self.now - down_at < REFUSED_S, f"point1: {host} is down"
 
     def check_left(self, replica):
         for place in (DOMAIN, *replica.hosts):
@@ -266,8 +308,8 @@
                 body = record.body
                 hosts_by_name.pop(body["replica"], None)
                 taken = {h for names in hosts_by_name.values() for h in names}
-                assert not taken & set(body.get("hosts", ())), "point2: host taken"
-                if "hosts" in body:
+                if record.kind != Kind.DISSOLVE:
+                    assert not taken & set(body["hosts"]), "point2: host taken"
                     hosts_by_name[body["replica"]] = tuple(body["hosts"])
             folded = {r.name: r.hosts for r in daemon.replicas.by_name.values()}
             assert folded == hosts_by_name, "point2: fold differs from the records"
--- a/features/replicas.feature
+++ b/features/replicas.feature
@@ -19,6 +19,11 @@
       When 40 seconds pass
       Then the replica serves again with one host changed
 
+    Scenario: A poll from before a closed connection shows no presence
+      When 40 seconds pass
+      And a call finds a connection closed while a poll is under way
+      Then the host is not present until a later poll is answered
+
   Rule: Under faults, against what the engines truly did
 
     @point1 @point2 @point4 @point8
--- a/features/steps/replicas.py
+++ b/features/steps/replicas.py
@@ -6,6 +6,7 @@
 from behave import given, then, when
 
 from auburnproxy.platform import ModelSpec
+from auburnproxy.upstreams import Observation, Result
 from features.fakes.replicas import FakeDaemon, FakePlatform
 from features.machines.replicas import MACHINES
 from features.machines.search import search
@@ -45,9 +46,13 @@
     context.loop.close()
 
 
+def serving_now(context):
+    return context.daemon.readiness.serving(context.model)
+
+
 def serving(context):
     async def look():
-        return context.daemon.readiness.serving(context.model)
+        return serving_now(context)
 
     return run(context, look())
 
@@ -64,6 +69,31 @@
     context.platform.engines_by_host[context.host].alive = False
 
 
+@when("a call finds a connection closed while a poll is under way")
+def close_during_poll(context):
+    async def close():
+        context.host = serving_now(context)[0].head
+        engine = context.platform.engines_by_host[context.host]
+        engine.delay_s = 0.4
+        engine.polled.clear()
+        await engine.polled.wait()
+        closed = Observation(Result.CLOSED)
+        context.daemon.watcher.observe(context.host, closed)
+        await asyncio.sleep(0.45)
+
+    run(context, close())
+
+
+@then("the host is not present until a later poll is answered")
+def compare_presence(context):
+    async def look():
+        before = context.daemon.watcher.present(context.host)
+        await asyncio.sleep(1)
+        return before, context.daemon.watcher.present(context.host)
+
+    assert run(context, look()) == (False, True)
+
+
 @then('at least {count:d} replicas of "{model}" serve')
 def compare_count(context, count, model):
     assert len(serving(context)) >= count, serving(context)
