--- /dev/null
+++ b/auburnproxy/serving/spill.py
@@ -0,0 +1,86 @@
+"""The choice of a peer for a call that has no slot here."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Collection
+from itertools import count
+
+from ..membership import Member
+from ._protocols import Peers
+
+PROBE_PAUSE_S = 1.0
+"""Seconds for which a failure domain that refused a call is not probed again."""
+
+
+class Spill:
+    """Chooses a peer that has, or may have, a slot of the plan and of the target.
+
+    Peers of the own failure domain tell of their free slots in beats. Those of
+    other failure domains do not: one of their daemons is probed with the call
+    itself, and a refusal keeps further ones away for a while. So the links
+    between failure domains carry nothing while nobody needs them.
+
+    :param peers: the other daemons
+    """
+
+    def __init__(self, peers: Peers) -> None:
+        self._peers = peers
+        self._turns = count()
+        self._paused_until: dict[tuple[str, str, str], float] = {}
+
+    def choose(
+        self, plan: str, target: str, *, exclude: Collection[str] = ()
+    ) -> Member | None:
+        """Return a peer to forward to, or None.
+
+        A call that has failed elsewhere already is not used as a probe.
+
+        :param plan: name of the caller's plan
+        :param target: ``model/NAME`` or ``service/NAME``
+        :param exclude: hosts and ids of peers that the call has failed on
+        """
+        near = self._near(plan, target, exclude)
+        if near is not None or exclude:
+            return near
+        return self._probe(plan, target)
+
+    def refused(self, member: Member, plan: str, target: str) -> None:
+        """Note that a peer refused a call.
+
+        :param member: the peer
+        :param plan: name of the caller's plan
+        :param target: kind and name of the target
+        """
+        key = (member.failure_domain, plan, target)
+        self._paused_until[key] = _now() + PROBE_PAUSE_S
+
+    def _near(self, plan: str, target: str, exclude: Collection[str]) -> Member | None:
+        plan_free = self._peers.free_slots(f"plan/{plan}")
+        near = self._peers.near_by_id
+        found = [
+            (-free, member_id)
+            for member_id, free in self._peers.free_slots(target).items()
+            if free > 0 and plan_free.get(member_id, 0) > 0 and member_id in near
+        ]
+        found = [entry for entry in found if entry[1] not in exclude]
+        return near[min(found)[1]] if found else None
+
+    def _probe(self, plan: str, target: str) -> Member | None:
+        now = _now()
+        self._paused_until = {k: t for k, t in self._paused_until.items() if t > now}
+        members_by_domain = {
+            domain: members
+            for domain, members in self._peers.far_by_domain.items()
+            if members and (domain, plan, target) not in self._paused_until
+        }
+        if not members_by_domain:
+            return None
+        turn = next(self._turns)
+        domain = sorted(members_by_domain)[turn % len(members_by_domain)]
+        members = members_by_domain[domain]
+        return members[turn // len(members_by_domain) % len(members)]
+
+
+def _now() -> float:
+    return asyncio.get_running_loop().time()
