Take up a late part of the weight store's rate at once

Cause: the custodian worked its part of the store's rate out only when it read the rate, every 30 s. A daemon reads it first before it is on the roster, with a part of 0, and so ordered one load in its first 30 s. In a trial with six daemons no replica served 26 s after the lists were applied. The part is now worked out at every step, and a bucket without a rate holds nothing. The new scenario failed first. Ruled out: a shorter interval, which would still wait and read more often.

--- a/auburnproxy/replicas/budget.py
+++ b/auburnproxy/replicas/budget.py
@@ -7,12 +7,13 @@
 
 
 class Budget:
-    """A token bucket of loads; it starts full."""
+    """A token bucket of loads; it is full when it first gets a rate."""
 
     def __init__(self) -> None:
         self._per_s = 0.0
         self._tokens = 0.0
         self._filled_at: float | None = None
+        self._rated = False
 
     def set_rate(self, per_minute: float, now: float) -> None:
         """Set the rate.
@@ -21,9 +22,9 @@
         :param now: the loop's time in seconds
         """
         self._fill(now)
-        first = self._per_s == 0.0
         self._per_s = per_minute / 60
-        if first:
+        if self._per_s and not self._rated:
+            self._rated = True
             self._tokens = self._most
 
     def try_spend(self, cost: int, now: float) -> bool:
--- a/auburnproxy/replicas/custodian.py
+++ b/auburnproxy/replicas/custodian.py
@@ -56,6 +56,7 @@
         self._store_share = store_share
         self._budget = Budget()
         self._cost_by_model: dict[str, int] = {}
+        self._loads_per_minute = 0
         self._read_rate_at = -RATE_INTERVAL_S
         self._fence = Fence(0, 0)
         self._orders_by_host: dict[str, asyncio.Task[None]] = {}
@@ -79,6 +80,7 @@
 
     def step(self) -> None:
         """Start the orders that are due; each runs in a task of its own."""
+        self._budget.set_rate(self._store_share(self._loads_per_minute), _now())
         for host in self._due():
             report = self._watcher.report(host)
             if report is None:
@@ -177,7 +179,7 @@
             log.warning("Rate of the weight store not read: {}.", error)
             return
         self._cost_by_model = {model.name: model.load_cost for model in models}
-        self._budget.set_rate(self._store_share(rate), _now())
+        self._loads_per_minute = rate
         self._read_rate_at = _now()
 
 
--- a/features/fakes/replicas.py
+++ b/features/fakes/replicas.py
@@ -278,6 +278,7 @@
 
     def __init__(self, platform, domain, wanted, *, marks, keys=None, policy=None):
         self.keys = keys
+        self.store_part = 1.0
         self.replicas = Replicas()
         self.journal = FakeJournal(platform, self.replicas)
         self.watcher = Watcher(
@@ -298,7 +299,11 @@
             policy=policy or Policy(),
         )
         self.custodian = Custodian(
-            self.replicas, self.watcher, platform, holds=self.holds
+            self.replicas,
+            self.watcher,
+            platform,
+            holds=self.holds,
+            store_share=lambda rate: rate * self.store_part,
         )
         self.downtime = Downtime(
             self.replicas, self.watcher, self.readiness, wanted=lambda: wanted
--- a/features/replicas.feature
+++ b/features/replicas.feature
@@ -24,6 +24,13 @@
       And a call finds a connection closed while a poll is under way
       Then the host is not present until a later poll is answered
 
+    Scenario: A part of the weight store's rate that comes late is used at once
+      Given the daemon starts without a part of the weight store's rate
+      When 5 seconds pass
+      And it gets its part
+      And 40 seconds pass
+      Then at least 2 replicas of "m" serve
+
   Rule: Under faults, against what the engines truly did
 
     @point1 @point2 @point4 @point8
--- a/features/steps/replicas.py
+++ b/features/steps/replicas.py
@@ -62,6 +62,21 @@
     run(context, asyncio.sleep(seconds))
 
 
+@given("the daemon starts without a part of the weight store's rate")
+def take_part(context):
+    run(context, context.daemon.stop())
+    context.daemon = FakeDaemon(
+        context.platform, context.domain, context.wanted, marks=context.marks
+    )
+    context.daemon.store_part = 0.0
+    run(context, start(context.daemon))
+
+
+@when("it gets its part")
+def give_part(context):
+    context.daemon.store_part = 1.0
+
+
 @when("a host of a serving replica dies")
 def kill(context):
     context.replica = serving(context)[0]
