Prove peer links over loopback, and drop links that are wanted no more

A daemon that took itself for the delegate at its start kept that link for ever, so two links joined a pair of failure domains; the dialer now ends links that it opened and wants no more.

--- a/auburnproxy/membership/_dialer.py
+++ b/auburnproxy/membership/_dialer.py
@@ -17,9 +17,11 @@
     from .membership import Membership
 
 TICK_S = 0.5
-RETRY_S = 3.0
+RETRY_S = 2.0
 TURN_S = 0.5
 """Head start of the member that sorts first, so that two do not cross."""
+KEEP_S = 2.0
+"""How long a link is kept that is wanted no more."""
 SILENT_S = 15.0
 """How long a delegate that did not answer is passed over."""
 
@@ -44,6 +46,7 @@
         self._membership = membership
         self._tasks_by_address: dict[str, asyncio.Task[None]] = {}
         self._due_by_address: dict[str, float] = {}
+        self._unwanted_since_by_address: dict[str, float] = {}
         self._silent_until_by_id: dict[str, float] = {}
 
     def delegate(self, failure_domain: str) -> Member | None:
@@ -58,16 +61,38 @@
             return next(iter(rank(f"delegate/{mine}", live)), None)
         return self._first_answering(failure_domain)
 
+    @property
+    def silent(self) -> frozenset[str]:
+        """Return the ids of members that did not answer when they were last dialed."""
+        now = asyncio.get_running_loop().time()
+        silent = self._silent_until_by_id.items()
+        return frozenset(member_id for member_id, until in silent if until > now)
+
     async def run(self) -> None:
         """Dial whoever is wanted and not linked; until cancelled."""
         async with asyncio.TaskGroup() as group:
             while True:
-                for wanted in self._wanted():
+                every = self._wanted()
+                for wanted in every:
                     if self._is_due(wanted):
                         task = group.create_task(self._dial(wanted))
                         self._tasks_by_address[wanted.address] = task
+                self._drop_unwanted({wanted.address for wanted in every})
                 await asyncio.sleep(TICK_S)
 
+    def _drop_unwanted(self, addresses: set[str]) -> None:
+        """End the links that were dialed from here and are wanted no more."""
+        now = asyncio.get_running_loop().time()
+        for address, task in list(self._tasks_by_address.items()):
+            if address in addresses:
+                self._unwanted_since_by_address.pop(address, None)
+            elif (
+                now - self._unwanted_since_by_address.setdefault(address, now) > KEEP_S
+            ):
+                task.cancel()
+                del self._tasks_by_address[address]
+                del self._unwanted_since_by_address[address]
+
     def _wanted(self) -> list[Wanted]:
         membership = self._membership
         me, gone = membership.me, membership.gone
@@ -93,13 +118,10 @@
 
     def _first_answering(self, failure_domain: str) -> Member | None:
         membership = self._membership
-        now = asyncio.get_running_loop().time()
+        passed_over = membership.gone | self.silent
         key = _pair(membership.me.failure_domain, failure_domain)
-        for member in rank(key, membership.roster.members(failure_domain)):
-            silent = self._silent_until_by_id.get(member.id, 0.0) > now
-            if member.id not in membership.gone and not silent:
-                return member
-        return None
+        order = rank(key, membership.roster.members(failure_domain))
+        return next((m for m in order if m.id not in passed_over), None)
 
     def _is_due(self, wanted: Wanted) -> bool:
         address = wanted.address
--- a/auburnproxy/membership/membership.py
+++ b/auburnproxy/membership/membership.py
@@ -33,7 +33,6 @@
 MAX_FREE_TOLD = 24
 MAX_SUMMARIES_TOLD = 6
 PROPOSE_TIMEOUT_S = 10.0
-RETRY_S = 1.0
 
 log = logger.bind(part="membership")
 
@@ -244,7 +243,7 @@
         while not self.joined and not self.view.expelled:
             if self.journal.ready and self.journal.up:
                 await self._propose_join()
-            await asyncio.sleep(RETRY_S)
+            await asyncio.sleep(TICK_S)
 
     async def _propose_join(self) -> None:
         try:
--- /dev/null
+++ b/features/membership.feature
@@ -0,0 +1,47 @@
+Feature: Daemons that are each other's peers
+
+  Scenario: A peer that does not know the secret is turned away
+    Given daemons a0
+    When a peer dials a0 with another secret
+    Then the greeting is refused
+    And a0 has no links
+
+  Scenario: An answer recorded from an earlier greeting proves nothing
+    Given daemons a0
+    When a peer replays the greeting of another that linked before
+    Then the greeting is refused
+
+  Scenario: A frame above the bound ends the link and the next link works
+    Given daemons a0 and a1
+    When a1 announces a frame above the bound to a0
+    Then a0 ends that link
+    And a0 and a1 are linked again
+
+  Scenario: A frozen peer is not taken for gone, a killed one is
+    Given daemons a0 and a1 and a2
+    And every epoch is settled
+    When daemon a2 is frozen
+    Then a0 finds a2 silent and keeps its share unchanged
+    When daemon a2 is killed
+    Then a0 and a1 have its share
+
+  Scenario: A restart on the same address replaces the old incarnation
+    Given daemons a0 and a1
+    And every epoch is settled
+    When a1 restarts on its address
+    Then a0 and the new a1 share everything in one epoch
+
+  Scenario: A failure domain that is cut off from the log stays current through its peers
+    Given daemons a0 and a1 and b0 and b1
+    And every epoch is settled
+    When the log is cut off from b
+    And a2 joins
+    Then b0 and b1 fold its join
+    And each failure domain is told what the other has in force
+
+  Scenario: One pair of daemons links two failure domains, and the next one after it dies
+    Given daemons a0 and a1 and b0 and b1
+    And every epoch is settled
+    Then one link joins a and b
+    When the end of this link in b dies
+    Then one link joins a and b
--- /dev/null
+++ b/features/steps/membership.py
@@ -0,0 +1,283 @@
+"""Steps for daemons that are each other's peers, over loopback."""
+
+import asyncio
+
+from behave import given, then, when
+
+from auburnproxy.errors import PeerError
+from auburnproxy.journal import Journal
+from auburnproxy.membership import Member, Membership, Roster, link
+from auburnproxy.quotas import Gates
+from features.fakes.log import FakeLog, LogPort
+from features.loopback import free_addresses
+
+SECRET = b"peers of the test"
+LIMIT = 12
+KEY = "upstream/u"
+PATIENCE_S = 30.0
+
+
+class Peer:
+    """One daemon with its tasks."""
+
+    def __init__(self, name, incarnation, log, address):
+        self.me = Member(name, incarnation, name[0], address, "127.0.0.1:1")
+        self.port = LogPort(log)
+        self.roster = Roster()
+        self.journal = Journal(self.port, [self.roster], author=self.me.id)
+        self.membership = Membership(
+            self.me,
+            self.roster,
+            self.journal,
+            secret=SECRET,
+            version=lambda: self.roster.revision,
+        )
+        self.gates = Gates(lambda: self.membership.window, self.me.id)
+        self.gates.gate(KEY).limit = LIMIT
+        self.membership.attach(self.gates)
+        runs = (self.journal.run(), self.membership.run())
+        self.tasks = [asyncio.get_running_loop().create_task(run) for run in runs]
+
+    @property
+    def share(self):
+        return self.gates.gate(KEY).share
+
+    @property
+    def linked(self):
+        return {i.partition("@")[0] for i in self.membership.links_by_id}
+
+    async def stop(self):
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+
+
+class Frozen:
+    """Keeps an address as a stopped process does: it listens and never answers."""
+
+    def __init__(self, address):
+        host, _, port = address.rpartition(":")
+        self.opened = asyncio.start_server(lambda r, w: None, host, int(port))
+
+    async def start(self):
+        self.server = await self.opened
+        return self
+
+    async def stop(self):
+        self.server.close()
+
+
+def on_loop(context, awaitable):
+    return context.loop.run_until_complete(asyncio.wait_for(awaitable, PATIENCE_S))
+
+
+async def until(condition):
+    while True:
+        if condition():
+            return
+        await asyncio.sleep(0.02)
+
+
+def wait(context, condition):
+    on_loop(context, until(condition))
+
+
+async def start(context, name, incarnation="1", address=None):
+    peer = Peer(name, incarnation, context.log, address or free_addresses(1)[0])
+    context.peers[name] = peer
+
+
+def stop_all(context):
+    for peer in context.peers.values():
+        on_loop(context, peer.stop())
+    context.loop.close()
+
+
+@given("daemons {names}")
+def start_daemons(context, names):
+    context.loop = asyncio.new_event_loop()
+    context.log, context.peers = FakeLog(), {}
+    context.add_cleanup(stop_all, context)
+    for name in names.split(" and "):
+        on_loop(context, start(context, name))
+    wait(context, lambda: all(p.membership.joined for p in context.peers.values()))
+
+
+@given("every epoch is settled")
+def wait_settled(context):
+    peers = context.peers.values()
+
+    def settled(peer):
+        view = peer.membership.view
+        read = peer.journal.offset == context.log.end - 1
+        return read and view.settled == view.epoch > 0
+
+    wait(context, lambda: all(settled(peer) for peer in peers))
+
+
+def stranger(name="a9"):
+    return Member(name, "1", "a", "127.0.0.1:1", "127.0.0.1:1")
+
+
+@when("a peer dials a0 with another secret")
+def dial_wrongly(context):
+    address = context.peers["a0"].me.peer_address
+    context.refusal = None
+    try:
+        on_loop(context, link.dial(address, stranger(), b"another"))
+    except PeerError as error:
+        context.refusal = error
+
+
+@when("a peer replays the greeting of another that linked before")
+def replay(context):
+    address = context.peers["a0"].me.peer_address
+    on_loop(context, replay_greeting(context, address))
+
+
+async def replay_greeting(context, address):
+    """Record the frames of one dial, and send them again as they were."""
+    sent, send = [], link.Link.send
+    link.Link.send = lambda self, frame: (sent.append(frame), send(self, frame))[1]
+    try:
+        honest = await link.dial(address, stranger(), SECRET)
+    finally:
+        link.Link.send = send
+    honest.close()
+    host, _, port = address.rpartition(":")
+    reader, writer = await asyncio.open_connection(host, int(port))
+    replayed = link.Link(reader, writer)
+    for frame in (sent[0], sent[-1]):
+        replayed.send(frame)
+    context.refusal = None
+    try:
+        await replayed.read_frame(link.MAX_HANDSHAKE_BYTES)
+        await replayed.read_frame(link.MAX_HANDSHAKE_BYTES)
+        await replayed.read_frame(link.MAX_HANDSHAKE_BYTES)
+    except PeerError as error:
+        context.refusal = error
+
+
+@then("the greeting is refused")
+def refused(context):
+    assert context.refusal is not None
+
+
+@then("a0 has no links")
+def no_links(context):
+    assert not context.peers["a0"].linked
+
+
+@when("a1 announces a frame above the bound to a0")
+def announce(context):
+    a0, a1 = context.peers["a0"], context.peers["a1"]
+    wait(context, lambda: a1.linked and a0.linked)
+    context.ended = a0.membership.links_by_id[a1.me.id]
+    sender = a1.membership.links_by_id[a0.me.id]
+    head = (link.MAX_FRAME_BYTES + 1).to_bytes(link.LENGTH_BYTES, "big")
+    sender._writer.write(head)
+
+
+@then("a0 ends that link")
+def link_ended(context):
+    wait(context, lambda: context.ended not in links_of(context.peers["a0"]))
+
+
+def links_of(peer):
+    return list(peer.membership.links_by_id.values())
+
+
+@then("a0 and a1 are linked again")
+def linked_again(context):
+    a0, a1 = context.peers["a0"], context.peers["a1"]
+    wait(context, lambda: a0.linked and a1.linked)
+    wait(context, lambda: a1.me.id in a0.membership.beats_by_member)
+
+
+@when("daemon {name} is frozen")
+def freeze(context, name):
+    peer = context.peers[name]
+    on_loop(context, replace(context, name, Frozen(peer.me.peer_address)))
+
+
+async def replace(context, name, frozen):
+    await context.peers[name].stop()
+    context.peers[name] = await frozen.start()
+
+
+@then("a0 finds a2 silent and keeps its share unchanged")
+def silent(context):
+    a0 = context.peers["a0"]
+    wait(context, lambda: a0.membership._dialer.silent)
+    assert a0.share == LIMIT / 3, a0.share
+    assert not a0.membership.gone
+
+
+@when("daemon {name} is killed")
+def kill(context, name):
+    on_loop(context, context.peers.pop(name).stop())
+
+
+@then("a0 and a1 have its share")
+def inherit(context):
+    a0, a1 = context.peers["a0"], context.peers["a1"]
+    wait(context, lambda: a0.share + a1.share == LIMIT and a0.share and a1.share)
+
+
+@when("a1 restarts on its address")
+def restart(context):
+    old = context.peers["a1"]
+    kill(context, "a1")
+    on_loop(context, start(context, "a1", "2", old.me.peer_address))
+
+
+@then("a0 and the new a1 share everything in one epoch")
+def share_again(context):
+    a0, a1 = context.peers["a0"], context.peers["a1"]
+    wait(context, lambda: a0.share + a1.share == LIMIT and a0.share and a1.share)
+    wait(context, lambda: len(a0.membership.window.epochs) == 1)
+    assert a0.membership.gone >= {"a1@1"}
+
+
+@when("the log is cut off from b")
+def cut_log(context):
+    for name in ("b0", "b1"):
+        context.peers[name].port.cut = True
+    wait(context, lambda: not any(context.peers[n].journal.up for n in ("b0", "b1")))
+
+
+@when("a2 joins")
+def join(context):
+    on_loop(context, start(context, "a2"))
+
+
+@then("b0 and b1 fold its join")
+def folded(context):
+    a2 = context.peers["a2"].me
+    for name in ("b0", "b1"):
+        peer = context.peers[name]
+        wait(context, lambda peer=peer: a2 in peer.roster.members("a"))
+        assert not peer.journal.up
+
+
+@then("each failure domain is told what the other has in force")
+def told(context):
+    newest = context.peers["a0"].roster.revision
+    for peer in context.peers.values():
+        in_force = peer.membership
+        wait(context, lambda m=in_force: min(m.in_force.values()) >= newest)
+
+
+@then("one link joins a and b")
+def one_link(context):
+    def across(domain, other):
+        peers = [p for name, p in context.peers.items() if name[0] == domain]
+        return [n for p in peers for n in p.linked if n[0] == other]
+
+    wait(context, lambda: len(across("a", "b")) == len(across("b", "a")) == 1)
+    (context.holder,) = across("a", "b")
+
+
+@when("the end of this link in b dies")
+def kill_holder(context):
+    kill(context, context.holder)
