Keep the same one of two links that crossed, and drop beats to ended links

Meshes of 33 daemons in one process showed two faults. On uvloop a write to a link that had just ended raised an error and ended the daemon's membership; such a frame is now dropped, and the features run on uvloop. When two daemons dialed each other at once, each could close the other's link, so some pairs stayed without one; both ends now keep the link that the smaller id dialed.

--- a/auburnproxy/membership/_dialer.py
+++ b/auburnproxy/membership/_dialer.py
@@ -158,7 +158,7 @@
             return
         if member and link.peer.id != member.id:
             self._found(wanted, Probe.REPLACED)
-        if link.peer.id == membership.me.id or self._is_linked(wanted):
+        if link.peer.id == membership.me.id:
             link.close()
             return
         self._silent_until_by_id.pop(link.peer.id, None)
--- a/auburnproxy/membership/link.py
+++ b/auburnproxy/membership/link.py
@@ -30,11 +30,17 @@
 
     :param reader: where frames come from
     :param writer: where frames go
+    :param dialed: whether this side connected
     """
 
     def __init__(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        *,
+        dialed: bool,
     ) -> None:
+        self.dialed = dialed
         self.peer: Member = Member("", "", "", "", "")
         """The authenticated peer."""
         self._reader = reader
@@ -43,8 +49,10 @@
     def send(self, frame: bytes) -> None:
         """Queue a frame; a peer that reads too slowly is cut off.
 
-        :param frame: an encoded message
+        :param frame: an encoded message; it is dropped if the link has ended
         """
+        if self._writer.is_closing():
+            return
         if self._writer.transport.get_write_buffer_size() > MAX_UNSENT_BYTES:
             self.close()
             return
@@ -95,7 +103,7 @@
         raise
     except OSError as error:
         raise PeerError(f"no connection to {address}") from error
-    link = Link(reader, writer)
+    link = Link(reader, writer, dialed=True)
     return await _authenticate(link, _greet_first(link, me, secret))
 
 
@@ -113,7 +121,7 @@
     :param secret: the secret that all daemons share
     :raises PeerError: if the peer is not authentic
     """
-    link = Link(reader, writer)
+    link = Link(reader, writer, dialed=False)
     return await _authenticate(link, _greet_second(link, me, secret))
 
 
--- a/auburnproxy/membership/membership.py
+++ b/auburnproxy/membership/membership.py
@@ -94,6 +94,7 @@
         self._summaries_told = 0
         self._ran_at = time.clock_gettime(time.CLOCK_BOOTTIME)
         self._suspended = False
+        self._accepting = False
 
     @property
     def window(self) -> Window:
@@ -186,10 +187,14 @@
             def take(
                 reader: asyncio.StreamReader, writer: asyncio.StreamWriter
             ) -> None:
-                group.create_task(self._accept(reader, writer))
+                if self._accepting:
+                    group.create_task(self._accept(reader, writer))
+                else:
+                    writer.close()
 
             server = await asyncio.start_server(take, host, int(port))
             log.info("Listening for peers on {}.", self.me.peer_address)
+            self._accepting = True
             try:
                 group.create_task(self._join())
                 group.create_task(self._beat())
@@ -198,6 +203,7 @@
                 group.create_task(self._missing.run())
                 await self._steward.run()
             finally:
+                self._accepting = False
                 server.close()
 
     async def leave(self, *, timeout_s: float) -> None:
@@ -220,6 +226,9 @@
         """
         peer = link.peer
         older = self.links_by_id.get(peer.id)
+        if older and self._prefers(older) and not self._prefers(link):
+            link.close()
+            return
         if older:
             older.close()
         self.links_by_id[peer.id] = link
@@ -240,6 +249,10 @@
                 del self.links_by_id[peer.id]
                 self.beats_by_member.pop(peer.id, None)
 
+    def _prefers(self, link: Link) -> bool:
+        """Return whether a link is the one that both ends keep of two that crossed."""
+        return link.dialed == (self.me.id < link.peer.id)
+
     @property
     def beat_interval_s(self) -> float:
         """Return the seconds between beats; more links, slower beats."""
--- a/features/membership.feature
+++ b/features/membership.feature
@@ -15,6 +15,7 @@
     Given daemons a0 and a1
     When a1 announces a frame above the bound to a0
     Then a0 ends that link without waiting for its silence
+    And a beat to an ended link does no harm
     And a0 and a1 are linked again
 
   Scenario: A frozen peer is not taken for gone, a killed one is
--- a/features/steps/membership.py
+++ b/features/steps/membership.py
@@ -3,6 +3,7 @@
 import asyncio
 
 import async_solipsism
+import uvloop
 from behave import given, then, when
 
 from auburnproxy.errors import PeerError
@@ -104,7 +105,7 @@
 
 @given("daemons {names}")
 def start_daemons(context, names):
-    context.loop = asyncio.new_event_loop()
+    context.loop = uvloop.new_event_loop()
     context.log, context.peers, context.out = FakeLog(), {}, set()
     context.add_cleanup(stop_all, context)
     for name in names.split(" and "):
@@ -155,7 +156,7 @@
     honest.close()
     host, _, port = address.rpartition(":")
     reader, writer = await asyncio.open_connection(host, int(port))
-    replayed = link.Link(reader, writer)
+    replayed = link.Link(reader, writer, dialed=True)
     for frame in (sent[0], sent[-1]):
         replayed.send(frame)
     context.refusal = None
@@ -187,6 +188,12 @@
     sender._writer.write(head)
 
 
+@then("a beat to an ended link does no harm")
+def beat_ended(context):
+    assert context.ended._writer.is_closing()
+    context.ended.send(b"late")
+
+
 @then("a0 ends that link without waiting for its silence")
 def link_ended(context):
     ended = until(lambda: context.ended not in links_of(context.peers["a0"]))
