Count a process as diverged when the log was restored from an older state

A process that held newer records than a valid restoration stayed at its gap without saying so. The machine copies appends late, relays out of step and cuts one process off while others restore.

--- a/auburnproxy/journal/_recovery.py
+++ b/auburnproxy/journal/_recovery.py
@@ -70,6 +70,8 @@
         self._failure_domain = failure_domain
         self._failure_domains = failure_domains
         self._rank = rank
+        self.diverged = False
+        """Whether the log went on from a state that this one does not lead to."""
         self._since: float | None = None
         self._round_at = 0
         self._round_since = 0.0
@@ -138,11 +140,11 @@
 
     def _restored(self, checkpoint: CheckpointId, data: bytes) -> Found | None:
         snapshot = checkpoints.decode(data)
-        if snapshot is None or snapshot.offset < self._fold.offset:
-            log.error("The log was restored from an older state than this one.")
+        if snapshot is None:
             return None
-        if not same_history(self._fold, snapshot):
-            log.error("The log was restored from another history.")
+        older = snapshot.offset < self._fold.offset
+        if older or not same_history(self._fold, snapshot):
+            self.diverged = True
             return None
         holes = [*snapshot.holes, checkpoint.hole]
         return Found(
--- a/auburnproxy/journal/journal.py
+++ b/auburnproxy/journal/journal.py
@@ -172,6 +172,9 @@
     async def _recover(self, page: LogPage) -> None:
         self._up = self._current = False
         found = await self._recovery.search(page)
+        if self._recovery.diverged:
+            self._diverge()
+            return
         if found is None or not self._follows(found.snapshot):
             await asyncio.sleep(RETRY_S)
             return
@@ -215,11 +218,15 @@
             return True
         if checkpoint.hole in self._fold.holes:
             return True
-        self._diverged = self._restorations.valid(checkpoint, start=0)
-        if self._diverged:
-            self._up = self._current = False
-            log.error("The log went on from an older state; the fold stops here.")
-        return not self._diverged
+        if not self._restorations.valid(checkpoint, start=0):
+            return True
+        self._diverge()
+        return False
+
+    def _diverge(self) -> None:
+        self._diverged = True
+        self._up = self._current = False
+        log.error("The log went on from an older state; the fold stops here.")
 
     def _notify(self) -> None:
         turn, self._turn = self._turn, asyncio.Event()
