Give a process that is not ready a checkpoint instead of single entries

A process that started anew while the log was away got entries from a peer one by one and never became ready, as it could not know when they were complete. Found by the scenario 'An accepted change stays in force through an outage and new starts'. A process now shows offset 0 until its state is whole, and peers answer offset 0 with a checkpoint.

--- a/auburnproxy/journal/journal.py
+++ b/auburnproxy/journal/journal.py
@@ -94,8 +94,8 @@
 
     @property
     def offset(self) -> int:
-        """Return the offset of the last folded record."""
-        return self._fold.offset
+        """Return the offset of the last folded record, 0 while not ready."""
+        return self._fold.offset if self._ready else 0
 
     @property
     def up(self) -> bool:
@@ -147,7 +147,7 @@
     async def _turn_once(self) -> None:
         wait_s = POLL_S if self._current else 0.0
         try:
-            page = await self._access.read(self.offset + 1, wait_s=wait_s)
+            page = await self._access.read(self._fold.offset + 1, wait_s=wait_s)
             self._restorations.forget(page.start)
             if self._must_recover(page):
                 await self._recover(page)
@@ -163,8 +163,8 @@
             await asyncio.sleep(RETRY_S)
 
     def _must_recover(self, page: LogPage) -> bool:
-        self._gap = page.start > self.offset + 1
-        if self._gap or self.offset:
+        self._gap = page.start > self._fold.offset + 1
+        if self._gap or self._fold.offset:
             return self._gap
         searched, self._searched = self._searched, True
         return page.end > REPLAY_RECORDS and not searched
@@ -189,14 +189,14 @@
     def _take(self, page: LogPage) -> None:
         for kept in page.records:
             self._step(Entry(kept.offset, decode_record(kept.payload)))
-        self._current = page.end <= self.offset + 1 and not self._diverged
+        self._current = page.end <= self._fold.offset + 1 and not self._diverged
         if self._current:
             self._ready = True
             self._writer.saw_bounds(page.start, page.end)
         self._notify()
 
     def _step(self, entry: Entry) -> None:
-        if entry.offset <= self.offset or self._diverged:
+        if entry.offset <= self._fold.offset or self._diverged:
             return
         sighting = sighting_of(entry.offset, entry.record)
         if sighting is not None:
@@ -258,7 +258,9 @@
         try:
             async with asyncio.timeout(timeout_s):
                 await self._following()
-                record = Record(chosen, self._author, kind, body, expects, self.offset)
+                record = Record(
+                    chosen, self._author, kind, body, expects, self._fold.offset
+                )
                 return await self._append_until_folded(record)
         except TimeoutError:
             raise OutcomeUnknownError(chosen) from None
@@ -292,21 +294,25 @@
 
     async def _folded(self, record_id: str) -> Outcome:
         while (outcome := self.outcome(record_id)) is None:
-            await self.changed(self.offset)
+            await self._turn.wait()
         return outcome
 
     def entries_after(self, offset: int, limit: int) -> tuple[Entry, ...]:
         """Return the entries right after an offset, none if they are not kept.
 
-        :param offset: last offset that the peer has folded
+        A peer that has no whole state yet gets none: it needs a checkpoint.
+
+        :param offset: last offset that the peer has folded, 0 while it is not ready
         :param limit: greatest number of entries
         """
+        if not offset:
+            return ()
         return self._relay.after(offset, limit)
 
     def offer(self, entries: Iterable[Entry]) -> None:
         """Fold entries from a peer, as far as they follow on without a gap."""
         for entry in entries:
-            if entry.offset == self.offset + 1:
+            if entry.offset == self._fold.offset + 1:
                 self._step(entry)
         self._notify()
 
@@ -329,7 +335,8 @@
 
     def _follows(self, snapshot: Snapshot) -> bool:
         """Return whether a state is newer and went through all that this one holds."""
-        if self._diverged or snapshot.offset <= self.offset:
+        oldest = self._fold.offset + int(self._ready)
+        if self._diverged or snapshot.offset < oldest:
             return False
         same = same_history(self._fold, snapshot)
         if not same:
--- /dev/null
+++ b/features/fakes/site.py
@@ -0,0 +1,110 @@
+"""A few processes of several failure domains, with links that can be cut."""
+
+from __future__ import annotations
+
+import asyncio
+
+from auburnproxy.configuration import Configuration
+from auburnproxy.journal import Journal
+from auburnproxy.operators import Changes
+from features.fakes.log import FakeLog, LogPort
+
+BEAT_S = 0.25
+ENTRIES = 128
+CHECKPOINT_S = 30.0
+
+
+class Process:
+    """One start of one process."""
+
+    starts = 0
+
+    def __init__(self, site, place):
+        Process.starts += 1
+        self.place, self.site = place, site
+        self.domain = site.domains[place % len(site.domains)]
+        self.port = LogPort(site.log)
+        self.port.cut = place in site.cut_from_log
+        self.configuration = Configuration()
+        self.said = 0
+        self.journal = Journal(
+            self.port,
+            [self.configuration],
+            author=f"{place}@{Process.starts}",
+            failure_domain=self.domain,
+            failure_domains=lambda: site.domains,
+            rank=lambda: place,
+            checkpoint_s=CHECKPOINT_S,
+        )
+        self.changes = Changes(
+            self.configuration,
+            self.journal,
+            in_force=lambda: site.in_force(place),
+            wanted=lambda: site.domains,
+        )
+        loop = site.loop
+        self.tasks = [loop.create_task(self.journal.run())]
+        self.tasks.append(loop.create_task(self.relay()))
+
+    async def relay(self):
+        while True:
+            await asyncio.sleep(BEAT_S)
+            self.said = self.configuration.version
+            if self.journal.up and self.journal.ready:
+                continue
+            peers = [p.journal for p in self.site.linked(self.place)]
+            best = max(peers, key=lambda journal: journal.offset, default=self.journal)
+            entries = best.entries_after(self.journal.offset, ENTRIES)
+            self.journal.offer(entries)
+            if not entries and best.offset > self.journal.offset:
+                self.journal.adopt(best.checkpoint())
+
+
+class Site:
+    """The processes, their log and the links between them."""
+
+    def __init__(self, loop, *, domains=("a", "b", "c"), processes=3):
+        self.loop, self.domains = loop, domains
+        self.log = FakeLog()
+        self.cut_from_log: set[int] = set()
+        self.cut_links: set[frozenset[int]] = set()
+        self.processes = [Process(self, place) for place in range(processes)]
+
+    def linked(self, place):
+        others = [p for p in self.processes if p.place != place]
+        cut = self.cut_links
+        return [p for p in others if frozenset((p.place, place)) not in cut]
+
+    def in_force(self, place):
+        near = [self.processes[place], *self.linked(place)]
+        versions = dict.fromkeys(self.domains, 0)
+        for process in near:
+            versions[process.domain] = max(versions[process.domain], process.said)
+        return versions
+
+    def cut_log(self, place, cut=True):
+        (self.cut_from_log.add if cut else self.cut_from_log.discard)(place)
+        self.processes[place].port.cut = cut
+
+    def cut_link(self, one, other, cut=True):
+        pair = frozenset((one, other))
+        (self.cut_links.add if cut else self.cut_links.discard)(pair)
+
+    def heal(self):
+        self.cut_links.clear()
+        for process in self.processes:
+            self.cut_log(process.place, cut=False)
+            process.port.lag = process.port.lose_answers = 0
+
+    async def restart(self, place):
+        await self.stop(self.processes[place])
+        self.processes[place] = Process(self, place)
+
+    async def stop(self, process):
+        for task in process.tasks:
+            task.cancel()
+        await asyncio.gather(*process.tasks, return_exceptions=True)
+
+    async def close(self):
+        for process in self.processes:
+            await self.stop(process)
