--- /dev/null
+++ b/features/ctl.feature
@@ -0,0 +1,31 @@
+Feature: The tool auburnctl
+
+  Scenario Outline: Exit codes tell scripts what became of a command
+    Given a daemon of domain a and the list files
+    And <condition>
+    When auburnctl <command> is run
+    Then it exits with <code> and prints <text>
+
+    Examples:
+      | condition                         | command                             | code | text         |
+      | nothing is wrong                  | check PLANS GRANTS                  | 0    | 1 plans      |
+      | nothing is wrong                  | apply PLANS GRANTS                  | 0    | accepted     |
+      | nothing is wrong                  | apply PLANS GRANTS --json           | 0    | "accepted"   |
+      | nothing is wrong                  | diff PLANS GRANTS                   | 8    | works        |
+      | nothing is wrong                  | show                                | 0    | version      |
+      | nothing is wrong                  | status                              | 0    | h1 h2        |
+      | nothing is wrong                  | report                              | 0    | group        |
+      | nothing is wrong                  | out --domain a                      | 0    | accepted     |
+      | nothing is wrong                  | out --domain z                      | 2    | no z         |
+      | nothing is wrong                  | out --domain a --host h1            | 2    | either       |
+      | the grants name an unknown plan   | apply PLANS GRANTS                  | 2    | unknown_plan |
+      | the lists were changed meanwhile  | apply PLANS GRANTS --version 0      | 3    | stale        |
+      | domain b does not answer          | apply PLANS GRANTS --wait 1         | 4    | in: b        |
+      | the log answers no reads          | back --domain a --wait 2            | 5    | --id         |
+      | no daemon listens                 | show                                | 6    | no daemon    |
+      | the log is away                   | apply PLANS GRANTS                  | 7    | refused      |
+      | the key is another one            | apply PLANS GRANTS                  | 9    | operator key |
+
+  Scenario: A digest admits the key that it was made from
+    When the digest of a key is made
+    Then a plan with the digest is found by the key's digest alone
--- /dev/null
+++ b/features/steps/ctl.py
@@ -0,0 +1,223 @@
+"""Steps for auburnctl, against the operators' calls on loopback."""
+
+import asyncio
+import contextlib
+import io
+import sys
+import tempfile
+import threading
+from pathlib import Path
+from unittest import mock
+
+from aiohttp import web
+from behave import given, then, when
+
+from auburnproxy.configuration import Configuration, Grant, Lists, Plan, digest_key
+from auburnproxy.ctl.main import run
+from auburnproxy.journal import Journal
+from auburnproxy.operators import routes
+from features import loopback
+from features.fakes.log import FakeLog, LogPort
+from features.machines.configuration import lists_of
+
+KEY = "operators"
+PLANS = f"plans: [{{name: works, key_digests: ['{'0' * 64}'], concurrent: 2}}]\n"
+GRANTS = "grants: [{plan: works, model: quotes}]\n"
+PATIENCE_S = 10
+REPLICA = {
+    "name": "r",
+    "model": "quotes",
+    "generation": 3,
+    "hosts": ["h1", "h2"],
+    "serving": False,
+    "reason": "loading",
+}
+DOMAIN = {
+    "failure_domain": "a",
+    "out": False,
+    "in_force": 0,
+    "daemons": [{"id": "a@1", "ready": True, "in_force": 0, "offset": 0}],
+    "replicas": [REPLICA],
+    "stranded_hosts": ["h3"],
+    "out_hosts": [],
+}
+JOURNAL = {"offset": 0, "up": True, "ready": True, "diverged": False, "behind": 0}
+STATUS = {"daemon": "a", "version": 0, "journal": JOURNAL, "failure_domains": [DOMAIN]}
+PLACEMENT = {
+    "failure_domain": "a",
+    "group_downtime_s": 1.0,
+    "stranded_host_s": 2.0,
+    "live_host_s": 9.0,
+}
+REPORT = {
+    "daemon": "a",
+    "seconds": 60.0,
+    "failure_domains": [PLACEMENT],
+    "moves": [],
+    "telemetry": {"histograms": [], "counts": []},
+}
+
+
+class Server:
+    """A daemon's operators' calls, in a thread of their own."""
+
+    def __init__(self, address):
+        self.address = address
+        self.silent_domains = set()
+        self.loop = asyncio.new_event_loop()
+        self.thread = threading.Thread(target=self.loop.run_forever)
+        self.thread.start()
+        self.call(self.start())
+
+    def call(self, coroutine):
+        return asyncio.run_coroutine_threadsafe(coroutine, self.loop).result(PATIENCE_S)
+
+    async def start(self):
+        self.port = LogPort(FakeLog())
+        self.configuration = Configuration()
+        self.journal = Journal(self.port, [self.configuration], author="a")
+        self.task = asyncio.create_task(self.journal.run())
+        application = web.Application()
+        application.add_routes(
+            routes(
+                self.configuration,
+                self.journal,
+                key=KEY,
+                in_force=self.in_force,
+                wanted=lambda: ("a", "b"),
+                status=lambda: STATUS,
+                report=lambda: REPORT,
+            )
+        )
+        self.runner = web.AppRunner(application, access_log=None)
+        await self.runner.setup()
+        host, _, port = self.address.rpartition(":")
+        await web.TCPSite(self.runner, host, int(port)).start()
+        await self.journal.propose("none.start", {}, expects={}, timeout_s=PATIENCE_S)
+
+    def in_force(self):
+        version = self.configuration.version
+        return {d: 0 if d in self.silent_domains else version for d in ("a", "b")}
+
+    async def change_lists(self):
+        lists = {"lists": lists_of(7)}
+        expects = {"configuration": 0}
+        await self.journal.propose(
+            "configuration.lists", lists, expects=expects, timeout_s=PATIENCE_S
+        )
+
+    async def stop(self):
+        await self.runner.cleanup()
+        self.task.cancel()
+        await asyncio.gather(self.task, return_exceptions=True)
+
+    def close(self):
+        self.call(self.stop())
+        self.loop.call_soon_threadsafe(self.loop.stop)
+        self.thread.join(PATIENCE_S)
+        self.loop.close()
+
+
+@given("a daemon of domain a and the list files")
+def start(context):
+    (address,) = loopback.free_addresses(1)
+    context.server = Server(address)
+    context.add_cleanup(context.server.close)
+    folder = tempfile.TemporaryDirectory()
+    context.add_cleanup(folder.cleanup)
+    context.folder = Path(folder.name)
+    write(context, "plans.yaml", PLANS)
+    write(context, "grants.yaml", GRANTS)
+    settings(context, address, KEY)
+
+
+def write(context, name, text):
+    (context.folder / name).write_text(text)
+
+
+def settings(context, address, key):
+    text = f"daemons: ['{address}']\noperator_key: {key}\n"
+    write(context, "auburnctl.yaml", text)
+
+
+@given("nothing is wrong")
+def nothing(context):
+    pass
+
+
+@given("the grants name an unknown plan")
+def unknown_plan(context):
+    write(context, "grants.yaml", GRANTS.replace("works", "wroks"))
+
+
+@given("the lists were changed meanwhile")
+def change(context):
+    context.server.call(context.server.change_lists())
+
+
+@given("domain b does not answer")
+def silent(context):
+    context.server.silent_domains.add("b")
+
+
+@given("the log answers no reads")
+def no_reads(context):
+    context.server.port.refuse_reads = True
+
+
+@given("no daemon listens")
+def nobody(context):
+    (address,) = loopback.free_addresses(1)
+    settings(context, address, KEY)
+
+
+@given("the log is away")
+def away(context):
+    context.server.port.cut = True
+
+
+@given("the key is another one")
+def other_key(context):
+    settings(context, context.server.address, "another")
+
+
+@when("auburnctl {command} is run")
+def run_command(context, command):
+    arguments = command.split()
+    places = {"PLANS": "plans.yaml", "GRANTS": "grants.yaml"}
+    arguments = [
+        str(context.folder / places[a]) if a in places else a for a in arguments
+    ]
+    if arguments[0] != "check":
+        arguments += ["--settings", str(context.folder / "auburnctl.yaml")]
+    out = io.StringIO()
+    with contextlib.redirect_stdout(out), contextlib.redirect_stderr(out):
+        context.code = run(arguments)
+    context.printed = out.getvalue()
+
+
+@then("it exits with {code:d} and prints {text}")
+def exited(context, code, text):
+    assert context.code == code, (context.code, context.printed)
+    assert text in context.printed, context.printed
+
+
+@when("the digest of a key is made")
+def make_digest(context):
+    out = io.StringIO()
+    with (
+        mock.patch.object(sys, "stdin", io.StringIO("a key\n")),
+        contextlib.redirect_stdout(out),
+    ):
+        assert run(["digest"]) == 0
+    context.digest = out.getvalue().strip()
+
+
+@then("a plan with the digest is found by the key's digest alone")
+def find_plan(context):
+    plan = Plan("p", (context.digest,), 1, 1, 1)
+    configuration = Configuration()
+    grants = (Grant("p", "model", "m"),)
+    configuration.restore((1, Lists((plan,), grants), (), (), {}))
+    assert configuration.plan_by_digest[digest_key("a key")] == plan
+    assert digest_key("another key") not in configuration.plan_by_digest
