--- a/features/steps/journal.py
+++ b/features/steps/journal.py
@@ -5,6 +5,8 @@
 from behave import given, then, when
 
 from auburnproxy.journal import Journal
+from auburnproxy.journal.checkpoint import CheckpointId
+from auburnproxy.journal.restoration import Claim, Restorations, Sighting
 from features.fakes.log import FakeLog, LogPort
 from features.fakes.notes import Notes
 from features.machines.journal import JournalMachine
@@ -12,6 +14,7 @@
 
 SETTLE_S = 20
 EXAMPLES = 25
+WINDOW = 20
 STEPS = 30
 
 
@@ -19,7 +22,7 @@
     def __init__(self, log, name):
         self.port = LogPort(log)
         self.notes = Notes()
-        self.journal = Journal(self.port, [self.notes], author=name)
+        self.journal = Journal(self.port, [self.notes], author=name, window=WINDOW)
 
     async def propose(self, value, expects, record_id=""):
         return await self.journal.propose(
@@ -87,6 +90,56 @@
             assert process.journal.outcome(outcome.id) == outcome
 
 
+@when("a copy of an accepted record lands more than a window later")
+def copy_late(context):
+    async def propose_and_copy():
+        first, _ = context.processes
+        outcome = await first.propose(1, {})
+        log = first.port.log
+        payload = log.payloads[outcome.offset - 1]
+        for _ in range(2 * WINDOW):
+            log.take(b"other")
+        log.take(payload)
+        await asyncio.sleep(SETTLE_S)
+        assert first.journal.offset == log.end - 1
+        return outcome
+
+    context.outcome = run_with(context, propose_and_copy())
+
+
+@when("the log holds {entries}")
+def hold(context, entries):
+    context.restorations = Restorations()
+    for at, entry in enumerate(entries.split(), start=1):
+        sighting = sighting_at(at, entry)
+        if sighting is not None:
+            context.restorations.see(sighting)
+
+
+def sighting_at(at, entry):
+    if entry.startswith("c"):
+        return Sighting(at, "a", claim=Claim(int(entry[1:]), "a"))
+    if entry.startswith("r"):
+        offset, _, rank = entry[1:].partition("/")
+        return Sighting(at, "a", checkpoint=restoration(int(offset)), rank=int(rank))
+    if entry == "p":
+        return Sighting(at, "a", checkpoint=CheckpointId(9, "d", 1))
+    return None
+
+
+def restoration(offset):
+    return CheckpointId(offset, "d", 2, until=offset + 9, opened_at=1)
+
+
+@then("the valid restorations are {names}")
+def compare_valid(context, names):
+    offsets = (5, 7)
+    valid = [
+        f"r{o}" for o in offsets if context.restorations.valid(restoration(o), start=1)
+    ]
+    assert " ".join(valid or ["none"]) == names, valid
+
+
 @when("the journal machine is searched")
 def search_machine(context):
     search(JournalMachine, examples=EXAMPLES, steps=STEPS)
