--- a/bench/forward.py
+++ b/bench/forward.py
@@ -9,10 +9,8 @@
 
 import asyncio
 import statistics
-import tempfile
 import time
 from collections.abc import Callable
-from pathlib import Path
 from typing import NamedTuple
 
 import defopt
@@ -22,12 +20,14 @@
 from rich.console import Console
 from rich.table import Table
 
-from standins.deployment import Deployment, ModelShape, PlanShape, Shape, lay_out
+from standins.deployment import Addresses, ModelShape, PlanShape, Shape
 from standins.load import PlanLoad
-from standins.processes import Processes, processes, until_listens
+from standins.processes import until_listens
+from standins.trial import Trial, trial
 
 MODEL = "quilt"
 KEY = "bench-key"
+CHAT_PATH = "/v1/chat/completions"
 MOST_CHUNK_COST = 1.3
 """Bound on the daemon's time for a chunk, as a multiple of the bare one's."""
 MOST_REQUEST_COST = 2.5
@@ -165,7 +165,7 @@
 
 
 def _cpu_per_call(rounds: list[Round]) -> float:
-    return sum(each.cpu_s for each in rounds) / sum(each.calls for each in rounds)
+    return statistics.median(each.cpu_s / each.calls for each in rounds)
 
 
 async def idle_rate(target: Target) -> float:
@@ -202,15 +202,26 @@
     measured.long.append(long)
 
 
-async def start(deployment: Deployment, running: Processes) -> list[Target]:
-    """Start everything and return the targets."""
-    domain = deployment.domains[0]
-    for name, module in (("platform", "platform"), (domain.name, "upstreams")):
-        settings = str(deployment.settings_file(name))
-        await running.start(name, f"standins.{module}", "--settings", settings)
-    await until_listens(deployment.log, timeout_s=START_TIMEOUT_S)
-    await until_listens(domain.control, timeout_s=START_TIMEOUT_S)
-    return []
+async def start(running: Trial) -> list[Target]:
+    """Start everything and return the targets.
+
+    :param running: the deployment
+    """
+    await running.start()
+    await running.apply()
+    await running.until_whole()
+    deployment = running.deployment
+    daemon, engine = deployment.daemons[0], deployment.domains[0].engine_addresses[0]
+    bare = Addresses().take()
+    arguments = ("--listen", bare, "--engine", engine)
+    passthrough = await running.processes.start("bare", "bench.passthrough", *arguments)
+    await until_listens(bare, timeout_s=START_TIMEOUT_S)
+    pid = running.processes.by_name[daemon.name].pid
+    return [
+        Target("direct", f"http://{engine}/generate", None),
+        Target("bare", f"http://{bare}{CHAT_PATH}", passthrough.pid),
+        Target("daemon", f"http://{daemon.callers}{CHAT_PATH}", pid),
+    ]
 
 
 def table(costs: dict[str, Cost]) -> Table:
@@ -237,15 +248,15 @@
 
 
 async def run(rounds: int) -> dict[str, Cost]:
-    """Measure in a deployment of its own and leave no process."""
-    with tempfile.TemporaryDirectory() as folder:
-        deployment = lay_out(SHAPE, Path(folder))
-        async with processes(Path(folder)) as running:
-            targets = await start(deployment, running)
-            return await measure(targets, rounds=rounds)
+    """Measure in a deployment of its own and leave no process.
+
+    :param rounds: rounds for each target
+    """
+    async with trial(SHAPE) as running:
+        return await measure(await start(running), rounds=rounds)
 
 
-def main(*, rounds: int = 3) -> None:
+def main(*, rounds: int = 5) -> None:
     """Measure and print.
 
     :param rounds: rounds for each target
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -11,6 +11,7 @@
 import xxhash
 from aiohttp import web
 from aiohttp.typedefs import Handler
+from loguru import logger
 
 from auburnproxy.upstreams._events import render
 from auburnproxy.upstreams.engine import (
@@ -29,6 +30,7 @@
 from .tokens import Prompt, read_prompt
 from .warmth import Warmth
 
+log = logger.bind(part="standin")
 ACCEPTED = 202
 BAD_REQUEST = 400
 CONFLICT = 409
@@ -125,6 +127,7 @@
         self.state = EngineState.LEAVING
 
     async def _restart(self) -> None:
+        log.warning("Cold host {} falls over; {}.", self.settings.name, self.warmth)
         self._runs.collapses[self.settings.name] += 1
         self.stop()
         await asyncio.sleep(self.settings.restart_s)
--- a/standins/service.py
+++ b/standins/service.py
@@ -9,6 +9,7 @@
 import xxhash
 from aiohttp import web
 from aiohttp.typedefs import Handler
+from loguru import logger
 
 from auburnproxy.upstreams.service import ServiceReport
 
@@ -17,6 +18,7 @@
 from .settings import ServiceSettings
 from .warmth import Warmth
 
+log = logger.bind(part="standin")
 BAD_REQUEST = 400
 CREATED = 201
 MS_PER_S = 1000
@@ -97,6 +99,7 @@
         self._is_leaving = True
 
     async def _restart(self) -> None:
+        log.warning("Cold host {} falls over; {}.", self.settings.name, self.warmth)
         self._runs.collapses[self.settings.name] += 1
         self.stop()
         await asyncio.sleep(self.settings.restart_s)
--- /dev/null
+++ b/standins/trial.py
@@ -0,0 +1,155 @@
+"""A deployment that runs: its processes, operators and measures."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import sys
+import tempfile
+from collections.abc import AsyncIterator
+from pathlib import Path
+
+from aiohttp import ClientError, ClientSession, TCPConnector
+
+from .deployment import DAEMON_MODULE, OPERATOR_KEY, Deployment, Shape, lay_out
+from .processes import Processes, processes, until_listens
+from .sampler import Sampler
+
+START_TIMEOUT_S = 20.0
+READY_TRY_S = 0.1
+COMMAND_TIMEOUT_S = 15.0
+SEEN_S = 2.0
+"""Seconds until every daemon has seen what the engines do."""
+CTL_MODULE = "auburnproxy.ctl"
+
+
+class CommandError(Exception):
+    """An operator's command failed.
+
+    :param command: the command
+    :param output: what it printed
+    """
+
+    def __init__(self, command: str, output: str) -> None:
+        super().__init__(f"auburnctl {command} failed:\n{output}")
+
+
+class Trial:
+    """A running deployment.
+
+    :param deployment: its settings files
+    :param running: its processes
+    :param session: client for looks at it
+    """
+
+    def __init__(
+        self, deployment: Deployment, running: Processes, session: ClientSession
+    ) -> None:
+        self.deployment = deployment
+        self.processes = running
+        self.session = session
+        self.sampler = Sampler(
+            session,
+            {d.name: f"http://{d.control}" for d in deployment.domains},
+            {model.name: model.replicas for model in deployment.shape.models},
+        )
+
+    async def start(self) -> None:
+        """Start every process and wait until all daemons are ready."""
+        await self.start_stand_ins()
+        for daemon in self.deployment.daemons:
+            await self.start_daemon(daemon.name)
+        async with asyncio.timeout(START_TIMEOUT_S):
+            for daemon in self.deployment.daemons:
+                await self.until_ready(daemon.callers)
+
+    async def start_stand_ins(self) -> None:
+        """Start the platform and the upstreams."""
+        await self._start("platform", "standins.platform")
+        await until_listens(self.deployment.log, timeout_s=START_TIMEOUT_S)
+        for domain in self.deployment.domains:
+            await self._start(domain.name, "standins.upstreams")
+        for domain in self.deployment.domains:
+            await until_listens(domain.control, timeout_s=START_TIMEOUT_S)
+
+    async def start_daemon(self, name: str) -> None:
+        """Start a daemon; it may have run before.
+
+        :param name: name of the daemon
+        """
+        await self._start(name, DAEMON_MODULE)
+
+    async def _start(self, name: str, module: str) -> None:
+        settings = str(self.deployment.settings_file(name))
+        await self.processes.start(name, module, "--settings", settings)
+
+    async def until_ready(self, callers: str) -> None:
+        """Wait until a daemon says that it is ready.
+
+        :param callers: address of its callers' listener
+        """
+        while True:
+            with contextlib.suppress(ClientError):
+                url = f"http://{callers}/readyz"
+                async with self.session.get(url) as response:
+                    if response.ok:
+                        return
+            await asyncio.sleep(READY_TRY_S)
+
+    async def apply(self) -> str:
+        """Apply both lists and return what auburnctl printed."""
+        plans, grants = self.deployment.plans_file, self.deployment.grants_file
+        return await self.command(
+            "apply", "--plans", str(plans), "--grants", str(grants)
+        )
+
+    async def until_whole(self) -> None:
+        """Wait until every failure domain serves all that is wanted."""
+        for domain in self.deployment.domains:
+            await self.sampler.until_whole(domain.name, timeout_s=START_TIMEOUT_S)
+        await asyncio.sleep(SEEN_S)
+
+    async def command(self, *arguments: str) -> str:
+        """Run auburnctl at the first daemon and return what it printed.
+
+        :param arguments: the command and its options
+        :raises CommandError: if it fails
+        """
+        daemon = f"http://{self.deployment.daemons[0].internal}"
+        options = ("--daemon", daemon, "--key", OPERATOR_KEY)
+        process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-m",
+            CTL_MODULE,
+            *arguments,
+            *options,
+            stdout=asyncio.subprocess.PIPE,
+            stderr=asyncio.subprocess.STDOUT,
+        )
+        try:
+            async with asyncio.timeout(COMMAND_TIMEOUT_S):
+                output, _ = await process.communicate()
+        except TimeoutError:
+            process.kill()
+            await process.wait()
+            raise CommandError(arguments[0], "it took too long") from None
+        if process.returncode:
+            raise CommandError(arguments[0], output.decode())
+        return output.decode()
+
+
+@contextlib.asynccontextmanager
+async def trial(shape: Shape) -> AsyncIterator[Trial]:
+    """Run a deployment while the context is open, and leave no process.
+
+    :param shape: what it consists of
+    """
+    with tempfile.TemporaryDirectory() as name:
+        folder = Path(name)
+        deployment = lay_out(shape, folder)
+        connector = TCPConnector(limit=0)
+        async with (
+            processes(folder) as running,
+            ClientSession(connector=connector) as session,
+        ):
+            yield Trial(deployment, running, session)
--- a/standins/warmth.py
+++ b/standins/warmth.py
@@ -24,6 +24,10 @@
         self._served = 0
         self._first_call_at: float | None = None
 
+    def __str__(self) -> str:
+        """Return what the upstream bears and has served, for the log."""
+        return f"bears {self.cold_slots}, has served {self._served}"
+
     @property
     def is_cold(self) -> bool:
         """Tell whether the upstream bears only its cold slots."""
