--- a/auburnproxy/serving/models.py
+++ b/auburnproxy/serving/models.py
@@ -21,9 +21,10 @@
 from ..replicas import Replica
 from ..routing import Router, prefix_digests
 from ..routing._protocols import Readiness, Watcher
+from ..telemetry import Counter, Measure, Telemetry
 from ..upstreams.engine import ChunkKind, ModelCall
 from ._frames import frame
-from ._protocols import Telemetry
+from ._labels import TARGET
 from .budget import Budgets
 from .forward import Forwarder, PeerReplica
 from .intake import Headers, check, read_body, read_chat, read_headers
@@ -108,6 +109,7 @@
         )
         prefixes = prefix_digests(body.prompt)
         request = Request(plan, headers, call, body.stream, prefixes, now, True)
+        http[TARGET] = request.target
         if body.stream:
             return await self._streamed(http, request)
         return await self._whole(request)
@@ -153,7 +155,7 @@
         except RefusalError as refusal:
             if not response.prepared:
                 raise
-            self._count("stream_errors", request, refusal.code)
+            self._count(Counter.UNKNOWN, request, refusal.code)
             await response.write(error_event(refusal, _id(request)))
         else:
             if not response.prepared:
@@ -220,9 +222,13 @@
             deadline=request.headers.deadline,
             budget=budget,
             limits=self._limits,
+            between=self._telemetry.recorder(
+                Measure.BETWEEN_CHUNKS, request.plan.name, request.target
+            ),
         )
         await stream.run()
-        self._observe("answer", request)
+        self._observe(Measure.WHOLE_ANSWER, request)
+        self._count(Counter.ANSWERED, request, "")
 
     @asynccontextmanager
     async def _place(
@@ -238,6 +244,7 @@
             try:
                 ticket = self._ticket(request, avoid, wait=wait)
                 placement = await stack.enter_async_context(ticket)
+                self._observe(Measure.QUEUE_WAIT, request)
             except RefusalError as refusal:
                 if peer is None or refusal.code not in NO_SLOT_HERE:
                     raise
@@ -245,9 +252,14 @@
             yield placement
 
     def _remote(self, peer: Member, request: Request) -> PeerReplica:
-        self._count("forwarded", request, "")
+        self._count(Counter.FORWARDED, request, "")
+        plan, target = request.plan.name, request.target
         return PeerReplica(
-            self._forwarder, peer, request.plan.name, stream=request.stream
+            self._forwarder,
+            peer,
+            plan,
+            stream=request.stream,
+            on_refused=lambda: self._spill.refused(peer, plan, target),
         )
 
     def _ticket(
@@ -267,13 +279,13 @@
         return LocalReplica(replica, self._router, self._watcher, self._readiness)
 
     def _first_chunk(self, request: Request) -> None:
-        self._observe("first_token", request)
+        self._observe(Measure.FIRST_CHUNK, request)
 
-    def _observe(self, measure: str, request: Request) -> None:
+    def _observe(self, measure: Measure, request: Request) -> None:
         took_s = asyncio.get_running_loop().time() - request.started
         self._telemetry.observe(measure, request.plan.name, request.target, took_s)
 
-    def _count(self, counter: str, request: Request, code: str) -> None:
+    def _count(self, counter: Counter, request: Request, code: str) -> None:
         self._telemetry.count(counter, request.plan.name, request.target, code)
 
 
--- a/auburnproxy/serving/services.py
+++ b/auburnproxy/serving/services.py
@@ -17,9 +17,10 @@
 from ..membership import Member
 from ..routing import Router
 from ..routing._protocols import Watcher
+from ..telemetry import Counter, Measure, Telemetry
 from ..upstreams.observation import Observation, Result
 from ..upstreams.service import PlainAnswer, PlainCall
-from ._protocols import Telemetry
+from ._labels import TARGET
 from .budget import Budgets
 from .forward import Forwarder
 from .intake import Headers, check, read_body, read_headers
@@ -112,9 +113,11 @@
             headers.deadline - now,
         )
         request = Request(plan, grant, headers.deadline, call, True)
+        http[TARGET] = request.target
         answer = await self.run(request)
         took_s = asyncio.get_running_loop().time() - now
-        self._telemetry.observe("answer", plan.name, request.target, took_s)
+        self._telemetry.observe(Measure.WHOLE_ANSWER, plan.name, request.target, took_s)
+        self._telemetry.count(Counter.ANSWERED, plan.name, request.target)
         return _response(answer, headers)
 
     async def forwarded(self, http: web.Request, plan: Plan) -> web.Response:
@@ -238,16 +241,18 @@
         :raises _NoSlotError: if the peer has not run it and is busy
         """
         plan, service = request.plan.name, request.grant.target
-        self._telemetry.count("forwarded", plan, request.target)
+        self._telemetry.count(Counter.FORWARDED, plan, request.target)
         call = request.call._replace(deadline_s=_remaining_s(request))
         try:
             return await self._forwarder.call(peer, plan, service, call)
         except RefusalError as refusal:
             if refusal.ran is Ran.NO and refusal.status in BUSY:
+                self._spill.refused(peer, plan, request.target)
                 raise _NoSlotError(refusal) from None
             raise
         except UpstreamError as error:
             if error.ran is Ran.NO:
+                self._spill.refused(peer, plan, request.target)
                 raise _NoSlotError(_given_up(error.ran)) from error
             raise
 
