Work the drain rate out from the calls in flight

Cause: the drain rate was the calls finished of late, which tells of the demand where a target is not full. After a quiet time it was near nothing, and the first call that had to wait was refused as hopeless. The rate is now the calls in flight over their mean service time, or over their mean age where that is longer, so calls that are stuck slow it down. Ruled out: counting finished calls only while others wait, which knows nothing at the moment the first one comes.

--- a/auburnproxy/admission/admission.py
+++ b/auburnproxy/admission/admission.py
@@ -93,11 +93,14 @@
         loop = asyncio.get_running_loop()
         placement: P = await self._place(plan, target, deadline, choose, wait=wait)
         started = loop.time()
+        pace = self._pace(target)
+        pace.started(plan.name, now=started)
         try:
             yield placement
         finally:
             placement.release()
-            self._leave(plan, target, loop.time() - started)
+            pace.finished(plan.name, started, now=loop.time())
+            self._leave(plan, target)
 
     def pump(self) -> None:
         """Dispatch every waiting call that has a slot; rotates between targets."""
@@ -110,7 +113,7 @@
 
     def retry_after_s(self, plan: Plan, target: str) -> float:
         """Return the seconds in which the calls before a new one drain."""
-        rate = self._pace(target).rate(asyncio.get_running_loop().time())
+        rate = self._rate(plan, target)
         queue = self._queues_by_target.get(target)
         ahead = queue.ahead(plan, math.inf) if queue else 0.0
         wait_s = (ahead + 1) / rate if rate else 1.0
@@ -155,7 +158,7 @@
         placed = waiter.placed
         if placed.done() and not placed.cancelled() and not placed.exception():
             placed.result().release()
-            self._leave(waiter.plan, target, None)
+            self._leave(waiter.plan, target)
 
     def _latest_start(self, waiter: Waiter, target: str) -> float:
         if waiter.placed.done():
@@ -182,10 +185,10 @@
             return RefusalError(
                 "queue_full", message, status=429, retry_after_s=retry_s
             )
-        pace, now = self._pace(target), asyncio.get_running_loop().time()
-        rate = pace.rate(now)
+        now = asyncio.get_running_loop().time()
+        rate = self._rate(plan, target)
         wait_s = (ahead + 1) / rate if rate else 0.0
-        if now + wait_s + pace.service_s(plan.name) > deadline:
+        if now + wait_s + self._pace(target).service_s(plan.name) > deadline:
             return self._late(plan, target)
         return None
 
@@ -233,15 +236,12 @@
         reserve = math.floor(share * RESERVED_FRACTION)
         return in_flight < max(share - reserve, 1)
 
-    def _leave(self, plan: Plan, target: str, service_s: float | None) -> None:
+    def _leave(self, plan: Plan, target: str) -> None:
         self._plan_gate(plan).release()
         by_target = self._in_flight_by_plan[plan.name]
         by_target[target] -= 1
         if not by_target[target]:
             del by_target[target]
-        if service_s is not None:
-            now = asyncio.get_running_loop().time()
-            self._pace(target).finished(plan.name, service_s, now=now)
         self.pump()
 
     def _plan_gate(self, plan: Plan) -> Gate:
@@ -253,6 +253,13 @@
     def _pace(self, target: str) -> Pace:
         return self._paces_by_target.setdefault(target, Pace())
 
+    def _rate(self, plan: Plan, target: str) -> float:
+        """Return the calls a second that make room for a waiting one, 0 if unknown."""
+        pace, now = self._pace(target), asyncio.get_running_loop().time()
+        if self._plan_gate(plan).free:
+            return pace.rate(now)
+        return pace.plan_rate(plan.name, now)
+
     def _arm(self) -> None:
         if self._timer is None and self._queues_by_target:
             loop = asyncio.get_running_loop()
