Let a call without a share here wait at a peer that has one

Cause: a daemon whose share of every upstream of a target is 0 queued the calls that found no free peer, and no slot could ever come free for them; they were refused at the end of their time. With cold upstreams (2 slots) that is every daemon of a large domain but two. Such a call now waits in the fair queue of a near peer that has shares; each daemon works the shares of all out by itself. Ruled out: loans of slots, which need a message before and after each call where this needs none.

--- a/auburnproxy/daemon/_peers.py
+++ b/auburnproxy/daemon/_peers.py
@@ -2,25 +2,76 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import Mapping, Sequence
+from typing import NamedTuple
 
 from ..configuration import Configuration, TargetKind
 from ..membership import Epoch, Member, Membership
-from ..quotas import PLAN_PREFIX, UPSTREAM_PREFIX, Gates
+from ..quotas import PLAN_PREFIX, UPSTREAM_PREFIX, Gates, share
 from ..replicas import Readiness
 from ..upstreams import Watcher
 
+HOLDERS_KEPT_S = 0.5
+"""Seconds for which it is remembered who has shares of a plan and a target."""
+
+
+class Targets:
+    """The upstreams of the own failure domain that serve a target.
+
+    :param readiness: which replicas serve
+    :param watcher: what is known of the hosts
+    """
+
+    def __init__(self, readiness: Readiness, watcher: Watcher) -> None:
+        self._readiness = readiness
+        self._watcher = watcher
+
+    def hosts(self, target: str) -> list[str]:
+        """Return the hosts that take calls for a target.
+
+        :param target: ``model/NAME`` or ``service/NAME``
+        """
+        kind, _, name = target.partition("/")
+        if kind == TargetKind.MODEL:
+            return [replica.head for replica in self._readiness.serving(name)]
+        entries = self._watcher.entries_by_host.values()
+        return [
+            entry.name
+            for entry in entries
+            if entry.service == name and self._watcher.usable(entry.name)
+        ]
+
+
+class Holders(NamedTuple):
+    """Who has shares, as it was at some time."""
+
+    members: tuple[Member, ...]
+    until: float
+    """The loop's time in seconds until which this is used."""
+
 
 class KnownPeers:
     """The daemons of the roster.
 
     :param membership: keeps the roster and the links
     :param configuration: tells which failure domains are out of service
+    :param gates: this daemon's shares, with the limits that are divided
+    :param targets: the upstreams of each target
     """
 
-    def __init__(self, membership: Membership, configuration: Configuration) -> None:
+    def __init__(
+        self,
+        membership: Membership,
+        configuration: Configuration,
+        gates: Gates,
+        targets: Targets,
+    ) -> None:
         self._membership = membership
         self._configuration = configuration
+        self._gates = gates
+        self._targets = targets
+        self._holders_by_keys: dict[tuple[str, str], Holders] = {}
 
     @property
     def near_by_id(self) -> Mapping[str, Member]:
@@ -43,6 +94,39 @@
             if domain not in out
         }
 
+    def holders(self, plan: str, target: str) -> Sequence[Member]:
+        """Return the near peers that have shares of a plan and of a target.
+
+        :param plan: name of the plan
+        :param target: ``model/NAME`` or ``service/NAME``
+        :return: empty if this daemon has shares of both itself
+        """
+        now = asyncio.get_running_loop().time()
+        known = self._holders_by_keys.get((plan, target))
+        if known is None or known.until <= now:
+            members = self._find_holders(plan, target)
+            known = Holders(members, now + HOLDERS_KEPT_S)
+            self._holders_by_keys[plan, target] = known
+        return known.members
+
+    def _find_holders(self, plan: str, target: str) -> tuple[Member, ...]:
+        keys = [f"{UPSTREAM_PREFIX}{host}" for host in self._targets.hosts(target)]
+        plan_key = f"{PLAN_PREFIX}{plan}"
+
+        def has_shares(member_id: str) -> bool:
+            if not self._share(plan_key, member_id):
+                return False
+            return any(self._share(key, member_id) for key in keys)
+
+        if has_shares(self._membership.me.id):
+            return ()
+        near = self.near_by_id.values()
+        return tuple(member for member in near if has_shares(member.id))
+
+    def _share(self, key: str, member_id: str) -> int:
+        limit = self._gates.gate(key).limit
+        return share(limit, key, self._membership.window, member_id)
+
     def free_slots(self, key: str) -> Mapping[str, int]:
         """Return the free slots by member id that near peers told of.
 
@@ -56,21 +140,15 @@
 
     :param gates: this daemon's shares
     :param configuration: names the plans and targets
-    :param readiness: which replicas serve
-    :param watcher: what is known of the hosts
+    :param targets: the upstreams of each target
     """
 
     def __init__(
-        self,
-        gates: Gates,
-        configuration: Configuration,
-        readiness: Readiness,
-        watcher: Watcher,
+        self, gates: Gates, configuration: Configuration, targets: Targets
     ) -> None:
         self._gates = gates
         self._configuration = configuration
-        self._readiness = readiness
-        self._watcher = watcher
+        self._targets = targets
 
     def fits(self, epoch: Epoch) -> bool:
         """Return whether everything in flight fits the shares of an epoch.
@@ -83,25 +161,10 @@
     def free_by_key(self) -> Mapping[str, int]:
         """Return the keys that have a free slot, with their number."""
         lists = self._configuration.lists
-        free = {
-            f"{PLAN_PREFIX}{p.name}": self._free_of_plan(p.name) for p in lists.plans
-        }
-        for kind, name in {(grant.kind, grant.target) for grant in lists.grants}:
-            free[f"{kind}/{name}"] = sum(map(self._free_at, self._hosts(kind, name)))
+        plans = (f"{PLAN_PREFIX}{plan.name}" for plan in lists.plans)
+        free = {key: self._gates.gate(key).free for key in plans}
+        for target in {f"{grant.kind}/{grant.target}" for grant in lists.grants}:
+            hosts = self._targets.hosts(target)
+            gates = (self._gates.gate(f"{UPSTREAM_PREFIX}{host}") for host in hosts)
+            free[target] = sum(gate.free for gate in gates)
         return {key: slots for key, slots in free.items() if slots}
-
-    def _free_of_plan(self, plan: str) -> int:
-        return self._gates.gate(f"{PLAN_PREFIX}{plan}").free
-
-    def _free_at(self, host: str) -> int:
-        return self._gates.gate(f"{UPSTREAM_PREFIX}{host}").free
-
-    def _hosts(self, kind: TargetKind, name: str) -> list[str]:
-        if kind is TargetKind.MODEL:
-            return [replica.head for replica in self._readiness.serving(name)]
-        entries = self._watcher.entries_by_host.values()
-        return [
-            entry.name
-            for entry in entries
-            if entry.service == name and self._watcher.usable(entry.name)
-        ]
--- a/auburnproxy/daemon/daemon.py
+++ b/auburnproxy/daemon/daemon.py
@@ -22,7 +22,7 @@
 from ..upstreams.http_engine import connect_engine
 from ..upstreams.http_service import connect_service
 from ._lost import LostDaemons
-from ._peers import KnownPeers, Offers
+from ._peers import KnownPeers, Offers, Targets
 from ._wants import Wants
 from .settings import Calls, Settings
 
@@ -105,8 +105,8 @@
         self.downtime = Downtime(
             self.replicas, self.watcher, self.readiness, wanted=self.wants.replicas
         )
-        offers = Offers(self.gates, self.configuration, self.readiness, self.watcher)
-        self.membership.attach(offers)
+        self.targets = Targets(self.readiness, self.watcher)
+        self.membership.attach(Offers(self.gates, self.configuration, self.targets))
         self.planner = Planner(
             self.replicas,
             self.journal,
@@ -129,7 +129,9 @@
         self.admission = Admission(self.configuration, self.gates)
         self.router = Router(self.watcher, self.readiness, self.gates)
         self.runner = LedgerRunner(self.ledger, self.journal)
-        spill = Spill(KnownPeers(self.membership, self.configuration))
+        peers = KnownPeers(
+            self.membership, self.configuration, self.gates, self.targets
+        )
         self.face = Face(
             self.configuration,
             self.admission,
@@ -137,7 +139,7 @@
             self.readiness,
             self.watcher,
             self.runner,
-            spill,
+            Spill(peers),
             self.telemetry,
             secret=settings.secret.encode(),
             incarnation=self.me.incarnation,
--- a/auburnproxy/serving/forward.py
+++ b/auburnproxy/serving/forward.py
@@ -64,15 +64,17 @@
             self._session = None
 
     async def generate(
-        self, member: Member, plan: str, call: ModelCall, *, stream: bool
+        self, member: Member, plan: str, call: ModelCall, *, stream: bool, wait: bool
     ) -> AsyncGenerator[Chunk, None]:
         """Run a model call at a peer and yield its chunks.
 
+        :param wait: whether it may wait there for a slot
         :raises UpstreamError: with ``ran`` NO if the peer refused the call
         """
         headers = _headers(plan, call.model, call.request_id, call.deadline_s)
         headers["X-Resume-From"] = str(call.resume_from)
         headers["X-Stream"] = "1" if stream else "0"
+        headers["X-Wait"] = "1" if wait else "0"
         response = await self._post(member, MODEL_PATH, headers, call.body)
         whole = False
         try:
@@ -91,10 +93,11 @@
             response.release()
 
     async def call(
-        self, member: Member, plan: str, service: str, call: PlainCall
+        self, member: Member, plan: str, service: str, call: PlainCall, *, wait: bool
     ) -> PlainAnswer:
         """Run a plain call at a peer.
 
+        :param wait: whether it may wait there for a slot
         :raises RefusalError: if the peer answers that it gives the call up
         :raises UpstreamError: if the peer gives no whole answer
         """
@@ -102,6 +105,7 @@
         headers["X-Method"] = call.method
         headers["X-Path"] = call.path
         headers["X-Call-Type"] = call.content_type
+        headers["X-Wait"] = "1" if wait else "0"
         headers["Idempotency-Key"] = call.idempotency_key
         try:
             async with asyncio.timeout(call.deadline_s):
@@ -139,11 +143,12 @@
 
 
 class PeerReplica(ModelPlacement):
-    """A peer that is thought to have a free slot for a model call.
+    """A peer that is thought to have a slot for a model call.
 
     :param member: the peer
     :param plan: name of the caller's plan
     :param stream: whether the caller wants a stream
+    :param wait: whether the call may wait there for a slot
     :param on_refused: is told if the peer takes no calls, or does not answer
     """
 
@@ -156,6 +161,7 @@
         plan: str,
         *,
         stream: bool,
+        wait: bool,
         on_refused: Callable[[], None],
     ) -> None:
         self.host = member.id
@@ -163,6 +169,7 @@
         self._member = member
         self._plan = plan
         self._stream = stream
+        self._wait = wait
         self._on_refused = on_refused
 
     def observe(self, observation: Observation) -> None:
@@ -173,7 +180,7 @@
     def generate(self, call: ModelCall) -> AsyncIterator[Chunk]:
         """Run the call at the peer."""
         return self._forwarder.generate(
-            self._member, self._plan, call, stream=self._stream
+            self._member, self._plan, call, stream=self._stream, wait=self._wait
         )
 
 
--- a/auburnproxy/serving/intake.py
+++ b/auburnproxy/serving/intake.py
@@ -62,6 +62,11 @@
     return given if _TOKEN.fullmatch(given) else uuid4().hex
 
 
+def may_wait(headers: Mapping[str, str]) -> bool:
+    """Return whether a call that a peer forwarded may wait here for a slot."""
+    return headers.get("X-Wait") == "1"
+
+
 def read_headers(
     headers: Mapping[str, str], limits: Limits, *, now: float
 ) -> tuple[Headers, list[Finding]]:
--- a/auburnproxy/serving/models.py
+++ b/auburnproxy/serving/models.py
@@ -27,7 +27,7 @@
 from ._labels import TARGET
 from .budget import Budgets
 from .forward import Forwarder, PeerReplica
-from .intake import Headers, check, read_body, read_chat, read_headers
+from .intake import Headers, check, may_wait, read_body, read_chat, read_headers
 from .limits import Limits
 from .placement import LocalReplica, ModelPlacement
 from .refusal import error_event
@@ -51,6 +51,8 @@
     """The loop's time in seconds at which the call came in."""
     may_spill: bool
     """False for a call that was forwarded to this daemon."""
+    may_wait: bool = True
+    """Whether it may wait here for a slot."""
 
     @property
     def target(self) -> str:
@@ -134,7 +136,8 @@
             resume_from=int(http.headers.get("X-Resume-From", "0")),
         )
         prefixes = prefix_digests(body.prompt)
-        request = Request(plan, headers, call, body.stream, prefixes, now, False)
+        wait = may_wait(http.headers)
+        request = Request(plan, headers, call, body.stream, prefixes, now, False, wait)
         return await self._framed(http, request)
 
     async def _streamed(
@@ -235,10 +238,8 @@
         self, request: Request, avoid: Collection[str]
     ) -> AsyncIterator[ModelPlacement]:
         """Hold a slot here, or go to a peer that has one, or wait for one here."""
-        peer = None
-        if request.may_spill:
-            peer = self._spill.choose(request.plan.name, request.target, exclude=avoid)
-        wait = request.may_spill and peer is None
+        peer, holder = self._peers(request, avoid)
+        wait = peer is None and holder is None and self._waits_here(request)
         async with AsyncExitStack() as stack:
             placement: ModelPlacement
             try:
@@ -246,12 +247,30 @@
                 placement = await stack.enter_async_context(ticket)
                 self._observe(Measure.QUEUE_WAIT, request)
             except RefusalError as refusal:
-                if peer is None or refusal.code not in NO_SLOT_HERE:
+                other = peer or holder
+                if other is None or refusal.code not in NO_SLOT_HERE:
                     raise
-                placement = self._remote(peer, request)
+                placement = self._remote(other, request, wait=peer is None)
             yield placement
 
-    def _remote(self, peer: Member, request: Request) -> PeerReplica:
+    def _waits_here(self, request: Request) -> bool:
+        if not request.may_spill:
+            return request.may_wait
+        return self._spill.waits_here(request.plan.name, request.target)
+
+    def _peers(
+        self, request: Request, avoid: Collection[str]
+    ) -> tuple[Member | None, Member | None]:
+        """Return a peer that may have a free slot, else one to wait at, or neither."""
+        if not request.may_spill:
+            return None, None
+        plan, target = request.plan.name, request.target
+        peer = self._spill.choose(plan, target, exclude=avoid)
+        if peer is not None:
+            return peer, None
+        return None, self._spill.holder(plan, target, exclude=avoid)
+
+    def _remote(self, peer: Member, request: Request, *, wait: bool) -> PeerReplica:
         self._count(Counter.FORWARDED, request, "")
         plan, target = request.plan.name, request.target
         return PeerReplica(
@@ -259,6 +278,7 @@
             peer,
             plan,
             stream=request.stream,
+            wait=wait,
             on_refused=lambda: self._spill.refused(peer, plan, target),
         )
 
--- a/auburnproxy/serving/services.py
+++ b/auburnproxy/serving/services.py
@@ -23,7 +23,7 @@
 from ._labels import TARGET
 from .budget import Budgets
 from .forward import Forwarder
-from .intake import Headers, check, read_body, read_headers
+from .intake import Headers, check, may_wait, read_body, read_headers
 from .limits import Limits
 from .placement import LocalService
 from .spill import Spill
@@ -45,6 +45,8 @@
     call: PlainCall
     may_spill: bool
     """False for a call that was forwarded to this daemon."""
+    may_wait: bool = True
+    """Whether it may wait here for a slot."""
 
     @property
     def target(self) -> str:
@@ -140,7 +142,9 @@
             headers.idempotency_key,
             headers.deadline - now,
         )
-        answer = await self.run(Request(plan, grant, headers.deadline, call, False))
+        wait = may_wait(http.headers)
+        request = Request(plan, grant, headers.deadline, call, False, wait)
+        answer = await self.run(request)
         return web.Response(body=msgspec.msgpack.encode(answer))
 
     async def finished(self) -> None:
@@ -227,15 +231,25 @@
                 async with self._ticket(request, avoid, wait=False) as place:
                     return await use(place)
             with suppress(_NoSlotError):
-                return await self._elsewhere(request, peer)
+                return await self._elsewhere(request, peer, wait=False)
+        holder = self._spill.holder(plan, request.target) if request.may_spill else None
         try:
-            wait = request.may_spill
+            if holder is not None:
+                return await self._elsewhere(request, holder, wait=True)
+            wait = self._waits_here(request)
             async with self._ticket(request, avoid, wait=wait) as place:
                 return await use(place)
         except _NoSlotError as error:
             raise error.refusal from None
 
-    async def _elsewhere(self, request: Request, peer: Member) -> PlainAnswer:
+    def _waits_here(self, request: Request) -> bool:
+        if not request.may_spill:
+            return request.may_wait
+        return self._spill.waits_here(request.plan.name, request.target)
+
+    async def _elsewhere(
+        self, request: Request, peer: Member, *, wait: bool
+    ) -> PlainAnswer:
         """Return a peer's answer.
 
         :raises _NoSlotError: if the peer has not run it and is busy
@@ -244,7 +258,7 @@
         self._telemetry.count(Counter.FORWARDED, plan, request.target)
         call = request.call._replace(deadline_s=_remaining_s(request))
         try:
-            return await self._forwarder.call(peer, plan, service, call)
+            return await self._forwarder.call(peer, plan, service, call, wait=wait)
         except RefusalError as refusal:
             if refusal.ran is Ran.NO and refusal.status in BUSY:
                 self._spill.refused(peer, plan, request.target)
--- a/auburnproxy/serving/signature.py
+++ b/auburnproxy/serving/signature.py
@@ -22,6 +22,7 @@
     "X-Request-Id",
     "X-Resume-From",
     "X-Stream",
+    "X-Wait",
     "Idempotency-Key",
     "X-Issued-Ms",
 )
--- a/auburnproxy/serving/spill.py
+++ b/auburnproxy/serving/spill.py
@@ -45,6 +45,30 @@
             return near
         return self._probe(plan, target)
 
+    def waits_here(self, plan: str, target: str) -> bool:
+        """Return whether a call may wait here for a slot.
+
+        It waits in vain where this daemon has no share of the plan or of the
+        target and a near peer has: no slot here would ever come free for it.
+
+        :param plan: name of the caller's plan
+        :param target: kind and name of the target
+        """
+        return not self._peers.holders(plan, target)
+
+    def holder(
+        self, plan: str, target: str, *, exclude: Collection[str] = ()
+    ) -> Member | None:
+        """Return a near peer to wait at, None if there is none.
+
+        :param plan: name of the caller's plan
+        :param target: kind and name of the target
+        :param exclude: hosts and ids of peers that the call has failed on
+        """
+        holders = self._peers.holders(plan, target)
+        found = [member for member in holders if member.id not in exclude]
+        return found[next(self._turns) % len(found)] if found else None
+
     def refused(self, member: Member, plan: str, target: str) -> None:
         """Note that a peer refused a call.
 
--- a/features/fakes/serving.py
+++ b/features/fakes/serving.py
@@ -207,6 +207,10 @@
         self.near_by_id = {}
         self.far_by_domain = {}
         self.free_by_key = {}
+        self.holding = []
+
+    def holders(self, plan, target):
+        return self.holding
 
     def free_slots(self, key):
         return self.free_by_key.get(key, {})
--- a/features/spill.feature
+++ b/features/spill.feature
@@ -21,3 +21,12 @@
 
   Scenario: A call that failed elsewhere already is not used as a probe
     Then no peer is chosen for a call that has failed on b1
+
+  Scenario: A call that can't get a slot here waits at a peer that has shares
+    Given near peers a1 and a2 have shares and this daemon has none
+    Then a call waits at a1 or a2, not here
+    And a call that failed on a1 waits at a2
+    And a call that failed on both waits nowhere
+
+  Scenario: A call waits here where this daemon has shares
+    Then a call waits here
--- a/features/steps/spill.py
+++ b/features/steps/spill.py
@@ -78,3 +78,35 @@
 @then("no peer is chosen for a call that has failed on b1")
 def none_chosen(context):
     assert choose(context, 1, exclude=("b1@1",)) == [None]
+
+
+@given("near peers a1 and a2 have shares and this daemon has none")
+def give_shares(context):
+    context.peers.holding = list(context.peers.near_by_id.values())
+
+
+def holder(context, *failed):
+    return context.spill.holder(PLAN, TARGET, exclude=failed)
+
+
+@then("a call waits at a1 or a2, not here")
+def waits_near(context):
+    assert holder(context).name in ("a1", "a2")
+    assert not context.spill.waits_here(PLAN, TARGET)
+
+
+@then("a call that failed on a1 waits at a2")
+def waits_at_other(context):
+    assert holder(context, "a1@1").name == "a2"
+
+
+@then("a call that failed on both waits nowhere")
+def waits_nowhere(context):
+    assert holder(context, "a1@1", "a2@1") is None
+    assert not context.spill.waits_here(PLAN, TARGET)
+
+
+@then("a call waits here")
+def waits_here(context):
+    assert context.spill.waits_here(PLAN, TARGET)
+    assert holder(context) is None
