Let a call wait at a peer that had no free slot a moment ago

Cause: a peer that refused a call for want of a free slot was also ruled out as a place to wait; in a domain of two daemons that left none, and the call was refused. Refusals by peers use up no dispatch of a call either, since nothing ran.

--- a/auburnproxy/serving/forward.py
+++ b/auburnproxy/serving/forward.py
@@ -25,6 +25,7 @@
 from ._frames import FrameReader
 from .placement import ModelPlacement
 from .signature import HOP, ONE_HOP, SIGNATURE, Signer
+from .spill import waiting_at
 
 MODEL_PATH = "/forward/model"
 SERVICE_PATH = "/forward/service"
@@ -164,7 +165,7 @@
         wait: bool,
         on_refused: Callable[[], None],
     ) -> None:
-        self.host = member.id
+        self.host = waiting_at(member) if wait else member.id
         self._forwarder = forwarder
         self._member = member
         self._plan = plan
--- a/auburnproxy/serving/spill.py
+++ b/auburnproxy/serving/spill.py
@@ -13,6 +13,11 @@
 """Seconds for which a failure domain that refused a call is not probed again."""
 
 
+def waiting_at(member: Member) -> str:
+    """Return what stands for a peer that refused a call although it might wait."""
+    return f"waiting/{member.id}"
+
+
 class Spill:
     """Chooses a peer that has, or may have, a slot of the plan and of the target.
 
@@ -63,10 +68,11 @@
 
         :param plan: name of the caller's plan
         :param target: kind and name of the target
-        :param exclude: hosts and ids of peers that the call has failed on
+        :param exclude: what the call has failed on; a peer that had no free slot
+            may still be waited at, one that refused to let it wait may not
         """
         holders = self._peers.holders(plan, target)
-        found = [member for member in holders if member.id not in exclude]
+        found = [member for member in holders if waiting_at(member) not in exclude]
         return found[next(self._turns) % len(found)] if found else None
 
     def refused(self, member: Member, plan: str, target: str) -> None:
--- a/auburnproxy/serving/stream.py
+++ b/auburnproxy/serving/stream.py
@@ -89,15 +89,18 @@
 
         :raises RefusalError: if that can't be done; the caller must be told
         """
-        for attempt in range(1, self._limits.attempts + 1):
+        tries = 0
+        while True:
             try:
                 async with self._place(frozenset(self._avoid)) as placement:
                     await self._attempt(placement)
                 return
             except AttemptError as error:
                 log.info("Attempt of {} ended: {}", self._call.request_id, error.cause)
-                last = attempt == self._limits.attempts
-                if last or not (error.free or self._budget.spend()):
+                if error.free:
+                    continue
+                tries += 1
+                if tries == self._limits.attempts or not self._budget.spend():
                     raise self._given_up(error.cause) from error
             except RefusalError as refusal:
                 if self._may_have_run:
--- a/features/spill.feature
+++ b/features/spill.feature
@@ -25,8 +25,9 @@
   Scenario: A call that can't get a slot here waits at a peer that has shares
     Given near peers a1 and a2 have shares and this daemon has none
     Then a call waits at a1 or a2, not here
-    And a call that failed on a1 waits at a2
-    And a call that failed on both waits nowhere
+    And a call that found no free slot at a1 and a2 still waits at one of them
+    And a call that a1 let not wait waits at a2
+    And a call that both let not wait waits nowhere
 
   Scenario: A call waits here where this daemon has shares
     Then a call waits here
