--- a/bench/forward.py
+++ b/bench/forward.py
@@ -8,11 +8,9 @@
 from __future__ import annotations
 
 import asyncio
-import os
 import statistics
-import tempfile
+import time
 from collections.abc import Callable
-from pathlib import Path
 from typing import NamedTuple
 
 import defopt
@@ -22,20 +20,26 @@
 from rich.console import Console
 from rich.table import Table
 
-from standins.deployment import Deployment, ModelShape, PlanShape, Shape, lay_out
+from standins.deployment import Addresses, ModelShape, PlanShape, Shape
 from standins.load import PlanLoad
-from standins.processes import Processes, processes, until_listens
+from standins.processes import until_listens
+from standins.trial import Trial, trial
 
 MODEL = "quilt"
 KEY = "bench-key"
+CHAT_PATH = "/v1/chat/completions"
 MOST_CHUNK_COST = 1.3
 """Bound on the daemon's time for a chunk, as a multiple of the bare one's."""
 MOST_REQUEST_COST = 2.5
 MOST_FIRST_BYTE = 2.0
-LONG_TOKENS = 200
+LONG_TOKENS = 400
 SHORT_TOKENS = 1
 START_TIMEOUT_S = 15.0
 IDLE_S = 2.0
+CPU_CLOCK_SHIFT = 3
+"""Where the process id stands in the clock id of clock_getcpuclockid(3)."""
+CPU_CLOCK_SCHED = 2
+"""The clock of that process that counts in nanoseconds."""
 US_PER_S = 1_000_000
 MS_PER_S = 1000
 SHAPE = Shape(
@@ -48,8 +52,8 @@
     engine={
         "slots": 64,
         "cold_slots": 64,
-        "step_ms": 10.0,
-        "step_growth": 0.0,
+        "step_ms": 1.0,
+        "step_growth": 0.3,
         "prefill_steps": 0,
         "load_s": 0.05,
     },
@@ -84,11 +88,14 @@
 
 
 def cpu_s(pid: int | None) -> float:
-    """Return the processor time that a process has used, in seconds."""
+    """Return the processor time that a process has used, in seconds.
+
+    :param pid: the process, None for none at all
+    """
     if pid is None:
         return 0.0
-    fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
-    return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
+    clock = (~pid << CPU_CLOCK_SHIFT) | CPU_CLOCK_SCHED
+    return time.clock_gettime(clock)
 
 
 class Client:
@@ -100,18 +107,17 @@
 
     async def call(self, target: Target, tokens: int) -> float:
         """Return the time to the first byte of one whole answer, in seconds."""
-        loop = asyncio.get_running_loop()
         messages = [{"role": "user", "content": f"call {next(self._numbers)}"}]
         body = msgspec.json.encode(
             {"model": MODEL, "stream": True, "max_tokens": tokens, "messages": messages}
         )
         headers = {"Authorization": f"Bearer {KEY}", "Content-Type": "application/json"}
-        started, first, events = loop.time(), 0.0, 0
+        started, first, events = time.perf_counter(), 0.0, 0
         async with self._session.post(
             target.url, data=body, headers=headers
         ) as response:
             async for block in response.content.iter_any():
-                first = first or loop.time()
+                first = first or time.perf_counter()
                 events += block.count(b"\n\n")
         if events != tokens + 1:
             text = f"{target.name} gave {events} events, status {response.status}"
@@ -159,7 +165,7 @@
 
 
 def _cpu_per_call(rounds: list[Round]) -> float:
-    return sum(each.cpu_s for each in rounds) / sum(each.calls for each in rounds)
+    return statistics.median(each.cpu_s / each.calls for each in rounds)
 
 
 async def idle_rate(target: Target) -> float:
@@ -196,15 +202,26 @@
     measured.long.append(long)
 
 
-async def start(deployment: Deployment, running: Processes) -> list[Target]:
-    """Start everything and return the targets."""
-    domain = deployment.domains[0]
-    for name, module in (("platform", "platform"), (domain.name, "upstreams")):
-        settings = str(deployment.settings_file(name))
-        await running.start(name, f"standins.{module}", "--settings", settings)
-    await until_listens(deployment.log, timeout_s=START_TIMEOUT_S)
-    await until_listens(domain.control, timeout_s=START_TIMEOUT_S)
-    return []
+async def start(running: Trial) -> list[Target]:
+    """Start everything and return the targets.
+
+    :param running: the deployment
+    """
+    await running.start()
+    await running.apply()
+    await running.until_whole()
+    deployment = running.deployment
+    daemon, engine = deployment.daemons[0], deployment.domains[0].engine_addresses[0]
+    bare = Addresses().take()
+    arguments = ("--listen", bare, "--engine", engine)
+    passthrough = await running.processes.start("bare", "bench.passthrough", *arguments)
+    await until_listens(bare, timeout_s=START_TIMEOUT_S)
+    pid = running.processes.by_name[daemon.name].pid
+    return [
+        Target("direct", f"http://{engine}/generate", None),
+        Target("bare", f"http://{bare}{CHAT_PATH}", passthrough.pid),
+        Target("daemon", f"http://{daemon.callers}{CHAT_PATH}", pid),
+    ]
 
 
 def table(costs: dict[str, Cost]) -> Table:
@@ -231,15 +248,15 @@
 
 
 async def run(rounds: int) -> dict[str, Cost]:
-    """Measure in a deployment of its own and leave no process."""
-    with tempfile.TemporaryDirectory() as folder:
-        deployment = lay_out(SHAPE, Path(folder))
-        async with processes(Path(folder)) as running:
-            targets = await start(deployment, running)
-            return await measure(targets, rounds=rounds)
+    """Measure in a deployment of its own and leave no process.
+
+    :param rounds: rounds for each target
+    """
+    async with trial(SHAPE) as running:
+        return await measure(await start(running), rounds=rounds)
 
 
-def main(*, rounds: int = 3) -> None:
+def main(*, rounds: int = 5) -> None:
     """Measure and print.
 
     :param rounds: rounds for each target
--- a/features/steps/spill.py
+++ b/features/steps/spill.py
@@ -6,6 +6,7 @@
 
 from auburnproxy.membership import Member
 from auburnproxy.serving import Spill
+from auburnproxy.serving.spill import waiting_at
 from features.fakes.serving import FakePeers
 from features.machines.search import run_virtual
 
@@ -78,3 +79,41 @@
 @then("no peer is chosen for a call that has failed on b1")
 def none_chosen(context):
     assert choose(context, 1, exclude=("b1@1",)) == [None]
+
+
+@given("near peers a1 and a2 have shares and this daemon has none")
+def give_shares(context):
+    context.peers.holding = list(context.peers.near_by_id.values())
+
+
+def holder(context, *failed):
+    return context.spill.holder(PLAN, TARGET, exclude=failed)
+
+
+@then("a call waits at a1 or a2, not here")
+def waits_near(context):
+    assert holder(context).name in ("a1", "a2")
+    assert not context.spill.waits_here(PLAN, TARGET)
+
+
+@then("a call that found no free slot at a1 and a2 still waits at one of them")
+def still_waits(context):
+    assert holder(context, "a1@1", "a2@1").name in ("a1", "a2")
+
+
+@then("a call that a1 let not wait waits at a2")
+def waits_at_other(context):
+    assert holder(context, waiting_at(make_peer("a1"))).name == "a2"
+
+
+@then("a call that both let not wait waits nowhere")
+def waits_nowhere(context):
+    failed = [waiting_at(make_peer(name)) for name in ("a1", "a2")]
+    assert holder(context, *failed) is None
+    assert not context.spill.waits_here(PLAN, TARGET)
+
+
+@then("a call waits here")
+def waits_here(context):
+    assert context.spill.waits_here(PLAN, TARGET)
+    assert holder(context) is None
