Forget old ids in constant time, and replay a short log without waiting

Folding grew faster than the number of records past the window of known ids: the oldest key of a plain dict is found by walking over the keys deleted before it, so forgetting was quadratic; an OrderedDict finds it at once.

What nothing could break is gone: the relay is not cleared on a restore, a claim wants no checkpoint by itself, an older state needs no check of its own. A checkpoint whose writer died half way no longer counts as seen.

Breaks that the new scenarios are for: folding entries past a gap, a check that raises, showing an offset before the state is whole.

--- a/auburnproxy/journal/_relay.py
+++ b/auburnproxy/journal/_relay.py
@@ -23,7 +23,8 @@
     def add(self, offset: int, record: Record) -> None:
         """Keep an entry; a gap before it drops all that came earlier."""
         if offset != self._first + len(self._payloads):
-            self.clear()
+            self._payloads.clear()
+            self._bytes = 0
             self._first = offset
         payload = b"" if record is BLANK else encode_record(record)
         self._payloads.append(payload)
@@ -42,8 +43,3 @@
             Entry(offset + place, decode_record(payload))
             for place, payload in enumerate(chosen, start=1)
         )
-
-    def clear(self) -> None:
-        """Drop every entry."""
-        self._payloads.clear()
-        self._bytes = 0
--- a/auburnproxy/journal/_writer.py
+++ b/auburnproxy/journal/_writer.py
@@ -57,21 +57,17 @@
         self._wanted_since: float | None = None
 
     def saw_checkpoint(self, offset: int) -> None:
-        """Note the place of a part of an ordinary checkpoint in the log."""
+        """Note the place of the first part of a whole checkpoint in the log."""
         if offset > self._seen_at:
             self._seen_at = offset
             self._seen_since = asyncio.get_running_loop().time()
             self._wanted_since = None
 
-    def want(self) -> None:
-        """Note that a process needs a checkpoint at once."""
-        if self._wanted_since is None:
-            self._wanted_since = asyncio.get_running_loop().time()
-
     def saw_bounds(self, start: int, end: int) -> None:
         """Want a checkpoint once the newest one is in the older half of the log."""
-        if start > 1 and end - 1 > self._seen_at and self._seen_at < (start + end) // 2:
-            self.want()
+        old = start > 1 and self._seen_at < (start + end) // 2
+        if old and self._wanted_since is None:
+            self._wanted_since = asyncio.get_running_loop().time()
 
     async def run(self, current: Callable[[], bool]) -> None:
         """Write checkpoints until cancelled.
--- a/auburnproxy/journal/fold.py
+++ b/auburnproxy/journal/fold.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections import deque
+from collections import OrderedDict, deque
 from collections.abc import Iterable
 from typing import Any, NamedTuple
 
@@ -53,7 +53,7 @@
         self._window = window
         self._reducer_by_name = {reducer.name: reducer for reducer in reducers}
         self._versions: dict[str, int] = {}
-        self._outcome_by_id: dict[str, Outcome] = {}
+        self._outcome_by_id: OrderedDict[str, Outcome] = OrderedDict()
         prefixes = (r.transient_keys for r in self._reducer_by_name.values())
         self._transient = tuple(prefix for prefix in prefixes if prefix)
         self._fading: deque[tuple[int, str]] = deque()
@@ -117,7 +117,7 @@
             first = next(iter(self._outcome_by_id.values()))
             if first.offset >= oldest:
                 break
-            del self._outcome_by_id[first.id]
+            self._outcome_by_id.popitem(last=False)
         while self._fading and self._fading[0][0] < oldest:
             offset, key = self._fading.popleft()
             if self._versions.get(key) == offset:
@@ -134,7 +134,7 @@
         self.offset = snapshot.offset
         self.holes = list(snapshot.holes)
         self._versions = dict(snapshot.versions)
-        self._outcome_by_id = {o.id: o for o in snapshot.outcomes}
+        self._outcome_by_id = OrderedDict((o.id, o) for o in snapshot.outcomes)
         fading = (
             (version, key)
             for key, version in self._versions.items()
--- a/auburnproxy/journal/journal.py
+++ b/auburnproxy/journal/journal.py
@@ -174,12 +174,12 @@
         found = await self._recovery.search(page, ready=self._ready)
         if self._recovery.diverged:
             self._diverge()
-            return
-        if found is None or not self._follows(found.snapshot):
+        elif found is not None and self._follows(found.snapshot):
+            offset = found.snapshot.offset
+            log.info("The state of offset {} is taken from the log.", offset)
+            self._restore(found.snapshot)
+        elif self._gap:
             await asyncio.sleep(RETRY_S)
-            return
-        log.info("The state of offset {} is taken from the log.", found.snapshot.offset)
-        self._restore(found.snapshot)
 
     def _lost(self, error: PlatformError) -> None:
         if self._up:
@@ -211,10 +211,10 @@
         self._restorations.see(sighting)
         checkpoint = sighting.checkpoint
         if checkpoint is None:
-            self._writer.want()
             return True
         if not checkpoint.restores:
-            self._writer.saw_checkpoint(sighting.at)
+            if self._restorations.whole_at(checkpoint):
+                self._writer.saw_checkpoint(self._restorations.begun_at(checkpoint))
             return True
         if checkpoint.hole in self._fold.holes:
             return True
@@ -345,6 +345,5 @@
 
     def _restore(self, snapshot: Snapshot) -> None:
         self._fold.restore(snapshot)
-        self._relay.clear()
         self._ready = True
         self._notify()
--- a/auburnproxy/journal/restoration.py
+++ b/auburnproxy/journal/restoration.py
@@ -111,6 +111,11 @@
     def _between(self, first: int, last: int) -> Iterable[Sighting]:
         return (s for at, s in self._sighting_by_offset.items() if first <= at <= last)
 
+    def begun_at(self, checkpoint: CheckpointId) -> int:
+        """Return the offset of the first part of a checkpoint that was read."""
+        sightings = self._sighting_by_offset.values()
+        return min(s.at for s in sightings if s.checkpoint == checkpoint)
+
     def whole_at(self, checkpoint: CheckpointId) -> int:
         """Return the offset of the part that made a checkpoint whole, 0 if none."""
         first_by_rank: dict[int, int] = {}
--- a/features/journal.feature
+++ b/features/journal.feature
@@ -19,6 +19,21 @@
     When a copy of an accepted record lands more than a window later
     Then both processes have folded the record once
 
+  Scenario: Entries from a peer are folded only in order and without a gap
+    Given two processes on one log
+    When one of them is offered the first, the third and the second of 3 records
+    Then it has folded the first and the second
+
+  Scenario: A record with a malformed body is rejected and the next one folded
+    Given two processes on one log
+    When the log holds a malformed record, one of an unknown kind and a good one
+    Then both processes have folded the record once
+
+  Scenario: A process that had read half of the log takes the rest from a peer
+    Given two processes on one log
+    When one has read a long log and the other is cut off half way
+    Then the other becomes ready with the state of its peer
+
   Scenario Outline: Whether a restoration is valid follows from the log alone
     When the log holds <log>
     Then the valid restorations are <valid>
--- a/features/steps/journal.py
+++ b/features/steps/journal.py
@@ -11,12 +11,13 @@
 from auburnproxy.journal.restoration import Claim, Restorations, Sighting
 from features.fakes.log import FakeLog, LogPort
 from features.fakes.notes import Notes
-from features.machines.journal import JournalMachine
+from features.machines.journal import MALFORMED, UNKNOWN_KIND, JournalMachine
 from features.machines.search import run_virtual, search
 
 SETTLE_S = 20
 EXAMPLES = 25
 WINDOW = 20
+LONG_RECORDS = 1000
 LONG_S = 600
 STEPS = 30
 
@@ -118,6 +119,65 @@
     context.outcome = run_with(context, propose_and_copy())
 
 
+@when("one of them is offered the first, the third and the second of 3 records")
+def offer_out_of_order(context):
+    async def offer():
+        process = context.processes[0]
+        for at in (0, 2, 1):
+            record = Record(f"r{at}", "x", "notes.add", {"value": at}, {})
+            process.journal.offer([Entry(at + 1, record)])
+
+    run_virtual(offer())
+
+
+@then("it has folded the first and the second")
+def folded_two(context):
+    assert context.processes[0].notes.values == [(1, 0), (2, 1)]
+
+
+@when("the log holds a malformed record, one of an unknown kind and a good one")
+def hold_malformed(context):
+    async def propose():
+        first, _ = context.processes
+        first.port.log.take(MALFORMED)
+        first.port.log.take(UNKNOWN_KIND)
+        return await first.propose(1, {})
+
+    context.outcome = run_with(context, propose())
+
+
+@when("one has read a long log and the other is cut off half way")
+def cut_half_way(context):
+    first, second = context.processes
+    for _ in range(LONG_RECORDS):
+        first.port.log.take(b"other")
+
+    async def play():
+        task = asyncio.create_task(first.journal.run())
+        await first.propose(1, {})
+        second.port.latency_s = 1
+        other = asyncio.create_task(second.journal.run())
+        await asyncio.sleep(1.5)
+        second.port.cut = True
+        await asyncio.sleep(SETTLE_S)
+        assert not second.journal.ready
+        entries = first.journal.entries_after(second.journal.offset, LONG_RECORDS)
+        second.journal.offer(entries)
+        if not entries:
+            second.journal.adopt(first.journal.checkpoint())
+        assert not task.done() and not other.done()
+
+    run_virtual(play())
+
+
+@then("the other becomes ready with the state of its peer")
+def ready_with_state(context):
+    first, second = context.processes
+    assert second.journal.ready
+    assert second.journal.offset == first.journal.offset
+    assert second.notes.values == first.notes.values != []
+
+
 @when("the log holds {entries}")
 def hold(context, entries):
     context.restorations = Restorations()
