Poll for a silent peer, and ask again after an idle connection closed

A daemon polls its own part of the hosts and adopts its peers' reports; one that has no report of a host for 1 s polls it itself, so that a frozen peer takes no host's presence with it.

--- a/auburnproxy/upstreams/watcher.py
+++ b/auburnproxy/upstreams/watcher.py
@@ -9,7 +9,7 @@
 from loguru import logger
 from xxhash import xxh64_intdigest
 
-from ..errors import AuburnError, PlatformError, UpstreamError
+from ..errors import PlatformError, Ran, UpstreamError
 from ..platform import HostEntry, HostKind, HostList, Presence
 from .engine import Engine, EngineReport, EngineState
 from .observation import Observation, Result
@@ -26,6 +26,10 @@
 """Seconds that a poll may take."""
 FRESH_S = 2.0
 """Age in seconds at which a report no longer shows presence."""
+RELAY_GRACE_S = 1.0
+"""Age in seconds at which a host is polled here, whoever else should do it."""
+EJECTION_INTERVAL_S = 0.5
+"""Seconds between two comparisons of an upstream with its peers."""
 
 log = logger.bind(part="upstreams")
 
@@ -49,7 +53,7 @@
     :param failure_domain: the failure domain whose upstreams are watched
     :param is_out: whether operators have taken a failure domain and host out
     :param polls: whether this daemon polls a host itself; reports of the others
-        come through :meth:`adopt`
+        come through :meth:`adopt`, and a host that none came from is polled too
     """
 
     def __init__(
@@ -79,6 +83,8 @@
         self._warmth_by_host: dict[str, Warmth] = {}
         self._tasks_by_host: dict[str, asyncio.Task[None]] = {}
         self._stragglers = Stragglers()
+        self._ejected: frozenset[str] = frozenset()
+        self._compared_at = -EJECTION_INTERVAL_S
 
     async def run(self) -> None:
         """Watch until cancelled."""
@@ -98,8 +104,12 @@
     @property
     def ejected(self) -> frozenset[str]:
         """Return the hosts that are much slower than their peers."""
-        groups = {host: self._group(host) for host in self.entries_by_host}
-        return self._stragglers.ejected(groups, _now())
+        now = _now()
+        if now - self._compared_at >= EJECTION_INTERVAL_S:
+            groups = {host: self._group(host) for host in self.entries_by_host}
+            self._ejected = self._stragglers.ejected(groups, now)
+            self._compared_at = now
+        return self._ejected
 
     def report(self, host: str) -> EngineReport | None:
         """Return an engine's report if it is fresh."""
@@ -179,10 +189,9 @@
         return report.assignment.model
 
     def _fresh(self, host: str) -> Report | None:
-        sighting = self._sightings_by_host.get(host)
-        if sighting is None or host not in self.entries_by_host:
+        if host not in self.entries_by_host or not self._seen_within(host, FRESH_S):
             return None
-        return sighting.report if _now() - sighting.asked_at < FRESH_S else None
+        return self._sightings_by_host[host].report
 
     async def _read_list(self) -> None:
         try:
@@ -240,7 +249,7 @@
         await asyncio.sleep(REPORT_INTERVAL_S * _phase(host))
         while True:
             started = _now()
-            if self._polls(host):
+            if self._polls(host) or not self._seen_within(host, RELAY_GRACE_S):
                 await self._poll(host, upstream)
             await asyncio.sleep(max(0.0, started + REPORT_INTERVAL_S - _now()))
 
@@ -248,16 +257,20 @@
         asked_at = _now()
         try:
             async with asyncio.timeout(REPORT_TIMEOUT_S):
-                report = await upstream.report()
+                report = await _ask(upstream)
         except TimeoutError:
             return
         except UpstreamError:
             self._close(host)
-        except AuburnError as error:
-            log.warning("Poll of {} failed: {}.", host, error)
+        except Exception as error:
+            log.opt(exception=error).error("Poll of {} failed.", host)
         else:
             self._see(report, asked_at)
 
+    def _seen_within(self, host: str, age_s: float) -> bool:
+        sighting = self._sightings_by_host.get(host)
+        return sighting is not None and _now() - sighting.asked_at < age_s
+
     def _see(self, report: Report, asked_at: float) -> None:
         host = report.host
         known = self._sightings_by_host.get(host)
@@ -287,6 +300,16 @@
             self.changes.send()
 
 
+async def _ask(upstream: Engine | PlainService) -> Report:
+    """Return a report; a connection that closed while idle gets a second try."""
+    try:
+        return await upstream.report()
+    except UpstreamError as error:
+        if error.ran is Ran.NO:
+            raise
+    return await upstream.report()
+
+
 def _says_leaving(report: Report) -> bool:
     if isinstance(report, ServiceReport):
         return report.leaving
--- a/features/fakes/replicas.py
+++ b/features/fakes/replicas.py
@@ -24,6 +24,7 @@
     Policy,
     Readiness,
     Replicas,
+    custody_key,
 )
 from auburnproxy.upstreams import Observation, Result, Watcher
 from auburnproxy.upstreams.engine import (
@@ -52,7 +53,7 @@
         self.running, self.polled = asyncio.Event(), asyncio.Event()
         self.order_delay_s = 0.0
         self.duplicates = False
-        self.starts = 0
+        self.starts = self.polls = 0
         self.weights: set[str] = set()
         self.loads = 0
         self.first_token_s, self.delay_s = 0.1, 0.005
@@ -107,6 +108,7 @@
 
     async def report(self) -> EngineReport:
         await self._reach()
+        self.polls += 1
         self.polled.set()
         seen = self.publish()
         await asyncio.sleep(self.delay_s)
@@ -277,7 +279,7 @@
     """
 
     def __init__(self, platform, domain, wanted, *, marks, keys=None, policy=None):
-        self.keys = keys
+        self.keys, self.polls_all = keys, True
         self.store_part = 1.0
         self.replicas = Replicas()
         self.journal = FakeJournal(platform, self.replicas)
@@ -287,6 +289,7 @@
             lambda entry: None,
             failure_domain=domain,
             is_out=lambda domain, host: bool({domain, host} & marks),
+            polls=lambda host: self.polls_all or self.keeps(host),
         )
         self.readiness = Readiness(self.replicas, self.watcher)
         self.planner = Planner(
@@ -313,6 +316,10 @@
     def holds(self, key):
         return self.keys is None or key in self.keys
 
+    def keeps(self, host):
+        entry = self.watcher.entries_by_host[host]
+        return self.holds(custody_key(entry.failure_domain, entry.fabric_domain))
+
     def start(self):
         parts = [self.journal, self.watcher, self.planner, self.custodian]
         parts.append(self.downtime)
--- a/features/replicas.feature
+++ b/features/replicas.feature
@@ -31,6 +31,14 @@
       And 40 seconds pass
       Then at least 2 replicas of "m" serve
 
+    Scenario: Peers share their polls, and poll for a peer that falls silent
+      Given a second daemon, each polling one fabric domain and relaying reports
+      When 10 seconds pass
+      Then every host got under 3 polls a second and was present all the time
+      When the second daemon relays nothing more
+      And 10 seconds pass
+      Then every host was present all the time
+
   Rule: Under faults, against what the engines truly did
 
     @point1 @point2 @point4 @point8
--- a/features/steps/replicas.py
+++ b/features/steps/replicas.py
@@ -6,6 +6,7 @@
 from behave import given, then, when
 
 from auburnproxy.platform import ModelSpec
+from auburnproxy.replicas import custody_key
 from auburnproxy.upstreams import Observation, Result
 from features.fakes.replicas import FakeDaemon, FakePlatform
 from features.machines.replicas import MACHINES
@@ -42,7 +43,12 @@
 
 
 def stop(context):
-    run(context, context.daemon.stop())
+    for task in (*getattr(context, "relays", ()), getattr(context, "presence", None)):
+        if task is not None:
+            task.cancel()
+    for daemon in (context.daemon, getattr(context, "second", None)):
+        if daemon is not None:
+            run(context, daemon.stop())
     context.loop.close()
 
 
@@ -57,6 +63,63 @@
     return run(context, look())
 
 
+@given("a second daemon, each polling one fabric domain and relaying reports")
+def share_polls(context):
+    first = context.daemon
+    second = FakeDaemon(
+        context.platform, context.domain, context.wanted, marks=context.marks
+    )
+    for daemon, fabric in ((first, "f1"), (second, "f2")):
+        daemon.keys = {custody_key(context.domain, fabric)}
+        daemon.polls_all = False
+    context.second, context.absent = second, []
+    run(context, start_sharing(context))
+
+
+async def start_sharing(context):
+    context.second.start()
+    context.relays = [
+        asyncio.create_task(relay(context.second, context.daemon)),
+        asyncio.create_task(relay(context.daemon, context.second)),
+    ]
+    await asyncio.sleep(5)
+    context.presence = asyncio.create_task(watch_presence(context))
+    for engine in context.platform.engines_by_host.values():
+        engine.polls = 0
+
+
+async def relay(source, sink):
+    while True:
+        for report, age_s in source.watcher.own_reports().values():
+            sink.watcher.adopt(report, age_s=age_s + 0.01)
+        await asyncio.sleep(0.5)
+
+
+async def watch_presence(context):
+    while True:
+        for host in context.platform.entries_by_host:
+            if not context.daemon.watcher.present(host):
+                context.absent.append(host)
+        await asyncio.sleep(0.1)
+
+
+@when("the second daemon relays nothing more")
+def silence(context):
+    context.relays[0].cancel()
+
+
+@then("every host got under {rate:d} polls a second and was present all the time")
+def compare_polls(context, rate):
+    most = max(e.polls for e in context.platform.engines_by_host.values())
+    assert most < rate * 10, most
+    compare_present(context)
+
+
+@then("every host was present all the time")
+def compare_present(context):
+    assert not context.absent, context.absent
+
+
 @when("{seconds:d} seconds pass")
 def wait(context, seconds):
     run(context, asyncio.sleep(seconds))
