Repair replicas while the log is away, and record the repairs after

Cause: with the log away a broken replica waited for its host or for the log. Readiness takes the hosts of a replica from the reports where they differ from the record, since an engine plays one part at a time and its report names the addresses of all hosts.

--- a/auburnproxy/replicas/__init__.py
+++ b/auburnproxy/replicas/__init__.py
@@ -6,6 +6,7 @@
 from .placement import Placement, Policy, Want
 from .planner import Planner
 from .readiness import Readiness
+from .repairs import Repairs
 from .replica import Replica
 from .replicas import Replicas, host_key, replica_key
 
@@ -16,6 +17,7 @@
     "Planner",
     "Policy",
     "Readiness",
+    "Repairs",
     "Replica",
     "Replicas",
     "Want",
--- a/auburnproxy/replicas/assignment.py
+++ b/auburnproxy/replicas/assignment.py
@@ -5,7 +5,6 @@
 from ..upstreams import Watcher
 from ..upstreams.engine import Assignment
 from .replica import Replica
-from .replicas import Replicas
 
 
 def custody_key(failure_domain: str, fabric_domain: str) -> str:
@@ -13,35 +12,49 @@
     return f"fabric/{failure_domain}/{fabric_domain}"
 
 
-def assignment(replica: Replica, host: str, watcher: Watcher) -> Assignment | None:
-    """Return the part of a host in its replica.
+def assignments(replica: Replica, watcher: Watcher) -> dict[str, Assignment]:
+    """Return the part of each host of a replica.
 
-    :return: None as long as the address of one of the hosts is unknown
+    :return: nothing as long as the address of one of the hosts is unknown
     """
     entries = [watcher.entries_by_host.get(name) for name in replica.hosts]
     addresses = tuple(entry.address for entry in entries if entry is not None)
     if len(addresses) < len(replica.hosts):
-        return None
-    return Assignment(
-        replica=replica.name,
-        generation=replica.generation,
-        model=replica.model,
-        rank=replica.hosts.index(host),
-        addresses=addresses,
-    )
-
-
-def plays(part: Assignment | None, replica: Replica, rank: int) -> bool:
-    """Return whether a reported assignment is the recorded one."""
-    if part is None:
-        return False
-    reported = (part.replica, part.generation, part.model, part.rank)
-    return reported == (replica.name, replica.generation, replica.model, rank)
-
-
-def settled(replicas: Replicas, host: str, part: Assignment | None) -> bool:
-    """Return whether a host reports what the journal records for it."""
-    replica = replicas.by_host.get(host)
-    if replica is None:
-        return part is None
-    return plays(part, replica, replica.hosts.index(host))
+        return {}
+    name, generation, model = replica.name, replica.generation, replica.model
+    return {
+        host: Assignment(name, generation, model, rank, addresses)
+        for rank, host in enumerate(replica.hosts)
+    }
+
+
+def played(replica: Replica, watcher: Watcher) -> bool:
+    """Return whether every host freshly reports its part in a replica."""
+    parts = assignments(replica, watcher)
+    reports = ((watcher.report(host), part) for host, part in parts.items())
+    return bool(parts) and all(r and r.assignment == part for r, part in reports)
+
+
+def observed(replica: Replica, watcher: Watcher) -> Replica | None:
+    """Return a replica with the hosts that report to play it together, if any do.
+
+    They differ from the recorded ones where a host was replaced while the log
+    was away.
+    """
+    hosts_by_address = {
+        entry.address: host for host, entry in watcher.entries_by_host.items()
+    }
+    for addresses in _wirings(replica, watcher):
+        hosts = tuple(hosts_by_address.get(address, "") for address in addresses)
+        found = replica._replace(hosts=hosts)
+        if played(found, watcher):
+            return found
+    return None
+
+
+def _wirings(replica: Replica, watcher: Watcher) -> set[tuple[str, ...]]:
+    """Return the addresses that hosts report for a replica of this generation."""
+    reports = map(watcher.report, watcher.engines_by_host)
+    parts = [r.assignment for r in reports if r is not None and r.assignment]
+    name = (replica.name, replica.generation)
+    return {part.addresses for part in parts if (part.replica, part.generation) == name}
--- a/auburnproxy/replicas/custodian.py
+++ b/auburnproxy/replicas/custodian.py
@@ -3,20 +3,26 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
+from collections import Counter
+from collections.abc import Callable, Mapping
 
 from loguru import logger
 
 from ..errors import AuburnError, PlatformError
-from ..platform import HostKind, WeightStore
+from ..platform import WeightStore
 from ..upstreams import Watcher
-from ..upstreams.engine import EngineReport, Fence, Order
-from .assignment import assignment, custody_key, settled
+from ..upstreams.engine import Assignment, EngineReport, Fence, Order
+from .assignment import assignments, custody_key
 from .budget import Budget
+from .repairs import Repairs
 from .replicas import Replicas
 
 STEP_INTERVAL_S = 0.5
 """Longest time in seconds between two looks at the hosts."""
+START_S = 1.5
+"""Seconds in which every host is seen before the first order."""
+STEP_LEAST_S = 0.1
+"""Shortest time in seconds between two looks at the hosts."""
 ORDER_TIMEOUT_S = 2.0
 """Seconds that an order may take."""
 REPEAT_S = 3.0
@@ -34,6 +40,7 @@
     :param watcher: what is known of the hosts
     :param weights: the store that loads are served from
     :param holds: whether a custody key is held by this daemon
+    :param repairs: repairs that are not recorded yet
     :param fence_epoch: offset of the newest record that this custody rests on
     :param store_share: part of the weight store's rate that this daemon may use
     """
@@ -45,6 +52,7 @@
         weights: WeightStore,
         *,
         holds: Callable[[str], bool],
+        repairs: Repairs | None = None,
         fence_epoch: Callable[[], int] = lambda: 0,
         store_share: Callable[[int], float] = float,
     ) -> None:
@@ -52,6 +60,7 @@
         self._watcher = watcher
         self._weights = weights
         self._holds = holds
+        self._repairs = repairs or Repairs(replicas)
         self._fence_epoch = fence_epoch
         self._store_share = store_share
         self._budget = Budget()
@@ -70,9 +79,11 @@
     async def run(self) -> None:
         """Order until cancelled."""
         try:
+            await asyncio.sleep(START_S)
             while True:
                 await self._read_rate()
                 self.step()
+                await asyncio.sleep(STEP_LEAST_S)
                 await self._watcher.changes.wait(STEP_INTERVAL_S)
         finally:
             for task in self._orders_by_host.values():
@@ -81,62 +92,61 @@
     def step(self) -> None:
         """Start the orders that are due; each runs in a task of its own."""
         self._budget.set_rate(self._store_share(self._loads_per_minute), _now())
-        for host in self._due():
+        self._repairs.adopt(self._watcher, self._in_custody)
+        for host, part in self._due():
             report = self._watcher.report(host)
-            if report is None:
+            if report is None or self._is_repeat(host, part):
                 continue
-            order = self._order(host, report)
-            if order is not None and self._may_load(order, report):
-                self._start(host, order)
+            epoch = max(self._replicas.version, self._fence_epoch())
+            if report.fence.epoch <= epoch and self._may_load(part, report):
+                self._start(host, Order(self._next_fence(epoch, report.fence), part))
 
     def _key(self, host: str) -> str:
         entry = self._watcher.entries_by_host.get(host)
         fabric = entry.fabric_domain if entry else ""
         return custody_key(self._watcher.failure_domain, fabric)
 
-    def _due(self) -> list[str]:
+    def _in_custody(self, fabric_domain: str) -> bool:
+        return self._holds(custody_key(self._watcher.failure_domain, fabric_domain))
+
+    def _due(self) -> list[tuple[str, Assignment | None]]:
         """Return the hosts to order, those of nearly complete replicas first."""
         unsettled = {
-            entry.name: self._key(entry.name)
-            for entry in self._watcher.entries_by_host.values()
-            if entry.kind is HostKind.ENGINE and not self._settled(entry.name)
+            host: part
+            for host, part in self._parts().items()
+            if not self._settled(host, part)
         }
+        left = Counter(part.replica for part in unsettled.values() if part)
         due = [
-            host
-            for host, key in unsettled.items()
-            if host not in self._orders_by_host and self._holds(key)
+            (host, part)
+            for host, part in unsettled.items()
+            if host not in self._orders_by_host and self._holds(self._key(host))
         ]
-        return sorted(due, key=lambda host: self._urgency(host, unsettled))
-
-    def _settled(self, host: str) -> bool:
+        return sorted(due, key=lambda item: _urgency(item[1], left))
+
+    def _parts(self) -> dict[str, Assignment | None]:
+        """Return the part of each host, but for replicas with an unlisted host."""
+        parts: dict[str, Assignment | None] = dict.fromkeys(
+            self._watcher.engines_by_host
+        )
+        for replica in self._repairs.replicas():
+            for host in replica.hosts:
+                parts.pop(host, None)
+            parts |= assignments(replica, self._watcher)
+        return parts
+
+    def _settled(self, host: str, part: Assignment | None) -> bool:
         report = self._watcher.report(host)
         if report is None:
             return True
-        if not settled(self._replicas, host, report.assignment):
+        if report.assignment != part:
             return False
         self._repeat_at_by_host.pop(host, None)
         return True
 
-    def _urgency(self, host: str, unsettled: dict[str, str]) -> tuple[int, str, int]:
-        replica = self._replicas.by_host.get(host)
-        if replica is None:
-            return 0, "", 0
-        left = sum(other in unsettled for other in replica.hosts)
-        return left, replica.name, replica.hosts.index(host)
-
-    def _order(self, host: str, report: EngineReport) -> Order | None:
-        """Return the order that is due at a host, None if there is none yet."""
-        replica = self._replicas.by_host.get(host)
-        part = assignment(replica, host, self._watcher) if replica else None
-        if replica is not None and part is None:
-            return None
-        epoch = max(self._replicas.version, self._fence_epoch())
-        if report.fence.epoch > epoch:
-            return None
+    def _is_repeat(self, host: str, part: Assignment | None) -> bool:
         last, repeat_at = self._repeat_at_by_host.get(host, (None, 0.0))
-        if last is not None and last.assignment == part and _now() < repeat_at:
-            return None
-        return Order(self._next_fence(epoch, report.fence), part)
+        return last is not None and last.assignment == part and _now() < repeat_at
 
     def _next_fence(self, epoch: int, seen: Fence) -> Fence:
         counter = 0 if epoch > self._fence.epoch else self._fence.counter + 1
@@ -145,8 +155,7 @@
         self._fence = Fence(epoch, counter)
         return self._fence
 
-    def _may_load(self, order: Order, report: EngineReport) -> bool:
-        part = order.assignment
+    def _may_load(self, part: Assignment | None, report: EngineReport) -> bool:
         if part is None or part.model in report.weights:
             return True
         return self._budget.try_spend(self._cost_by_model.get(part.model, 1), _now())
@@ -183,5 +192,11 @@
         self._read_rate_at = _now()
 
 
+def _urgency(part: Assignment | None, left: Mapping[str, int]) -> tuple[int, str, int]:
+    if part is None:
+        return 0, "", 0
+    return left[part.replica], part.replica, part.rank
+
+
 def _now() -> float:
     return asyncio.get_running_loop().time()
--- a/auburnproxy/replicas/downtime.py
+++ b/auburnproxy/replicas/downtime.py
@@ -45,11 +45,7 @@
         """Return how many wanted replicas do not serve now."""
         if self._watcher.domain_out:
             return 0
-        serving = Counter(
-            replica.model
-            for replica in self._replicas.by_name.values()
-            if self._readiness.serves(replica)
-        )
+        serving = Counter(r.model for r in self._readiness.all_serving())
         lacking = (count - serving[model] for model, count in self._wanted().items())
         return sum(max(0, count) for count in lacking)
 
@@ -65,8 +61,7 @@
     @property
     def stranded_hosts(self) -> frozenset[str]:
         """Return the live engine hosts that are in no serving replica."""
-        replicas = self._replicas.by_name.values()
-        serving = [r for r in replicas if self._readiness.serves(r)]
+        serving = self._readiness.all_serving()
         return self.live_hosts - {host for r in serving for host in r.hosts}
 
     async def run(self) -> None:
--- a/auburnproxy/replicas/planner.py
+++ b/auburnproxy/replicas/planner.py
@@ -14,6 +14,8 @@
 from ..upstreams import Watcher
 from .assignment import custody_key
 from .placement import Candidate, Change, Placement, Policy, Want
+from .repairs import Repairs
+from .replica import Replica
 from .replicas import Kind, Replicas, host_key, replica_key
 
 STEP_INTERVAL_S = 1.0
@@ -24,6 +26,8 @@
 """Seconds that a proposal may take."""
 MISSING_GRACE_S = 3.0
 """Seconds that a host must be missing before it is replaced."""
+LOG_AWAY_S = 5.0
+"""Seconds without the log after which repairs are made before their record."""
 DRAIN_LEAST_S = 3.0
 """Seconds that a host which is to be left keeps its part at least."""
 DRAIN_MOST_S = 30.0
@@ -69,6 +73,7 @@
     :param weights: the models on offer
     :param wanted: replicas wanted in the failure domain, by model
     :param holds: whether a custody key is held by this daemon
+    :param repairs: takes the repairs that are made while the log is away
     :param demand: weight of each model where spare hosts are given out
     :param policy: how spare hosts are used
     """
@@ -82,6 +87,7 @@
         *,
         wanted: Callable[[], Mapping[str, int]],
         holds: Callable[[str], bool],
+        repairs: Repairs | None = None,
         demand: Callable[[], Mapping[str, float]] = dict,
         policy: Policy = Policy(),  # noqa: B008
     ) -> None:
@@ -91,11 +97,14 @@
         self._weights = weights
         self._wanted = wanted
         self._holds = holds
+        self._repairs = repairs or Repairs(replicas)
         self._demand = demand
         self._policy = policy
         self._hosts_by_model: dict[str, int] = {}
         self._read_models_at = -MODELS_INTERVAL_S
         self._unfit_since_by_host: dict[str, float] = {}
+        self._parts: Mapping[str, Replica] = {}
+        self._log_up_at = -LOG_AWAY_S
 
     async def run(self) -> None:
         """Plan until cancelled."""
@@ -106,11 +115,14 @@
     async def step(self) -> None:
         """Look once at the placement and propose what it lacks."""
         await self._read_models()
-        candidates = self._candidates()
-        if not self._journal.up or not self._hosts_by_model:
-            return
-        changes = self._choose(candidates)
-        await asyncio.gather(*(self._propose(c, i) for i, c in enumerate(changes)))
+        changes = self._choose(self._candidates()) if self._hosts_by_model else []
+        now = asyncio.get_running_loop().time()
+        if self._journal.up:
+            self._log_up_at = now
+            await self._record_repairs()
+            await asyncio.gather(*(self._propose(c, i) for i, c in enumerate(changes)))
+        elif now - self._log_up_at >= LOG_AWAY_S:
+            self._repair_unrecorded(changes)
 
     def wants(self) -> tuple[Want, ...]:
         """Return the wants for models that the weight store has, by name."""
@@ -122,17 +134,40 @@
         )
 
     def _choose(self, candidates: list[Candidate]) -> list[Change]:
+        placement = Placement(candidates, self._own(), self.wants(), self._policy)
+        return [c for c in placement.changes() if self._in_custody(c.fabric_domain)]
+
+    def _own(self) -> list[Replica]:
+        """Return the replicas of the failure domain with their newest hosts."""
         domain = self._watcher.failure_domain
-        replicas = [
-            replica
-            for replica in self._replicas.by_name.values()
-            if replica.failure_domain == domain
-        ]
-        placement = Placement(candidates, replicas, self.wants(), self._policy)
-        changes = placement.changes()
-        return [c for c in changes if self._holds(custody_key(domain, c.fabric_domain))]
+        return [r for r in self._repairs.replicas() if r.failure_domain == domain]
+
+    def _in_custody(self, fabric_domain: str) -> bool:
+        return self._holds(custody_key(self._watcher.failure_domain, fabric_domain))
+
+    def _repair_unrecorded(self, changes: list[Change]) -> None:
+        by_name = self._replicas.by_name
+        for change in changes:
+            if change.kind is Kind.REPAIR:
+                log.info("Replica {} is repaired without the log.", change.replica)
+                repaired = by_name[change.replica]._replace(hosts=change.hosts)
+                self._repairs.add(repaired)
+
+    async def _record_repairs(self) -> None:
+        for repaired in self._repairs.unrecorded:
+            if not self._in_custody(repaired.fabric_domain):
+                continue
+            change = Change(
+                Kind.REPAIR,
+                repaired.name,
+                repaired.model,
+                repaired.fabric_domain,
+                repaired.hosts,
+            )
+            await self._propose(change, 0, keeps=repaired.generation)
 
     def _candidates(self) -> list[Candidate]:
+        self._parts = self._repairs.by_host()
         return [
             self._candidate(entry)
             for entry in self._watcher.entries_by_host.values()
@@ -146,7 +181,7 @@
         available = self._fit(host)
         if available:
             self._unfit_since_by_host.pop(host, None)
-        elif host in self._replicas.by_host:
+        elif host in self._parts:
             available = self._kept(host)
         return Candidate(host, entry.fabric_domain, available, weights)
 
@@ -161,7 +196,7 @@
         for_s = now - self._unfit_since_by_host.setdefault(host, now)
         if not self._watcher.present(host):
             return for_s < MISSING_GRACE_S
-        head = self._watcher.report(self._replicas.by_host[host].head)
+        head = self._watcher.report(self._parts[host].head)
         busy = head is not None and head.in_flight + head.queued > 0
         return for_s < (DRAIN_MOST_S if busy else DRAIN_LEAST_S)
 
@@ -177,14 +212,17 @@
         self._hosts_by_model = {m.name: m.hosts_per_replica for m in models}
         self._read_models_at = now
 
-    async def _propose(self, change: Change, index: int) -> None:
+    async def _propose(self, change: Change, index: int, *, keeps: int = 0) -> None:
         name = change.replica or self._new_name(change, index)
         keys = [replica_key(name), *map(host_key, self._touched(change))]
         expects = {key: self._journal.version(key) for key in keys}
         try:
             outcome = await self._journal.propose(
                 change.kind,
-                self._body(change, name),
+                {
+                    **self._body(change, name),
+                    **({"generation": keeps} if keeps else {}),
+                },
                 expects=expects,
                 timeout_s=PROPOSE_TIMEOUT_S,
             )
--- a/auburnproxy/replicas/readiness.py
+++ b/auburnproxy/replicas/readiness.py
@@ -3,15 +3,18 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Iterable
 
 from ..upstreams import Watcher
 from ..upstreams.engine import EngineState
-from .assignment import plays
+from .assignment import observed, played
 from .replica import Replica
 from .replicas import Replicas
 
 CHECK_INTERVAL_S = 0.25
 """Seconds between two checks of a replica that calls run on."""
+READY_STATES = (EngineState.READY, EngineState.LEAVING)
+"""States of an engine that finishes its calls."""
 
 
 class Readiness:
@@ -28,28 +31,42 @@
 
     def serving(self, model: str) -> tuple[Replica, ...]:
         """Return the replicas of a model that may get new work."""
-        return tuple(
-            replica
-            for replica in self._replicas.by_name.values()
-            if replica.model == model and self.serves(replica)
-        )
+        recorded = self._replicas.by_name.values()
+        return self._serving(replica for replica in recorded if replica.model == model)
+
+    def all_serving(self) -> tuple[Replica, ...]:
+        """Return the replicas of every model that may get new work."""
+        return self._serving(self._replicas.by_name.values())
 
     def serves(self, replica: Replica) -> bool:
         """Return whether a replica is whole and none of its hosts is to be left."""
-        if not self.whole(replica):
+        if not all(self._watcher.usable(host) for host in replica.hosts):
             return False
-        return all(self._watcher.usable(host) for host in replica.hosts)
+        return self.whole(replica)
 
     def whole(self, replica: Replica) -> bool:
-        """Return whether every host freshly reports this replica and generation.
+        """Return whether every host freshly reports this replica and its hosts.
 
         A whole replica finishes its calls in flight, also when it is left.
         """
-        if self._replicas.by_name.get(replica.name) != replica:
+        recorded = self._replicas.by_name.get(replica.name)
+        if recorded is None or recorded.generation != replica.generation:
+            return False
+        if recorded.hosts != replica.hosts and not self._replicas.free_for(replica):
+            return False
+        if not all(map(self._ready, replica.hosts)):
             return False
-        return all(
-            self._plays(replica, host, rank) for rank, host in enumerate(replica.hosts)
-        )
+        return played(replica, self._watcher)
+
+    def _serving(self, recorded: Iterable[Replica]) -> tuple[Replica, ...]:
+        found = (self._as_played(replica) for replica in recorded)
+        return tuple(replica for replica in found if replica and self.serves(replica))
+
+    def _as_played(self, recorded: Replica) -> Replica | None:
+        """Return a replica with the hosts that play it now, None if none do."""
+        if self.whole(recorded):
+            return recorded
+        return observed(recorded, self._watcher)
 
     async def lost(self, replica: Replica) -> None:
         """Wait until a replica is not whole any more; then its calls are cut."""
@@ -71,8 +88,6 @@
         reports = [self._watcher.report(host) for host in replica.hosts]
         return tuple(report.incarnation for report in reports if report)
 
-    def _plays(self, replica: Replica, host: str, rank: int) -> bool:
+    def _ready(self, host: str) -> bool:
         report = self._watcher.report(host)
-        if report is None or not plays(report.assignment, replica, rank):
-            return False
-        return report.state in (EngineState.READY, EngineState.LEAVING)
+        return report is not None and report.state in READY_STATES
--- a/auburnproxy/replicas/replicas.py
+++ b/auburnproxy/replicas/replicas.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Mapping
 from enum import StrEnum
-from typing import Any, ClassVar, TypedDict
+from typing import Any, ClassVar, NotRequired, TypedDict
 
 from ..journal import Entry, Reducer
 from .replica import Replica
@@ -26,6 +26,7 @@
     EXISTS = "replica_exists"
     TAKEN = "host_taken"
     ELSEWHERE = "other_fabric_domain"
+    STALE = "stale_generation"
 
 
 class FormBody(TypedDict):
@@ -44,6 +45,8 @@
     replica: str
     fabric_domain: str
     hosts: list[str]
+    generation: NotRequired[int]
+    """Generation that is kept, of a repair that was made before its record."""
 
 
 class DissolveBody(TypedDict):
@@ -86,6 +89,8 @@
             return ""
         if body["fabric_domain"] != known.fabric_domain:
             return Rejection.ELSEWHERE
+        if body.get("generation", known.generation) != known.generation:
+            return Rejection.STALE
         return self._check_free(body["hosts"], known.name)
 
     def apply(self, entry: Entry) -> None:
@@ -101,7 +106,8 @@
         if kind == Kind.FORM:
             self._add(_formed(entry))
         elif known is not None:
-            self._add(known._replace(generation=entry.offset, hosts=hosts))
+            generation = body.get("generation", entry.offset)
+            self._add(known._replace(generation=generation, hosts=hosts))
 
     def snapshot(self) -> Any:
         """Return the state as plain values."""
@@ -118,6 +124,11 @@
             replica = Replica(*values)
             self._add(replica._replace(hosts=tuple(replica.hosts)))
 
+    def free_for(self, replica: Replica) -> bool:
+        """Return whether no host of a replica is recorded in another one."""
+        holders = (self.by_host.get(host) for host in replica.hosts)
+        return all(holder is None or holder.name == replica.name for holder in holders)
+
     def _check_free(self, hosts: list[str], own: str) -> str:
         for host in hosts:
             holder = self.by_host.get(host)
--- a/auburnproxy/upstreams/watcher.py
+++ b/auburnproxy/upstreams/watcher.py
@@ -279,7 +279,7 @@
             return
         self._sightings_by_host[host] = Sighting(report, asked_at)
         self._warm(report, asked_at)
-        if known is None or known.report != report:
+        if known is None or _part(known.report) != _part(report):
             self.changes.send()
 
     def _warm(self, report: Report, now: float) -> None:
@@ -310,6 +310,13 @@
     return await upstream.report()
 
 
+def _part(report: Report) -> tuple[object, ...]:
+    """Return what a report says beside the load, which changes all the time."""
+    if isinstance(report, ServiceReport):
+        return report.incarnation, report.leaving
+    return report.incarnation, report.state, report.assignment
+
+
 def _says_leaving(report: Report) -> bool:
     if isinstance(report, ServiceReport):
         return report.leaving
--- a/features/fakes/replicas.py
+++ b/features/fakes/replicas.py
@@ -23,6 +23,7 @@
     Planner,
     Policy,
     Readiness,
+    Repairs,
     Replicas,
     custody_key,
 )
@@ -292,6 +293,7 @@
             polls=lambda host: self.polls_all or self.keeps(host),
         )
         self.readiness = Readiness(self.replicas, self.watcher)
+        self.repairs = Repairs(self.replicas)
         self.planner = Planner(
             self.replicas,
             self.journal,
@@ -299,6 +301,7 @@
             platform,
             wanted=lambda: wanted,
             holds=self.holds,
+            repairs=self.repairs,
             policy=policy or Policy(),
         )
         self.custodian = Custodian(
@@ -306,6 +309,7 @@
             self.watcher,
             platform,
             holds=self.holds,
+            repairs=self.repairs,
             store_share=lambda rate: rate * self.store_part,
         )
         self.downtime = Downtime(
--- a/features/machines/replicas.py
+++ b/features/machines/replicas.py
@@ -50,7 +50,7 @@
             FakeDaemon(self.platform, DOMAIN, self.wanted, marks=self.marks, keys=held)
             for held in keys
         ]
-        self.true_at: dict[tuple[str, str, int, int], float] = {}
+        self.true_at: dict[tuple[str, int, int, tuple[str, ...]], float] = {}
         self.marked_at: dict[str, float] = {}
         self.listed_at: dict[str, float] = {}
         self.left_at: dict[str, float] = {}
@@ -257,7 +257,8 @@
             ready = (EngineState.READY, EngineState.LEAVING)
             if up and engine.part and engine.state in ready:
                 part = engine.part
-                key = (engine.entry.name, part.replica, part.generation, part.rank)
+                addresses = part.addresses
+                key = (part.replica, part.generation, part.rank, addresses)
                 self.true_at[key] = self.now
 
     def check(self):
@@ -282,8 +283,10 @@
             self.streams[task] = replica
 
     def check_whole(self, replica):
+        entries = self.platform.entries_by_host
+        addresses = tuple(entries[host].address for host in replica.hosts)
         for rank, host in enumerate(replica.hosts):
-            key = (host, replica.name, replica.generation, rank)
+            key = (replica.name, replica.generation, rank, addresses)
             seen_at = self.true_at.get(key, -NOTICE_S)
             assert self.now - seen_at < NOTICE_S, f"point1: {host} missing in {replica}"
             down_at = self.down_at.get(host, self.now)
--- a/features/replicas.feature
+++ b/features/replicas.feature
@@ -19,6 +19,19 @@
       When 40 seconds pass
       Then the replica serves again with one host changed
 
+    Scenario: A host lost while the log is away is replaced, and recorded later
+      When 40 seconds pass
+      And the log goes away
+      And 6 seconds pass
+      And a host of a serving replica dies
+      And 40 seconds pass
+      Then the replica serves again with one host changed
+      When another daemon takes over
+      And 5 seconds pass
+      And the log comes back
+      And 5 seconds pass
+      Then the journal has these hosts and none of them was started again
+
     Scenario: A poll from before a closed connection shows no presence
       When 40 seconds pass
       And a call finds a connection closed while a poll is under way
--- a/features/steps/replicas.py
+++ b/features/steps/replicas.py
@@ -172,6 +172,31 @@
     assert run(context, look()) == (False, True)
 
 
+@when("the log {moves} away")
+@when("the log {moves} back")
+def switch_log(context, moves):
+    context.platform.log_up = moves == "comes"
+
+
+@when("another daemon takes over")
+def take_over(context):
+    run(context, context.daemon.stop())
+    context.daemon = FakeDaemon(
+        context.platform, context.domain, context.wanted, marks=context.marks
+    )
+    context.daemon.journal.fold()
+    run(context, start(context.daemon))
+
+
+@then("the journal has these hosts and none of them was started again")
+def compare_record(context):
+    repaired = {r.name: r for r in serving(context)}[context.replica.name]
+    assert context.daemon.replicas.by_name[repaired.name] == repaired
+    assert repaired.generation == context.replica.generation
+    engines = [context.platform.engines_by_host[host] for host in repaired.hosts]
+    assert [e.ready_at for e in engines] == context.ready_at
+
+
 @then('at least {count:d} replicas of "{model}" serve')
 def compare_count(context, count, model):
     assert len(serving(context)) >= count, serving(context)
@@ -193,6 +218,8 @@
     hosts = by_name[context.replica.name].hosts
     assert len(set(hosts) - set(context.replica.hosts)) == 1, hosts
     assert context.host not in hosts
+    engines = [context.platform.engines_by_host[host] for host in hosts]
+    context.ready_at = [engine.ready_at for engine in engines]
 
 
 @then('"{name}" finds no violation in {examples:d} runs of {steps:d} steps')
