Fill with the larger model first where surpluses are equal

Cause: spare hosts went by the number of replicas, so a model over many hosts, which loses a host oftenest, could be without a surplus.

--- a/auburnproxy/daemon/daemon.py
+++ b/auburnproxy/daemon/daemon.py
@@ -14,7 +14,7 @@
 from ..membership import Epoch, Member, Membership, Roster
 from ..platform.http import connect_hosts, connect_log, connect_weights
 from ..quotas import Gates, custodian, holds, share
-from ..replicas import Custodian, Downtime, Planner, Readiness, Replicas
+from ..replicas import Custodian, Downtime, Planner, Readiness, Repairs, Replicas
 from ..routing import Router
 from ..serving import Face, Limits, Spill
 from ..telemetry import Telemetry, part
@@ -107,6 +107,7 @@
         )
         offers = Offers(self.gates, self.configuration, self.readiness, self.watcher)
         self.membership.attach(offers)
+        repairs = Repairs(self.replicas)
         self.planner = Planner(
             self.replicas,
             self.journal,
@@ -114,6 +115,7 @@
             self.weights,
             wanted=self.wants.replicas,
             holds=self._holds,
+            repairs=repairs,
             demand=self.wants.demand,
         )
         self.custodian = Custodian(
@@ -121,6 +123,7 @@
             self.watcher,
             self.weights,
             holds=self._holds,
+            repairs=repairs,
             fence_epoch=lambda: self.membership.view.epoch,
             store_share=self._store_share,
         )
--- a/auburnproxy/replicas/placement.py
+++ b/auburnproxy/replicas/placement.py
@@ -238,8 +238,13 @@
             else:
                 return
 
-    def _saturation(self, want: Want) -> tuple[float, str]:
-        return self._whole_by_model[want.model] / want.demand, want.model
+    def _saturation(self, want: Want) -> tuple[float, int, str]:
+        """Return the order in which models get spare hosts, the least first.
+
+        Between equals the model over more hosts is first: it loses one oftener.
+        """
+        surplus = self._whole_by_model[want.model] - want.replicas
+        return surplus / want.demand, -want.hosts, want.model
 
 
 def _take(idle: list[Candidate], count: int, model: str) -> list[str]:
--- a/bench/replicas.py
+++ b/bench/replicas.py
@@ -181,22 +181,28 @@
         return run_virtual(bed.measure(lambda: FAULTS[fault](bed)))
 
 
-def compare(*, seeds: int = 4, workers: int = 3, fault: str = "") -> None:
+def compare(
+    *,
+    seeds: int = 6,
+    workers: int = 3,
+    faults: tuple[str, ...] = tuple(FAULTS),
+    policies: tuple[str, ...] = tuple(POLICIES),
+) -> None:
     """Compare the policies.
 
     :param seeds: number of seeds, from 1
     :param workers: processes to run at once
-    :param fault: the only fault to run
+    :param faults: names of the faults to run
+    :param policies: names of the policies to run
     """
-    faults = [fault] if fault else list(FAULTS)
-    jobs = list(product(faults, POLICIES, range(1, seeds + 1)))
+    jobs = list(product(faults, policies, range(1, seeds + 1)))
     with ProcessPoolExecutor(workers) as pool:
         costs = dict(zip(jobs, pool.map(run_one, jobs), strict=True))
     for name in faults:
         table = Table(title=f"{name}, mean of {seeds} seeds, {RUN_S:g} s")
         for column in ("policy", "downtime, s", "worst, s", "stranded", "loads"):
             table.add_column(column, justify="right")
-        for policy in POLICIES:
+        for policy in policies:
             runs = [costs[name, policy, seed] for seed in range(1, seeds + 1)]
             downtimes = [run.downtime_s for run in runs]
             table.add_row(
--- a/features/fakes/replicas.py
+++ b/features/fakes/replicas.py
@@ -300,6 +300,7 @@
             self.watcher,
             platform,
             wanted=lambda: wanted,
+            demand=lambda: wanted,
             holds=self.holds,
             repairs=self.repairs,
             policy=policy or Policy(),
