Fill every host by default, and trade a replica for two lasting gaps

Cause: a spare in each fabric domain strands 8 to 10 in 100 accelerators all the time, while a surplus replica covers a loss at once and gives its hosts where one is needed.

--- a/auburnproxy/replicas/placement.py
+++ b/auburnproxy/replicas/placement.py
@@ -9,6 +9,9 @@
 from .replica import Replica
 from .replicas import Kind
 
+PATIENCE_S = 60.0
+"""Seconds that a replica waits for a host before other replicas make up for it."""
+
 
 class Candidate(NamedTuple):
     """A host as the choice sees it."""
@@ -19,6 +22,8 @@
     """Whether it is present and neither leaving nor marked."""
     weights: tuple[str, ...] = ()
     """Models whose weights it holds."""
+    away_s: float = 0.0
+    """Seconds for which it has been unavailable."""
 
 
 class Want(NamedTuple):
@@ -36,7 +41,7 @@
 class Policy(NamedTuple):
     """How spare hosts are used."""
 
-    spares: int = 1
+    spares: int = 0
     """Hosts that each fabric domain keeps for repairs."""
     fill: bool = True
     """Whether further hosts are given to extra replicas."""
@@ -115,6 +120,9 @@
     def _lacks(self, model: str) -> bool:
         return self._whole_by_model[model] < self._wanted(model)
 
+    def _gaps(self, want: Want) -> int:
+        return want.replicas - self._whole_by_model[want.model]
+
     def _surplus(self, replica: Replica) -> bool:
         if not self._whole(replica):
             return not self._lacks(replica.model)
@@ -184,11 +192,12 @@
         return self._lacks(replica.model) and self._surplus(donor)
 
     def _form_wanted(self) -> None:
-        for want in self._wants:
+        for want in sorted(self._wants, key=self._gaps, reverse=True):
             while self._lacks(want.model):
                 fabric = self._roomiest(want, keep=0)
                 if fabric is None:
-                    self._free_fabric(want)
+                    if not self._free_fabric(want):
+                        self._trade(want)
                     break
                 self._form(want, fabric)
 
@@ -216,7 +225,7 @@
         self._changes.append(Change(Kind.FORM, "", want.model, fabric, hosts))
         self._whole_by_model[want.model] += 1
 
-    def _free_fabric(self, want: Want) -> None:
+    def _free_fabric(self, want: Want) -> bool:
         """Dissolve a surplus replica whose hosts make room for a wanted one."""
         for replica in self._replicas:
             idle = len(self._idle_by_fabric.get(replica.fabric_domain, []))
@@ -224,9 +233,34 @@
             if replica.name in self._dissolved or not self._surplus(replica):
                 continue
             if replica.model != want.model and idle + gain >= want.hosts:
+                self._dissolve(replica)
+                return True
+        return False
+
+    def _trade(self, want: Want) -> None:
+        """Give a wanted replica's hosts to several lasting gaps of another model.
+
+        A model's last whole replica is never given.
+        """
+        gaps = self._gaps(want)
+        broken = [r for r in self._replicas if r.model == want.model]
+        if not all(self._whole(r) or self._waits_in_vain(r) for r in broken):
+            return
+        for replica in self._replicas:
+            if replica.name in self._dissolved or not self._whole(replica):
+                continue
+            if replica.model == want.model or self._whole_by_model[replica.model] < 2:
+                continue
+            idle = len(self._idle_by_fabric.get(replica.fabric_domain, []))
+            if min(gaps, (idle + len(replica.hosts)) // want.hosts) >= 2:
                 self._dissolve(replica)
                 return
 
+    def _waits_in_vain(self, replica: Replica) -> bool:
+        candidates = map(self._by_name.get, self._missing_by_replica[replica.name])
+        away_s = [c.away_s if c else PATIENCE_S for c in candidates]
+        return max(away_s, default=0.0) >= PATIENCE_S
+
     def _fill(self) -> None:
         while True:
             wants = sorted(self._wants, key=self._saturation)
--- a/auburnproxy/replicas/planner.py
+++ b/auburnproxy/replicas/planner.py
@@ -181,9 +181,11 @@
         available = self._fit(host)
         if available:
             self._unfit_since_by_host.pop(host, None)
-        elif host in self._parts:
+        else:
             available = self._kept(host)
-        return Candidate(host, entry.fabric_domain, available, weights)
+        return Candidate(
+            host, entry.fabric_domain, available, weights, self._unfit_s(host)
+        )
 
     def _fit(self, host: str) -> bool:
         watcher = self._watcher
@@ -192,13 +194,19 @@
 
     def _kept(self, host: str) -> bool:
         """Return whether a host that is missing or to be left keeps its part yet."""
-        now = asyncio.get_running_loop().time()
-        for_s = now - self._unfit_since_by_host.setdefault(host, now)
+        self._unfit_since_by_host.setdefault(host, asyncio.get_running_loop().time())
+        replica = self._parts.get(host)
+        if replica is None:
+            return False
         if not self._watcher.present(host):
-            return for_s < MISSING_GRACE_S
-        head = self._watcher.report(self._parts[host].head)
+            return self._unfit_s(host) < MISSING_GRACE_S
+        head = self._watcher.report(replica.head)
         busy = head is not None and head.in_flight + head.queued > 0
-        return for_s < (DRAIN_MOST_S if busy else DRAIN_LEAST_S)
+        return self._unfit_s(host) < (DRAIN_MOST_S if busy else DRAIN_LEAST_S)
+
+    def _unfit_s(self, host: str) -> float:
+        now = asyncio.get_running_loop().time()
+        return now - self._unfit_since_by_host.get(host, now)
 
     async def _read_models(self) -> None:
         now = asyncio.get_running_loop().time()
--- a/bench/replicas.py
+++ b/bench/replicas.py
@@ -36,6 +36,8 @@
 RUN_S = 1800.0
 HOST_LOSS_EVERY_S = 150.0
 HOST_AWAY_S = (20.0, 600.0)
+RESTART_EVERY_S = 60.0
+RESTART_AWAY_S = (3.0, 20.0)
 FABRIC_AWAY_S = 600.0
 DOMAIN_OUT_S = 600.0
 LOG_AWAY_S = 600.0
@@ -104,6 +106,15 @@
             loss = self.lose(host, away_s, keeps_weights=keeps)
             self.tasks.append(asyncio.create_task(loss))
 
+    async def restarts(self) -> None:
+        """Restart one host after another; they keep their weights."""
+        while True:
+            await asyncio.sleep(self.chance.expovariate(1 / RESTART_EVERY_S))
+            host = self.chance.choice(sorted(self.platform.engines_by_host))
+            away_s = self.chance.uniform(*RESTART_AWAY_S)
+            loss = self.lose(host, away_s, keeps_weights=True)
+            self.tasks.append(asyncio.create_task(loss))
+
     async def fabric_loss(self) -> None:
         """Lose a whole fabric domain once."""
         fabric = self.chance.choice(sorted(FABRICS))
@@ -156,6 +167,7 @@
 
 FAULTS = {
     "host losses": Bed.host_losses,
+    "restarts": Bed.restarts,
     "fabric domain dark": Bed.fabric_loss,
     "domain out and back": Bed.out_and_back,
     "log away": Bed.log_away,
--- a/features/steps/replicas.py
+++ b/features/steps/replicas.py
@@ -6,7 +6,7 @@
 from behave import given, then, when
 
 from auburnproxy.platform import ModelSpec
-from auburnproxy.replicas import custody_key
+from auburnproxy.replicas import Policy, custody_key
 from auburnproxy.upstreams import Observation, Result
 from features.fakes.replicas import FakeDaemon, FakePlatform
 from features.machines.replicas import MACHINES
@@ -28,12 +28,20 @@
     context.model = model
     context.wanted[model] = count
     context.platform.specs += (ModelSpec(model, "1", hosts),)
-    context.daemon = FakeDaemon(
-        context.platform, context.domain, context.wanted, marks=context.marks
-    )
+    context.daemon = make_daemon(context)
     run(context, start(context.daemon))
 
 
+def make_daemon(context):
+    return FakeDaemon(
+        context.platform,
+        context.domain,
+        context.wanted,
+        marks=context.marks,
+        policy=Policy(spares=1),
+    )
+
+
 async def start(daemon):
     daemon.start()
 
@@ -66,9 +74,7 @@
 @given("a second daemon, each polling one fabric domain and relaying reports")
 def share_polls(context):
     first = context.daemon
-    second = FakeDaemon(
-        context.platform, context.domain, context.wanted, marks=context.marks
-    )
+    second = make_daemon(context)
     for daemon, fabric in ((first, "f1"), (second, "f2")):
         daemon.keys = {custody_key(context.domain, fabric)}
         daemon.polls_all = False
@@ -128,9 +134,7 @@
 @given("the daemon starts without a part of the weight store's rate")
 def take_part(context):
     run(context, context.daemon.stop())
-    context.daemon = FakeDaemon(
-        context.platform, context.domain, context.wanted, marks=context.marks
-    )
+    context.daemon = make_daemon(context)
     context.daemon.store_part = 0.0
     run(context, start(context.daemon))
 
@@ -181,9 +185,7 @@
 @when("another daemon takes over")
 def take_over(context):
     run(context, context.daemon.stop())
-    context.daemon = FakeDaemon(
-        context.platform, context.domain, context.wanted, marks=context.marks
-    )
+    context.daemon = make_daemon(context)
     context.daemon.journal.fold()
     run(context, start(context.daemon))
 
