Search streams for wrong answers, and see a silent engine in time

Two findings. A watch that was armed for the wait for the first chunk (30 s) looked again only then, so an engine that fell silent after its second chunk held its caller for 30 s; it now looks at least once a second. A watch that was set a hair before the stall spun on a clock of coarse resolution; there is a least pause now. The search's own fault: recovering a host that was not lost forgot who waited on it.

--- a/auburnproxy/serving/_watch.py
+++ b/auburnproxy/serving/_watch.py
@@ -5,11 +5,12 @@
 import asyncio
 from collections.abc import Callable, Coroutine
 from enum import StrEnum
-from math import inf
 from typing import Any
 
 CHECK_S = 1.0
-"""Seconds to the next look while a slow caller is being written to."""
+"""Longest seconds between two looks at the silence of an engine."""
+SHORTEST_CHECK_S = 0.01
+"""Least seconds between two looks."""
 
 
 class Cause(StrEnum):
@@ -44,7 +45,7 @@
         self._loop = asyncio.get_running_loop()
         self._lost = asyncio.create_task(lost)
         self._lost.add_done_callback(self._on_lost)
-        self._timer = self._loop.call_at(stalls_at(), self._on_timer)
+        self._timer = self._loop.call_later(CHECK_S, self._on_timer)
 
     def close(self) -> None:
         """Stop watching."""
@@ -62,8 +63,8 @@
         if stalls_at <= now:
             self._end(Cause.STALLED)
             return
-        again_at = stalls_at if stalls_at < inf else now + CHECK_S
-        self._timer = self._loop.call_at(again_at, self._on_timer)
+        wait_s = min(max(stalls_at - now, SHORTEST_CHECK_S), CHECK_S)
+        self._timer = self._loop.call_later(wait_s, self._on_timer)
 
     def _end(self, cause: Cause) -> None:
         if self.cause is None:
--- a/features/fakes/serving.py
+++ b/features/fakes/serving.py
@@ -16,7 +16,8 @@
 from auburnproxy.routing import Router
 from auburnproxy.serving import Face, Limits, Spill
 from auburnproxy.serving.forward import Forwarder
-from auburnproxy.serving.models import Models
+from auburnproxy.serving.intake import Headers
+from auburnproxy.serving.models import Models, Request
 from auburnproxy.serving.services import Services
 from auburnproxy.serving.signature import Signer
 from auburnproxy.telemetry import Telemetry
@@ -26,10 +27,12 @@
     EngineReport,
     EngineState,
     Fence,
+    ModelCall,
 )
 from auburnproxy.upstreams.service import PlainAnswer
 
 SECRET = b"shared"
+STALL_S = 1000.0
 
 
 def make_plan(name, *, weight=1, concurrent=8, queue=16):
@@ -137,8 +140,15 @@
         await self.lost_by_host[replica.head].wait()
 
     def lose(self, host):
+        self.unusable.add(host)
         self.lost_by_host[host].set()
 
+    def recover(self, host):
+        if host not in self.unusable:
+            return
+        self.unusable.discard(host)
+        self.lost_by_host[host] = asyncio.Event()
+
 
 def _entry(host, kind, service):
     return HostEntry(host, "127.0.0.1:1", "d", "f", kind, Presence.LIVE, service)
@@ -155,7 +165,9 @@
         self.first_s = first_s
         self.gap_s = gap_s
         self.script = script or (lambda call, chunks: chunks)
+        self.on_call = lambda call: None
         self.calls = []
+        self.accepted = []
         self.running = 0
         self.cancelled = 0
 
@@ -167,13 +179,20 @@
 
     async def generate(self, call):
         self.calls.append(call)
+        self.on_call(call)
         self.running += 1
         whole = False
         try:
             await asyncio.sleep(self.first_s)
-            for chunk in self.script(call, self.chunks(call)):
+            arriving = self.script(call, self.chunks(call))
+            if not _is_refusal(arriving):
+                self.accepted.append(call)
+            for chunk in arriving:
                 if isinstance(chunk, Exception):
                     raise chunk
+                if chunk == "stall":
+                    await asyncio.sleep(STALL_S)
+                    continue
                 yield chunk
                 await asyncio.sleep(self.gap_s)
             whole = True
@@ -182,6 +201,11 @@
             self.cancelled += not whole
 
 
+def _is_refusal(arriving):
+    first = arriving[0] if arriving else None
+    return isinstance(first, UpstreamError) and first.ran is Ran.NO
+
+
 class FakeService:
     """Counts the runs of each idempotency key, or of each request id."""
 
@@ -264,3 +288,11 @@
         ready=lambda: True,
         limits=limits,
     )
+
+
+def make_request(plan, number, *, deadline_s=60.0, model="m", prefixes=()):
+    """Return a model call as the face would make it."""
+    now = asyncio.get_running_loop().time()
+    call = ModelCall(number, model, b"{}", plan.weight, deadline_s)
+    headers = Headers(number, now + deadline_s, "")
+    return Request(plan, headers, call, True, prefixes, now, True)
--- /dev/null
+++ b/features/machines/streams.py
@@ -0,0 +1,205 @@
+"""Searches for an answer that is wrong, or is shown as whole and is not."""
+
+from __future__ import annotations
+
+import asyncio
+from functools import partial
+from itertools import count
+
+import async_solipsism
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, rule
+
+from auburnproxy.errors import Ran, RefusalError, UpstreamError
+from auburnproxy.serving import Limits
+from auburnproxy.upstreams.engine import Chunk, ChunkKind
+from features.fakes.serving import (
+    FakeEngine,
+    FakeUpstreams,
+    make_plan,
+    make_request,
+    make_site,
+)
+
+LENGTH = 6
+HOSTS = ["e0", "e1", "e2"]
+WHOLE = [b"t%d" % i for i in range(LENGTH)]
+DEADLINE_S = 30.0
+LIMITS = Limits(first_chunk_s=1.0, next_chunk_s=0.5)
+STALL = "stall"
+
+places = st.integers(0, LENGTH)
+hosts = st.sampled_from(HOSTS)
+
+
+def drop(chunks, at):
+    return chunks[:at] + chunks[at + 1 :]
+
+
+def repeat(chunks, at):
+    return chunks[: at + 1] + chunks[at:]
+
+
+def swap(chunks, at):
+    return chunks[:at] + chunks[at : at + 2][::-1] + chunks[at + 2 :]
+
+
+def foreign(chunks, at):
+    strange = Chunk(b"other", chunks[0].position, b"foreign", ChunkKind.TOKEN)
+    return [*chunks[:at], strange, *chunks[at:]]
+
+
+def foreign_end(chunks, at):
+    strange = Chunk(b"other", chunks[0].position + at, b"", ChunkKind.END)
+    return [*chunks[:at], strange, *chunks[at:]]
+
+
+def late(chunks, at):
+    old = Chunk(chunks[0].request_id, 0, b"late", ChunkKind.TOKEN)
+    return [*chunks[: at + 1], old, *chunks[at + 1 :]]
+
+
+def truncate(chunks, at):
+    return chunks[:at]
+
+
+def break_off(chunks, at):
+    return [*chunks[:at], UpstreamError("reset")]
+
+
+def refuse(chunks, at):
+    return [UpstreamError("busy", ran=Ran.NO)]
+
+
+def report_error(chunks, at):
+    place = chunks[min(at, len(chunks) - 1)].position
+    error = Chunk(chunks[0].request_id, place, b"", ChunkKind.ERROR)
+    return [*chunks[:at], error]
+
+
+def stall(chunks, at):
+    return [*chunks[:at], STALL, *chunks[at:]]
+
+
+FAULTS = [drop, repeat, swap, foreign, foreign_end, late, truncate]
+FAULTS += [break_off, refuse, report_error, stall]
+
+
+class StreamMachine(RuleBasedStateMachine):
+    """Streams over engines that fail; the oracle is the list of tokens."""
+
+    def __init__(self):
+        super().__init__()
+        self.loop = async_solipsism.EventLoop()
+        self.numbers = count()
+        self.faults_by_host = {host: [] for host in HOSTS}
+        self.parts_by_number = {}
+        self.tasks_by_number = {}
+        self.failures = []
+
+    @initialize()
+    def begin(self):
+        async def make():
+            self.engines = {host: FakeEngine(length=LENGTH) for host in HOSTS}
+            for host, engine in self.engines.items():
+                engine.script = partial(self.script, host)
+                engine.on_call = partial(self.called, host)
+            self.plan = make_plan("alpha", concurrent=6)
+            upstreams = FakeUpstreams(self.engines, slots=3)
+            self.site = make_site([self.plan], upstreams, limits=LIMITS)
+
+        self.loop.run_until_complete(make())
+
+    def called(self, host, call):
+        if host in self.site.upstreams.unusable:
+            self.failures.append(f"{host} got a call after it was lost")
+        if call.resume_from != len(self.parts_by_number[call.request_id]):
+            self.failures.append("resumed from another place than the caller's")
+
+    def script(self, host, call, chunks):
+        queued = self.faults_by_host[host]
+        fault, at = queued.pop(0) if queued else (None, 0)
+        return fault(chunks, min(at, len(chunks))) if fault else chunks
+
+    @rule(ms=st.sampled_from([0, 20, 70, 400]))
+    def ask(self, ms):
+        async def start():
+            number = f"r{next(self.numbers)}"
+            self.parts_by_number[number] = []
+            work = self.request(number)
+            self.tasks_by_number[number] = asyncio.get_running_loop().create_task(work)
+            await asyncio.sleep(ms / 1000)
+
+        self.loop.run_until_complete(start())
+        self.check()
+
+    async def request(self, number):
+        parts = self.parts_by_number[number]
+
+        async def write(data):
+            parts.append(data)
+
+        request = make_request(self.plan, number, deadline_s=DEADLINE_S)
+        try:
+            await self.site.models.run(request, write)
+        except RefusalError as refusal:
+            started = any(c.request_id == number for c in self.started_calls())
+            if refusal.ran is Ran.NO and (parts or started):
+                self.failures.append(f"{number} ran, but was told not run")
+        else:
+            if parts != WHOLE:
+                self.failures.append(f"{number} was shown as whole: {parts}")
+
+    def started_calls(self):
+        return [c for e in self.engines.values() for c in e.accepted]
+
+    @rule(host=hosts, fault=st.sampled_from(FAULTS), at=places)
+    def plan_fault(self, host, fault, at):
+        self.faults_by_host[host].append((fault, at))
+
+    @rule(host=hosts, ms=st.sampled_from([1, 20, 70]))
+    def lose(self, host, ms):
+        self.site.upstreams.lose(host)
+        self.loop.run_until_complete(asyncio.sleep(ms / 1000))
+        if self.engines[host].running:
+            self.failures.append(f"{host} is lost and still has a call")
+        self.check()
+
+    @rule(host=hosts)
+    def recover(self, host):
+        self.site.upstreams.recover(host)
+
+    @rule(index=st.integers(0, 20))
+    def leave(self, index):
+        tasks = list(self.tasks_by_number.values())
+        if tasks:
+            tasks[index % len(tasks)].cancel()
+        self.loop.run_until_complete(asyncio.sleep(0.001))
+
+    def check(self):
+        assert not self.failures, self.failures[0]
+        for number, parts in self.parts_by_number.items():
+            assert parts == WHOLE[: len(parts)], f"{number} got {parts}"
+
+    def teardown(self):
+        try:
+            if hasattr(self, "site"):
+                self.loop.run_until_complete(asyncio.sleep(DEADLINE_S + 1))
+                self.check()
+                self.check_all_free()
+        finally:
+            for task in asyncio.all_tasks(self.loop):
+                task.cancel()
+            self.loop.run_until_complete(asyncio.sleep(0))
+            self.loop.close()
+
+    def check_all_free(self):
+        left = [n for n, task in self.tasks_by_number.items() if not task.done()]
+        assert not left, f"{left} have no answer after their deadline"
+        held = {k: g.in_flight for k, g in self.site.gates.by_key.items()}
+        assert not any(held.values()), f"slots are held for ever: {held}"
+        running = {h: e.running for h, e in self.engines.items() if e.running}
+        assert not running, f"engines still run calls: {running}"
+
+
+MACHINES = (StreamMachine,)
--- /dev/null
+++ b/features/steps/streams.py
@@ -0,0 +1,147 @@
+"""Steps for streams, on a virtual clock."""
+
+import asyncio
+from contextlib import suppress
+
+from behave import given, then, when
+
+from auburnproxy.errors import Ran, RefusalError, UpstreamError
+from auburnproxy.serving.placement import LocalReplica
+from auburnproxy.upstreams.engine import ModelCall
+from features.fakes.serving import (
+    FakeEngine,
+    FakeUpstreams,
+    make_plan,
+    make_request,
+    make_site,
+)
+from features.machines.search import run_virtual, search
+from features.machines.streams import StreamMachine, break_off, stall
+
+
+async def no_write(data):
+    pass
+
+
+def two_engines(script=None, *, slots=4, concurrent=8):
+    engines = [FakeEngine(script=script) for _ in range(2)]
+    upstreams = FakeUpstreams({f"e{i}": e for i, e in enumerate(engines)}, slots=slots)
+    plan = make_plan("alpha", concurrent=concurrent, queue=200)
+    return engines, plan, make_site([plan], upstreams)
+
+
+@when("streams are searched for wrong answers")
+def search_streams(context):
+    search(StreamMachine, examples=300, steps=30)
+
+
+@then("none was found by the stream search")
+def none_found(context):
+    pass
+
+
+@given("2 engines of which the one in use falls silent after {at:d} chunks")
+def falls_silent(context, at):
+    context.script = lambda call, chunks: (
+        chunks if call.resume_from else stall(chunks, at)
+    )
+
+
+@when("an answer of 5 chunks is asked for")
+def ask_silent(context):
+    async def steps():
+        engines, plan, site = two_engines(context.script)
+        parts = []
+
+        async def write(data):
+            parts.append(data)
+
+        await site.models.run(make_request(plan, "r"), write)
+        context.parts, context.calls = parts, [c for e in engines for c in e.calls]
+        context.took_s = asyncio.get_running_loop().time()
+
+    run_virtual(steps())
+
+
+@then("all chunks came within {most_s:d} s, the second engine beginning at chunk 2")
+def whole_after(context, most_s):
+    assert context.parts == [b"t%d" % i for i in range(5)], context.parts
+    assert sorted(call.resume_from for call in context.calls) == [0, 2]
+    assert context.took_s <= most_s, context.took_s
+
+
+@given("a replica that was chosen")
+def chosen(context):
+    context.before_dispatch = lambda site: None
+
+
+@when("it is lost before the dispatch")
+def lost_before(context):
+    async def steps():
+        engines, _, site = two_engines()
+        replica = site.router.choose_replica("m", ())
+        place = LocalReplica(replica, site.router, site.upstreams, site.upstreams)
+        site.upstreams.lose(replica.head)
+        try:
+            async for _ in place.generate(ModelCall("r", "m", b"", 1, 5.0)):
+                pass
+        except UpstreamError as error:
+            context.error = error
+        context.sent = sum(len(engine.calls) for engine in engines)
+
+    run_virtual(steps())
+
+
+@then("the dispatch is refused as not run and nothing was sent")
+def refused_unsent(context):
+    assert context.error.ran is Ran.NO and context.sent == 0
+
+
+@given("a caller that waits for the only slot")
+def waits(context):
+    context.slots = 1
+
+
+@when("the slot is freed and the caller leaves in the same turn")
+def leaves(context):
+    async def steps():
+        _, plan, site = two_engines(slots=0)
+        request = make_request(plan, "r")
+        waiting = asyncio.create_task(site.models.run(request, no_write))
+        await asyncio.sleep(0.001)
+        site.upstreams.slots = context.slots
+        site.admission.pump()
+        waiting.cancel()
+        await asyncio.gather(waiting, return_exceptions=True)
+        context.held = {k: g.in_flight for k, g in site.gates.by_key.items()}
+        context.peak = max(g.peak for g in site.gates.by_key.values())
+
+    run_virtual(steps())
+
+
+@then("no slot is held")
+def none_held(context):
+    assert context.peak == 1, "the caller was never placed"
+    assert not any(context.held.values()), context.held
+
+
+@given("engines that break off every answer")
+def break_all(context):
+    context.script = lambda call, chunks: break_off(chunks, 1)
+
+
+@when("{requests:d} requests are made")
+def many_requests(context, requests):
+    async def steps():
+        engines, plan, site = two_engines(context.script)
+        for i in range(requests):
+            with suppress(RefusalError):
+                await site.models.run(make_request(plan, f"r{i}"), no_write)
+        context.calls = sum(len(engine.calls) for engine in engines)
+
+    run_virtual(steps())
+
+
+@then("at most {most:d} calls reach the engines")
+def bounded(context, most):
+    assert context.calls <= most, context.calls
--- /dev/null
+++ b/features/streams.feature
@@ -0,0 +1,28 @@
+Feature: Whole answers in order, whatever becomes of the engines
+
+  @point5
+  Scenario: No caller gets a wrong or a falsely whole answer
+    When streams are searched for wrong answers
+    Then none was found by the stream search
+
+  @point5
+  Scenario: A silent engine is left and the answer resumed elsewhere
+    Given 2 engines of which the one in use falls silent after 2 chunks
+    When an answer of 5 chunks is asked for
+    Then all chunks came within 8 s, the second engine beginning at chunk 2
+
+  @point1
+  Scenario: A replica that is lost after the choice gets no call
+    Given a replica that was chosen
+    When it is lost before the dispatch
+    Then the dispatch is refused as not run and nothing was sent
+
+  Scenario: A caller that leaves in the turn of its placement holds nothing
+    Given a caller that waits for the only slot
+    When the slot is freed and the caller leaves in the same turn
+    Then no slot is held
+
+  Scenario: A request that fails everywhere spends no more than the retry budget
+    Given engines that break off every answer
+    When 100 requests are made
+    Then at most 120 calls reach the engines
