--- a/auburnproxy/membership/membership.py
+++ b/auburnproxy/membership/membership.py
@@ -33,7 +33,6 @@
 MAX_FREE_TOLD = 24
 MAX_SUMMARIES_TOLD = 6
 PROPOSE_TIMEOUT_S = 10.0
-RETRY_S = 1.0
 
 log = logger.bind(part="membership")
 
@@ -193,15 +192,6 @@
         except AuburnError as error:
             log.warning("The leave was not recorded: {}.", error)
 
-    def mark_gone(self, member_id: str, *, reason: str) -> None:
-        """Take a member for gone for good.
-
-        :param member_id: the member
-        :param reason: what shows it, for the log
-        """
-        if self.view.mark_gone((member_id,)):
-            log.warning("{} is gone: {}.", member_id, reason)
-
     async def serve(self, link: Link) -> None:
         """Take a link's messages until it ends.
 
@@ -253,7 +243,7 @@
         while not self.joined and not self.view.expelled:
             if self.journal.ready and self.journal.up:
                 await self._propose_join()
-            await asyncio.sleep(RETRY_S)
+            await asyncio.sleep(TICK_S)
 
     async def _propose_join(self) -> None:
         try:
@@ -307,8 +297,8 @@
         for domain in self.roster.failure_domains:
             for epoch in self.roster.epochs(domain):
                 for member in epoch.members:
-                    if member.name in lost and member != self.me:
-                        self.mark_gone(member.id, reason="its host was lost")
+                    if member.name in lost and self.view.mark_gone((member.id,)):
+                        log.warning("{} is gone: its host was lost.", member.id)
 
     def _obeys(self, epoch: Epoch) -> bool:
         return all(obeys(epoch) for obeys in self._conditions)
