Shrink what a failing target may take of a plan's slots

A target that swallows calls used three quarters of its plan's slots until the calls' deadlines. Each plan's part at a target now halves with a failure, at most once a second, and grows by one with each answer.

--- a/auburnproxy/admission/admission.py
+++ b/auburnproxy/admission/admission.py
@@ -14,6 +14,7 @@
 from ..configuration import Grant, Plan, TargetKind
 from ..errors import RefusalError
 from ._protocols import Configuration, Gate, Gates
+from .bulkhead import Bulkhead
 from .pace import Pace
 from .queue import Placement, Queue, Waiter
 
@@ -21,8 +22,6 @@
 """Seconds between two looks at slots that others may have freed."""
 LONGEST_RETRY_S = 30
 """Greatest ``Retry-After`` in seconds."""
-RESERVED_FRACTION = 0.25
-"""Part of a plan's slots that one target leaves to the plan's other targets."""
 
 log = logger.bind(part="admission")
 P = TypeVar("P", bound=Placement)
@@ -40,7 +39,7 @@
         self._gates = gates
         self._queues_by_target: dict[str, Queue] = {}
         self._paces_by_target: dict[str, Pace] = {}
-        self._in_flight_by_plan: dict[str, dict[str, int]] = {}
+        self._bulkheads: dict[tuple[str, str], Bulkhead] = {}
         self._timer: asyncio.TimerHandle | None = None
 
     def authenticate(self, bearer: str) -> Plan:
@@ -97,6 +96,11 @@
         pace.started(plan.name, now=started)
         try:
             yield placement
+        except Exception:
+            self._bulkhead(plan, target).failed(loop.time())
+            raise
+        else:
+            self._bulkhead(plan, target).answered()
         finally:
             placement.release()
             pace.finished(plan.name, started, now=loop.time())
@@ -211,7 +215,9 @@
         """Place a call or refuse it; return whether it left the queue."""
         plan = waiter.plan
         gate = self._plan_gate(plan)
-        if not self._within_bulkhead(gate, plan, target) or not gate.try_acquire():
+        if not self._bulkhead(plan, target).admits(gate.in_flight + gate.free):
+            return False
+        if not gate.try_acquire():
             return False
         try:
             placement = waiter.choose()
@@ -224,26 +230,18 @@
             gate.release()
             return False
         queue.pop(plan)
-        by_target = self._in_flight_by_plan.setdefault(plan.name, {})
-        by_target[target] = by_target.get(target, 0) + 1
+        self._bulkhead(plan, target).in_flight += 1
         waiter.placed.set_result(placement)
         return True
 
-    def _within_bulkhead(self, gate: Gate, plan: Plan, target: str) -> bool:
-        """Return whether a target leaves enough of the plan's slots to the others."""
-        in_flight = self._in_flight_by_plan.get(plan.name, {}).get(target, 0)
-        share = gate.in_flight + gate.free
-        reserve = math.floor(share * RESERVED_FRACTION)
-        return in_flight < max(share - reserve, 1)
-
     def _leave(self, plan: Plan, target: str) -> None:
         self._plan_gate(plan).release()
-        by_target = self._in_flight_by_plan[plan.name]
-        by_target[target] -= 1
-        if not by_target[target]:
-            del by_target[target]
+        self._bulkhead(plan, target).in_flight -= 1
         self.pump()
 
+    def _bulkhead(self, plan: Plan, target: str) -> Bulkhead:
+        return self._bulkheads.setdefault((plan.name, target), Bulkhead())
+
     def _plan_gate(self, plan: Plan) -> Gate:
         gate = self._gates.gate(f"plan/{plan.name}")
         current = self._configuration.plans_by_name.get(plan.name)
