--- a/auburnproxy/admission/admission.py
+++ b/auburnproxy/admission/admission.py
@@ -14,6 +14,7 @@
 from ..configuration import Grant, Plan, TargetKind
 from ..errors import RefusalError
 from ._protocols import Configuration, Gate, Gates
+from .bulkhead import Bulkhead
 from .pace import Pace
 from .queue import Placement, Queue, Waiter
 
@@ -21,8 +22,6 @@
 """Seconds between two looks at slots that others may have freed."""
 LONGEST_RETRY_S = 30
 """Greatest ``Retry-After`` in seconds."""
-RESERVED_FRACTION = 0.25
-"""Part of a plan's slots that one target leaves to the plan's other targets."""
 
 log = logger.bind(part="admission")
 P = TypeVar("P", bound=Placement)
@@ -40,7 +39,7 @@
         self._gates = gates
         self._queues_by_target: dict[str, Queue] = {}
         self._paces_by_target: dict[str, Pace] = {}
-        self._in_flight_by_plan: dict[str, dict[str, int]] = {}
+        self._bulkheads: dict[tuple[str, str], Bulkhead] = {}
         self._timer: asyncio.TimerHandle | None = None
 
     def authenticate(self, bearer: str) -> Plan:
@@ -93,11 +92,19 @@
         loop = asyncio.get_running_loop()
         placement: P = await self._place(plan, target, deadline, choose, wait=wait)
         started = loop.time()
+        pace = self._pace(target)
+        pace.started(plan.name, now=started)
         try:
             yield placement
+        except Exception:
+            self._bulkhead(plan, target).failed(loop.time())
+            raise
+        else:
+            self._bulkhead(plan, target).answered()
         finally:
             placement.release()
-            self._leave(plan, target, loop.time() - started)
+            pace.finished(plan.name, started, now=loop.time())
+            self._leave(plan, target)
 
     def pump(self) -> None:
         """Dispatch every waiting call that has a slot; rotates between targets."""
@@ -110,7 +117,7 @@
 
     def retry_after_s(self, plan: Plan, target: str) -> float:
         """Return the seconds in which the calls before a new one drain."""
-        rate = self._pace(target).rate(asyncio.get_running_loop().time())
+        rate = self._rate(plan, target)
         queue = self._queues_by_target.get(target)
         ahead = queue.ahead(plan, math.inf) if queue else 0.0
         wait_s = (ahead + 1) / rate if rate else 1.0
@@ -155,7 +162,7 @@
         placed = waiter.placed
         if placed.done() and not placed.cancelled() and not placed.exception():
             placed.result().release()
-            self._leave(waiter.plan, target, None)
+            self._leave(waiter.plan, target)
 
     def _latest_start(self, waiter: Waiter, target: str) -> float:
         if waiter.placed.done():
@@ -182,10 +189,10 @@
             return RefusalError(
                 "queue_full", message, status=429, retry_after_s=retry_s
             )
-        pace, now = self._pace(target), asyncio.get_running_loop().time()
-        rate = pace.rate(now)
+        now = asyncio.get_running_loop().time()
+        rate = self._rate(plan, target)
         wait_s = (ahead + 1) / rate if rate else 0.0
-        if now + wait_s + pace.service_s(plan.name) > deadline:
+        if now + wait_s + self._pace(target).service_s(plan.name) > deadline:
             return self._late(plan, target)
         return None
 
@@ -208,7 +215,9 @@
         """Place a call or refuse it; return whether it left the queue."""
         plan = waiter.plan
         gate = self._plan_gate(plan)
-        if not self._within_bulkhead(gate, plan, target) or not gate.try_acquire():
+        if not self._bulkhead(plan, target).admits(gate.in_flight + gate.free):
+            return False
+        if not gate.try_acquire():
             return False
         try:
             placement = waiter.choose()
@@ -221,29 +230,18 @@
             gate.release()
             return False
         queue.pop(plan)
-        by_target = self._in_flight_by_plan.setdefault(plan.name, {})
-        by_target[target] = by_target.get(target, 0) + 1
+        self._bulkhead(plan, target).in_flight += 1
         waiter.placed.set_result(placement)
         return True
 
-    def _within_bulkhead(self, gate: Gate, plan: Plan, target: str) -> bool:
-        """Return whether a target leaves enough of the plan's slots to the others."""
-        in_flight = self._in_flight_by_plan.get(plan.name, {}).get(target, 0)
-        share = gate.in_flight + gate.free
-        reserve = math.floor(share * RESERVED_FRACTION)
-        return in_flight < max(share - reserve, 1)
-
-    def _leave(self, plan: Plan, target: str, service_s: float | None) -> None:
+    def _leave(self, plan: Plan, target: str) -> None:
         self._plan_gate(plan).release()
-        by_target = self._in_flight_by_plan[plan.name]
-        by_target[target] -= 1
-        if not by_target[target]:
-            del by_target[target]
-        if service_s is not None:
-            now = asyncio.get_running_loop().time()
-            self._pace(target).finished(plan.name, service_s, now=now)
+        self._bulkhead(plan, target).in_flight -= 1
         self.pump()
 
+    def _bulkhead(self, plan: Plan, target: str) -> Bulkhead:
+        return self._bulkheads.setdefault((plan.name, target), Bulkhead())
+
     def _plan_gate(self, plan: Plan) -> Gate:
         gate = self._gates.gate(f"plan/{plan.name}")
         current = self._configuration.plans_by_name.get(plan.name)
@@ -253,6 +251,13 @@
     def _pace(self, target: str) -> Pace:
         return self._paces_by_target.setdefault(target, Pace())
 
+    def _rate(self, plan: Plan, target: str) -> float:
+        """Return the calls a second that make room for a waiting one, 0 if unknown."""
+        pace, now = self._pace(target), asyncio.get_running_loop().time()
+        if self._plan_gate(plan).free:
+            return pace.rate(now)
+        return pace.plan_rate(plan.name, now)
+
     def _arm(self) -> None:
         if self._timer is None and self._queues_by_target:
             loop = asyncio.get_running_loop()
--- a/auburnproxy/daemon/daemon.py
+++ b/auburnproxy/daemon/daemon.py
@@ -14,7 +14,7 @@
 from ..membership import Epoch, Member, Membership, Roster
 from ..platform.http import connect_hosts, connect_log, connect_weights
 from ..quotas import Gates, custodian, holds, share
-from ..replicas import Custodian, Downtime, Planner, Readiness, Replicas
+from ..replicas import Custodian, Downtime, Planner, Readiness, Repairs, Replicas
 from ..routing import Router
 from ..serving import Face, Limits, Spill
 from ..telemetry import Telemetry, part
@@ -22,7 +22,7 @@
 from ..upstreams.http_engine import connect_engine
 from ..upstreams.http_service import connect_service
 from ._lost import LostDaemons
-from ._peers import KnownPeers, Offers
+from ._peers import KnownPeers, Offers, Targets
 from ._wants import Wants
 from .settings import Calls, Settings
 
@@ -105,8 +105,9 @@
         self.downtime = Downtime(
             self.replicas, self.watcher, self.readiness, wanted=self.wants.replicas
         )
-        offers = Offers(self.gates, self.configuration, self.readiness, self.watcher)
-        self.membership.attach(offers)
+        self.targets = Targets(self.readiness, self.watcher)
+        self.membership.attach(Offers(self.gates, self.configuration, self.targets))
+        repairs = Repairs(self.replicas)
         self.planner = Planner(
             self.replicas,
             self.journal,
@@ -114,6 +115,7 @@
             self.weights,
             wanted=self.wants.replicas,
             holds=self._holds,
+            repairs=repairs,
             demand=self.wants.demand,
         )
         self.custodian = Custodian(
@@ -121,6 +123,7 @@
             self.watcher,
             self.weights,
             holds=self._holds,
+            repairs=repairs,
             fence_epoch=lambda: self.membership.view.epoch,
             store_share=self._store_share,
         )
@@ -129,7 +132,9 @@
         self.admission = Admission(self.configuration, self.gates)
         self.router = Router(self.watcher, self.readiness, self.gates)
         self.runner = LedgerRunner(self.ledger, self.journal)
-        spill = Spill(KnownPeers(self.membership, self.configuration))
+        peers = KnownPeers(
+            self.membership, self.configuration, self.gates, self.targets
+        )
         self.face = Face(
             self.configuration,
             self.admission,
@@ -137,7 +142,7 @@
             self.readiness,
             self.watcher,
             self.runner,
-            spill,
+            Spill(peers),
             self.telemetry,
             secret=settings.secret.encode(),
             incarnation=self.me.incarnation,
--- a/auburnproxy/serving/spill.py
+++ b/auburnproxy/serving/spill.py
@@ -13,6 +13,11 @@
 """Seconds for which a failure domain that refused a call is not probed again."""
 
 
+def waiting_at(member: Member) -> str:
+    """Return what stands for a peer that refused a call although it might wait."""
+    return f"waiting/{member.id}"
+
+
 class Spill:
     """Chooses a peer that has, or may have, a slot of the plan and of the target.
 
@@ -45,6 +50,31 @@
             return near
         return self._probe(plan, target)
 
+    def waits_here(self, plan: str, target: str) -> bool:
+        """Return whether a call may wait here for a slot.
+
+        It waits in vain where this daemon has no share of the plan or of the
+        target and a near peer has: no slot here would ever come free for it.
+
+        :param plan: name of the caller's plan
+        :param target: kind and name of the target
+        """
+        return not self._peers.holders(plan, target)
+
+    def holder(
+        self, plan: str, target: str, *, exclude: Collection[str] = ()
+    ) -> Member | None:
+        """Return a near peer to wait at, None if there is none.
+
+        :param plan: name of the caller's plan
+        :param target: kind and name of the target
+        :param exclude: what the call has failed on; a peer that had no free slot
+            may still be waited at, one that refused to let it wait may not
+        """
+        holders = self._peers.holders(plan, target)
+        found = [member for member in holders if waiting_at(member) not in exclude]
+        return found[next(self._turns) % len(found)] if found else None
+
     def refused(self, member: Member, plan: str, target: str) -> None:
         """Note that a peer refused a call.
 
