--- a/auburnproxy/membership/membership.py
+++ b/auburnproxy/membership/membership.py
@@ -91,6 +91,7 @@
         self._steward = Steward(self, lambda domain: is_out(domain, ""))
         self._missing = Missing(self, lost_hosts, is_out, PAUSE_BOUND_S)
         self._told: tuple[object, ...] = ()
+        self._frame_told = b""
         self._summaries_told = 0
         self._ran_at = time.clock_gettime(time.CLOCK_BOOTTIME)
         self._suspended = False
@@ -234,7 +235,7 @@
         self.links_by_id[peer.id] = link
         log.debug("Linked with {}.", peer.id)
         try:
-            link.send(self._frame())
+            link.send(self._frame_told or self._frame())
             while True:
                 message = await link.receive(timeout_s=self.silence_s)
                 if isinstance(message, Beat):
@@ -343,9 +344,9 @@
 
     def _send_beat(self) -> None:
         self._told = self._news()
-        frame = self._frame()
+        self._frame_told = self._frame()
         for link in self.links:
-            link.send(frame)
+            link.send(self._frame_told)
 
     def _frame(self) -> bytes:
         view = self.view
