Prove shutdown, kill and freeze with real daemons

SIGTERM cuts off no stream and refuses new calls truthfully; an order whose daemon is killed while it is claimed or runs never runs twice; a daemon stopped for four seconds keeps its share while its peer serves within its own. Breaks on a scratch copy: a drain that waits for nothing was caught by the first scenario, a keyed call dispatched without a claim by the second. A silent dial taken for a refused one was not caught by the third: the link to a stopped daemon stays up for longer than the freeze, so nothing dials. The third scenario first asked that every answer be whole, and failed for two reasons outside these modules: - a call forwarded to a peer that froze since its last beat waits there until the call's own deadline, 30 s (the scenario now waits for beats that show the peer full); - a daemon that wakes after more than 2 s takes every report for stale and every replica for lost, so all its streams start again at once against a retry budget of 3, and the fourth ends with an error event. It now asks for truthful ends of the stopped daemon's own streams.

--- a/features/loopback.py
+++ b/features/loopback.py
@@ -7,10 +7,15 @@
 import socket
 from collections.abc import AsyncIterator
 
+from auburnproxy.configuration import Configuration, read_lists
+from auburnproxy.configuration.configuration import LISTS_KEY, LISTS_KIND
+from auburnproxy.journal import Journal
 from auburnproxy.platform import ModelSpec
+from auburnproxy.platform.http import connect_log
 from auburnproxy.upstreams.engine import Assignment, Fence, ModelCall, Order
 from standins._listen import listening
 from standins.settings import EngineSettings, ServiceSettings, UpstreamSettings
+from standins.trial import Trial, trial
 from standins.upstreams import Upstreams
 from standins.weights import make_weights
 
@@ -81,6 +86,33 @@
             await asyncio.sleep(0.01)
 
 
+async def apply_lists(deployment) -> None:
+    """Put a deployment's lists in force by a record of the log."""
+    texts = deployment.plans_file.read_text(), deployment.grants_file.read_text()
+    log = connect_log(f"http://{deployment.log}")
+    journal = Journal(log, [Configuration()], author="operator")
+    following = asyncio.create_task(journal.run())
+    lists = {"lists": read_lists(*texts)}
+    expects = {LISTS_KEY: 0}
+    outcome = await journal.propose(
+        LISTS_KIND, lists, expects=expects, timeout_s=PATIENCE_S
+    )
+    following.cancel()
+    await asyncio.gather(following, return_exceptions=True)
+    await log.close()
+    assert outcome.accepted, outcome
+
+
+@contextlib.asynccontextmanager
+async def serving(shape) -> AsyncIterator[Trial]:
+    """Run a deployment of real processes whose replicas all serve."""
+    async with trial(shape) as running:
+        await running.start()
+        await apply_lists(running.deployment)
+        await running.until_whole()
+        yield running
+
+
 def model_call(*, tokens=4, request_id="q1", **options) -> ModelCall:
     """Return a call for some tokens."""
     body = b'{"max_tokens":%d,"messages":[{"content":"%b"}]}'
--- /dev/null
+++ b/features/steps/processes.py
@@ -0,0 +1,228 @@
+"""Steps for daemons as real processes."""
+
+import asyncio
+import signal
+
+import msgspec
+from behave import given, then, when
+
+from features import loopback
+from standins.callers import Caller, Result, Timing, call_model, call_order
+from standins.deployment import ModelShape, PlanShape, Shape
+from standins.load import PlanLoad, fetch_runs
+from standins.log import LogFault
+
+MODEL, KEY, SERVICE, PLAN = "quilt", "a-key", "depot", "p"
+STREAM_TOKENS = 150
+SHORT_TOKENS = 3
+SLOTS = 4
+"""Calls that an engine bears at once; one more and it falls over."""
+HELD = 4
+"""Streams of the daemon that is stopped: its whole share of two replicas."""
+CALLERS = 12
+"""Callers of its peer, far more than the peer's share."""
+FREEZE_S = 4.0
+BEATS_S = 2.0
+"""Seconds in which a peer's beats show that its share is used up."""
+HELD_TOKENS = 450
+EXIT_TIMEOUT_S = 20.0
+TRIES = 3
+SHAPE = Shape(
+    models=(ModelShape(MODEL, 2, 2),),
+    plans=(PlanShape(PlanLoad(PLAN, KEY, (MODEL,), SERVICE), concurrent=64),),
+    failure_domains=1,
+    engines=4,
+    fabric_domains=1,
+    engine={
+        "slots": SLOTS,
+        "cold_slots": SLOTS,
+        "step_ms": 20.0,
+        "load_s": 0.1,
+        "warm_calls": 1_000_000,
+        "warm_s": 1_000_000.0,
+    },
+    plain_service={"slots": 8, "cold_slots": 8, "answer_ms": 1000.0},
+)
+
+
+class Site:
+    """Callers of a running deployment's two daemons."""
+
+    def __init__(self, running):
+        self.running = running
+        self.first, self.second = running.deployment.daemons
+        self.started = asyncio.Event()
+
+    def caller(self, daemon, deadline_s=30.0):
+        url = f"http://{daemon.callers}"
+        return Caller(self.running.session, lambda: url, KEY, deadline_s)
+
+    def stream(self, daemon, request_id, tokens=STREAM_TOKENS):
+        timing = Timing(lambda _: self.started.set(), lambda _: None)
+        call = call_model(
+            self.caller(daemon), request_id, model=MODEL, tokens=tokens, timing=timing
+        )
+        return asyncio.create_task(call)
+
+    def order(self, daemon, key):
+        call = call_order(self.caller(daemon, 5.0), key, service=SERVICE)
+        return asyncio.create_task(call)
+
+    def signal(self, daemon, number):
+        self.running.processes.signal(daemon.name, number)
+
+    async def runs(self):
+        domain = self.running.deployment.domains[0]
+        return await fetch_runs(self.running.session, [f"http://{domain.control}"])
+
+    async def until_run(self, key):
+        async with asyncio.timeout(loopback.PATIENCE_S):
+            while True:
+                if (await self.runs())["orders_by_key"].get(key):
+                    return
+                await asyncio.sleep(0.02)
+
+    async def slow_log(self, slow_ms):
+        url = f"http://{self.running.deployment.log}/fault"
+        body = msgspec.json.encode(LogFault(slow_ms=slow_ms))
+        async with self.running.session.post(url, data=body) as response:
+            assert response.ok
+
+
+def at_site(use):
+    async def run():
+        async with loopback.serving(SHAPE) as running:
+            return await use(Site(running))
+
+    return asyncio.run(run())
+
+
+@given("two daemons before engines that give a token every 20 ms")
+@given("two daemons before a service that takes a second for an order")
+def take_shape(context):
+    assert SHAPE.daemons == 2
+
+
+@when("one gets SIGTERM while it serves three streams and new calls go on coming")
+def terminate(context):
+    async def use(site):
+        streams = [site.stream(site.first, f"long-{n}") for n in range(3)]
+        await site.started.wait()
+        await asyncio.sleep(0.2)
+        site.signal(site.first, signal.SIGTERM)
+        late = []
+        while not all(stream.done() for stream in streams):
+            late.append(await site.stream(site.first, f"late-{len(late)}", 1))
+            await asyncio.sleep(0.1)
+        async with asyncio.timeout(EXIT_TIMEOUT_S):
+            code = await site.running.processes.by_name[site.first.name].wait()
+        return [await each for each in streams], late, code, await site.runs()
+
+    context.seen = at_site(use)
+
+
+@then("its streams are whole, it exits with 0, and new calls are refused truthfully")
+def check_terminated(context):
+    streams, late, code, runs = context.seen
+    assert [each.result for each in streams] == [Result.WHOLE] * 3, streams
+    assert code == 0, code
+    refused = [each for each in late if each.result is Result.REFUSED]
+    assert refused, late
+    assert not any(each.key in runs["runs_by_key"] for each in refused), refused
+    answered = [each for each in late if each.result is not Result.REFUSED]
+    assert all(each.result is Result.WHOLE for each in answered), answered
+
+
+async def claim_and_kill(site, key, *, slow_ms=0.0):
+    """Send an order and kill its daemon: early under a slow log, else once it runs."""
+    await site.slow_log(slow_ms)
+    order = site.order(site.first, key)
+    if slow_ms:
+        await asyncio.sleep(slow_ms / 2000)
+    else:
+        await site.until_run(key)
+    site.signal(site.first, signal.SIGKILL)
+    await site.running.processes.by_name[site.first.name].wait()
+    await site.slow_log(0.0)
+    return await order
+
+
+async def restart(site):
+    await site.running.start_daemon(site.first.name)
+    async with asyncio.timeout(loopback.PATIENCE_S):
+        await site.running.until_ready(site.first.callers)
+
+
+@when("one is killed while an order is being claimed, and one while an order runs")
+def kill(context):
+    context.kill = True
+
+
+@when("the same orders are sent again to the other daemon and to its new start")
+def send_again(context):
+    async def use(site):
+        cut = [await claim_and_kill(site, "claimed", slow_ms=600.0)]
+        await restart(site)
+        cut.append(await claim_and_kill(site, "running"))
+        await restart(site)
+        again = []
+        for _ in range(TRIES):
+            for key in ("claimed", "running"):
+                for daemon in (site.first, site.second):
+                    again.append(await site.order(daemon, key))
+        return cut, again, await site.runs()
+
+    assert context.kill
+    context.seen = at_site(use)
+
+
+@then("no order ran twice, and the one that ran is not said to be free")
+def check_orders(context):
+    cut, again, runs = context.seen
+    ran = runs["orders_by_key"]
+    assert all(each.result is not Result.WHOLE for each in cut), cut
+    assert ran["running"] == 1 and ran.get("claimed", 0) <= 1, ran
+    of_running = [each.result for each in again if each.key == "running"]
+    assert set(of_running) == {Result.UNKNOWN}, again
+    of_claimed = {each.result for each in again if each.key == "claimed"}
+    assert Result.WHOLE not in of_claimed or ran["claimed"] == 1, (again, ran)
+
+
+async def call_until(site, name, ends_at):
+    answers = []
+    while asyncio.get_running_loop().time() < ends_at:
+        request_id = f"{name}-{len(answers)}"
+        answers.append(await site.stream(site.second, request_id, SHORT_TOKENS))
+    return answers
+
+
+@when(
+    "one gets SIGSTOP for four seconds while it serves its share and its peer is full"
+)
+def freeze(context):
+    async def use(site):
+        streams = [
+            site.stream(site.first, f"held-{n}", HELD_TOKENS) for n in range(HELD)
+        ]
+        await asyncio.sleep(BEATS_S)
+        site.signal(site.first, signal.SIGSTOP)
+        ends_at = asyncio.get_running_loop().time() + FREEZE_S
+        callers = [call_until(site, f"caller-{n}", ends_at) for n in range(CALLERS)]
+        meanwhile = await asyncio.gather(*callers)
+        site.signal(site.first, signal.SIGCONT)
+        own = [await stream for stream in streams]
+        after = await site.stream(site.first, "after", SHORT_TOKENS)
+        return own, sum(meanwhile, []), after, await site.runs()
+
+    context.seen = at_site(use)
+
+
+@then("its peer answers meanwhile, its streams end truthfully, and no engine fell over")
+def check_frozen(context):
+    own, meanwhile, after, runs = context.seen
+    told = {Result.WHOLE, Result.UNKNOWN}
+    assert {each.result for each in own} <= told, own
+    assert after.result is Result.WHOLE, after
+    assert meanwhile
+    assert all(each.result is Result.WHOLE for each in meanwhile), meanwhile
+    assert not runs["collapses_by_host"], runs["collapses_by_host"]
--- a/standins/callers.py
+++ b/standins/callers.py
@@ -198,8 +198,9 @@
     except (ClientError, TimeoutError, OSError) as error:
         if reader.result is None:
             reader.result, reader.detail = Result.UNKNOWN, type(error).__name__
-    result = reader.result or Result.BROKEN
-    return Answer(CallKind.MODEL, key, result, reader.detail or "no end marker")
+    if reader.result is None:
+        reader.result, reader.detail = Result.BROKEN, "no end marker"
+    return Answer(CallKind.MODEL, key, reader.result, reader.detail)
 
 
 async def call_lookup(caller: Caller, request_id: str, *, service: str) -> Answer:
--- a/standins/deployment.py
+++ b/standins/deployment.py
@@ -137,7 +137,8 @@
     def settings_file(self, name: str) -> Path:
         """Return the path of a process's settings.
 
-        :param name: ``platform``, or the name of a daemon or failure domain
+        :param name: ``platform``, ``auburnctl``, or the name of a daemon or
+            failure domain
         """
         return self.folder / f"{name}.yaml"
 
@@ -148,6 +149,7 @@
             self._write(domain.name, self._upstreams(domain))
         for daemon in self.daemons:
             self._write(daemon.name, self._daemon(daemon))
+        self._write("auburnctl", self._operators())
         self._write("plans", self._plans())
         self._write("grants", self._grants())
 
@@ -273,6 +275,10 @@
             "drain_s": self.shape.drain_s,
         }
 
+    def _operators(self) -> dict[str, Any]:
+        addresses = [daemon.internal for daemon in self.daemons]
+        return {"daemons": addresses, "operator_key": OPERATOR_KEY}
+
     def _plans(self) -> dict[str, Any]:
         plans = [
             {
