Wait in another failure domain where the own one serves nothing; join operators

Cause: a call in a failure domain that was taken out probed another one, and was refused when that had no free slot at the moment: the own queue has nothing to wait for. It now waits at a daemon of another domain; one that has no share refuses it at once, and at most 4 are asked. A domain without a share of a small plan limit goes the same way.

The operators' calls are on the internal listener. Status and report are gathered from the daemons of every failure domain on demand; the service in the first 20 s after a domain leaves or returns is counted. A daemon whose log went on from an older state stops, for its supervisor to start it anew.

--- a/auburnproxy/ctl/tables.py
+++ b/auburnproxy/ctl/tables.py
@@ -66,6 +66,10 @@
 
 def print_domain(console: Console, domain: Mapping[str, Any]) -> None:
     """Print one failure domain."""
+    if not domain["answered"]:
+        name = domain["failure_domain"]
+        console.print(f"[bold]{name}: none of its daemons answered.[/bold]")
+        return
     service = "out of service" if domain["out"] else "in service"
     title = f"{domain['failure_domain']}, {service}, version {domain['in_force']}"
     daemons = [
--- a/auburnproxy/daemon/_peers.py
+++ b/auburnproxy/daemon/_peers.py
@@ -46,7 +46,9 @@
 class Holders(NamedTuple):
     """Who has shares, as it was at some time."""
 
-    members: tuple[Member, ...]
+    own: bool
+    """Whether this daemon has some itself; then its peers are not looked at."""
+    peers: tuple[Member, ...]
     until: float
     """The loop's time in seconds until which this is used."""
 
@@ -99,17 +101,26 @@
 
         :param plan: name of the plan
         :param target: ``model/NAME`` or ``service/NAME``
-        :return: empty if this daemon has shares of both itself
         """
+        return self._known_holders(plan, target).peers
+
+    def has_share(self, plan: str, target: str) -> bool:
+        """Return whether this daemon has shares of a plan and of a target.
+
+        :param plan: name of the plan
+        :param target: ``model/NAME`` or ``service/NAME``
+        """
+        return self._known_holders(plan, target).own
+
+    def _known_holders(self, plan: str, target: str) -> Holders:
         now = asyncio.get_running_loop().time()
         known = self._holders_by_keys.get((plan, target))
         if known is None or known.until <= now:
-            members = self._find_holders(plan, target)
-            known = Holders(members, now + HOLDERS_KEPT_S)
+            known = self._find_holders(plan, target, until=now + HOLDERS_KEPT_S)
             self._holders_by_keys[plan, target] = known
-        return known.members
+        return known
 
-    def _find_holders(self, plan: str, target: str) -> tuple[Member, ...]:
+    def _find_holders(self, plan: str, target: str, *, until: float) -> Holders:
         keys = [f"{UPSTREAM_PREFIX}{host}" for host in self._targets.hosts(target)]
         plan_key = f"{PLAN_PREFIX}{plan}"
 
@@ -119,9 +130,9 @@
             return any(self._share(key, member_id) for key in keys)
 
         if has_shares(self._membership.me.id):
-            return ()
+            return Holders(True, (), until)
         near = self.near_by_id.values()
-        return tuple(member for member in near if has_shares(member.id))
+        return Holders(False, tuple(m for m in near if has_shares(m.id)), until)
 
     def _share(self, key: str, member_id: str) -> int:
         limit = self._gates.gate(key).limit
--- a/auburnproxy/daemon/daemon.py
+++ b/auburnproxy/daemon/daemon.py
@@ -12,6 +12,8 @@
 from ..journal import Journal
 from ..ledger import Ledger, LedgerRunner
 from ..membership import Epoch, Member, Membership, Roster
+from ..membership.rendezvous import rank
+from ..operators import Overview
 from ..platform.http import connect_hosts, connect_log, connect_weights
 from ..quotas import Gates, custodian, holds, share
 from ..replicas import Custodian, Downtime, Planner, Readiness, Repairs, Replicas
@@ -21,7 +23,9 @@
 from ..upstreams import Watcher
 from ..upstreams.http_engine import connect_engine
 from ..upstreams.http_service import connect_service
+from ._local import DaemonView
 from ._lost import LostDaemons
+from ._moves import Moves
 from ._peers import KnownPeers, Offers, Targets
 from ._wants import Wants
 from .settings import Calls, Settings
@@ -31,6 +35,10 @@
 STORE_KEY = "plan/weight-store"
 """Quota of the weight store's loads, divided like a plan's limit."""
 
+CHECKPOINT_KEY = "checkpoint"
+"""Ranks the daemons in the order in which they write checkpoints."""
+DIVERGED_CHECK_S = 1.0
+
 log = part("daemon")
 
 
@@ -66,6 +74,7 @@
         self._join_members(settings)
         self._join_upstreams(settings)
         self._join_serving(settings)
+        self._join_operators(settings)
 
     def _join_journal(self, settings: Settings) -> None:
         self.roster = Roster()
@@ -74,7 +83,14 @@
         self.ledger = Ledger()
         self.log_service = connect_log(settings.platform.log)
         reducers = [self.roster, self.configuration, self.replicas, self.ledger]
-        self.journal = Journal(self.log_service, reducers, author=self.me.id)
+        self.journal = Journal(
+            self.log_service,
+            reducers,
+            author=self.me.id,
+            failure_domain=self.me.failure_domain,
+            failure_domains=lambda: self.roster.failure_domains,
+            rank=self._checkpoint_rank,
+        )
 
     def _join_members(self, settings: Settings) -> None:
         self.membership = Membership(
@@ -150,6 +166,17 @@
             limits=_limits(settings.calls),
         )
 
+    def _join_operators(self, settings: Settings) -> None:
+        self.moves = Moves(self.configuration, self.telemetry)
+        self.view = DaemonView(self)
+        self.overview = Overview(
+            self.me.id,
+            self.view,
+            members=self._other_members,
+            version=lambda: self.configuration.version,
+            key=settings.operator_key,
+        )
+
     @property
     def ready(self) -> bool:
         """Return whether the state is whole and this daemon has its shares."""
@@ -164,6 +191,8 @@
         self._spawn("custodian", self.custodian.run())
         self._spawn("downtime", self.downtime.run())
         self._spawn("serving", self.face.run())
+        self._spawn("moves", self.moves.run())
+        self._spawn("divergence", self._until_diverged())
         log.info("{} started.", self.me.id)
 
     async def stop(self) -> None:
@@ -195,9 +224,30 @@
         """Shut down if a slice has failed: a part of a daemon is worse than none."""
         if task.cancelled():
             return
-        log.opt(exception=task.exception()).critical("{} failed.", task.get_name())
+        log.opt(exception=task.exception()).critical("{} ended.", task.get_name())
         asyncio.get_running_loop().stop()
 
+    async def _until_diverged(self) -> None:
+        """End when the log went on from an older state; the tasks end with it."""
+        while True:
+            await asyncio.sleep(DIVERGED_CHECK_S)
+            if self.journal.diverged:
+                log.critical("The log went on from an older state; restart needed.")
+                return
+
+    def _other_members(self) -> dict[str, list[Member]]:
+        return {
+            domain: [m for m in self.roster.members(domain) if m != self.me]
+            for domain in self.roster.failure_domains
+        }
+
+    def _checkpoint_rank(self) -> int:
+        """Return this daemon's place among all members in writing checkpoints."""
+        gone = self.membership.gone
+        members = [m for group in self._other_members().values() for m in group]
+        alive = (self.me, *(m for m in members if m.id not in gone))
+        return rank(CHECKPOINT_KEY, alive).index(self.me)
+
     def _holds(self, key: str) -> bool:
         return holds(key, self.membership.window, self.me.id)
 
--- a/auburnproxy/daemon/listener.py
+++ b/auburnproxy/daemon/listener.py
@@ -8,6 +8,7 @@
 from aiomisc import Service
 from aiomisc.service.aiohttp import AIOHTTPService
 
+from ..operators import routes
 from ..telemetry.exposition import exposition
 from .daemon import Daemon
 
@@ -82,9 +83,24 @@
     body_bytes = daemon.settings.calls.body_bytes
     application = web.Application(client_max_size=2 * body_bytes)
     application.add_routes(daemon.face.forward_routes())
+    application.add_routes(operator_routes(daemon))
     return application
 
 
+def operator_routes(daemon: Daemon) -> list[web.RouteDef]:
+    """Return the operators' calls to a daemon."""
+    return routes(
+        daemon.configuration,
+        daemon.journal,
+        key=daemon.settings.operator_key,
+        in_force=lambda: daemon.membership.in_force,
+        wanted=lambda: daemon.roster.failure_domains,
+        local=daemon.view,
+        overview=daemon.overview,
+        hosts=lambda: daemon.watcher.listed_by_name,
+    )
+
+
 def services(daemon: Daemon) -> list[Any]:
     """Return all services of a daemon's entry point."""
     listen = daemon.settings.listen
--- a/auburnproxy/operators/__init__.py
+++ b/auburnproxy/operators/__init__.py
@@ -14,6 +14,7 @@
     Verdict,
 )
 from .changes import Changes
+from .overview import LocalView, Overview
 from .routes import routes
 
 __all__ = [
@@ -23,7 +24,9 @@
     "DomainReport",
     "DomainStatus",
     "JournalStatus",
+    "LocalView",
     "MoveReport",
+    "Overview",
     "ReplicaStatus",
     "ReportBody",
     "ShowBody",
--- a/auburnproxy/operators/bodies.py
+++ b/auburnproxy/operators/bodies.py
@@ -91,6 +91,8 @@
     """One failure domain."""
 
     failure_domain: str
+    answered: bool
+    """Whether one of its daemons answered; otherwise nothing else is known."""
     out: bool
     in_force: int
     daemons: list[DaemonStatus]
@@ -120,13 +122,15 @@
 
 
 class MoveReport(TypedDict):
-    """The service while a failure domain left or returned."""
+    """The service in the first seconds after a failure domain left or returned."""
 
+    version: int
+    """Configuration version that the move came with."""
     failure_domain: str
     out: bool
     """Whether it left; otherwise it returned."""
     seconds: float
-    """How long the move took, or has taken so far."""
+    """Seconds that were counted."""
     answered: int
     refused: int
     unknown: int
@@ -142,10 +146,11 @@
 
 
 class ReportBody(TypedDict):
-    """What was measured since the daemon that answers started."""
+    """What the daemons have measured, each since its start."""
 
     daemon: str
     seconds: float
+    """Since the start of the daemon that answers."""
     failure_domains: list[DomainReport]
     moves: list[MoveReport]
     telemetry: TelemetryReport
--- a/auburnproxy/operators/routes.py
+++ b/auburnproxy/operators/routes.py
@@ -16,12 +16,11 @@
 from .bodies import (
     Answer,
     FindingBody,
-    ReportBody,
     ShowBody,
-    StatusBody,
     Verdict,
 )
 from .changes import Changes, JournalPort, answer
+from .overview import REPORT_PATH, STATUS_PATH, LocalView, Overview
 
 PREFIX = "/operator"
 BEARER = "Bearer "
@@ -73,8 +72,8 @@
     key: str,
     in_force: Callable[[], Mapping[str, int]],
     wanted: Callable[[], Collection[str]],
-    status: Callable[[], StatusBody],
-    report: Callable[[], ReportBody],
+    local: LocalView,
+    overview: Overview,
     hosts: Callable[[], Collection[str]] | None = None,
 ) -> list[web.RouteDef]:
     """Return the operators' calls below ``/operator``.
@@ -84,18 +83,24 @@
     :param key: the operator key that every call must carry as a bearer token
     :param in_force: configuration version in force, by failure domain
     :param wanted: every failure domain that must have a change in force
-    :param status: returns the body of a status call
-    :param report: returns the body of a report call
+    :param local: what this daemon knows by itself
+    :param overview: gathers what all daemons know
     :param hosts: names that may be marked, None for any
     """
     changes = Changes(configuration, journal, in_force=in_force, wanted=wanted)
     calls = Calls(configuration, journal, changes, wanted, hosts)
 
-    async def status_call(request: web.Request) -> web.Response:
-        return _json(status())
+    async def status(request: web.Request) -> web.Response:
+        return _json(await overview.status())
 
-    async def report_call(request: web.Request) -> web.Response:
-        return _json(report())
+    async def report(request: web.Request) -> web.Response:
+        return _json(await overview.report())
+
+    async def local_status(request: web.Request) -> web.Response:
+        return _json(local.domain_status())
+
+    async def local_report(request: web.Request) -> web.Response:
+        return _json(local.report())
 
     def guarded(handler: Handler) -> Handler:
         return _guard(handler, key)
@@ -104,8 +109,10 @@
         web.post(f"{PREFIX}/apply", guarded(calls.apply)),
         web.post(f"{PREFIX}/mark", guarded(calls.mark)),
         web.get(f"{PREFIX}/show", guarded(calls.show)),
-        web.get(f"{PREFIX}/status", guarded(status_call)),
-        web.get(f"{PREFIX}/report", guarded(report_call)),
+        web.get(f"{PREFIX}/status", guarded(status)),
+        web.get(f"{PREFIX}/report", guarded(report)),
+        web.get(STATUS_PATH, guarded(local_status)),
+        web.get(REPORT_PATH, guarded(local_report)),
     ]
 
 
--- a/auburnproxy/serving/_protocols.py
+++ b/auburnproxy/serving/_protocols.py
@@ -19,11 +19,11 @@
     def far_by_domain(self) -> Mapping[str, Sequence[Member]]:
         """Return the daemons of each other failure domain that is in service."""
 
-    def holders(self, plan: str, target: str) -> Sequence[Member]:
-        """Return the near peers that have shares of a plan and of a target.
+    def has_share(self, plan: str, target: str) -> bool:
+        """Return whether this daemon has shares of a plan and of a target."""
 
-        :return: empty if this daemon has shares of both itself
-        """
+    def holders(self, plan: str, target: str) -> Sequence[Member]:
+        """Return the near peers that have shares of a plan and of a target."""
 
     def free_slots(self, key: str) -> Mapping[str, int]:
         """Return the free slots by member id that near peers told of.
--- a/auburnproxy/serving/models.py
+++ b/auburnproxy/serving/models.py
@@ -254,9 +254,8 @@
             yield placement
 
     def _waits_here(self, request: Request) -> bool:
-        if not request.may_spill:
-            return request.may_wait
-        return self._spill.waits_here(request.plan.name, request.target)
+        plan, target = request.plan.name, request.target
+        return request.may_wait and self._spill.waits_here(plan, target)
 
     def _peers(
         self, request: Request, avoid: Collection[str]
--- a/auburnproxy/serving/services.py
+++ b/auburnproxy/serving/services.py
@@ -26,7 +26,7 @@
 from .intake import Headers, check, may_wait, read_body, read_headers
 from .limits import Limits
 from .placement import LocalService
-from .spill import Spill
+from .spill import Spill, waiting_at
 
 NO_SLOT_HERE = frozenset({"no_slot", "no_service"})
 BUSY = frozenset({429, 503})
@@ -232,20 +232,28 @@
                     return await use(place)
             with suppress(_NoSlotError):
                 return await self._elsewhere(request, peer, wait=False)
-        holder = self._spill.holder(plan, request.target) if request.may_spill else None
-        try:
-            if holder is not None:
+        tried: set[str] = set()
+        while (holder := self._holder(request, tried)) is not None:
+            tried.add(waiting_at(holder))
+            with suppress(_NoSlotError):
                 return await self._elsewhere(request, holder, wait=True)
+        try:
             wait = self._waits_here(request)
             async with self._ticket(request, avoid, wait=wait) as place:
                 return await use(place)
         except _NoSlotError as error:
             raise error.refusal from None
 
-    def _waits_here(self, request: Request) -> bool:
+    def _holder(self, request: Request, tried: Collection[str]) -> Member | None:
+        """Return a peer to wait at, None if the call can wait here or was forwarded."""
         if not request.may_spill:
-            return request.may_wait
-        return self._spill.waits_here(request.plan.name, request.target)
+            return None
+        plan, target = request.plan.name, request.target
+        return self._spill.holder(plan, target, exclude=tried)
+
+    def _waits_here(self, request: Request) -> bool:
+        plan, target = request.plan.name, request.target
+        return request.may_wait and self._spill.waits_here(plan, target)
 
     async def _elsewhere(
         self, request: Request, peer: Member, *, wait: bool
--- a/auburnproxy/serving/spill.py
+++ b/auburnproxy/serving/spill.py
@@ -11,11 +11,14 @@
 
 PROBE_PAUSE_S = 1.0
 """Seconds for which a failure domain that refused a call is not probed again."""
+FAR_TRIES = 4
+"""Far peers that are asked to let one call wait."""
+WAITING = "waiting/"
 
 
 def waiting_at(member: Member) -> str:
     """Return what stands for a peer that refused a call although it might wait."""
-    return f"waiting/{member.id}"
+    return f"{WAITING}{member.id}"
 
 
 class Spill:
@@ -54,27 +57,39 @@
         """Return whether a call may wait here for a slot.
 
         It waits in vain where this daemon has no share of the plan or of the
-        target and a near peer has: no slot here would ever come free for it.
+        target: no slot here would ever come free for it.
 
         :param plan: name of the caller's plan
         :param target: kind and name of the target
         """
-        return not self._peers.holders(plan, target)
+        return self._peers.has_share(plan, target)
 
     def holder(
         self, plan: str, target: str, *, exclude: Collection[str] = ()
     ) -> Member | None:
-        """Return a near peer to wait at, None if there is none.
+        """Return a peer to wait at, None if there is none or a call can wait here.
+
+        It is a near one that has shares. If none has, that is if nothing in the
+        own failure domain serves the target, it is one of another failure domain.
 
         :param plan: name of the caller's plan
         :param target: kind and name of the target
         :param exclude: what the call has failed on; a peer that had no free slot
             may still be waited at, one that refused to let it wait may not
         """
-        holders = self._peers.holders(plan, target)
+        if self._peers.has_share(plan, target):
+            return None
+        holders = self._peers.holders(plan, target) or self._far(exclude)
         found = [member for member in holders if waiting_at(member) not in exclude]
         return found[next(self._turns) % len(found)] if found else None
 
+    def _far(self, exclude: Collection[str]) -> list[Member]:
+        """Return the far peers to wait at, none after some have refused."""
+        if sum(name.startswith(WAITING) for name in exclude) >= FAR_TRIES:
+            return []
+        far_by_domain = self._peers.far_by_domain
+        return [m for domain in sorted(far_by_domain) for m in far_by_domain[domain]]
+
     def refused(self, member: Member, plan: str, target: str) -> None:
         """Note that a peer refused a call.
 
--- a/features/fakes/serving.py
+++ b/features/fakes/serving.py
@@ -232,6 +232,10 @@
         self.far_by_domain = {}
         self.free_by_key = {}
         self.holding = []
+        self.shares = True
+
+    def has_share(self, plan, target):
+        return self.shares
 
     def holders(self, plan, target):
         return self.holding
--- a/features/spill.feature
+++ b/features/spill.feature
@@ -31,3 +31,7 @@
 
   Scenario: A call waits here where this daemon has shares
     Then a call waits here
+
+  Scenario: A call waits in another domain where this one serves nothing
+    Given no daemon of this domain has shares
+    Then a call waits at far peers, at most 4 of them, and not here
--- a/features/steps/ctl.py
+++ b/features/steps/ctl.py
@@ -33,6 +33,7 @@
     "reason": "loading",
 }
 DOMAIN = {
+    "answered": True,
     "failure_domain": "a",
     "out": False,
     "in_force": 0,
@@ -58,6 +59,14 @@
 }
 
 
+class FakeOverview:
+    async def status(self):
+        return STATUS
+
+    async def report(self):
+        return REPORT
+
+
 class Server:
     """A daemon's operators' calls, in a thread of their own."""
 
@@ -85,8 +94,8 @@
                 key=KEY,
                 in_force=self.in_force,
                 wanted=lambda: ("a", "b"),
-                status=lambda: STATUS,
-                report=lambda: REPORT,
+                local=None,
+                overview=FakeOverview(),
             )
         )
         self.runner = web.AppRunner(application, access_log=None)
--- a/features/steps/spill.py
+++ b/features/steps/spill.py
@@ -84,6 +84,23 @@
 @given("near peers a1 and a2 have shares and this daemon has none")
 def give_shares(context):
     context.peers.holding = list(context.peers.near_by_id.values())
+    context.peers.shares = False
+
+
+@given("no daemon of this domain has shares")
+def take_shares(context):
+    context.peers.shares = False
+
+
+@then("a call waits at far peers, at most 4 of them, and not here")
+def waits_far(context):
+    context.peers.far_by_domain["b"] += [make_peer(f"b{n}") for n in range(3, 9)]
+    failed = []
+    while (peer := holder(context, *failed)) is not None:
+        assert peer.failure_domain in "bc", peer
+        failed.append(waiting_at(peer))
+    assert len(set(failed)) == 4, failed
+    assert not context.spill.waits_here(PLAN, TARGET)
 
 
 def holder(context, *failed):
