Wait 20 s for a host that is still listed, and cache what serves

Cause: restarts are several times as many as losses, and a repair by a host without the weights takes longer than the host's return. The scenario of a lost host now drops it from the list and keeps its 40 s; one of a restarted process is new, and fails without the grace. The planner looks again at once after an accepted record, so that hosts which a record frees are given out without a pause.

--- a/auburnproxy/replicas/planner.py
+++ b/auburnproxy/replicas/planner.py
@@ -20,11 +20,13 @@
 
 STEP_INTERVAL_S = 1.0
 """Seconds between two looks at the placement."""
+MOST_STEPS = 3
+"""Looks in a row, where one frees the hosts that the next gives out."""
 MODELS_INTERVAL_S = 30.0
 """Seconds between two readings of the models on offer."""
 PROPOSE_TIMEOUT_S = 5.0
 """Seconds that a proposal may take."""
-MISSING_GRACE_S = 3.0
+MISSING_GRACE_S = 20.0
 """Seconds that a host must be missing before it is replaced."""
 LOG_AWAY_S = 5.0
 """Seconds without the log after which repairs are made before their record."""
@@ -109,20 +111,27 @@
     async def run(self) -> None:
         """Plan until cancelled."""
         while True:
-            await self.step()
+            for _ in range(MOST_STEPS):
+                if not await self.step():
+                    break
             await asyncio.sleep(STEP_INTERVAL_S)
 
-    async def step(self) -> None:
-        """Look once at the placement and propose what it lacks."""
+    async def step(self) -> bool:
+        """Look once at the placement and propose what it lacks.
+
+        :return: whether a record was accepted, so that another look is worthwhile
+        """
         await self._read_models()
         changes = self._choose(self._candidates()) if self._hosts_by_model else []
         now = asyncio.get_running_loop().time()
         if self._journal.up:
             self._log_up_at = now
             await self._record_repairs()
-            await asyncio.gather(*(self._propose(c, i) for i, c in enumerate(changes)))
-        elif now - self._log_up_at >= LOG_AWAY_S:
+            proposals = (self._propose(c, i) for i, c in enumerate(changes))
+            return any(await asyncio.gather(*proposals))
+        if now - self._log_up_at >= LOG_AWAY_S:
             self._repair_unrecorded(changes)
+        return False
 
     def wants(self) -> tuple[Want, ...]:
         """Return the wants for models that the weight store has, by name."""
@@ -220,7 +229,7 @@
         self._hosts_by_model = {m.name: m.hosts_per_replica for m in models}
         self._read_models_at = now
 
-    async def _propose(self, change: Change, index: int, *, keeps: int = 0) -> None:
+    async def _propose(self, change: Change, index: int, *, keeps: int = 0) -> bool:
         name = change.replica or self._new_name(change, index)
         keys = [replica_key(name), *map(host_key, self._touched(change))]
         expects = {key: self._journal.version(key) for key in keys}
@@ -236,9 +245,10 @@
             )
         except AuburnError as error:
             log.warning("Proposal {} of {} not settled: {}.", change.kind, name, error)
-            return
+            return False
         verdict = "accepted" if outcome.accepted else f"rejected, {outcome.reason}"
         log.info("Proposal {} of {} {}.", change.kind, name, verdict)
+        return outcome.accepted
 
     def _new_name(self, change: Change, index: int) -> str:
         return f"{change.model}-{change.fabric_domain}-{self._journal.offset}-{index}"
--- a/auburnproxy/replicas/readiness.py
+++ b/auburnproxy/replicas/readiness.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Iterable
 
 from ..upstreams import Watcher
 from ..upstreams.engine import EngineState
@@ -12,7 +11,7 @@
 from .replicas import Replicas
 
 CHECK_INTERVAL_S = 0.25
-"""Seconds between two checks of a replica that calls run on."""
+"""Seconds between two checks of the replicas that serve."""
 READY_STATES = (EngineState.READY, EngineState.LEAVING)
 """States of an engine that finishes its calls."""
 
@@ -27,16 +26,27 @@
     def __init__(self, replicas: Replicas, watcher: Watcher) -> None:
         self._replicas = replicas
         self._watcher = watcher
+        self._served: tuple[Replica, ...] = ()
+        self._state = (-1, -1)
+        self._checked_at = 0.0
         self._guards_by_replica: dict[Replica, asyncio.Task[None]] = {}
 
     def serving(self, model: str) -> tuple[Replica, ...]:
         """Return the replicas of a model that may get new work."""
-        recorded = self._replicas.by_name.values()
-        return self._serving(replica for replica in recorded if replica.model == model)
+        return tuple(r for r in self.all_serving() if r.model == model)
 
     def all_serving(self) -> tuple[Replica, ...]:
-        """Return the replicas of every model that may get new work."""
-        return self._serving(self._replicas.by_name.values())
+        """Return the replicas of every model that may get new work.
+
+        They are worked out anew when a host, a part or a record has changed, and
+        at least every ``CHECK_INTERVAL_S`` seconds for what only time changes.
+        """
+        now = asyncio.get_running_loop().time()
+        state = (self._replicas.version, self._watcher.changes.sent)
+        if state != self._state or now - self._checked_at >= CHECK_INTERVAL_S:
+            self._served = self._find_serving()
+            self._state, self._checked_at = state, now
+        return self._served
 
     def serves(self, replica: Replica) -> bool:
         """Return whether a replica is whole and none of its hosts is to be left."""
@@ -58,8 +68,8 @@
             return False
         return played(replica, self._watcher)
 
-    def _serving(self, recorded: Iterable[Replica]) -> tuple[Replica, ...]:
-        found = (self._as_played(replica) for replica in recorded)
+    def _find_serving(self) -> tuple[Replica, ...]:
+        found = map(self._as_played, self._replicas.by_name.values())
         return tuple(replica for replica in found if replica and self.serves(replica))
 
     def _as_played(self, recorded: Replica) -> Replica | None:
--- a/auburnproxy/upstreams/pulse.py
+++ b/auburnproxy/upstreams/pulse.py
@@ -10,9 +10,12 @@
 
     def __init__(self) -> None:
         self._next: asyncio.Future[None] | None = None
+        self.sent = 0
+        """Number of signals so far."""
 
     def send(self) -> None:
         """Wake every task that waits now."""
+        self.sent += 1
         if self._next is not None and not self._next.done():
             self._next.set_result(None)
         self._next = None
--- a/features/fakes/replicas.py
+++ b/features/fakes/replicas.py
@@ -330,6 +330,12 @@
         parts.append(self.downtime)
         self.tasks = [asyncio.create_task(part.run()) for part in parts]
 
+    async def pause(self):
+        """End the tasks but for the watcher's, which keeps the reports fresh."""
+        for task in (*self.tasks[:1], *self.tasks[2:]):
+            task.cancel()
+        await asyncio.sleep(0)
+
     async def stop(self):
         for task in self.tasks:
             task.cancel()
--- a/features/replicas.feature
+++ b/features/replicas.feature
@@ -13,17 +13,23 @@
 
     Scenario: A lost host is replaced by a spare that is kept for it
       When 40 seconds pass
-      And a host of a serving replica dies
+      And a host of a serving replica dies and is listed no more
       And 2 seconds pass
       Then no replica with that host serves
       When 40 seconds pass
       Then the replica serves again with one host changed
 
+    Scenario: A host whose process restarts keeps its part
+      When 40 seconds pass
+      And the process of a host of a serving replica restarts within 10 seconds
+      And 10 seconds pass
+      Then the replica serves again with the same record
+
     Scenario: A host lost while the log is away is replaced, and recorded later
       When 40 seconds pass
       And the log goes away
       And 6 seconds pass
-      And a host of a serving replica dies
+      And a host of a serving replica dies and is listed no more
       And 40 seconds pass
       Then the replica serves again with one host changed
       When another daemon takes over
--- a/features/steps/replicas.py
+++ b/features/steps/replicas.py
@@ -9,7 +9,7 @@
 from auburnproxy.replicas import Policy, custody_key
 from auburnproxy.upstreams import Observation, Result
 from features.fakes.replicas import FakeDaemon, FakePlatform
-from features.machines.replicas import MACHINES
+from features.machines import cold_starts, replicas
 from features.machines.search import search
 
 
@@ -46,6 +46,9 @@
     daemon.start()
 
 
+MACHINES = (*replicas.MACHINES, *cold_starts.MACHINES)
+
+
 def run(context, coroutine):
     return context.loop.run_until_complete(coroutine)
 
@@ -144,11 +147,12 @@
     context.daemon.store_part = 1.0
 
 
-@when("a host of a serving replica dies")
+@when("a host of a serving replica dies and is listed no more")
 def kill(context):
     context.replica = serving(context)[0]
     context.host = context.replica.hosts[-1]
     context.platform.engines_by_host[context.host].alive = False
+    del context.platform.entries_by_host[context.host]
 
 
 @when("a call finds a connection closed while a poll is under way")
@@ -176,6 +180,21 @@
     assert run(context, look()) == (False, True)
 
 
+@when("the process of a host of a serving replica restarts within 10 seconds")
+def restart(context):
+    context.replica = serving(context)[0]
+    engine = context.platform.engines_by_host[context.replica.hosts[-1]]
+    engine.alive = False
+    run(context, asyncio.sleep(10))
+    assert context.replica not in serving(context)
+    engine.restart()
+
+
+@then("the replica serves again with the same record")
+def compare_same(context):
+    assert context.replica in serving(context)
+
+
 @when("the log {moves} away")
 @when("the log {moves} back")
 def switch_log(context, moves):
