--- a/auburnproxy/upstreams/warmth.py
+++ b/auburnproxy/upstreams/warmth.py
@@ -32,7 +32,8 @@
     def __init__(self, cold_slots: int, slots: int) -> None:
         self.cold_slots = cold_slots
         self.slots = slots
-        self.start = ("", 0)
+        self.incarnation = ""
+        self._part: object = None
         self.usual_first_token_s = 0.0
         self._samples = 0
         self._steps = 0
@@ -51,15 +52,18 @@
         """Return whether the limit has risen to the warm one."""
         return self.limit == self.slots
 
-    def see_start(self, incarnation: str, generation: int) -> None:
-        """Go back to cold if the upstream has started or was formed anew.
+    def see_start(self, incarnation: str, part: object, *, ready: bool) -> None:
+        """Go back to cold if the upstream has started, or is formed anew.
 
         :param incarnation: the upstream's incarnation, from its report
-        :param generation: generation of its replica, 0 for none
+        :param part: what it plays in a replica, None for nothing
+        :param ready: whether it takes calls
         """
-        if (incarnation, generation) == self.start:
+        if not ready:
+            self._reset()
+        if (incarnation, part) == (self.incarnation, self._part):
             return
-        self.start = (incarnation, generation)
+        self.incarnation, self._part = incarnation, part
         self._samples = 0
         self._reset()
 
@@ -71,7 +75,7 @@
 
     def see_call(self, observation: Observation, now: float) -> None:
         """Take what a call showed; what was meant for another start is ignored."""
-        if observation.incarnation not in ("", self.start[0]):
+        if observation.incarnation not in ("", self.incarnation):
             return
         if observation.result is Result.COMPLETED:
             self._see_answer(observation.first_token_s, now)
--- a/auburnproxy/upstreams/watcher.py
+++ b/auburnproxy/upstreams/watcher.py
@@ -285,12 +285,12 @@
     def _warm(self, report: Report, now: float) -> None:
         warmth = self._warmth_by_host[report.host]
         if isinstance(report, ServiceReport):
-            warmth.see_start(report.incarnation, 0)
+            warmth.see_start(report.incarnation, None, ready=True)
             warmth.see_load(report.in_flight, 0, now)
             return
-        part = report.assignment
-        warmth.see_start(report.incarnation, part.generation if part else 0)
-        if report.state is EngineState.READY:
+        ready = report.state in (EngineState.READY, EngineState.LEAVING)
+        warmth.see_start(report.incarnation, report.assignment, ready=ready)
+        if ready:
             warmth.see_load(report.in_flight, report.queued, now)
 
     def _close(self, host: str) -> None:
--- a/features/replicas.feature
+++ b/features/replicas.feature
@@ -25,6 +25,17 @@
       And 10 seconds pass
       Then the replica serves again with the same record
 
+    @point4
+    Scenario: A failure domain that is out finishes its streams and stays formed
+      When 40 seconds pass
+      And a stream runs on each serving replica
+      And the failure domain is taken out
+      Then no replica serves
+      When 60 seconds pass
+      Then no stream was cut
+      When the failure domain is brought back
+      Then the same replicas serve
+
     Scenario: A host lost while the log is away is replaced, and recorded later
       When 40 seconds pass
       And the log goes away
--- a/features/steps/replicas.py
+++ b/features/steps/replicas.py
@@ -54,7 +54,8 @@
 
 
 def stop(context):
-    for task in (*getattr(context, "relays", ()), getattr(context, "presence", None)):
+    tasks = [*getattr(context, "relays", ()), *getattr(context, "streams", ())]
+    for task in (*tasks, getattr(context, "presence", None)):
         if task is not None:
             task.cancel()
     for daemon in (context.daemon, getattr(context, "second", None)):
@@ -195,6 +196,41 @@
     assert context.replica in serving(context)
 
 
+@when("a stream runs on each serving replica")
+def open_streams(context):
+    context.replicas = serving(context)
+    assert context.replicas
+    lost = context.daemon.readiness.lost
+    context.streams = [context.loop.create_task(lost(r)) for r in context.replicas]
+
+
+@when("the failure domain is taken out")
+def take_out(context):
+    context.marks.add(context.domain)
+    run(context, asyncio.sleep(1))
+
+
+@when("the failure domain is brought back")
+def bring_back(context):
+    context.marks.clear()
+    run(context, asyncio.sleep(1))
+
+
+@then("no replica serves")
+def compare_none(context):
+    assert not serving(context)
+
+
+@then("no stream was cut")
+def compare_streams(context):
+    assert not [stream for stream in context.streams if stream.done()]
+
+
+@then("the same replicas serve")
+def compare_all(context):
+    assert serving(context) == context.replicas
+
+
 @when("the log {moves} away")
 @when("the log {moves} back")
 def switch_log(context, moves):
--- /dev/null
+++ b/features/steps/stragglers.py
@@ -0,0 +1,32 @@
+"""Steps for upstreams that are slower than their peers."""
+
+from behave import given, then
+
+from auburnproxy.upstreams.stragglers import Stragglers
+
+FAST_S = 0.2
+
+
+@given("{count:d} upstreams of which {slow:d} answer {times:d} times as slowly")
+def answer(context, count, slow, times):
+    context.stragglers = Stragglers()
+    context.groups = {f"h{number}": "m" for number in range(count)}
+    context.slow = {f"h{number}" for number in range(slow)}
+    for host in context.groups:
+        for _ in range(10):
+            seconds = FAST_S * (times if host in context.slow else 1)
+            context.stragglers.add(host, seconds)
+
+
+@then("{count:d} of the slow ones are ejected, and no other")
+def compare(context, count):
+    ejected = context.stragglers.ejected(context.groups, 0.0)
+    assert len(ejected) == count, ejected
+    assert ejected <= context.slow
+    context.first = ejected
+
+
+@then("those are tried again {seconds:d} seconds later")
+def compare_later(context, seconds):
+    ejected = context.stragglers.ejected(context.groups, float(seconds))
+    assert not ejected & context.first, ejected
