--- a/auburnproxy/serving/services.py
+++ b/auburnproxy/serving/services.py
@@ -23,10 +23,10 @@
 from ._labels import TARGET
 from .budget import Budgets
 from .forward import Forwarder
-from .intake import Headers, check, read_body, read_headers
+from .intake import Headers, check, may_wait, read_body, read_headers
 from .limits import Limits
 from .placement import LocalService
-from .spill import Spill
+from .spill import Spill, waiting_at
 
 NO_SLOT_HERE = frozenset({"no_slot", "no_service"})
 BUSY = frozenset({429, 503})
@@ -45,6 +45,8 @@
     call: PlainCall
     may_spill: bool
     """False for a call that was forwarded to this daemon."""
+    may_wait: bool = True
+    """Whether it may wait here for a slot."""
 
     @property
     def target(self) -> str:
@@ -140,7 +142,9 @@
             headers.idempotency_key,
             headers.deadline - now,
         )
-        answer = await self.run(Request(plan, grant, headers.deadline, call, False))
+        wait = may_wait(http.headers)
+        request = Request(plan, grant, headers.deadline, call, False, wait)
+        answer = await self.run(request)
         return web.Response(body=msgspec.msgpack.encode(answer))
 
     async def finished(self) -> None:
@@ -227,15 +231,33 @@
                 async with self._ticket(request, avoid, wait=False) as place:
                     return await use(place)
             with suppress(_NoSlotError):
-                return await self._elsewhere(request, peer)
+                return await self._elsewhere(request, peer, wait=False)
+        tried: set[str] = set()
+        while (holder := self._holder(request, tried)) is not None:
+            tried.add(waiting_at(holder))
+            with suppress(_NoSlotError):
+                return await self._elsewhere(request, holder, wait=True)
         try:
-            wait = request.may_spill
+            wait = self._waits_here(request)
             async with self._ticket(request, avoid, wait=wait) as place:
                 return await use(place)
         except _NoSlotError as error:
             raise error.refusal from None
 
-    async def _elsewhere(self, request: Request, peer: Member) -> PlainAnswer:
+    def _holder(self, request: Request, tried: Collection[str]) -> Member | None:
+        """Return a peer to wait at, None if the call can wait here or was forwarded."""
+        if not request.may_spill:
+            return None
+        plan, target = request.plan.name, request.target
+        return self._spill.holder(plan, target, exclude=tried)
+
+    def _waits_here(self, request: Request) -> bool:
+        plan, target = request.plan.name, request.target
+        return request.may_wait and self._spill.waits_here(plan, target)
+
+    async def _elsewhere(
+        self, request: Request, peer: Member, *, wait: bool
+    ) -> PlainAnswer:
         """Return a peer's answer.
 
         :raises _NoSlotError: if the peer has not run it and is busy
@@ -244,7 +266,7 @@
         self._telemetry.count(Counter.FORWARDED, plan, request.target)
         call = request.call._replace(deadline_s=_remaining_s(request))
         try:
-            return await self._forwarder.call(peer, plan, service, call)
+            return await self._forwarder.call(peer, plan, service, call, wait=wait)
         except RefusalError as refusal:
             if refusal.ran is Ran.NO and refusal.status in BUSY:
                 self._spill.refused(peer, plan, request.target)
--- a/features/steps/journal.py
+++ b/features/steps/journal.py
@@ -2,24 +2,39 @@
 
 import asyncio
 
+import async_solipsism
 from behave import given, then, when
 
-from auburnproxy.journal import Journal
+from auburnproxy.journal import Entry, Journal, Record
+from auburnproxy.journal._codec import encode_record
+from auburnproxy.journal.checkpoint import CheckpointId
+from auburnproxy.journal.restoration import Claim, Restorations, Sighting
 from features.fakes.log import FakeLog, LogPort
 from features.fakes.notes import Notes
-from features.machines.journal import JournalMachine
+from features.machines.journal import MALFORMED, UNKNOWN_KIND, JournalMachine
 from features.machines.search import run_virtual, search
 
 SETTLE_S = 20
 EXAMPLES = 25
+WINDOW = 20
+LONG_RECORDS = 1000
+LONG_S = 600
 STEPS = 30
 
 
 class Process:
-    def __init__(self, log, name):
+    def __init__(self, log, name, *, rank=0, wanted=()):
         self.port = LogPort(log)
         self.notes = Notes()
-        self.journal = Journal(self.port, [self.notes], author=name)
+        self.journal = Journal(
+            self.port,
+            [self.notes],
+            author=name,
+            failure_domain=name,
+            failure_domains=lambda: wanted,
+            rank=lambda: rank,
+            window=WINDOW,
+        )
 
     async def propose(self, value, expects, record_id=""):
         return await self.journal.propose(
@@ -87,6 +102,209 @@
             assert process.journal.outcome(outcome.id) == outcome
 
 
+@when("a copy of an accepted record lands more than a window later")
+def copy_late(context):
+    async def propose_and_copy():
+        first, _ = context.processes
+        outcome = await first.propose(1, {})
+        log = first.port.log
+        payload = log.payloads[outcome.offset - 1]
+        for _ in range(2 * WINDOW):
+            log.take(b"other")
+        log.take(payload)
+        await asyncio.sleep(SETTLE_S)
+        assert first.journal.offset == log.end - 1
+        return outcome
+
+    context.outcome = run_with(context, propose_and_copy())
+
+
+@when("one of them is offered the first, the third and the second of 3 records")
+def offer_out_of_order(context):
+    async def offer():
+        process = context.processes[0]
+        for at in (0, 2, 1):
+            record = Record(f"r{at}", "x", "notes.add", {"value": at}, {})
+            process.journal.offer([Entry(at + 1, record)])
+
+    run_virtual(offer())
+
+
+@then("it has folded the first and the second")
+def folded_two(context):
+    assert context.processes[0].notes.values == [(1, 0), (2, 1)]
+
+
+@when("the log holds a malformed record, one of an unknown kind and a good one")
+def hold_malformed(context):
+    async def propose():
+        first, _ = context.processes
+        first.port.log.take(MALFORMED)
+        first.port.log.take(UNKNOWN_KIND)
+        return await first.propose(1, {})
+
+    context.outcome = run_with(context, propose())
+
+
+@when("one has read a long log and the other is cut off half way")
+def cut_half_way(context):
+    first, second = context.processes
+    for _ in range(LONG_RECORDS):
+        first.port.log.take(b"other")
+
+    async def play():
+        task = asyncio.create_task(first.journal.run())
+        await first.propose(1, {})
+        second.port.latency_s = 1
+        other = asyncio.create_task(second.journal.run())
+        await asyncio.sleep(1.5)
+        second.port.cut = True
+        await asyncio.sleep(SETTLE_S)
+        assert not second.journal.ready
+        entries = first.journal.entries_after(second.journal.offset, LONG_RECORDS)
+        second.journal.offer(entries)
+        if not entries:
+            second.journal.adopt(first.journal.checkpoint())
+        assert not task.done() and not other.done()
+
+    run_virtual(play())
+
+
+@then("the other becomes ready with the state of its peer")
+def ready_with_state(context):
+    first, second = context.processes
+    assert second.journal.ready
+    assert second.journal.offset == first.journal.offset
+    assert second.notes.values == first.notes.values != []
+
+
+@when("the log holds {entries}")
+def hold(context, entries):
+    context.restorations = Restorations()
+    for at, entry in enumerate(entries.split(), start=1):
+        sighting = sighting_at(at, entry)
+        if sighting is not None:
+            context.restorations.see(sighting)
+
+
+def sighting_at(at, entry):
+    if entry.startswith("c"):
+        return Sighting(at, "a", claim=Claim(int(entry[1:]), "a"))
+    if entry.startswith("r"):
+        offset, _, rank = entry[1:].partition("/")
+        return Sighting(at, "a", checkpoint=restoration(int(offset)), rank=int(rank))
+    if entry == "p":
+        return Sighting(at, "a", checkpoint=CheckpointId(9, "d", 1))
+    return None
+
+
+def restoration(offset):
+    return CheckpointId(offset, "d", 2, until=offset + 9, opened_at=1)
+
+
+@then("the valid restorations are {names}")
+def compare_valid(context, names):
+    offsets = (5, 7)
+    valid = [
+        f"r{o}" for o in offsets if context.restorations.valid(restoration(o), start=1)
+    ]
+    assert " ".join(valid or ["none"]) == names, valid
+
+
+@given(
+    "three processes that have read {counts} of 3 records before all of them expired"
+)
+def overtaken(context, counts):
+    context.loop = async_solipsism.EventLoop()
+    context.wanted = {"0", "1", "2"}
+    log = FakeLog()
+    context.processes = [
+        Process(log, str(place), rank=place, wanted=context.wanted)
+        for place in range(3)
+    ]
+    context.tasks = []
+    context.add_cleanup(end_tasks, context)
+    run_tasks(context)
+    run_for(context, 1)
+    end_tasks(context, close=False)
+    records = [Record(f"r{n}", "x", "notes.add", {"value": n}, {}) for n in range(3)]
+    entries = [Entry(log.take(encode_record(r)), r) for r in records]
+    for process, count in zip(context.processes, counts.split(), strict=True):
+        within(context, process.journal.offer, entries[: int(count)])
+    log.expire(log.end)
+    log.take(b"other")
+
+
+def run_tasks(context):
+    context.tasks = [
+        context.loop.create_task(p.journal.run()) for p in context.processes
+    ]
+
+
+def end_tasks(context, close=True):
+    for task in context.tasks:
+        task.cancel()
+    run_for(context, 1)
+    if close:
+        context.loop.close()
+
+
+def run_for(context, seconds):
+    context.loop.run_until_complete(asyncio.sleep(seconds))
+
+
+def within(context, call, *arguments):
+    async def run():
+        return call(*arguments)
+
+    return context.loop.run_until_complete(run())
+
+
+@given("{place} is cut off")
+def cut_off(context, place):
+    if place != "none":
+        context.processes[int(place)].port.cut = True
+
+
+@given("nobody waits for the failure domain of 2")
+def exempt(context):
+    context.wanted.remove("2")
+
+
+@when("the log answers for 10 minutes")
+def answer_long(context):
+    run_tasks(context)
+    run_for(context, LONG_S)
+
+
+@when("{place} is connected again for 10 minutes")
+def connect_again(context, place):
+    for process in context.processes:
+        process.port.cut = False
+    run_for(context, LONG_S)
+
+
+@then("{places} follow the log with {count:d} of the records")
+def follow(context, places, count):
+    wanted = [] if places == "none" else [int(place) for place in places.split()]
+    journals = [p.journal for p in context.processes]
+    assert [n for n, journal in enumerate(journals) if journal.up] == wanted
+    for process in [context.processes[place] for place in wanted]:
+        assert [value for _, value in process.notes.values] == list(range(count))
+        assert process.journal.offset == process.port.log.end - 1
+        assert process.journal.holes == journals[wanted[0]].holes
+
+
+@then("2 keeps {count:d} of the records, says so and takes no other state")
+def keeps(context, count):
+    other, _, process = context.processes
+    assert process.journal.diverged and not process.journal.up
+    assert not within(context, process.journal.adopt, other.journal.checkpoint())
+    assert not process.journal.checkpoint()
+    assert [value for _, value in process.notes.values] == list(range(count))
+    assert not within(context, other.journal.adopt, process.journal.checkpoint())
+
+
 @when("the journal machine is searched")
 def search_machine(context):
     search(JournalMachine, examples=EXAMPLES, steps=STEPS)
