--- a/auburnproxy/upstreams/stragglers.py
+++ b/auburnproxy/upstreams/stragglers.py
@@ -11,8 +11,6 @@
 """An upstream that answers within this many seconds is never slow."""
 LEAST_SAMPLES = 5
 """Samples that a verdict on an upstream rests on at least."""
-LEAST_PEERS = 3
-"""Upstreams with a verdict, itself among them, below which none is ejected."""
 MOST_EJECTED = 0.2
 """Greatest fraction of a group of peers that is ejected at once."""
 EJECTED_S = 30.0
@@ -74,7 +72,7 @@
             for host in peers
             if (pace := self._pace_by_host.get(host)) and pace.samples >= LEAST_SAMPLES
         }
-        if len(pace_by_host) < LEAST_PEERS:
+        if not pace_by_host:
             return
         bound = max(SLOW_FLOOR_S, SLOW_FACTOR * median(pace_by_host.values()))
         already = sum(host in self._until_by_host for host in peers)
--- a/features/replicas.feature
+++ b/features/replicas.feature
@@ -36,6 +36,14 @@
       When the failure domain is brought back
       Then the same replicas serve
 
+    Scenario: A host lost while its failure domain is out is replaced for the return
+      When 40 seconds pass
+      And a host of a serving replica dies and is listed no more
+      And the failure domain is taken out
+      And 40 seconds pass
+      And the failure domain is brought back
+      Then the replica serves again with one host changed
+
     Scenario: A host lost while the log is away is replaced, and recorded later
       When 40 seconds pass
       And the log goes away
