--- a/features/steps/replicas.py
+++ b/features/steps/replicas.py
@@ -9,7 +9,7 @@
 from auburnproxy.replicas import Policy, custody_key
 from auburnproxy.upstreams import Observation, Result
 from features.fakes.replicas import FakeDaemon, FakePlatform
-from features.machines.replicas import MACHINES
+from features.machines import cold_starts, replicas
 from features.machines.search import search
 
 
@@ -46,12 +46,16 @@
     daemon.start()
 
 
+MACHINES = (*replicas.MACHINES, *cold_starts.MACHINES)
+
+
 def run(context, coroutine):
     return context.loop.run_until_complete(coroutine)
 
 
 def stop(context):
-    for task in (*getattr(context, "relays", ()), getattr(context, "presence", None)):
+    tasks = [*getattr(context, "relays", ()), *getattr(context, "streams", ())]
+    for task in (*tasks, getattr(context, "presence", None)):
         if task is not None:
             task.cancel()
     for daemon in (context.daemon, getattr(context, "second", None)):
@@ -144,11 +148,12 @@
     context.daemon.store_part = 1.0
 
 
-@when("a host of a serving replica dies")
+@when("a host of a serving replica dies and is listed no more")
 def kill(context):
     context.replica = serving(context)[0]
     context.host = context.replica.hosts[-1]
     context.platform.engines_by_host[context.host].alive = False
+    del context.platform.entries_by_host[context.host]
 
 
 @when("a call finds a connection closed while a poll is under way")
@@ -176,6 +181,56 @@
     assert run(context, look()) == (False, True)
 
 
+@when("the process of a host of a serving replica restarts within 10 seconds")
+def restart(context):
+    context.replica = serving(context)[0]
+    engine = context.platform.engines_by_host[context.replica.hosts[-1]]
+    engine.alive = False
+    run(context, asyncio.sleep(10))
+    assert context.replica not in serving(context)
+    engine.restart()
+
+
+@then("the replica serves again with the same record")
+def compare_same(context):
+    assert context.replica in serving(context)
+
+
+@when("a stream runs on each serving replica")
+def open_streams(context):
+    context.replicas = serving(context)
+    assert context.replicas
+    lost = context.daemon.readiness.lost
+    context.streams = [context.loop.create_task(lost(r)) for r in context.replicas]
+
+
+@when("the failure domain is taken out")
+def take_out(context):
+    context.marks.add(context.domain)
+    run(context, asyncio.sleep(1))
+
+
+@when("the failure domain is brought back")
+def bring_back(context):
+    context.marks.clear()
+    run(context, asyncio.sleep(1))
+
+
+@then("no replica serves")
+def compare_none(context):
+    assert not serving(context)
+
+
+@then("no stream was cut")
+def compare_streams(context):
+    assert not [stream for stream in context.streams if stream.done()]
+
+
+@then("the same replicas serve")
+def compare_all(context):
+    assert serving(context) == context.replicas
+
+
 @when("the log {moves} away")
 @when("the log {moves} back")
 def switch_log(context, moves):
