--- a/auburnproxy/ctl/client.py
+++ b/auburnproxy/ctl/client.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import time
 from collections.abc import Mapping
 from typing import Any
 
@@ -80,26 +81,25 @@
 
         :param path: the call, ``apply``
         :param body: the change, with its id
-        :param wait_s: seconds that each daemon may follow the change
+        :param wait_s: seconds that all daemons together may follow the change
         :raises UnreachableError: if no daemon can have got it
         """
-        timeout = aiohttp.ClientTimeout(
-            total=wait_s + ANSWER_MARGIN_S, connect=CONNECT_S
-        )
+        end = time.monotonic() + wait_s
         uncertain, refusal = False, None
-        async with aiohttp.ClientSession(
-            headers=self._headers, timeout=timeout
-        ) as http:
+        async with aiohttp.ClientSession(headers=self._headers) as http:
             for daemon in self._settings.daemons:
+                left_s = end - time.monotonic()
+                if left_s <= 0 and (uncertain or refusal is not None):
+                    break
                 try:
-                    async with http.post(_url(daemon, path), json=body) as response:
-                        answer = await _body(response)
+                    url = _url(daemon, path)
+                    answer = await _send(http, url, body, max(left_s, 0.0))
                 except aiohttp.ClientConnectorError:
                     continue
                 except (aiohttp.ClientError, TimeoutError, ServerError):
                     uncertain = True
                     continue
-                verdict = answer.get("verdict")
+                verdict = answer["verdict"]
                 if verdict not in (Verdict.UNKNOWN, Verdict.REFUSED):
                     return answer
                 uncertain = uncertain or verdict == Verdict.UNKNOWN
@@ -111,6 +111,16 @@
         return refusal
 
 
+async def _send(
+    http: aiohttp.ClientSession, url: str, body: Mapping[str, Any], wait_s: float
+) -> Any:
+    total_s = wait_s + ANSWER_MARGIN_S
+    timeout = aiohttp.ClientTimeout(total=total_s, sock_connect=CONNECT_S)
+    sent = {**body, "wait_s": wait_s}
+    async with http.post(url, json=sent, timeout=timeout) as response:
+        return await _body(response)
+
+
 def _unknown(body: Mapping[str, Any]) -> dict[str, Any]:
     return {
         "verdict": Verdict.UNKNOWN,
--- a/features/ctl.feature
+++ b/features/ctl.feature
@@ -26,6 +26,13 @@
       | the log is away                   | apply PLANS GRANTS                  | 7    | refused      |
       | the key is another one            | apply PLANS GRANTS                  | 9    | operator key |
 
+  Scenario: One wait holds for all daemons together
+    Given a daemon of domain a and the list files
+    And the daemon has three addresses and its log answers no reads
+    When auburnctl apply PLANS GRANTS --wait 1 is run
+    Then it exits with 5 and prints --id
+    And one daemon was sent the change
+
   Scenario: A digest admits the key that it was made from
     When the digest of a key is made
     Then a plan with the digest is found by the key's digest alone
--- a/features/steps/ctl.py
+++ b/features/steps/ctl.py
@@ -73,6 +73,7 @@
     def __init__(self, address):
         self.address = address
         self.silent_domains = set()
+        self.sent = []
         self.loop = asyncio.new_event_loop()
         self.thread = threading.Thread(target=self.loop.run_forever)
         self.thread.start()
@@ -86,7 +87,7 @@
         self.configuration = Configuration()
         self.journal = Journal(self.port, [self.configuration], author="a")
         self.task = asyncio.create_task(self.journal.run())
-        application = web.Application()
+        application = web.Application(middlewares=[self.note])
         application.add_routes(
             routes(
                 self.configuration,
@@ -104,6 +105,12 @@
         await web.TCPSite(self.runner, host, int(port)).start()
         await self.journal.propose("none.start", {}, expects={}, timeout_s=PATIENCE_S)
 
+    @web.middleware
+    async def note(self, request, handler):
+        if request.method == "POST":
+            self.sent.append(request.path)
+        return await handler(request)
+
     def in_force(self):
         version = self.configuration.version
         return {d: 0 if d in self.silent_domains else version for d in ("a", "b")}
@@ -174,6 +181,18 @@
     context.server.port.refuse_reads = True
 
 
+@given("the daemon has three addresses and its log answers no reads")
+def three_addresses(context):
+    address = context.server.address
+    settings(context, f"{address}', '{address}', '{address}", KEY)
+    context.server.port.refuse_reads = True
+
+
+@then("one daemon was sent the change")
+def sent_once(context):
+    assert len(context.server.sent) == 1, context.server.sent
+
+
 @given("no daemon listens")
 def nobody(context):
     (address,) = loopback.free_addresses(1)
