--- a/features/steps/replicas.py
+++ b/features/steps/replicas.py
@@ -6,9 +6,10 @@
 from behave import given, then, when
 
 from auburnproxy.platform import ModelSpec
+from auburnproxy.replicas import Policy, custody_key
 from auburnproxy.upstreams import Observation, Result
 from features.fakes.replicas import FakeDaemon, FakePlatform
-from features.machines.replicas import MACHINES
+from features.machines import cold_starts, replicas
 from features.machines.search import search
 
 
@@ -27,22 +28,38 @@
     context.model = model
     context.wanted[model] = count
     context.platform.specs += (ModelSpec(model, "1", hosts),)
-    context.daemon = FakeDaemon(
-        context.platform, context.domain, context.wanted, marks=context.marks
-    )
+    context.daemon = make_daemon(context)
     run(context, start(context.daemon))
 
 
+def make_daemon(context):
+    return FakeDaemon(
+        context.platform,
+        context.domain,
+        context.wanted,
+        marks=context.marks,
+        policy=Policy(spares=1),
+    )
+
+
 async def start(daemon):
     daemon.start()
 
 
+MACHINES = (*replicas.MACHINES, *cold_starts.MACHINES)
+
+
 def run(context, coroutine):
     return context.loop.run_until_complete(coroutine)
 
 
 def stop(context):
-    run(context, context.daemon.stop())
+    for task in (*getattr(context, "relays", ()), getattr(context, "presence", None)):
+        if task is not None:
+            task.cancel()
+    for daemon in (context.daemon, getattr(context, "second", None)):
+        if daemon is not None:
+            run(context, daemon.stop())
     context.loop.close()
 
 
@@ -57,6 +74,61 @@
     return run(context, look())
 
 
+@given("a second daemon, each polling one fabric domain and relaying reports")
+def share_polls(context):
+    first = context.daemon
+    second = make_daemon(context)
+    for daemon, fabric in ((first, "f1"), (second, "f2")):
+        daemon.keys = {custody_key(context.domain, fabric)}
+        daemon.polls_all = False
+    context.second, context.absent = second, []
+    run(context, start_sharing(context))
+
+
+async def start_sharing(context):
+    context.second.start()
+    context.relays = [
+        asyncio.create_task(relay(context.second, context.daemon)),
+        asyncio.create_task(relay(context.daemon, context.second)),
+    ]
+    await asyncio.sleep(5)
+    context.presence = asyncio.create_task(watch_presence(context))
+    for engine in context.platform.engines_by_host.values():
+        engine.polls = 0
+
+
+async def relay(source, sink):
+    while True:
+        for report, age_s in source.watcher.own_reports().values():
+            sink.watcher.adopt(report, age_s=age_s + 0.01)
+        await asyncio.sleep(0.5)
+
+
+async def watch_presence(context):
+    while True:
+        for host in context.platform.entries_by_host:
+            if not context.daemon.watcher.present(host):
+                context.absent.append(host)
+        await asyncio.sleep(0.1)
+
+
+@when("the second daemon relays nothing more")
+def silence(context):
+    context.relays[0].cancel()
+
+
+@then("every host got under {rate:d} polls a second and was present all the time")
+def compare_polls(context, rate):
+    most = max(e.polls for e in context.platform.engines_by_host.values())
+    assert most < rate * 10, most
+    compare_present(context)
+
+
+@then("every host was present all the time")
+def compare_present(context):
+    assert not context.absent, context.absent
+
+
 @when("{seconds:d} seconds pass")
 def wait(context, seconds):
     run(context, asyncio.sleep(seconds))
@@ -65,9 +137,7 @@
 @given("the daemon starts without a part of the weight store's rate")
 def take_part(context):
     run(context, context.daemon.stop())
-    context.daemon = FakeDaemon(
-        context.platform, context.domain, context.wanted, marks=context.marks
-    )
+    context.daemon = make_daemon(context)
     context.daemon.store_part = 0.0
     run(context, start(context.daemon))
 
@@ -77,11 +147,12 @@
     context.daemon.store_part = 1.0
 
 
-@when("a host of a serving replica dies")
+@when("a host of a serving replica dies and is listed no more")
 def kill(context):
     context.replica = serving(context)[0]
     context.host = context.replica.hosts[-1]
     context.platform.engines_by_host[context.host].alive = False
+    del context.platform.entries_by_host[context.host]
 
 
 @when("a call finds a connection closed while a poll is under way")
@@ -109,6 +180,44 @@
     assert run(context, look()) == (False, True)
 
 
+@when("the process of a host of a serving replica restarts within 10 seconds")
+def restart(context):
+    context.replica = serving(context)[0]
+    engine = context.platform.engines_by_host[context.replica.hosts[-1]]
+    engine.alive = False
+    run(context, asyncio.sleep(10))
+    assert context.replica not in serving(context)
+    engine.restart()
+
+
+@then("the replica serves again with the same record")
+def compare_same(context):
+    assert context.replica in serving(context)
+
+
+@when("the log {moves} away")
+@when("the log {moves} back")
+def switch_log(context, moves):
+    context.platform.log_up = moves == "comes"
+
+
+@when("another daemon takes over")
+def take_over(context):
+    run(context, context.daemon.stop())
+    context.daemon = make_daemon(context)
+    context.daemon.journal.fold()
+    run(context, start(context.daemon))
+
+
+@then("the journal has these hosts and none of them was started again")
+def compare_record(context):
+    repaired = {r.name: r for r in serving(context)}[context.replica.name]
+    assert context.daemon.replicas.by_name[repaired.name] == repaired
+    assert repaired.generation == context.replica.generation
+    engines = [context.platform.engines_by_host[host] for host in repaired.hosts]
+    assert [e.ready_at for e in engines] == context.ready_at
+
+
 @then('at least {count:d} replicas of "{model}" serve')
 def compare_count(context, count, model):
     assert len(serving(context)) >= count, serving(context)
@@ -130,6 +239,8 @@
     hosts = by_name[context.replica.name].hosts
     assert len(set(hosts) - set(context.replica.hosts)) == 1, hosts
     assert context.host not in hosts
+    engines = [context.platform.engines_by_host[host] for host in hosts]
+    context.ready_at = [engine.ready_at for engine in engines]
 
 
 @then('"{name}" finds no violation in {examples:d} runs of {steps:d} steps')
