Claim a key before a slot is taken

Cause: an order took its slot and then waited for its claim in the log. While the log did not answer, each order held a slot of the service for 3 s, and lookups of both plans found none. A forwarded call runs under the claim of the daemon that it came from. Ruled out: more slots for orders, which an upstream does not have.

--- a/auburnproxy/serving/services.py
+++ b/auburnproxy/serving/services.py
@@ -205,19 +205,24 @@
         return await self._placed(request, avoid, use)
 
     async def _once(self, request: Request) -> PlainAnswer:
-        plan, service = request.plan.name, request.grant.target
-        known = self._ledger.known(plan, request.call, service=service)
-        if known is not None:
-            return known
+        """Return the answer of a call that is dispatched at most once.
+
+        Its key is claimed before a slot is taken, so that calls which wait for
+        the log keep no others waiting. A daemon that a call was forwarded to
+        dispatches it under the claim of the one that it came from.
+        """
 
         async def use(place: LocalService) -> PlainAnswer:
-            def dispatch(call: PlainCall) -> Awaitable[PlainAnswer]:
-                return self._sent(place, call, _remaining_s(request))
+            return await self._sent(place, request.call, _remaining_s(request))
 
-            return await self._ledger.run(plan, request.call, dispatch, service=service)
+        async def dispatch(call: PlainCall) -> PlainAnswer:
+            return await self._placed(request, (), use)
 
+        if request.may_spill:
+            plan, service = request.plan.name, request.grant.target
+            return await self._ledger.run(plan, request.call, dispatch, service=service)
         try:
-            return await self._placed(request, (), use)
+            return await dispatch(request.call)
         except UpstreamError as error:
             raise _given_up(error.ran) from error
 
--- a/features/serving.feature
+++ b/features/serving.feature
@@ -49,3 +49,8 @@
   Scenario: A forwarded call is taken only as it was signed, and once
     Given a peer with a free slot and no slot here
     Then a forwarded call that was changed, repeated or sent on is forbidden
+
+  Scenario: Calls that wait for the log hold no slot of a service
+    Given a plain service with 1 slot, and a log that does not answer
+    When an order with a key waits for the log, and a lookup comes
+    Then the lookup is answered while the order still waits
--- a/features/steps/serving.py
+++ b/features/steps/serving.py
@@ -27,13 +27,15 @@
 class Daemon:
     """One face on two loopback listeners."""
 
-    def __init__(self, *, slots=4, length=5, gap_s=0.001):
+    def __init__(self, *, slots=4, length=5, gap_s=0.001, journal=None):
         self.engines = [
             FakeEngine(length=length, first_s=0.01, gap_s=gap_s) for _ in range(2)
         ]
         hosts = {f"e{i}": engine for i, engine in enumerate(self.engines)}
         upstreams = FakeUpstreams(hosts, {"p0": FakeService()}, slots=slots)
-        self.site = make_site([make_plan("alpha")], upstreams, limits=LIMITS)
+        self.site = make_site(
+            [make_plan("alpha")], upstreams, limits=LIMITS, journal=journal
+        )
         self.face = make_face(self.site, limits=LIMITS)
         self.runners = []
 
@@ -225,6 +227,48 @@
     run(context, steps)
 
 
+class SilentJournal:
+    """A journal whose log takes appends and never answers."""
+
+    up = True
+
+    async def propose(self, kind, body, **options):
+        await asyncio.Event().wait()
+
+
+@given("a plain service with 1 slot, and a log that does not answer")
+def silent_log(context):
+    context.options = {"slots": 1, "journal": SilentJournal()}
+    context.with_peer = False
+
+
+@when("an order with a key waits for the log, and a lookup comes")
+def order_and_lookup(context):
+    headers = {"Authorization": "Bearer alpha", "X-Deadline-Ms": "2000"}
+
+    async def send(daemon, _):
+        url = f"{daemon.url}/v1/services/s/stock"
+        keyed = headers | {"Idempotency-Key": "k1"}
+        order = asyncio.create_task(read(daemon.session.post(url, headers=keyed)))
+        await asyncio.sleep(0.1)
+        context.looked_up = await read(daemon.session.get(url, headers=headers))
+        context.order_waited = not order.done()
+        order.cancel()
+        await asyncio.gather(order, return_exceptions=True)
+
+    async def read(request):
+        async with request as response:
+            return response.status
+
+    run(context, send)
+
+
+@then("the lookup is answered while the order still waits")
+def looked_up(context):
+    assert context.looked_up == 200, context.looked_up
+    assert context.order_waited
+
+
 @then("the slow stream is whole")
 def slow_whole(context):
     whole_stream(context, 40)
