--- a/features/steps/processes.py
+++ b/features/steps/processes.py
@@ -211,6 +211,8 @@
         meanwhile = await asyncio.gather(*callers)
         site.signal(site.first, signal.SIGCONT)
         own = [await stream for stream in streams]
+        async with asyncio.timeout(loopback.PATIENCE_S):
+            await site.running.until_ready(site.first.callers)
         after = await site.stream(site.first, "after", SHORT_TOKENS)
         return own, sum(meanwhile, []), after, await site.runs()
 
@@ -220,9 +222,9 @@
 @then("its peer answers meanwhile, its streams end truthfully, and no engine fell over")
 def check_frozen(context):
     own, meanwhile, after, runs = context.seen
+    assert not runs["collapses_by_host"], runs["collapses_by_host"]
     told = {Result.WHOLE, Result.UNKNOWN}
     assert {each.result for each in own} <= told, own
     assert after.result is Result.WHOLE, after
     assert meanwhile
     assert all(each.result is Result.WHOLE for each in meanwhile), meanwhile
-    assert not runs["collapses_by_host"], runs["collapses_by_host"]
