--- a/auburnproxy/journal/fold.py
+++ b/auburnproxy/journal/fold.py
@@ -92,8 +92,8 @@
             return STALE
         try:
             return reducer.check(entry)
-        except Exception:  # a malformed body must not stop the fold
-            log.exception("Record {} has a malformed body.", record.id)
+        except Exception as error:  # a malformed body must not stop the fold
+            log.warning("Record {} is malformed: {!r}", record.id, error)
             return INVALID
 
     def _accept(self, entry: Entry) -> None:
