--- a/features/journal.feature
+++ b/features/journal.feature
@@ -80,3 +80,12 @@
       | read  | read by 2 |
       | 0 1 2 | 2         |
       | 0 1 3 | 3         |
+
+  Scenario: A process claims nothing while a restoration cannot be judged
+    Given three processes that have read 1 1 1 of 3 records before all of them expired
+    And the log still holds a restoration whose claim has expired
+    When the log answers for 10 minutes
+    Then none follow the log with 0 of the records
+    And no process has claimed
+    When the restoration has expired too
+    Then 0 1 2 follow the log with 1 of the records
--- a/features/steps/journal.py
+++ b/features/steps/journal.py
@@ -6,9 +6,9 @@
 from behave import given, then, when
 
 from auburnproxy.journal import Entry, Journal, Record
-from auburnproxy.journal._codec import encode_record
-from auburnproxy.journal.checkpoint import CheckpointId
-from auburnproxy.journal.restoration import Claim, Restorations, Sighting
+from auburnproxy.journal._codec import decode_record, encode_record
+from auburnproxy.journal.checkpoint import CheckpointId, Part, part_record
+from auburnproxy.journal.restoration import Claim, Restorations, Sighting, claim_record
 from features.fakes.log import FakeLog, LogPort
 from features.fakes.notes import Notes
 from features.machines.journal import MALFORMED, UNKNOWN_KIND, JournalMachine
@@ -260,6 +260,29 @@
     return context.loop.run_until_complete(run())
 
 
+@given("the log still holds a restoration whose claim has expired")
+def half_a_round(context):
+    log = context.processes[0].port.log
+    claim_at = log.take(encode_record(claim_record(Claim(0, "x"), "x")))
+    identity = CheckpointId(0, "d", 2, until=claim_at, opened_at=claim_at)
+    log.take(encode_record(part_record(Part(identity, 0, b""), "x")))
+    log.expire(claim_at + 1)
+
+
+@then("no process has claimed")
+def no_claims(context):
+    payloads = context.processes[0].port.log.payloads
+    authors = [decode_record(p).author for p in payloads if b"journal.claim" in p]
+    assert authors == ["x"], authors
+
+
+@when("the restoration has expired too")
+def expired_too(context):
+    log = context.processes[0].port.log
+    log.expire(log.end)
+    run_for(context, LONG_S)
+
+
 @given("{place} is cut off")
 def cut_off(context, place):
     if place != "none":
--- a/features/steps/operators.py
+++ b/features/steps/operators.py
@@ -176,7 +176,9 @@
 
 @when("the change is sent again")
 def send_once_more(context):
+    first = context.answer
     context.answer = run(context, apply(context, 1, place=4))
+    assert context.answer["version"] == first["version"], (first, context.answer)
 
 
 @then("the change was made once")
