Hold back inherited slots while calls of a dead daemon still run

An heir could use a dead daemon's slots at once, while that daemon's calls still ran at an upstream that had not noticed. A gate now keeps to its share from before the loss until three readings of the upstream's report, less the calls of live daemons, say what is left. Holding back only what was inherited was ruled out: the next epoch deals the dead one's slots to others, who inherited none. Believing the first reading is not caught by the scenario.

--- a/auburnproxy/membership/_wire.py
+++ b/auburnproxy/membership/_wire.py
@@ -105,10 +105,11 @@
     target.version = beat.version
     target.needsRelay = beat.needs_relay
     target.gone = list(beat.gone)
-    free = target.init("free", len(beat.free))
-    for place, (digest, slots) in enumerate(beat.free.items()):
-        free[place].keyDigest = digest
-        free[place].slots = slots
+    for field, told in (("free", beat.free), ("busy", beat.busy)):
+        items = target.init(field, len(told))
+        for place, (digest, slots) in enumerate(told.items()):
+            items[place].keyDigest = digest
+            items[place].slots = slots
     summaries = target.init("summaries", len(beat.summaries))
     for place, summary in enumerate(beat.summaries):
         summaries[place].failureDomain = summary.failure_domain
@@ -159,4 +160,5 @@
             Summary(item.failureDomain, item.settled, item.version)
             for item in beat.summaries
         ),
+        busy={item.keyDigest: item.slots for item in beat.busy},
     )
--- a/auburnproxy/membership/beat.py
+++ b/auburnproxy/membership/beat.py
@@ -41,6 +41,8 @@
     """Free slots by digest of the key, a selection."""
     summaries: tuple[Summary, ...] = ()
     """Of other failure domains, a selection."""
+    busy: Mapping[int, int] = {}
+    """Slots in use by digest of the key, told for a while after a loss."""
 
 
 def key_digest(key: str) -> int:
@@ -51,14 +53,14 @@
     return xxh32_intdigest(key.encode())
 
 
-def choose_free(
-    free_by_key: Mapping[str, int], me: str, *, most: int
+def choose_slots(
+    slots_by_key: Mapping[str, int], me: str, *, most: int
 ) -> dict[int, int]:
     """Choose the keys to tell of, so that different daemons tell of different ones.
 
-    :param free_by_key: free slots by key
+    :param slots_by_key: slots by key
     :param me: id of the teller
     :param most: how many keys fit into a beat
     """
-    order = sorted(free_by_key, key=lambda key: key_digest(f"{me}\0{key}"))
-    return {key_digest(k): min(free_by_key[k], MAX_SLOTS_TOLD) for k in order[:most]}
+    order = sorted(slots_by_key, key=lambda key: key_digest(f"{me}\0{key}"))
+    return {key_digest(k): min(slots_by_key[k], MAX_SLOTS_TOLD) for k in order[:most]}
--- a/auburnproxy/membership/membership.py
+++ b/auburnproxy/membership/membership.py
@@ -5,7 +5,6 @@
 import asyncio
 import time
 from collections.abc import Callable, Mapping, Sequence
-from typing import Protocol
 
 from loguru import logger
 
@@ -13,11 +12,12 @@
 from . import link as links
 from ._dialer import Dialer
 from ._journal import JournalPort
+from ._limits import SharedLimits
 from ._missing import Missing
 from ._relay import Relay
 from ._steward import Steward
 from ._wire import encode
-from .beat import Beat, choose_free, key_digest
+from .beat import Beat, choose_slots, key_digest
 from .epoch import NOTHING, Epoch, Window
 from .link import Link
 from .member import Member
@@ -32,23 +32,15 @@
 PAUSE_BOUND_S = 30.0
 """A daemon that did not run for this long asks its peers before it acts again."""
 MAX_FREE_TOLD = 24
+MAX_BUSY_TOLD = 128
+TELL_BUSY_S = 60.0
+"""How long after a loss peers are told of the slots in use."""
 MAX_SUMMARIES_TOLD = 6
 PROPOSE_TIMEOUT_S = 10.0
 
 log = logger.bind(part="membership")
 
 
-class SharedLimits(Protocol):
-    """What membership needs of the gates."""
-
-    def fits(self, epoch: Epoch) -> bool:
-        """Return whether everything in flight fits an epoch."""
-
-    @property
-    def free_by_key(self) -> Mapping[str, int]:
-        """Return the free slots by key."""
-
-
 class Membership:
     """One daemon's place among the others.
 
@@ -84,6 +76,9 @@
         self.beats_by_member: dict[str, Beat] = {}
         """Newest beat of each connected member, by member id."""
         self._version = version
+        self._busy: Callable[[], Mapping[str, int]] = dict
+        self._lost: frozenset[str] = frozenset()
+        self._tell_busy_until = 0.0
         self._conditions: list[Callable[[Epoch], bool]] = []
         self._limits: SharedLimits | None = None
         self._dialer = Dialer(self)
@@ -147,6 +142,22 @@
         self._limits = limits
         self.require(limits.fits)
 
+    def tell_busy(self, busy: Callable[[], Mapping[str, int]]) -> None:
+        """Tell peers of the slots in use for a while after a member is lost.
+
+        :param busy: returns the slots in use by key
+        """
+        self._busy = busy
+
+    def busy_slots(self, key: str) -> Mapping[str, int]:
+        """Return the slots that connected members said to use, by member id.
+
+        :param key: the quota's key
+        """
+        digest = key_digest(key)
+        beats = self.beats_by_member.items()
+        return {member_id: beat.busy.get(digest, 0) for member_id, beat in beats}
+
     def require(self, obeys: Callable[[Epoch], bool]) -> None:
         """Add a condition that has to hold before an epoch is acknowledged.
 
@@ -301,6 +312,9 @@
             self._ran()
             self.view.acknowledge(self._obeys)
             now = asyncio.get_running_loop().time()
+            if not self.gone <= self._lost:
+                self._tell_busy_until = now + TELL_BUSY_S
+            self._lost = self.gone
             if now >= due or self._news() != self._told:
                 self._send_beat()
                 due = now + self.beat_interval_s
@@ -363,7 +377,13 @@
             version=self.in_force[self.me.failure_domain],
             needs_relay=not self.journal.up,
             gone=view.gone_to_tell(),
-            free=choose_free(free, self.me.id, most=MAX_FREE_TOLD),
+            free=choose_slots(free, self.me.id, most=MAX_FREE_TOLD),
             summaries=chosen,
+            busy=self._busy_told(),
         )
         return encode(beat)
+
+    def _busy_told(self) -> Mapping[int, int]:
+        if asyncio.get_running_loop().time() > self._tell_busy_until:
+            return {}
+        return choose_slots(self._busy(), self.me.id, most=MAX_BUSY_TOLD)
--- a/auburnproxy/membership/peer.capnp
+++ b/auburnproxy/membership/peer.capnp
@@ -17,10 +17,11 @@
   version @4 :UInt64;
   needsRelay @5 :Bool;
   gone @6 :List(Text);
-  free @7 :List(Free);
+  free @7 :List(Slots);
   summaries @8 :List(Summary);
+  busy @9 :List(Slots);
 
-  struct Free {
+  struct Slots {
     keyDigest @0 :UInt32;
     slots @1 :UInt16;
   }
--- a/auburnproxy/quotas/__init__.py
+++ b/auburnproxy/quotas/__init__.py
@@ -1,6 +1,7 @@
 """Limits that daemons divide ahead of time and then use without asking."""
 
 from .gate import Gate, Gates
+from .orphans import Orphans
 from .share import PLAN_PREFIX, UPSTREAM_PREFIX, custodian, domain_share, holds, share
 
 __all__ = [
@@ -8,6 +9,7 @@
     "UPSTREAM_PREFIX",
     "Gate",
     "Gates",
+    "Orphans",
     "custodian",
     "domain_share",
     "holds",
--- a/auburnproxy/quotas/gate.py
+++ b/auburnproxy/quotas/gate.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 
 from ..membership.epoch import Epoch, Window
-from .share import share
+from .share import UPSTREAM_PREFIX, share
 
 
 class Gate:
@@ -21,11 +21,14 @@
         self.in_flight = 0
         """Slots that this daemon uses now."""
         self.foreign = 0
-        """Slots that work of members that are gone still uses at the upstream."""
+        """Slots that work of gone members may still use at the upstream, at most."""
+        self.holds_growth = False
+        """Whether a loss makes the whole limit foreign until it is counted."""
         self._window = window
         self._member_id = member_id
         self._limit = 0
         self._share = 0
+        self._base = 0
         self._divided: tuple[int, Window] | None = None
 
     @property
@@ -44,14 +47,22 @@
         divided = self._divided
         if divided and divided[0] == self._limit and divided[1] is window:
             return self._share
+        seen = divided[1].gone if divided else frozenset()
+        if self.holds_growth and not window.gone <= seen and not self.foreign:
+            self._base, self.foreign = self._share, self._limit
         self._divided = (self._limit, window)
         self._share = share(self._limit, self.key, window, self._member_id)
         return self._share
 
+    @property
+    def held(self) -> int:
+        """Return the slots held back: foreign ones, but none held before the loss."""
+        return min(self.foreign, max(self.share - self._base, 0))
+
     @property
     def free(self) -> int:
         """Return the slots that :meth:`try_acquire` would give now."""
-        return max(self.share - self.in_flight - self.foreign, 0)
+        return max(self.share - self.held - self.in_flight, 0)
 
     def try_acquire(self) -> bool:
         """Take a slot if one is free; never waits."""
@@ -86,6 +97,8 @@
 
     def __init__(self, window: Callable[[], Window], member_id: str) -> None:
         self.gates_by_key: dict[str, Gate] = {}
+        self.holds_growth = False
+        """Whether new gates of upstreams hold back what they inherit."""
         self._window = window
         self._member_id = member_id
 
@@ -97,6 +110,7 @@
         gate = self.gates_by_key.get(key)
         if gate is None:
             gate = Gate(key, self._window, self._member_id)
+            gate.holds_growth = self.holds_growth and key.startswith(UPSTREAM_PREFIX)
             self.gates_by_key[key] = gate
         return gate
 
@@ -107,6 +121,16 @@
         """
         return all(gate.fits(epoch) for gate in self.gates_by_key.values())
 
+    @property
+    def busy_by_key(self) -> dict[str, int]:
+        """Return the slots in use at each upstream that has any."""
+        gates = self.gates_by_key.items()
+        return {
+            key: gate.in_flight
+            for key, gate in gates
+            if gate.in_flight and key.startswith(UPSTREAM_PREFIX)
+        }
+
     @property
     def free_by_key(self) -> dict[str, int]:
         """Return the keys that have a free slot, with their number."""
--- a/features/membership.feature
+++ b/features/membership.feature
@@ -32,6 +32,7 @@
     When a1 restarts on its address
     Then a0 and the new a1 share everything in one epoch
 
+  @point10
   Scenario: A failure domain that is cut off from the log stays current through its peers
     Given daemons a0 and a1 and b0 and b1
     And every epoch is settled
@@ -47,6 +48,7 @@
     When the end of this link in b freezes
     Then one link joins a and b
 
+  @point4
   Scenario: A failure domain that is out has no part of the plans until it is back
     Given daemons a0 and a1 and b0
     And every epoch is settled
--- a/features/steps/quotas.py
+++ b/features/steps/quotas.py
@@ -3,7 +3,9 @@
 from behave import given, then, when
 
 from auburnproxy.journal import Record
-from auburnproxy.membership.roster import JOIN
+from auburnproxy.membership.roster import JOIN, LEAVE
+from auburnproxy.membership.view import Probe
+from auburnproxy.quotas import Orphans
 from features.fakes.journal import FakeLog
 from features.machines.quotas import UPSTREAM, Daemon, QuotasMachine
 from features.machines.search import search
@@ -70,3 +72,83 @@
 def all_three(context):
     assert acknowledged(context) == 3
     assert len(context.daemon.view.epochs) == 3
+
+
+def start(context, name):
+    daemon = join(context, name, name)
+    context.by_name[name] = daemon
+    daemon.gates.gates_by_key.clear()
+    daemon.orphans = Orphans(daemon.gates, lambda key: {}, context.report)
+    daemon.gates.gate(UPSTREAM).limit = 4
+
+
+def settle(context):
+    """Let all read, acknowledge and hear each other."""
+    for _ in range(3):
+        for daemon in context.by_name.values():
+            daemon.journal.read()
+            daemon.view.acknowledge(daemon.obeys)
+            for other in context.by_name.values():
+                other.view.hear(daemon.me, daemon.beat())
+
+
+def free(context, name):
+    return context.by_name[name].gates.gate(UPSTREAM).free
+
+
+@given("two daemons, a0 and a1, that share 4 slots of which a1 uses 2")
+def share_slots(context):
+    context.log, context.by_name, context.reported = FakeLog(), {}, None
+    context.report = lambda host: context.reported
+    start(context, "a0")
+    start(context, "a1")
+    settle(context)
+    assert (free(context, "a0"), free(context, "a1")) == (2, 2)
+
+
+@when("a1 dies and a0 knows it")
+def die(context):
+    context.dead = context.by_name.pop("a1").me
+    context.by_name["a0"].view.probed(context.dead.id, Probe.REFUSED)
+
+
+@then("a0 may use {slots:d} slots")
+def may_use(context, slots):
+    assert free(context, "a0") == slots, free(context, "a0")
+
+
+@when("the upstream reports 2 calls, and the leave of a1 is recorded")
+def report_two(context):
+    count(context, 2)
+    context.log.append(Record("leave", "", LEAVE, {"member": context.dead.id}, {}))
+    settle(context)
+    assert context.by_name["a0"].gates.gate(UPSTREAM).share == 4
+
+
+def count(context, reported):
+    context.reported = reported
+    for _ in range(3):
+        for daemon in context.by_name.values():
+            daemon.orphans.count()
+
+
+@when("a1 starts anew and both obey its epoch")
+def start_anew(context):
+    start(context, "a1")
+    settle(context)
+    count(context, 2)
+
+
+@then("neither has more than the dead one left")
+def little(context):
+    assert free(context, "a0") + free(context, "a1") == 2
+
+
+@when("the upstream reports no calls")
+def report_none(context):
+    count(context, 0)
+
+
+@then("together they may use 4 slots")
+def all_slots(context):
+    assert free(context, "a0") + free(context, "a1") == 4
