--- a/features/fakes/serving.py
+++ b/features/fakes/serving.py
@@ -90,6 +90,16 @@
         return self.by_key.setdefault(key, FakeGate())
 
 
+class FreeTargets:
+    """Targets that are usable and have slots for everybody."""
+
+    def check(self, target):
+        pass
+
+    def slots(self, target):
+        return 1000
+
+
 class FakeUpstreams:
     """Watcher and readiness in one: every replica is one host."""
 
@@ -232,6 +242,10 @@
         self.far_by_domain = {}
         self.free_by_key = {}
         self.holding = []
+        self.shares = True
+
+    def has_share(self, plan, target):
+        return self.shares
 
     def holders(self, plan, target):
         return self.holding
@@ -245,8 +259,8 @@
     site = SimpleNamespace(upstreams=upstreams, gates=FakeGates(), peers=FakePeers())
     site.configuration = FakeConfiguration(plans, **lists)
     site.telemetry = Telemetry()
-    site.admission = Admission(site.configuration, site.gates)
     site.router = Router(upstreams, upstreams, site.gates)
+    site.admission = Admission(site.configuration, site.gates, site.router)
     site.spill = Spill(site.peers)
     site.ledger = Ledger()
     site.runner = LedgerRunner(site.ledger, journal)
--- a/features/replicas.feature
+++ b/features/replicas.feature
@@ -13,17 +13,42 @@
 
     Scenario: A lost host is replaced by a spare that is kept for it
       When 40 seconds pass
-      And a host of a serving replica dies
+      And a host of a serving replica dies and is listed no more
       And 2 seconds pass
       Then no replica with that host serves
       When 40 seconds pass
       Then the replica serves again with one host changed
 
+    Scenario: A host whose process restarts keeps its part
+      When 40 seconds pass
+      And the process of a host of a serving replica restarts within 10 seconds
+      And 10 seconds pass
+      Then the replica serves again with the same record
+
+    @point4
+    Scenario: A failure domain that is out finishes its streams and stays formed
+      When 40 seconds pass
+      And a stream runs on each serving replica
+      And the failure domain is taken out
+      Then no replica serves
+      When 60 seconds pass
+      Then no stream was cut
+      When the failure domain is brought back
+      Then the same replicas serve
+
+    Scenario: A host lost while its failure domain is out is replaced for the return
+      When 40 seconds pass
+      And a host of a serving replica dies and is listed no more
+      And the failure domain is taken out
+      And 40 seconds pass
+      And the failure domain is brought back
+      Then the replica serves again with one host changed
+
     Scenario: A host lost while the log is away is replaced, and recorded later
       When 40 seconds pass
       And the log goes away
       And 6 seconds pass
-      And a host of a serving replica dies
+      And a host of a serving replica dies and is listed no more
       And 40 seconds pass
       Then the replica serves again with one host changed
       When another daemon takes over
