Keep replicas of granted models that the weight store does not list

Cause: wants leave out models whose number of hosts is unknown, and replicas of models without a want were dissolved: a weight store that left a model out of one answer would have cost all its replicas.

--- a/auburnproxy/replicas/placement.py
+++ b/auburnproxy/replicas/placement.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections import Counter
-from collections.abc import Iterable, Sequence
+from collections.abc import Collection, Iterable, Sequence
 from typing import NamedTuple
 
 from .replica import Replica
@@ -65,6 +65,7 @@
     :param replicas: the recorded replicas of the failure domain
     :param wants: the models to be served
     :param policy: how spare hosts are used
+    :param kept: models whose replicas stay though no want tells of them
     """
 
     def __init__(
@@ -73,12 +74,15 @@
         replicas: Iterable[Replica],
         wants: Sequence[Want],
         policy: Policy,
+        *,
+        kept: Collection[str] = (),
     ) -> None:
         self._by_name = {candidate.name: candidate for candidate in candidates}
         self._replicas = tuple(replicas)
         self._wants = wants
         self._want_by_model = {want.model: want for want in wants}
         self._policy = policy
+        self._kept = {*kept, *self._want_by_model}
         self._idle_by_fabric = self._idle()
         self._missing_by_replica = {
             replica.name: [h for h in replica.hosts if not self._available(h)]
@@ -124,13 +128,15 @@
         return want.replicas - self._whole_by_model[want.model]
 
     def _surplus(self, replica: Replica) -> bool:
+        if replica.model not in self._want_by_model:
+            return False
         if not self._whole(replica):
             return not self._lacks(replica.model)
         return self._whole_by_model[replica.model] > self._wanted(replica.model)
 
     def _dissolve_unwanted(self) -> None:
         for replica in self._replicas:
-            if replica.model not in self._want_by_model:
+            if replica.model not in self._kept:
                 self._dissolve(replica)
 
     def _dissolve(self, replica: Replica) -> None:
--- a/auburnproxy/replicas/planner.py
+++ b/auburnproxy/replicas/planner.py
@@ -45,6 +45,10 @@
     def up(self) -> bool:
         """Whether the log answered last time."""
 
+    @property
+    def ready(self) -> bool:
+        """Whether the state is whole."""
+
     @property
     def offset(self) -> int:
         """Offset of the last folded record."""
@@ -124,6 +128,8 @@
         await self._read_models()
         changes = self._choose(self._candidates()) if self._hosts_by_model else []
         now = asyncio.get_running_loop().time()
+        if not self._journal.ready:
+            return False
         if self._journal.up:
             self._log_up_at = now
             await self._record_repairs()
@@ -143,7 +149,9 @@
         )
 
     def _choose(self, candidates: list[Candidate]) -> list[Change]:
-        placement = Placement(candidates, self._own(), self.wants(), self._policy)
+        placement = Placement(
+            candidates, self._own(), self.wants(), self._policy, kept=self._wanted()
+        )
         return [c for c in placement.changes() if self._in_custody(c.fabric_domain)]
 
     def _own(self) -> list[Replica]:
--- a/features/fakes/replicas.py
+++ b/features/fakes/replicas.py
@@ -230,7 +230,7 @@
     def __init__(self, platform: FakePlatform, replicas: Replicas):
         self.platform, self.replicas = platform, replicas
         self.offset = 0
-        self.follows = True
+        self.follows = self.ready = True
         self.versions: dict[str, int] = {}
         self.outcomes: dict[str, Outcome] = {}
 
--- a/features/replicas.feature
+++ b/features/replicas.feature
@@ -44,6 +44,12 @@
       And the failure domain is brought back
       Then the replica serves again with one host changed
 
+    Scenario: Replicas stay while the weight store's list lacks their model
+      When 40 seconds pass
+      And the weight store lists other models alone
+      And 60 seconds pass
+      Then at least 2 replicas of "m" serve
+
     Scenario: A host lost while the log is away is replaced, and recorded later
       When 40 seconds pass
       And the log goes away
--- a/features/steps/replicas.py
+++ b/features/steps/replicas.py
@@ -231,6 +231,11 @@
     assert serving(context) == context.replicas
 
 
+@when("the weight store lists other models alone")
+def forget_model(context):
+    context.platform.specs = (ModelSpec("other", "1", 2),)
+
+
 @when("the log {moves} away")
 @when("the log {moves} back")
 def switch_log(context, moves):
