--- a/auburnproxy/serving/stream.py
+++ b/auburnproxy/serving/stream.py
@@ -17,8 +17,10 @@
 from loguru import logger
 
 from ..errors import AuburnError, Ran, RefusalError, UpstreamError
+from ..telemetry.telemetry import Record
 from ..upstreams.engine import Chunk, ChunkKind, ModelCall
 from ..upstreams.observation import Observation, Result
+from ._gaps import Gaps
 from ._watch import Cause, Watch
 from .budget import Budget
 from .limits import Limits
@@ -68,7 +70,7 @@
         deadline: float,
         budget: Budget,
         limits: Limits,
-        between: Callable[[float], None],
+        between: Record,
     ) -> None:
         self.position = call.resume_from
         """Chunks that the caller has."""
@@ -80,6 +82,7 @@
         self._budget = budget
         self._limits = limits
         self._between = between
+        self._gaps = Gaps()
         self._waiting_since = inf
         self._attempt_first_at: float | None = None
         self._may_have_run = False
@@ -90,6 +93,12 @@
 
         :raises RefusalError: if that can't be done; the caller must be told
         """
+        try:
+            await self._run()
+        finally:
+            self._gaps.flush(self._between)
+
+    async def _run(self) -> None:
         tries = 0
         while True:
             try:
@@ -163,7 +172,7 @@
 
     async def _pass_on(self, chunks: AsyncIterator[Chunk]) -> Cause | None:
         time, write, own = asyncio.get_running_loop().time, self._write, self._id
-        last_at: float | None = None
+        saw_chunk = self._gaps.chunk
         async with aclosing(cast(AsyncGenerator[Chunk, None], chunks)) as source:
             async for chunk in source:
                 if chunk.request_id != own or chunk.position < self.position:
@@ -175,12 +184,10 @@
                     return None
                 self.position += 1
                 self._waiting_since = inf
-                arrived_at = time()
-                if last_at is None:
-                    self._attempt_first_at = arrived_at
-                else:
-                    self._between(arrived_at - last_at)
-                last_at = arrived_at
+                now = time()
+                saw_chunk(now)
+                if self._attempt_first_at is None:
+                    self._attempt_first_at = now
                 await write(chunk.data)
                 self._waiting_since = time()
         return Cause.TRUNCATED
--- a/auburnproxy/telemetry/telemetry.py
+++ b/auburnproxy/telemetry/telemetry.py
@@ -2,8 +2,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable
-from typing import NamedTuple, TypedDict
+from collections.abc import Iterable
+from typing import NamedTuple, Protocol, TypedDict
 
 from hdrh.histogram import HdrHistogram
 
@@ -20,7 +20,11 @@
 OTHER = "other"
 
 
-Record = Callable[[float], None]
+class Record(Protocol):
+    """Records a duration in seconds, once or several times."""
+
+    def __call__(self, seconds: float, count: int = 1) -> None:
+        """Record it."""
 
 
 class SeriesKey(NamedTuple):
@@ -103,9 +107,9 @@
         """
         record_value = self.histogram(measure, plan, target).record_value
 
-        def record(seconds: float) -> None:
+        def record(seconds: float, count: int = 1) -> None:
             microseconds = int(seconds * US_PER_S)
-            record_value(min(max(microseconds, LOWEST_US), HIGHEST_US))
+            record_value(min(max(microseconds, LOWEST_US), HIGHEST_US), count)
 
         return record
 
