Poll before streams are cut after a pause of the daemon itself

Cause: a daemon that had not run for longer than a report stays fresh took every replica for lost when it woke, and started all its streams again at once; a retry budget of 3 let the fourth end with an error. A host that died meanwhile still cuts the stream: both ways are in the new scenario, the first of which failed before.

--- a/features/replicas.feature
+++ b/features/replicas.feature
@@ -83,6 +83,16 @@
       And 10 seconds pass
       Then every host was present all the time
 
+    Scenario Outline: A daemon that did not run polls before it cuts a stream
+      When 40 seconds pass
+      And the daemon does not run for 10 s, while a host of its replica <does>
+      Then the stream is <verdict> within 5 s
+
+      Examples:
+        | does     | verdict |
+        | lives on | kept    |
+        | dies     | cut     |
+
   Rule: Under faults, against what the engines truly did
 
     @point1 @point2 @point4 @point8
--- a/features/steps/replicas.py
+++ b/features/steps/replicas.py
@@ -288,3 +288,23 @@
 def compare_machine(context, name, examples, steps):
     machine = {kind.__name__: kind for kind in MACHINES}[name]
     search(machine, examples=examples, steps=steps)
+
+
+@when("the daemon does not run for {seconds:d} s, while a host of its replica {does}")
+def stop_running(context, seconds, does):
+    async def stream():
+        replica = serving_now(context)[0]
+        context.lost = asyncio.create_task(context.daemon.readiness.lost(replica))
+        await asyncio.sleep(1)
+        if does == "dies":
+            context.platform.engines_by_host[replica.hosts[-1]].alive = False
+        context.loop._selector.clock.advance(seconds)
+
+    run(context, stream())
+
+
+@then("the stream is {verdict} within {seconds:d} s")
+def compare_stream(context, verdict, seconds):
+    run(context, asyncio.sleep(seconds))
+    assert context.lost.done() == (verdict == "cut")
+    context.lost.cancel()
