--- a/auburnproxy/replicas/readiness.py
+++ b/auburnproxy/replicas/readiness.py
@@ -10,6 +10,10 @@
 from .replica import Replica
 from .replicas import Replicas
 
+PAUSED_S = 1.0
+"""Seconds between two checks that show that this daemon did not run."""
+POLL_S = 1.5
+"""Seconds in which every host is polled anew after a pause."""
 CHECK_INTERVAL_S = 0.25
 """Seconds between two checks of the replicas that serve."""
 READY_STATES = (EngineState.READY, EngineState.LEAVING)
@@ -90,10 +94,21 @@
         starts = self._starts(replica)
         try:
             while self.whole(replica) and self._starts(replica) == starts:
-                await self._watcher.changes.wait(CHECK_INTERVAL_S)
+                await self._next_check()
         finally:
             del self._guards_by_replica[replica]
 
+    async def _next_check(self) -> None:
+        """Wait for a change, or some time; longer if this daemon did not run.
+
+        After a pause of its own every report is stale, so it polls first.
+        """
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        await self._watcher.changes.wait(CHECK_INTERVAL_S)
+        if loop.time() - began > PAUSED_S:
+            await asyncio.sleep(POLL_S)
+
     def _starts(self, replica: Replica) -> tuple[str, ...]:
         reports = [self._watcher.report(host) for host in replica.hosts]
         return tuple(report.incarnation for report in reports if report)
