Name the shared modules without underscores, and give addresses in one place

The stand-ins and benchmarks use the event codec and the listeners, so neither is private. The scenarios take free addresses and wait for listeners as the deployment does.

--- a/auburnproxy/upstreams/http_engine.py
+++ b/auburnproxy/upstreams/http_engine.py
@@ -10,8 +10,8 @@
 from ..errors import Ran, StaleFenceError, UpstreamError
 from ..platform import HostEntry
 from ._client import CONTROL, STREAM, open_session, upstream_errors
-from ._events import split
 from .engine import Chunk, Engine, EngineReport, ModelCall, Order
+from .events import split
 
 OK = 200
 ACCEPTED = 202
--- a/bench/chunks.py
+++ b/bench/chunks.py
@@ -20,8 +20,8 @@
 from rich.console import Console
 from rich.table import Table
 
-from auburnproxy.upstreams._events import render
 from auburnproxy.upstreams.engine import Chunk, ChunkKind
+from auburnproxy.upstreams.events import render
 from auburnproxy.upstreams.http_engine import HttpEngine
 from bench import passthrough
 from features.fakes.serving import FakeUpstreams, make_face, make_plan, make_site
--- a/bench/passthrough.py
+++ b/bench/passthrough.py
@@ -10,7 +10,7 @@
 import defopt
 from aiohttp import ClientSession, TCPConnector, web
 
-from standins._listen import listening, run_until_told
+from standins.listener import listening, run_until_told
 
 ENGINE_KEY = web.AppKey("engine", str)
 SESSION_KEY = web.AppKey("session", ClientSession)
--- a/features/loopback.py
+++ b/features/loopback.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import contextlib
-import socket
 from collections.abc import AsyncIterator
 
 from auburnproxy.configuration import Configuration, read_lists
@@ -13,7 +12,9 @@
 from auburnproxy.platform import ModelSpec
 from auburnproxy.platform.http import connect_log
 from auburnproxy.upstreams.engine import Assignment, Fence, ModelCall, Order
-from standins._listen import listening
+from standins.deployment import Addresses
+from standins.listener import listening
+from standins.processes import until_listens
 from standins.settings import EngineSettings, ServiceSettings, UpstreamSettings
 from standins.trial import Trial, trial
 from standins.upstreams import Upstreams
@@ -25,11 +26,8 @@
 
 def free_addresses(count: int) -> list[str]:
     """Return addresses on which nothing listens."""
-    with contextlib.ExitStack() as stack:
-        sockets = [stack.enter_context(socket.socket()) for _ in range(count)]
-        for each in sockets:
-            each.bind(("127.0.0.1", 0))
-        return [f"127.0.0.1:{each.getsockname()[1]}" for each in sockets]
+    addresses = Addresses()
+    return [addresses.take() for _ in range(count)]
 
 
 @contextlib.asynccontextmanager
@@ -47,27 +45,13 @@
     weights = make_weights([MODEL], loads_per_minute=60_000)
     async with listening(weights.app(), store):
         task = asyncio.create_task(upstreams.run())
-        await until_connects(control)
+        await until_listens(control, timeout_s=PATIENCE_S)
         yield upstreams
         task.cancel()
         with contextlib.suppress(asyncio.CancelledError):
             await task
 
 
-async def until_connects(address: str) -> None:
-    """Wait until something listens on an address."""
-    host, _, port = address.rpartition(":")
-    async with asyncio.timeout(PATIENCE_S):
-        while True:
-            try:
-                _, writer = await asyncio.open_connection(host, int(port))
-            except OSError:
-                await asyncio.sleep(0.01)
-                continue
-            writer.close()
-            return
-
-
 async def form(engines, addresses, *, generation=1) -> None:
     """Order engines to form a replica and wait until each is ready."""
     for rank, engine in enumerate(engines):
--- a/features/steps/adapters.py
+++ b/features/steps/adapters.py
@@ -11,13 +11,13 @@
 
 from auburnproxy.errors import AppendUncertainError, PlatformError, Ran, UpstreamError
 from auburnproxy.platform.http import connect_log
-from auburnproxy.upstreams._events import render, split
 from auburnproxy.upstreams.engine import Chunk, ChunkKind
+from auburnproxy.upstreams.events import render, split
 from auburnproxy.upstreams.http_engine import HttpEngine
 from auburnproxy.upstreams.http_service import HttpPlainService
 from auburnproxy.upstreams.service import PlainCall
 from features import loopback
-from standins._listen import cut, listening
+from standins.listener import cut, listening
 from standins.log import LogFault, make_log
 from standins.tokens import answer, read_prompt, token_data
 from standins.upstreams import FaultKind, UpstreamFault
--- a/features/steps/load.py
+++ b/features/steps/load.py
@@ -8,8 +8,8 @@
 from behave import then
 
 from features import loopback
-from standins._listen import cut, listening
 from standins.callers import CallKind
+from standins.listener import cut, listening
 from standins.load import LoadSettings, PlanLoad, run_load
 from standins.runs import Runs
 from standins.service import PlacedOrder, stock_of
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -13,7 +13,6 @@
 from aiohttp.typedefs import Handler
 from loguru import logger
 
-from auburnproxy.upstreams._events import render
 from auburnproxy.upstreams.engine import (
     Assignment,
     ChunkKind,
@@ -22,9 +21,10 @@
     Fence,
     Order,
 )
+from auburnproxy.upstreams.events import render
 
-from ._listen import cut, json_answer
 from .batch import Batch, Stream
+from .listener import cut, json_answer
 from .runs import Runs
 from .settings import EngineSettings
 from .tokens import Prompt, read_prompt
--- a/standins/hosts.py
+++ b/standins/hosts.py
@@ -11,7 +11,7 @@
 
 from auburnproxy.platform import HostEntry, Presence
 
-from ._listen import cut, json_answer
+from .listener import cut, json_answer
 
 GONE = "gone"
 
--- a/standins/load.py
+++ b/standins/load.py
@@ -14,7 +14,6 @@
 from aiohttp import ClientSession, TCPConnector
 from rich.console import Console
 
-from ._listen import run_until_told
 from .audit import PlanAudit, merge, table
 from .balancer import Balancer
 from .callers import (
@@ -26,6 +25,7 @@
     call_model,
     call_order,
 )
+from .listener import run_until_told
 from .runs import RunReport
 from .settings import read
 
--- a/standins/log.py
+++ b/standins/log.py
@@ -10,7 +10,7 @@
 
 from auburnproxy.platform import LogPage, LogRecord
 
-from ._listen import cut, json_answer
+from .listener import cut, json_answer
 
 MS_PER_S = 1000
 UNAVAILABLE = 503
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -8,8 +8,8 @@
 
 import defopt
 
-from ._listen import listening, run_until_told
 from .hosts import make_hosts
+from .listener import listening, run_until_told
 from .log import make_log
 from .settings import PlatformSettings, read
 from .weights import make_weights
--- a/standins/service.py
+++ b/standins/service.py
@@ -13,7 +13,7 @@
 
 from auburnproxy.upstreams.service import ServiceReport
 
-from ._listen import cut, json_answer
+from .listener import cut, json_answer
 from .runs import Runs
 from .settings import ServiceSettings
 from .warmth import Warmth
--- a/standins/upstreams.py
+++ b/standins/upstreams.py
@@ -16,8 +16,8 @@
 import msgspec
 from aiohttp import ClientError, ClientSession, web
 
-from ._listen import json_answer, listen, listening, run_until_told
 from .engine import Engine
+from .listener import json_answer, listen, listening, run_until_told
 from .runs import Runs
 from .service import Service
 from .settings import UpstreamSettings, read
--- a/standins/weights.py
+++ b/standins/weights.py
@@ -10,7 +10,7 @@
 
 from auburnproxy.platform import ModelSpec
 
-from ._listen import cut, json_answer
+from .listener import cut, json_answer
 
 S_PER_MINUTE = 60
 
