Fill the frame of a checkpoint field by field

pycapnp does not set a struct of a union from a dict, so every checkpoint that a peer was to be sent raised, and the link's task ended: a daemon that started anew while the log was away never became ready.

--- a/auburnproxy/membership/_wire.py
+++ b/auburnproxy/membership/_wire.py
@@ -72,7 +72,7 @@
         case Entries(entries):
             frame.entries = msgspec.msgpack.encode(entries)
         case CheckpointPart(part, parts, data):
-            frame.checkpoint = {"part": part, "parts": parts, "data": data}
+            _fill_checkpoint(frame.init("checkpoint"), part, parts, data)
     return bytes(frame.to_bytes_packed())
 
 
@@ -97,6 +97,12 @@
     hello.nonce = nonce
 
 
+def _fill_checkpoint(target: Any, part: int, parts: int, data: bytes) -> None:
+    target.part = part
+    target.parts = parts
+    target.data = data
+
+
 def _fill_beat(target: Any, beat: Beat) -> None:
     target.epoch = beat.epoch
     target.acked = beat.acked
--- a/features/journal.feature
+++ b/features/journal.feature
@@ -34,6 +34,10 @@
     When one has read a long log and the other is cut off half way
     Then the other becomes ready with the state of its peer
 
+  Scenario: A peer gets a checkpoint as it was sent
+    When a piece of a checkpoint is sent in a frame
+    Then the peer reads the same piece
+
   Scenario Outline: Whether a restoration is valid follows from the log alone
     When the log holds <log>
     Then the valid restorations are <valid>
--- a/features/steps/journal.py
+++ b/features/steps/journal.py
@@ -9,6 +9,7 @@
 from auburnproxy.journal._codec import decode_record, encode_record
 from auburnproxy.journal.checkpoint import CheckpointId, Part, part_record
 from auburnproxy.journal.restoration import Claim, Restorations, Sighting, claim_record
+from auburnproxy.membership import _wire
 from features.fakes.log import FakeLog, LogPort
 from features.fakes.notes import Notes
 from features.machines.journal import MALFORMED, UNKNOWN_KIND, JournalMachine
@@ -178,6 +179,17 @@
     assert second.notes.values == first.notes.values != []
 
 
+@when("a piece of a checkpoint is sent in a frame")
+def send_piece(context):
+    context.piece = _wire.CheckpointPart(1, 3, bytes(range(256)))
+    context.frame = _wire.encode(context.piece)
+
+
+@then("the peer reads the same piece")
+def read_piece(context):
+    assert _wire.decode(context.frame) == context.piece
+
+
 @when("the log holds {entries}")
 def hold(context, entries):
     context.restorations = Restorations()
