Count a log that is late as away, and go on waiting for it

A daemon whose reads were swallowed took 10 s to ask its peers, longer than the 8 s in which a change has to be in force. It now counts the log as away 1.5 s past a poll of 2 s, so after 3.5 s at most, but waits 10 s past the poll for the answer, so that a slow log is still read. Repeated appends wait 1, 2, 4, then 8 s for their record, to spare a slow log.

--- a/auburnproxy/journal/_access.py
+++ b/auburnproxy/journal/_access.py
@@ -8,8 +8,8 @@
 from ..platform import LogPage, LogService
 
 PAGE_RECORDS = 512
-READ_MARGIN_S = 5.0
-APPEND_S = 3.0
+READ_MARGIN_S = 10.0
+APPEND_S = 5.0
 
 
 class LogAccess:
--- a/auburnproxy/journal/journal.py
+++ b/auburnproxy/journal/journal.py
@@ -22,9 +22,12 @@
 from .reducer import Reducer
 from .restoration import Restorations, Sighting, bare, sighting_of
 
-POLL_S = 5.0
+POLL_S = 2.0
+LATE_S = 1.5
+"""Past a poll's wait, after which the log counts as away until it answers."""
 RETRY_S = 1.0
 READ_BACK_S = 1.0
+LONGEST_READ_BACK_S = 8.0
 FOLLOWING_S = 1.0
 CHECKPOINT_S = 300.0
 REPLAY_RECORDS = 2048
@@ -145,9 +148,8 @@
                 await self._turn_once()
 
     async def _turn_once(self) -> None:
-        wait_s = POLL_S if self._current else 0.0
         try:
-            page = await self._access.read(self._fold.offset + 1, wait_s=wait_s)
+            page = await self._read()
             self._restorations.forget(page.start)
             if self._must_recover(page):
                 await self._recover(page)
@@ -162,6 +164,16 @@
         if not page.records and not self._current:
             await asyncio.sleep(RETRY_S)
 
+    async def _read(self) -> LogPage:
+        """Read the next page; peers are asked meanwhile if it comes late."""
+        wait_s = POLL_S if self._current else 0.0
+        loop = asyncio.get_running_loop()
+        late = loop.call_later(wait_s + LATE_S, self._lost, "it is late")
+        try:
+            return await self._access.read(self._fold.offset + 1, wait_s=wait_s)
+        finally:
+            late.cancel()
+
     def _must_recover(self, page: LogPage) -> bool:
         self._gap = page.start > self._fold.offset + 1
         if self._gap or self._fold.offset:
@@ -181,9 +193,9 @@
         elif self._gap:
             await asyncio.sleep(RETRY_S)
 
-    def _lost(self, error: PlatformError) -> None:
+    def _lost(self, reason: object) -> None:
         if self._up:
-            log.warning("The log is away: {}", error)
+            log.warning("The log is away: {}", reason)
         self._up = self._current = False
 
     def _take(self, page: LogPage) -> None:
@@ -276,7 +288,7 @@
 
     async def _append_until_folded(self, record: Record) -> Outcome:
         payload = encode_record(record)
-        uncertain = False
+        uncertain, read_back_s = False, READ_BACK_S
         while True:
             try:
                 await self._access.append(payload)
@@ -287,9 +299,10 @@
                 if not uncertain:
                     raise
             try:
-                async with asyncio.timeout(READ_BACK_S):
+                async with asyncio.timeout(read_back_s):
                     return await self._folded(record.id)
             except TimeoutError:
+                read_back_s = min(2 * read_back_s, LONGEST_READ_BACK_S)
                 log.info("Record {} is appended again.", record.id)
 
     async def _folded(self, record_id: str) -> Outcome:
--- a/features/journal.feature
+++ b/features/journal.feature
@@ -34,6 +34,12 @@
     When one has read a long log and the other is cut off half way
     Then the other becomes ready with the state of its peer
 
+  Scenario: A log that answers late counts as away meanwhile, and is read all the same
+    Given two processes on one log
+    When one of them needs 6 s for each answer and the other proposes a record
+    Then it counted the log as away within 5 s
+    And both processes have folded the record once
+
   Scenario: A peer gets a checkpoint as it was sent
     When a piece of a checkpoint is sent in a frame
     Then the peer reads the same piece
