Pass on what another failure domain says only from where it was heard

Every daemon sent a beat at once when a summary of another failure domain changed, also when a neighbour had told it; at the target that is a full mesh of beats for each of 17 domains and each change of configuration. Now only the daemon that heard it there does, and says it first in its beat.

--- a/auburnproxy/membership/membership.py
+++ b/auburnproxy/membership/membership.py
@@ -16,8 +16,8 @@
 from ._missing import Missing
 from ._relay import Relay
 from ._steward import Steward
-from ._wire import encode
-from .beat import Beat, choose_slots, key_digest
+from ._teller import Teller
+from .beat import Beat, key_digest
 from .epoch import NOTHING, Epoch, Window
 from .link import Link
 from .member import Member
@@ -26,16 +26,11 @@
 
 TICK_S = 0.25
 BEAT_MIN_S = 0.5
-BEAT_PER_LINK_S = 0.1
+BEAT_PER_LINK_S = 0.12
 SILENCE_BEATS = 5
 SILENCE_MIN_S = 8.0
 PAUSE_BOUND_S = 30.0
 """A daemon that did not run for this long asks its peers before it acts again."""
-MAX_FREE_TOLD = 24
-MAX_BUSY_TOLD = 128
-TELL_BUSY_S = 60.0
-"""How long after a loss peers are told of the slots in use."""
-MAX_SUMMARIES_TOLD = 6
 PROPOSE_TIMEOUT_S = 10.0
 
 log = logger.bind(part="membership")
@@ -76,18 +71,12 @@
         self.beats_by_member: dict[str, Beat] = {}
         """Newest beat of each connected member, by member id."""
         self._version = version
-        self._busy: Callable[[], Mapping[str, int]] = dict
-        self._lost: frozenset[str] = frozenset()
-        self._tell_busy_until = 0.0
         self._conditions: list[Callable[[Epoch], bool]] = []
-        self._limits: SharedLimits | None = None
+        self._teller = Teller(self, version)
         self._dialer = Dialer(self)
         self._relay = Relay(self)
         self._steward = Steward(self, lambda domain: is_out(domain, ""))
         self._missing = Missing(self, lost_hosts, is_out, PAUSE_BOUND_S)
-        self._told: tuple[object, ...] = ()
-        self._frame_told = b""
-        self._summaries_told = 0
         self._ran_at = time.clock_gettime(time.CLOCK_BOOTTIME)
         self._suspended = False
         self._accepting = False
@@ -139,7 +128,7 @@
 
         :param limits: this daemon's gates
         """
-        self._limits = limits
+        self._teller.limits = limits
         self.require(limits.fits)
 
     def tell_busy(self, busy: Callable[[], Mapping[str, int]]) -> None:
@@ -147,7 +136,7 @@
 
         :param busy: returns the slots in use by key
         """
-        self._busy = busy
+        self._teller.busy = busy
 
     def busy_slots(self, key: str) -> Mapping[str, int]:
         """Return the slots that connected members said to use, by member id.
@@ -246,7 +235,7 @@
         self.links_by_id[peer.id] = link
         log.debug("Linked with {}.", peer.id)
         try:
-            link.send(self._frame_told or self._frame())
+            link.send(self._teller.frame)
             while True:
                 message = await link.receive(timeout_s=self.silence_s)
                 if isinstance(message, Beat):
@@ -312,10 +301,7 @@
             self._ran()
             self.view.acknowledge(self._obeys)
             now = asyncio.get_running_loop().time()
-            if not self.gone <= self._lost:
-                self._tell_busy_until = now + TELL_BUSY_S
-            self._lost = self.gone
-            if now >= due or self._news() != self._told:
+            if now >= due or self._teller.has_news:
                 self._send_beat()
                 due = now + self.beat_interval_s
             await asyncio.sleep(TICK_S)
@@ -343,47 +329,13 @@
 
     def _hear(self, peer: Member, beat: Beat) -> None:
         self.view.hear(peer, beat)
+        self._teller.heard_from(peer)
         self.beats_by_member[peer.id] = beat
         if self._suspended and not self.view.expelled:
             self._suspended = False
             log.info("{} answered after the pause.", peer.id)
 
-    def _news(self) -> tuple[object, ...]:
-        """Return what peers are told of before the next beat is due."""
-        view = self.view
-        relayed = any(beat.needs_relay for beat in self.beats_by_member.values())
-        offset = self.journal.offset if relayed else 0
-        facts = (view.acked, view.settled, view.gone, tuple(self.in_force.values()))
-        return (*facts, view.epoch, offset)
-
     def _send_beat(self) -> None:
-        self._told = self._news()
-        self._frame_told = self._frame()
+        frame = self._teller.next_frame()
         for link in self.links:
-            link.send(self._frame_told)
-
-    def _frame(self) -> bytes:
-        view = self.view
-        free = self._limits.free_by_key if self._limits else {}
-        summaries = view.summaries()
-        start = self._summaries_told
-        chosen = (summaries[start:] + summaries[:start])[:MAX_SUMMARIES_TOLD]
-        self._summaries_told = (start + MAX_SUMMARIES_TOLD) % max(len(summaries), 1)
-        beat = Beat(
-            epoch=view.epoch,
-            acked=view.acked,
-            settled=view.settled,
-            offset=self.journal.offset,
-            version=self.in_force[self.me.failure_domain],
-            needs_relay=not self.journal.up,
-            gone=view.gone_to_tell(),
-            free=choose_slots(free, self.me.id, most=MAX_FREE_TOLD),
-            summaries=chosen,
-            busy=self._busy_told(),
-        )
-        return encode(beat)
-
-    def _busy_told(self) -> Mapping[int, int]:
-        if asyncio.get_running_loop().time() > self._tell_busy_until:
-            return {}
-        return choose_slots(self._busy(), self.me.id, most=MAX_BUSY_TOLD)
+            link.send(frame)
