--- a/auburnproxy/membership/link.py
+++ b/auburnproxy/membership/link.py
@@ -41,6 +41,8 @@
         dialed: bool,
     ) -> None:
         self.dialed = dialed
+        self.opened_at = asyncio.get_running_loop().time()
+        """Loop time, before the greeting."""
         self.peer: Member = Member("", "", "", "", "")
         """The authenticated peer."""
         self._reader = reader
--- a/auburnproxy/membership/membership.py
+++ b/auburnproxy/membership/membership.py
@@ -79,6 +79,7 @@
         self._missing = Missing(self, lost_hosts, is_out, PAUSE_BOUND_S)
         self._ran_at = time.clock_gettime(time.CLOCK_BOOTTIME)
         self._suspended = False
+        self._resumed_at = 0.0
         self._accepting = False
 
     @property
@@ -236,10 +237,10 @@
         log.debug("Linked with {}.", peer.id)
         try:
             link.send(self._teller.frame)
-            while True:
+            while self.links_by_id.get(peer.id) is link:
                 message = await link.receive(timeout_s=self.silence_s)
                 if isinstance(message, Beat):
-                    self._hear(peer, message)
+                    self._hear(link, message)
                 else:
                     self._relay.take(link, message)
         except AuburnError as error:
@@ -311,6 +312,7 @@
         now = time.clock_gettime(time.CLOCK_BOOTTIME)
         if now - self._ran_at > PAUSE_BOUND_S:
             self._suspended = True
+            self._resumed_at = asyncio.get_running_loop().time()
             log.warning("Paused for {:.0f} s; asking peers.", now - self._ran_at)
             for link in self.links:
                 link.close()
@@ -327,11 +329,12 @@
     def _obeys(self, epoch: Epoch) -> bool:
         return all(obeys(epoch) for obeys in self._conditions)
 
-    def _hear(self, peer: Member, beat: Beat) -> None:
+    def _hear(self, link: Link, beat: Beat) -> None:
+        peer = link.peer
         self.view.hear(peer, beat)
         self._teller.heard_from(peer)
         self.beats_by_member[peer.id] = beat
-        if self._suspended and not self.view.expelled:
+        if self._suspended and link.opened_at > self._resumed_at:
             self._suspended = False
             log.info("{} answered after the pause.", peer.id)
 
--- a/features/membership.feature
+++ b/features/membership.feature
@@ -65,3 +65,20 @@
     Then the member is not gone
     When the pause bound passes
     Then the member is gone
+
+  @point2 @point3
+  Scenario: A daemon that was paused past the bound holds nothing until a peer has answered
+    Given daemons a0 and a1
+    And every epoch is settled
+    When a0 finds that it was paused for 60 s
+    Then a0 holds nothing
+    And a0 has its share again after a new link
+
+  @point2 @point3
+  Scenario: A daemon that peers took for gone during its pause holds nothing for good
+    Given daemons a0 and a1
+    And every epoch is settled
+    When a1 takes a0 for gone
+    And a0 finds that it was paused for 60 s
+    Then a0 holds nothing
+    And a0 learns that it is expelled and a1 has its share
--- a/features/steps/membership.py
+++ b/features/steps/membership.py
@@ -372,3 +372,34 @@
     assert context.membership.gone == {"a1@1"}
     context.checking.cancel()
     context.loop.run_until_complete(asyncio.sleep(1))
+
+
+@when("a0 finds that it was paused for 60 s")
+def pause(context):
+    context.peers["a0"].membership._ran_at -= 60
+
+
+@then("a0 holds nothing")
+def holds_nothing(context):
+    assert context.peers["a0"].share == 0
+
+
+@then("a0 has its share again after a new link")
+def share_again_linked(context):
+    a0, a1 = context.peers["a0"], context.peers["a1"]
+    old = a0.membership.links_by_id[a1.me.id]
+    wait(context, lambda: a0.share)
+    assert a0.share == LIMIT / 2
+    assert a0.membership.links_by_id[a1.me.id] is not old
+
+
+@when("a1 takes a0 for gone")
+def take_for_gone(context):
+    context.peers["a1"].membership.view.mark_gone(["a0@1"])
+
+
+@then("a0 learns that it is expelled and a1 has its share")
+def expelled(context):
+    a0, a1 = context.peers["a0"], context.peers["a1"]
+    wait(context, lambda: a0.membership.expelled and a1.share == LIMIT)
+    assert a0.share == 0
