--- a/features/fakes/replicas.py
+++ b/features/fakes/replicas.py
@@ -27,7 +27,7 @@
     Replicas,
     custody_key,
 )
-from auburnproxy.upstreams import Observation, Result, Watcher
+from auburnproxy.upstreams import Watcher
 from auburnproxy.upstreams.engine import (
     Chunk,
     Engine,
@@ -342,51 +342,6 @@
         await asyncio.gather(*self.tasks, return_exceptions=True)
 
 
-class Caller:
-    """Calls replicas of a model with this daemon's share of each limit."""
-
-    def __init__(self, platform, daemon, model, rank, daemons):
-        self.platform, self.daemon, self.model = platform, daemon, model
-        self.rank, self.daemons = rank, daemons
-        self.in_flight: dict[str, int] = {}
-
-    def share(self, host):
-        least, rest = divmod(self.daemon.watcher.limit(host), self.daemons)
-        return least + (self.rank < rest)
-
-    def press(self, call_s):
-        """Start every call that is let through now."""
-        for replica in self.daemon.readiness.serving(self.model):
-            while self.in_flight.get(replica.head, 0) < self.share(replica.head):
-                if not self.call(replica, call_s):
-                    break
-
-    def call(self, replica, call_s):
-        """Start one call, which ends after a time; return whether it was taken."""
-        watcher, engine = (
-            self.daemon.watcher,
-            self.platform.engines_by_host[replica.head],
-        )
-        report = watcher.report(replica.head)
-        if not engine.accept(report.incarnation, replica.generation):
-            refused = Observation(Result.REFUSED, incarnation=report.incarnation)
-            watcher.observe(replica.head, refused)
-            return False
-        self.in_flight[replica.head] = self.in_flight.get(replica.head, 0) + 1
-        meant = (engine.starts, engine.part)
-        asyncio.get_running_loop().call_later(call_s, self.end, engine, meant, report)
-        return True
-
-    def end(self, engine, meant, report):
-        host = engine.entry.name
-        self.in_flight[host] -= 1
-        whole = engine.alive and (engine.starts, engine.part) == meant
-        engine.in_flight -= whole
-        result = Result.COMPLETED if whole else Result.CLOSED
-        observation = Observation(result, engine.first_token_s, report.incarnation)
-        self.daemon.watcher.observe(host, observation)
-
-
 def _now():
     try:
         return asyncio.get_running_loop().time()
--- a/features/machines/cold_starts.py
+++ b/features/machines/cold_starts.py
@@ -9,7 +9,8 @@
 from hypothesis.stateful import RuleBasedStateMachine, rule
 
 from auburnproxy.platform import ModelSpec
-from features.fakes.replicas import Caller, FakeDaemon, FakePlatform
+from features.fakes.caller import Caller
+from features.fakes.replicas import FakeDaemon, FakePlatform
 
 DOMAIN = "d1"
 TICK_S = 0.25
