--- a/features/fakes/serving.py
+++ b/features/fakes/serving.py
@@ -30,6 +30,7 @@
     ModelCall,
 )
 from auburnproxy.upstreams.service import PlainAnswer
+from features.fakes.ledger import FakeJournal, FakeLog
 
 SECRET = b"shared"
 STALL_S = 1000.0
@@ -222,9 +223,11 @@
     def __init__(self, *, takes_s=0.02):
         self.takes_s = takes_s
         self.runs = Counter()
+        self.calls = 0
         self.fault = None
 
     async def call(self, call):
+        self.calls += 1
         if self.fault == "unreachable":
             raise UpstreamError("refused", ran=Ran.NO)
         if self.fault == "black hole":
@@ -254,7 +257,7 @@
         return self.free_by_key.get(key, {})
 
 
-def make_site(plans, upstreams, *, journal=None, limits=None, **lists):
+def make_site(plans, upstreams, *, log=None, limits=None, **lists):
     """Return a daemon's serving parts over fakes, without listeners."""
     site = SimpleNamespace(upstreams=upstreams, gates=FakeGates(), peers=FakePeers())
     site.configuration = FakeConfiguration(plans, **lists)
@@ -263,6 +266,7 @@
     site.admission = Admission(site.configuration, site.gates, site.router)
     site.spill = Spill(site.peers)
     site.ledger = Ledger()
+    journal = FakeJournal(log or FakeLog(), "d", site.ledger)
     site.runner = LedgerRunner(site.ledger, journal)
     forwarder = Forwarder(Signer(SECRET))
     limits = limits or Limits()
--- a/features/isolation.feature
+++ b/features/isolation.feature
@@ -17,6 +17,7 @@
     When the slot is freed 8 times
     Then the first plan had 6 turns, each by earliest deadline
 
+  @point4 @point8
   Scenario: A queued call is refused when its target goes out
     Given a call that waits for a slot
     When every replica of its model goes out
--- a/features/steps/serving.py
+++ b/features/steps/serving.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import time
 
 from aiohttp import ClientSession, ClientTimeout, web
 from behave import given, then, when
@@ -284,12 +285,19 @@
             Signer.sign = original
         headers, body, signature = taken[0]
         headers = {k: v for k, v in headers.items() if k != SIGNATURE}
-        signed = headers | {SIGNATURE: signature}
-        assert await forward(body, signed) == 403
-        assert await forward(body + b" ", signed) == 403
-        assert await forward(body, signed | {"X-Plan": "beta"}) == 403
-        second = headers | {"X-Hop": "2"}
-        again = Signer(SECRET).sign("POST", MODEL_PATH, second, body)
-        assert await forward(body, second | {SIGNATURE: again}) == 403
+        signer = Signer(SECRET)
+
+        def signed(changed):
+            fresh = headers | {"X-Issued-Ms": str(round(time.time() * 1000))} | changed
+            return fresh | {SIGNATURE: signer.sign("POST", MODEL_PATH, fresh, body)}
+
+        assert await forward(body, headers | {SIGNATURE: signature}) == 403
+        taken_once = signed({})
+        assert await forward(body + b" ", taken_once) == 403
+        assert await forward(body, taken_once | {"X-Resume-From": "1"}) == 403
+        assert await forward(body, taken_once) == 200
+        assert await forward(body, taken_once) == 403
+        assert await forward(body, signed({"X-Hop": "2"})) == 403
+        assert await forward(body, signed({"X-Issued-Ms": "1"})) == 403
 
     run(context, steps)
