--- a/auburnproxy/serving/services.py
+++ b/auburnproxy/serving/services.py
@@ -33,6 +33,8 @@
 BUSY = frozenset({429, 503})
 READ_METHODS = frozenset({"GET", "HEAD", "OPTIONS"})
 RETRY_AFTER_S = 1.0
+SETTLE_S = 5.0
+"""Seconds that a shutdown waits for the log to take what became of calls."""
 Use = Callable[[LocalService], Awaitable[PlainAnswer]]
 
 
@@ -152,7 +154,9 @@
         """Wait until calls that may not be repeated have run to their end."""
         while self._tasks:
             await asyncio.wait(self._tasks)
-        await self._ledger.settled()
+        with suppress(TimeoutError):
+            async with asyncio.timeout(SETTLE_S):
+                await self._ledger.settled()
 
     async def run(self, request: Request) -> PlainAnswer:
         """Return the answer of a call.
