Ask the next peer when one relays nothing, and relay no history that was given up

A daemon without the log kept asking the peer that was furthest ahead, also when that one never answered.

--- a/auburnproxy/membership/_journal.py
+++ b/auburnproxy/membership/_journal.py
@@ -23,6 +23,10 @@
     def ready(self) -> bool:
         """Return whether the state is usable."""
 
+    @property
+    def diverged(self) -> bool:
+        """Return whether this state is of a history that the log gave up."""
+
     async def propose(
         self,
         kind: str,
--- a/auburnproxy/membership/_relay.py
+++ b/auburnproxy/membership/_relay.py
@@ -34,6 +34,7 @@
     def __init__(self, membership: Membership) -> None:
         self._membership = membership
         self._answered = asyncio.Event()
+        self._silent: set[str] = set()
         self._pieces: list[bytes] = []
 
     async def run(self) -> None:
@@ -48,7 +49,9 @@
             try:
                 async with asyncio.timeout(ANSWER_TIMEOUT_S):
                     await self._answered.wait()
+                self._silent.clear()
             except TimeoutError:
+                self._silent.add(source.peer.id)
                 log.debug("{} relayed nothing.", source.peer.id)
 
     def take(self, link: Link, message: Message) -> None:
@@ -77,14 +80,19 @@
         if journal.up and journal.ready:
             return None
         beats = membership.beats_by_member
-        ahead = [m for m, beat in beats.items() if beat.offset > journal.offset]
+        ahead = {m for m, beat in beats.items() if beat.offset > journal.offset}
         if not ahead:
             return None
+        if ahead <= self._silent:
+            self._silent.clear()
+        ahead -= self._silent
         best = max(ahead, key=lambda member_id: (beats[member_id].offset, member_id))
         return membership.links_by_id.get(best)
 
     def _answer(self, link: Link, after: int) -> None:
         journal = self._membership.journal
+        if journal.diverged:
+            return
         entries = list(journal.entries_after(after, MAX_ENTRIES))
         if entries and entries[0].offset == after + 1:
             link.send(encode(Entries(_fitting(entries))))
--- a/auburnproxy/membership/membership.py
+++ b/auburnproxy/membership/membership.py
@@ -26,8 +26,8 @@
 
 TICK_S = 0.25
 BEAT_MIN_S = 0.5
-BEAT_PER_LINK_S = 0.12
-SILENCE_BEATS = 5
+BEAT_PER_LINK_S = 0.15
+SILENCE_BEATS = 4
 SILENCE_MIN_S = 8.0
 PAUSE_BOUND_S = 30.0
 """A daemon that did not run for this long asks its peers before it acts again."""
--- a/bench/peers.py
+++ b/bench/peers.py
@@ -60,6 +60,7 @@
     def __init__(self) -> None:
         self.offset = 0
         self.up = self.ready = True
+        self.diverged = False
 
     async def propose(
         self,
--- a/features/fakes/journal.py
+++ b/features/fakes/journal.py
@@ -26,6 +26,7 @@
     def __init__(self, log, *reducers):
         self.log = log
         self.up = True
+        self.diverged = False
         self.ready = True
         self.offset = 0
         self._reducer_by_name = {reducer.name: reducer for reducer in reducers}
--- a/features/membership.feature
+++ b/features/membership.feature
@@ -82,3 +82,8 @@
     And a0 finds that it was paused for 60 s
     Then a0 holds nothing
     And a0 learns that it is expelled and a1 has its share
+
+  Scenario: A peer that is ahead but relays nothing does not keep others from being asked
+    Given a daemon without the log, and two peers that are ahead and answer nothing
+    When it fetches for 10 seconds
+    Then both peers were asked
--- a/features/steps/membership.py
+++ b/features/steps/membership.py
@@ -1,6 +1,7 @@
 """Steps for daemons that are each other's peers, over loopback."""
 
 import asyncio
+from types import SimpleNamespace
 
 import async_solipsism
 import uvloop
@@ -8,8 +9,9 @@
 
 from auburnproxy.errors import PeerError
 from auburnproxy.journal import Journal, Record
-from auburnproxy.membership import Member, Membership, Roster, link
+from auburnproxy.membership import Beat, Member, Membership, Roster, link
 from auburnproxy.membership._missing import Missing
+from auburnproxy.membership._relay import Relay
 from auburnproxy.membership.membership import PAUSE_BOUND_S, SILENCE_MIN_S
 from auburnproxy.membership.roster import JOIN
 from auburnproxy.quotas import Gates
@@ -403,3 +405,36 @@
     a0, a1 = context.peers["a0"], context.peers["a1"]
     wait(context, lambda: a0.membership.expelled and a1.share == LIMIT)
     assert a0.share == 0
+
+
+@given("a daemon without the log, and two peers that are ahead and answer nothing")
+def without_log(context):
+    context.loop = async_solipsism.EventLoop()
+    context.add_cleanup(context.loop.close)
+    me, *peers = (Member(n, "1", "a", n, "-") for n in ("a0", "a1", "a2"))
+    journal = FakeJournal(FoldedLog(), Roster())
+    journal.up = False
+    membership = Membership(me, Roster(), journal, secret=SECRET)
+    context.asked = []
+    for peer in peers:
+        asked = SimpleNamespace(peer=peer, send=lambda f, p=peer: note(context, p))
+        membership.links_by_id[peer.id] = asked
+        membership.beats_by_member[peer.id] = Beat(0, 0, 0, 5, 0)
+    context.relay = Relay(membership)
+
+
+def note(context, peer):
+    context.asked.append(peer.name)
+
+
+@when("it fetches for 10 seconds")
+def fetch(context):
+    fetching = context.loop.create_task(context.relay.run())
+    context.loop.run_until_complete(asyncio.sleep(10))
+    fetching.cancel()
+    context.loop.run_until_complete(asyncio.sleep(1))
+
+
+@then("both peers were asked")
+def both_asked(context):
+    assert set(context.asked) == {"a1", "a2"}, context.asked
