Place a call at once where nobody waits for its target

The queue, its estimates and the wait's time limit are left out for a call that finds a slot where no other waits.

--- a/auburnproxy/admission/admission.py
+++ b/auburnproxy/admission/admission.py
@@ -138,6 +138,10 @@
         wait: bool,
     ) -> P:
         loop = asyncio.get_running_loop()
+        if target not in self._queues_by_target:
+            placement = self._take(plan, target, choose)
+            if placement is not None:
+                return placement
         queue = self._queues_by_target.setdefault(target, Queue())
         length, ahead = queue.length(plan.name), queue.ahead(plan, deadline)
         waiter = Waiter(plan, deadline, choose, loop.create_future())
@@ -230,27 +234,37 @@
 
     def _try(self, target: str, queue: Queue, waiter: Waiter) -> bool:
         """Place a call or refuse it; return whether it left the queue."""
-        plan = waiter.plan
-        gate = self._plan_gate(plan)
-        if not self._within_bulkheads(gate, plan, target) or not gate.try_acquire():
-            return False
         try:
-            placement = waiter.choose()
+            placement = self._take(waiter.plan, target, waiter.choose)
         except RefusalError as refusal:
-            gate.release()
-            queue.pop(plan)
+            queue.pop(waiter.plan)
             waiter.placed.set_exception(refusal)
             return True
         if placement is None:
-            gate.release()
             return False
-        queue.pop(plan)
-        now = asyncio.get_running_loop().time()
-        self._of_plans.bulkhead(plan.name, target).start(now)
-        self._of_targets.bulkhead(target, plan.name).start(now)
+        queue.pop(waiter.plan)
         waiter.placed.set_result(placement)
         return True
 
+    def _take(
+        self, plan: Plan, target: str, choose: Callable[[], P | None]
+    ) -> P | None:
+        """Take a slot of the plan and one of an upstream, or neither."""
+        gate = self._plan_gate(plan)
+        if not self._within_bulkheads(gate, plan, target) or not gate.try_acquire():
+            return None
+        placement: P | None = None
+        try:
+            placement = choose()
+        finally:
+            if placement is None:
+                gate.release()
+        if placement is not None:
+            now = asyncio.get_running_loop().time()
+            self._of_plans.bulkhead(plan.name, target).start(now)
+            self._of_targets.bulkhead(target, plan.name).start(now)
+        return placement
+
     def _within_bulkheads(self, gate: Gate, plan: Plan, target: str) -> bool:
         """Return whether a call leaves enough to other targets and other plans."""
         now = asyncio.get_running_loop().time()
--- a/features/fakes/serving.py
+++ b/features/fakes/serving.py
@@ -257,7 +257,7 @@
         return self.free_by_key.get(key, {})
 
 
-def make_site(plans, upstreams, *, log=None, limits=None, **lists):
+def make_site(plans, upstreams, *, journal=None, limits=None, **lists):
     """Return a daemon's serving parts over fakes, without listeners."""
     site = SimpleNamespace(upstreams=upstreams, gates=FakeGates(), peers=FakePeers())
     site.configuration = FakeConfiguration(plans, **lists)
@@ -266,7 +266,7 @@
     site.admission = Admission(site.configuration, site.gates, site.router)
     site.spill = Spill(site.peers)
     site.ledger = Ledger()
-    journal = FakeJournal(log or FakeLog(), "d", site.ledger)
+    journal = journal or FakeJournal(FakeLog(), "d", site.ledger)
     site.runner = LedgerRunner(site.ledger, journal)
     forwarder = Forwarder(Signer(SECRET))
     limits = limits or Limits()
