Divide the polling of upstreams between the daemons of a domain

A host is now polled by the linked daemon that ranks first for it; the others take its reports over the peer links.

The age of a relayed report is bounded without comparing clocks: each side tells the other the least difference between its own clock at a reception and the sender's at the sending. In the sum of both directions the offset cancels out, so what is left is the transit and the least transit the other way. An estimate from one direction alone was ruled out: after a freeze the first frame read may already be late, and all that follow look fresh.

--- a/auburnproxy/daemon/daemon.py
+++ b/auburnproxy/daemon/daemon.py
@@ -21,8 +21,10 @@
 from ..upstreams import Watcher
 from ..upstreams.http_engine import connect_engine
 from ..upstreams.http_service import connect_service
+from ..upstreams.sharing import Sharing
 from ._lost import LostDaemons
 from ._peers import KnownPeers, Offers
+from ._sharing import LinkedPeers
 from ._wants import Wants
 from .settings import Calls, Settings
 
@@ -94,13 +96,17 @@
         self.hosts = connect_hosts(settings.platform.hosts)
         self.weights = connect_weights(settings.platform.weights)
         self.wants = Wants(self.configuration)
+        self.sharing = Sharing(LinkedPeers(self.membership))
         self.watcher = Watcher(
             self.hosts,
             connect_engine,
             connect_service,
             failure_domain=self.me.failure_domain,
             is_out=self.configuration.is_out,
+            polls=self.sharing.polls,
         )
+        self.sharing.attach(self.watcher)
+        self.membership.take_reports = self.sharing.take
         self.readiness = Readiness(self.replicas, self.watcher)
         self.downtime = Downtime(
             self.replicas, self.watcher, self.readiness, wanted=self.wants.replicas
@@ -155,6 +161,7 @@
         self._spawn("journal", self.journal.run())
         self._spawn("membership", self.membership.run())
         self._spawn("upstreams", self.watcher.run())
+        self._spawn("sharing", self.sharing.run())
         self._spawn("planner", self.planner.run())
         self._spawn("custodian", self.custodian.run())
         self._spawn("downtime", self.downtime.run())
--- a/auburnproxy/membership/__init__.py
+++ b/auburnproxy/membership/__init__.py
@@ -4,6 +4,7 @@
 from .epoch import Division, Epoch, Weight, Window
 from .member import Member
 from .membership import Membership
+from .reports import Reports
 from .roster import Roster
 from .view import View
 
@@ -13,6 +14,7 @@
     "Epoch",
     "Member",
     "Membership",
+    "Reports",
     "Roster",
     "Summary",
     "View",
--- a/auburnproxy/membership/_wire.py
+++ b/auburnproxy/membership/_wire.py
@@ -12,6 +12,7 @@
 from ..journal import Entry
 from .beat import Beat, Summary
 from .member import Member
+from .reports import Reports
 
 _schema = capnp.load(str(Path(__file__).with_name("peer.capnp")))
 _entries = msgspec.msgpack.Decoder(list[Entry])
@@ -51,7 +52,7 @@
     data: bytes
 
 
-Message = Hello | Proof | Beat | Fetch | Entries | CheckpointPart
+Message = Hello | Proof | Beat | Fetch | Entries | CheckpointPart | Reports
 
 
 def encode(message: Message) -> bytes:
@@ -73,6 +74,8 @@
             frame.entries = msgspec.msgpack.encode(entries)
         case CheckpointPart(part, parts, data):
             frame.checkpoint = {"part": part, "parts": parts, "data": data}
+        case Reports():
+            _fill_reports(frame.init("reports"), message)
     return bytes(frame.to_bytes_packed())
 
 
@@ -116,10 +119,19 @@
         summaries[place].version = summary.version
 
 
+def _fill_reports(target: Any, reports: Reports) -> None:
+    target.sentAt = reports.sent_at
+    target.hasLeast = reports.least_s is not None
+    target.least = reports.least_s or 0.0
+    target.data = reports.data
+
+
 def _read(frame: Any) -> Message:
     kind = str(frame.which())
     if kind == "beat":
         return _read_beat(frame.beat)
+    if kind == "reports":
+        return _read_reports(frame.reports)
     if kind == "hello":
         return _read_hello(frame.hello)
     if kind == "proof":
@@ -145,6 +157,11 @@
     return Hello(member, bytes(hello.nonce))
 
 
+def _read_reports(reports: Any) -> Reports:
+    least_s = reports.least if reports.hasLeast else None
+    return Reports(reports.sentAt, least_s, bytes(reports.data))
+
+
 def _read_beat(beat: Any) -> Beat:
     return Beat(
         epoch=beat.epoch,
--- a/auburnproxy/membership/membership.py
+++ b/auburnproxy/membership/membership.py
@@ -20,6 +20,7 @@
 from .epoch import NOTHING, Epoch, Window
 from .link import Link
 from .member import Member
+from .reports import Reports
 from .roster import JOIN, LEAVE, Roster
 from .view import View
 
@@ -81,6 +82,8 @@
         self.links_by_id: dict[str, Link] = {}
         self.beats_by_member: dict[str, Beat] = {}
         """Newest beat of each connected member, by member id."""
+        self.take_reports: Callable[[Member, Reports], None] = _ignore_reports
+        """Called with the reports of peers of the own failure domain."""
         self._version = version
         self._lost_hosts = lost_hosts
         self._conditions: list[Callable[[Epoch], bool]] = []
@@ -193,6 +196,16 @@
         except AuburnError as error:
             log.warning("The leave was not recorded: {}.", error)
 
+    def send_reports(self, peer: Member, reports: Reports) -> None:
+        """Send reports over the link with a peer, if there is one.
+
+        :param peer: the peer
+        :param reports: what it is told
+        """
+        link = self.links_by_id.get(peer.id)
+        if link:
+            link.send(encode(reports))
+
     def mark_gone(self, member_id: str, *, reason: str) -> None:
         """Take a member for gone for good.
 
@@ -219,6 +232,8 @@
                 message = await link.receive(timeout_s=self.silence_s)
                 if isinstance(message, Beat):
                     self._hear(peer, message)
+                elif isinstance(message, Reports):
+                    self._take_reports(peer, message)
                 else:
                     self._relay.take(link, message)
         except AuburnError as error:
@@ -320,6 +335,10 @@
             self._suspended = False
             log.info("{} answered after the pause.", peer.id)
 
+    def _take_reports(self, peer: Member, reports: Reports) -> None:
+        if peer.failure_domain == self.me.failure_domain:
+            self.take_reports(peer, reports)
+
     def _news(self) -> tuple[object, ...]:
         """Return what peers are told of before the next beat is due."""
         view = self.view
@@ -353,3 +372,7 @@
             summaries=chosen,
         )
         return encode(beat)
+
+
+def _ignore_reports(peer: Member, reports: Reports) -> None:
+    pass
--- a/auburnproxy/membership/peer.capnp
+++ b/auburnproxy/membership/peer.capnp
@@ -38,6 +38,13 @@
   data @2 :Data;
 }
 
+struct Reports {
+  sentAt @0 :Float64;
+  least @1 :Float64;
+  hasLeast @2 :Bool;
+  data @3 :Data;
+}
+
 struct Frame {
   union {
     hello @0 :Hello;
@@ -46,5 +53,6 @@
     fetch @3 :UInt64;
     entries @4 :Data;
     checkpoint @5 :Checkpoint;
+    reports @6 :Reports;
   }
 }
--- /dev/null
+++ b/auburnproxy/upstreams/sharing.py
@@ -0,0 +1,243 @@
+"""The daemons of a failure domain poll each upstream once for all of them."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections.abc import Callable, Iterable, Sequence
+from typing import NamedTuple
+
+from ..membership import Member, Reports
+from ._ranking import Ranking
+from ._shared import (
+    CLOSED,
+    MS_PER_S,
+    SILENT,
+    Bundle,
+    Polled,
+    age_ms,
+    host_digest,
+    pack,
+    report_digest,
+    unpack,
+    with_load,
+)
+from .engine import EngineReport
+from .peers import Peers
+from .service import ServiceReport
+from .transit import Transit
+from .watcher import Poll, Report, Watcher
+
+COVERED_S = 1.2
+"""Age in seconds from which a peer's poll no longer spares this daemon its own."""
+SILENT_POLLERS = 2
+"""Daemons that go on polling a host that does not answer."""
+SILENT_RETRY_S = 5.0
+"""Seconds after which the other daemons try such a host too."""
+SETTLE_S = 0.05
+"""Seconds after a round of polls in which its answers are waited for."""
+URGENT_S = 0.01
+"""Seconds in which urgent news of several hosts is gathered."""
+WHOLE_REPORTS = 32
+"""Most whole reports in one frame."""
+
+
+class _Own(NamedTuple):
+    at: float
+    digest: int
+    report: Report | None
+
+
+class _Cover(NamedTuple):
+    at: float
+    answered: bool
+
+
+class Sharing:
+    """Divides the polls of a watcher's hosts with peers, and shares their reports.
+
+    :param peers: the other daemons
+    :param clock: a monotonic clock with the origin of the loop's, which runs on
+        while the loop is held up
+    """
+
+    def __init__(
+        self, peers: Peers, *, clock: Callable[[], float] = time.monotonic
+    ) -> None:
+        self._peers = peers
+        self._clock = clock
+        self._watcher: Watcher | None = None
+        self._own_by_host: dict[str, _Own] = {}
+        self._whole_by_host: dict[str, tuple[int, Report]] = {}
+        self._covers_by_host: dict[str, dict[str, _Cover]] = {}
+        self._transit_by_id: dict[str, Transit] = {}
+        self._host_by_digest: dict[int, str] = {}
+        self._urgent: set[str] = set()
+        self._ranking = Ranking(peers)
+
+    def attach(self, watcher: Watcher) -> None:
+        """Learn of a watcher's own polls, and give it the reports of peers.
+
+        :param watcher: a watcher that asks :meth:`polls` whom to poll
+        """
+        self._watcher = watcher
+        watcher.polled = self._take_poll
+
+    def polls(self, host: str) -> bool:
+        """Return whether this daemon polls a host itself.
+
+        It does unless a peer that ranks before it has told of a poll of late. A
+        host that does not answer is polled by a second daemon too, and now and
+        then by all, one of which may still reach it.
+
+        :param host: the host
+        """
+        silent = 0
+        covers = self._covers_by_host.get(host, {})
+        for member in self._ranking.order(host):
+            if member == self._peers.me:
+                break
+            cover = covers.get(member.id)
+            if cover is None or _now() - cover.at > COVERED_S:
+                continue
+            if cover.answered:
+                return False
+            silent += 1
+        return silent < SILENT_POLLERS or self._may_reach(host)
+
+    def _may_reach(self, host: str) -> bool:
+        own = self._own_by_host.get(host)
+        if own is None or own.report is not None:
+            return True
+        return _now() - own.at > SILENT_RETRY_S
+
+    async def run(self) -> None:
+        """Share after each round of polls; until cancelled."""
+        while True:
+            if self._watcher is not None:
+                await self._watcher.rounds.wait(COVERED_S / 2)
+            await asyncio.sleep(SETTLE_S)
+            self._forget()
+            self._tell(self._peers.near, self._own_by_host)
+
+    def take(self, peer: Member, reports: Reports) -> None:
+        """Take what a peer has sent.
+
+        :param peer: its authenticated sender
+        :param reports: what arrived
+        :raises PeerError: if it is malformed
+        """
+        bundle = unpack(reports.data)
+        transit = self._transit_by_id.setdefault(peer.id, Transit())
+        transit_s = transit.receive(
+            sent_at=reports.sent_at, received_at=self._clock(), least_s=reports.least_s
+        )
+        whole: tuple[Report, ...] = (*bundle.engines, *bundle.services)
+        for report in whole:
+            self._whole_by_host[report.host] = (report_digest(report), report)
+        wanted: list[int] = []
+        if transit_s is not None:
+            wanted = [p.host for p in bundle.polled if self._lacks(peer, p, transit_s)]
+        if wanted or reports.least_s is None:
+            self._send(peer, Bundle(wanted=tuple(wanted)))
+        if bundle.wanted:
+            asked = [self._host_by_digest.get(digest, "") for digest in bundle.wanted]
+            self._tell((peer,), asked, whole=True)
+
+    def _lacks(self, peer: Member, polled: Polled, transit_s: float) -> bool:
+        """Take a peer's poll; return whether the whole report is needed for it."""
+        host = self._host_by_digest.get(polled.host)
+        if host is None or self._watcher is None:
+            return False
+        age_s = polled.age_ms / MS_PER_S + transit_s
+        if polled.digest == CLOSED:
+            self._watcher.bar(host, age_s=(polled.age_ms - 1) / MS_PER_S)
+        answered = polled.digest not in (SILENT, CLOSED)
+        if answered:
+            digest, report = self._whole_by_host.get(host, (SILENT, None))
+            if report is None or digest != polled.digest:
+                return True
+            report = with_load(report, polled.in_flight, polled.queued)
+            self._watcher.adopt(report, age_s=age_s)
+        covers = self._covers_by_host.setdefault(host, {})
+        covers[peer.id] = _Cover(_now() - age_s, answered)
+        return False
+
+    def _take_poll(self, poll: Poll) -> None:
+        host, report = poll.host, poll.report
+        digest = CLOSED if poll.closed else SILENT
+        if report is not None:
+            digest = report_digest(report)
+            self._whole_by_host[host] = (digest, report)
+        before = self._own_by_host.get(host)
+        self._own_by_host[host] = _Own(poll.at, digest, report)
+        if digest != SILENT and (before is None or before.digest != digest):
+            self._hurry(host)
+
+    def _hurry(self, host: str) -> None:
+        if not self._urgent:
+            asyncio.get_running_loop().call_later(URGENT_S, self._tell_urgent)
+        self._urgent.add(host)
+
+    def _tell_urgent(self) -> None:
+        hosts, self._urgent = self._urgent, set()
+        self._tell(self._peers.near, sorted(hosts), whole=True)
+
+    def _forget(self) -> None:
+        """Drop what is known of hosts and peers that are not there any more."""
+        hosts = self._watcher.entries_by_host if self._watcher else {}
+        self._host_by_digest = {host_digest(host): host for host in hosts}
+        near = {peer.id for peer in self._peers.near}
+        for by_host in (self._own_by_host, self._whole_by_host, self._covers_by_host):
+            for host in by_host.keys() - hosts.keys():
+                by_host.pop(host, None)
+        for covers in self._covers_by_host.values():
+            for peer_id in covers.keys() - near:
+                del covers[peer_id]
+
+    def _tell(
+        self, peers: Sequence[Member], hosts: Iterable[str], *, whole: bool = False
+    ) -> None:
+        """Tell peers of this daemon's newest polls of hosts.
+
+        :param whole: whether to send the whole reports too
+        """
+        now = _now()
+        told = [
+            (host, own)
+            for host in hosts
+            if (own := self._own_by_host.get(host)) and now - own.at < COVERED_S
+        ]
+        if whole:
+            told = told[:WHOLE_REPORTS]
+        polled = tuple(_polled(host, own, now, news=whole) for host, own in told)
+        reports = [own.report for _, own in told if whole]
+        bundle = Bundle(
+            polled,
+            engines=tuple(r for r in reports if isinstance(r, EngineReport)),
+            services=tuple(r for r in reports if isinstance(r, ServiceReport)),
+        )
+        for peer in peers:
+            self._send(peer, bundle)
+
+    def _send(self, peer: Member, bundle: Bundle) -> None:
+        transit = self._transit_by_id.get(peer.id)
+        least_s = transit.least_s(self._clock()) if transit else None
+        self._peers.send(peer, Reports(_now(), least_s, pack(bundle)))
+
+
+def _polled(host: str, own: _Own, now: float, *, news: bool) -> Polled:
+    digest = own.digest
+    if digest == CLOSED and not news:
+        digest = SILENT
+    return Polled(
+        host_digest(host),
+        age_ms(now - own.at),
+        digest,
+        own.report.in_flight if own.report else 0,
+        own.report.queued if isinstance(own.report, EngineReport) else 0,
+    )
+
+
+def _now() -> float:
+    return asyncio.get_running_loop().time()
--- a/auburnproxy/upstreams/watcher.py
+++ b/auburnproxy/upstreams/watcher.py
@@ -3,11 +3,10 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable, Mapping
+from collections.abc import Callable
 from typing import NamedTuple
 
 from loguru import logger
-from xxhash import xxh64_intdigest
 
 from ..errors import AuburnError, PlatformError, UpstreamError
 from ..platform import HostEntry, HostKind, HostList, Presence
@@ -22,6 +21,10 @@
 """Seconds between two readings of the platform's list."""
 REPORT_INTERVAL_S = 0.5
 """Seconds between two polls of an upstream."""
+TICK_S = 0.25
+"""Seconds between two looks for polls that are due."""
+GAP_S = 0.003
+"""Longest gap between two polls that fall due together."""
 REPORT_TIMEOUT_S = 1.0
 """Seconds that a poll may take."""
 FRESH_S = 2.0
@@ -40,6 +43,18 @@
     """The loop's time in seconds at which the poll was sent."""
 
 
+class Poll(NamedTuple):
+    """A poll by this daemon that has ended."""
+
+    host: str
+    at: float
+    """The loop's time in seconds at which it was sent, or found closed."""
+    report: Report | None
+    """None if there was no answer."""
+    closed: bool = False
+    """Whether the connection was refused or closed."""
+
+
 class Watcher:
     """Watches each upstream of one failure domain, one task for each.
 
@@ -50,6 +65,7 @@
     :param is_out: whether operators have taken a failure domain and host out
     :param polls: whether this daemon polls a host itself; reports of the others
         come through :meth:`adopt`
+    :param interval_s: returns the seconds between two polls of a host
     """
 
     def __init__(
@@ -61,6 +77,7 @@
         failure_domain: str,
         is_out: Callable[[str, str], bool] = lambda domain, host: False,
         polls: Callable[[str], bool] = lambda host: True,
+        interval_s: Callable[[], float] = lambda: REPORT_INTERVAL_S,
     ) -> None:
         self.failure_domain = failure_domain
         self.entries_by_host: dict[str, HostEntry] = {}
@@ -69,13 +86,22 @@
         self.engines_by_host: dict[str, Engine] = {}
         self.services_by_host: dict[str, PlainService] = {}
         self.changes = Pulse()
+        self.rounds = Pulse()
+        """Sent after the polls that fell due together have been sent."""
+        self.polled: Callable[[Poll], None] = lambda poll: None
+        """Called with each poll of this daemon that has ended."""
         self._hosts = hosts
         self._connect_engine = connect_engine
         self._connect_service = connect_service
         self._is_out = is_out
         self._polls = polls
+        self._interval_s = interval_s
+        self._due_by_host: dict[str, float] = {}
+        self._turns_by_host: dict[str, asyncio.Event] = {}
         self._sightings_by_host: dict[str, Sighting] = {}
         self._barred_until_by_host: dict[str, float] = {}
+        self._distrusted: set[str] = set()
+        """Hosts whose closed connection was seen here; only own polls clear them."""
         self._warmth_by_host: dict[str, Warmth] = {}
         self._tasks_by_host: dict[str, asyncio.Task[None]] = {}
         self._stragglers = Stragglers()
@@ -83,9 +109,9 @@
     async def run(self) -> None:
         """Watch until cancelled."""
         try:
-            while True:
-                await self._read_list()
-                await asyncio.sleep(LIST_INTERVAL_S)
+            async with asyncio.TaskGroup() as group:
+                group.create_task(self._follow_list())
+                group.create_task(self._pace())
         finally:
             for host in list(self.entries_by_host):
                 await self._remove(host)
@@ -143,14 +169,14 @@
         """Learn from a call that was sent to an upstream.
 
         After a closed connection the host counts as missing until a poll that
-        was sent later is answered.
+        this daemon sent later is answered.
         """
         warmth = self._warmth_by_host.get(host)
         if warmth is None:
             return
         warmth.see_call(observation, _now())
         if observation.result is Result.CLOSED:
-            self._close(host)
+            self._distrust(host)
         if observation.first_token_s is not None:
             self._stragglers.add(host, observation.first_token_s)
 
@@ -160,17 +186,23 @@
         :param report: the report
         :param age_s: seconds since the peer asked for it, transit included
         """
-        if report.host in self.entries_by_host:
+        if self.takes(report.host):
             self._see(report, _now() - age_s)
 
-    def own_reports(self) -> Mapping[str, tuple[Report, float]]:
-        """Return the fresh reports of the hosts polled here, with ages in seconds."""
-        now = _now()
-        return {
-            host: (sighting.report, now - sighting.asked_at)
-            for host, sighting in self._sightings_by_host.items()
-            if self._polls(host) and self._fresh(host)
-        }
+    def takes(self, host: str) -> bool:
+        """Return whether reports of peers count for a host."""
+        return host in self.entries_by_host and host not in self._distrusted
+
+    def bar(self, host: str, *, age_s: float) -> None:
+        """Count a host as missing whose connection a peer has found closed.
+
+        :param host: the host
+        :param age_s: least seconds since then; later reports lift the bar
+        """
+        known = self._sightings_by_host.get(host)
+        closed_at = _now() - age_s
+        if host in self.entries_by_host and (not known or known.asked_at <= closed_at):
+            self._close(host, closed_at)
 
     def _group(self, host: str) -> str:
         report = self.report(host)
@@ -184,6 +216,30 @@
             return None
         return sighting.report if _now() - sighting.asked_at < FRESH_S else None
 
+    async def _follow_list(self) -> None:
+        while True:
+            await self._read_list()
+            await asyncio.sleep(LIST_INTERVAL_S)
+
+    async def _pace(self) -> None:
+        """Give each host that this daemon polls its turn once in an interval."""
+        while True:
+            started = _now()
+            due = [host for host in self.entries_by_host if self._is_due(host)]
+            for host in due:
+                if host in self._turns_by_host:
+                    self._due_by_host[host] = started + self._interval_s()
+                    self._turns_by_host[host].set()
+                await asyncio.sleep(min(GAP_S, TICK_S / 2 / len(due)))
+            if due:
+                self.rounds.send()
+            await asyncio.sleep(max(0.0, started + TICK_S - _now()))
+
+    def _is_due(self, host: str) -> bool:
+        # Half a tick early is on time: the ticks are no exact parts of an interval.
+        due = self._due_by_host.get(host, 0.0) - TICK_S / 2 <= _now()
+        return due and (host in self._distrusted or self._polls(host))
+
     async def _read_list(self) -> None:
         try:
             entries = await self._hosts.fetch()
@@ -218,15 +274,19 @@
             self.engines_by_host[entry.name] = self._connect_engine(entry)
         else:
             self.services_by_host[entry.name] = self._connect_service(entry)
+        self._turns_by_host[entry.name] = asyncio.Event()
         task = asyncio.create_task(self._watch(entry.name))
         self._tasks_by_host[entry.name] = task
 
     async def _remove(self, host: str) -> None:
         log.info("Host {} is no longer listed.", host)
         self._tasks_by_host.pop(host).cancel()
+        del self._turns_by_host[host]
+        self._due_by_host.pop(host, None)
         del self.entries_by_host[host], self._warmth_by_host[host]
         self._sightings_by_host.pop(host, None)
         self._barred_until_by_host.pop(host, None)
+        self._distrusted.discard(host)
         self._stragglers.forget(host)
         engine = self.engines_by_host.pop(host, None)
         service = self.services_by_host.pop(host, None)
@@ -237,26 +297,32 @@
 
     async def _watch(self, host: str) -> None:
         upstream = self.engines_by_host.get(host) or self.services_by_host[host]
-        await asyncio.sleep(REPORT_INTERVAL_S * _phase(host))
+        turn = self._turns_by_host[host]
         while True:
-            started = _now()
-            if self._polls(host):
-                await self._poll(host, upstream)
-            await asyncio.sleep(max(0.0, started + REPORT_INTERVAL_S - _now()))
+            await turn.wait()
+            turn.clear()
+            self.polled(await self._poll(host, upstream))
 
-    async def _poll(self, host: str, upstream: Engine | PlainService) -> None:
+    async def _poll(self, host: str, upstream: Engine | PlainService) -> Poll:
         asked_at = _now()
         try:
             async with asyncio.timeout(REPORT_TIMEOUT_S):
                 report = await upstream.report()
         except TimeoutError:
-            return
+            return Poll(host, asked_at, None)
         except UpstreamError:
-            self._close(host)
+            self._distrust(host)
+            return Poll(host, _now(), None, closed=True)
         except AuburnError as error:
             log.warning("Poll of {} failed: {}.", host, error)
-        else:
-            self._see(report, asked_at)
+            return Poll(host, asked_at, None)
+        if report.host != host:
+            log.warning("Host {} reports as {}.", host, report.host)
+            return Poll(host, asked_at, None)
+        if asked_at > self._barred_until_by_host.get(host, -1.0):
+            self._distrusted.discard(host)
+        self._see(report, asked_at)
+        return Poll(host, asked_at, report)
 
     def _see(self, report: Report, asked_at: float) -> None:
         host = report.host
@@ -280,8 +346,13 @@
         if report.state is EngineState.READY:
             warmth.see_load(report.in_flight, report.queued, now)
 
-    def _close(self, host: str) -> None:
-        self._barred_until_by_host[host] = _now()
+    def _distrust(self, host: str) -> None:
+        self._distrusted.add(host)
+        self._close(host, _now())
+
+    def _close(self, host: str, closed_at: float) -> None:
+        barred = self._barred_until_by_host.get(host, closed_at)
+        self._barred_until_by_host[host] = max(barred, closed_at)
         if self._sightings_by_host.pop(host, None) is not None:
             log.info("Host {} does not answer.", host)
             self.changes.send()
@@ -295,7 +366,3 @@
 
 def _now() -> float:
     return asyncio.get_running_loop().time()
-
-
-def _phase(host: str) -> float:
-    return (xxh64_intdigest(host.encode()) % 1000) / 1000
