Prove the age and the coverage of shared reports, and measure polling

A machine freezes pollers, delays and cuts links, kills hosts and walls daemons off, each on a clock of its own, and compares every report that is held for fresh with what the engine really made and when. A second one runs the bound on the transit alone, with drifting clocks. Scenarios cover a frozen poller, a daemon that is cut off, and a host that only one daemon reaches.

--- /dev/null
+++ b/bench/polling.py
@@ -0,0 +1,170 @@
+"""What the polling of upstreams costs a daemon, and how soon a dead one is seen.
+
+``python -m bench.polling`` starts one failure domain of each size, and prints what a
+daemon uses while no caller calls: processor time, bytes that it reads and writes,
+and the time from the death of an engine until every daemon has stopped using it.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import re
+import tempfile
+from collections.abc import Sequence
+from datetime import datetime
+from pathlib import Path
+from statistics import mean
+from typing import NamedTuple
+
+import defopt
+import msgspec
+from aiohttp import ClientSession
+from rich.console import Console
+from rich.table import Table
+
+from standins.deployment import Deployment, Shape, lay_out
+from standins.processes import Processes, processes, until_listens
+from standins.upstreams import FaultKind, UpstreamFault
+
+from .control import START_TIMEOUT_S, cpu_s, memory_mb
+
+DAEMONS = (1, 2, 4, 6)
+ENGINES = (16, 32, 64)
+SETTLE_S = 6.0
+MEASURE_S = 8.0
+KILLS = 8
+KILL_GAP_S = 1.13
+"""Seconds between two deaths; no multiple of a poll's interval."""
+SEEN_S = 4.0
+KB = 1000
+_SEEN = re.compile(r"^(\S+) .*Host (\S+) does not answer")
+
+
+class Usage(NamedTuple):
+    """What a daemon uses, the mean of all daemons."""
+
+    core_percent: float
+    read_kb_s: float
+    written_kb_s: float
+    memory_mb: float
+
+
+class Row(NamedTuple):
+    """One size and what was measured at it."""
+
+    daemons: int
+    engines: int
+    usage: Usage
+    seen_s: Sequence[float]
+    """Seconds until the last daemon saw each death."""
+
+
+def io_bytes(pid: int) -> tuple[int, int]:
+    """Return the bytes that a process has read and written, sockets included.
+
+    :param pid: its id
+    """
+    lines = Path(f"/proc/{pid}/io").read_text().splitlines()
+    value_by_name = dict(line.split(": ") for line in lines)
+    return int(value_by_name["rchar"]), int(value_by_name["wchar"])
+
+
+async def start(deployment: Deployment, running: Processes) -> list[int]:
+    """Start a failure domain and return the ids of its daemons' processes."""
+    domain = deployment.domains[0]
+    starts = [
+        ("platform", "standins.platform", deployment.log),
+        (domain.name, "standins.upstreams", domain.control),
+        *((d.name, "auburnproxy.daemon", d.callers) for d in domain.daemons),
+    ]
+    for name, module, address in starts:
+        path = str(deployment.settings_file(name))
+        await running.start(name, module, "--settings", path)
+        await until_listens(address, timeout_s=START_TIMEOUT_S)
+    return [running.by_name[daemon.name].pid for daemon in domain.daemons]
+
+
+async def use(pids: Sequence[int]) -> Usage:
+    """Return what processes use, the mean of them."""
+    before = [(cpu_s(pid), *io_bytes(pid)) for pid in pids]
+    await asyncio.sleep(MEASURE_S)
+    after = [(cpu_s(pid), *io_bytes(pid)) for pid in pids]
+    cpu, read, written = (
+        mean(b[place] - a[place] for a, b in zip(before, after, strict=True))
+        / MEASURE_S
+        for place in range(3)
+    )
+    memory = mean(memory_mb(pid) for pid in pids)
+    return Usage(cpu * 100, read / KB, written / KB, memory)
+
+
+async def kill(deployment: Deployment, hosts: Sequence[str]) -> dict[str, float]:
+    """Kill engines one after the other and return the time of each death."""
+    died_at_by_host = {}
+    control = deployment.domains[0].control
+    async with ClientSession() as session:
+        for host in hosts:
+            died_at_by_host[host] = datetime.now().timestamp()
+            fault = msgspec.json.encode(UpstreamFault(FaultKind.DEAD, (host,)))
+            async with session.post(f"http://{control}/fault", data=fault) as answer:
+                answer.raise_for_status()
+            await asyncio.sleep(KILL_GAP_S)
+    await asyncio.sleep(SEEN_S)
+    return died_at_by_host
+
+
+def seen_at(log: Path) -> dict[str, float]:
+    """Return when a daemon's log first says that each host does not answer."""
+    times: dict[str, float] = {}
+    today = datetime.now().date().isoformat()
+    for line in log.read_text().splitlines():
+        if match := _SEEN.match(line):
+            at = datetime.fromisoformat(f"{today}T{match[1]}")
+            times.setdefault(match[2], at.timestamp())
+    return times
+
+
+async def measure(daemons: int, engines: int) -> Row:
+    """Return what is measured at one size."""
+    shape = Shape((), (), failure_domains=1, daemons=daemons, engines=engines)
+    with tempfile.TemporaryDirectory() as name:
+        folder = Path(name)
+        deployment = lay_out(shape, folder)
+        async with processes(folder) as running:
+            pids = await start(deployment, running)
+            await asyncio.sleep(SETTLE_S)
+            usage = await use(pids)
+            hosts = [f"fd1-e{number:02}" for number in range(1, KILLS + 1)]
+            died_at_by_host = await kill(deployment, hosts)
+            logs = [seen_at(running.log(d.name)) for d in deployment.daemons]
+    seen_s = [max(log[h] for log in logs) - at for h, at in died_at_by_host.items()]
+    return Row(daemons, engines, usage, seen_s)
+
+
+def show(rows: Sequence[Row]) -> None:
+    """Print the rows as a table."""
+    table = Table(title="An idle daemon, by the size of its failure domain")
+    heads = ("daemons", "engines", "% of a core", "kB/s read", "kB/s written", "MB")
+    for head in (*heads, "seen s, mean", "seen s, most"):
+        table.add_column(head, justify="right")
+    for row in rows:
+        usage = [f"{value:.2f}" for value in row.usage]
+        seen = [f"{mean(row.seen_s):.2f}", f"{max(row.seen_s):.2f}"]
+        table.add_row(str(row.daemons), str(row.engines), *usage, *seen)
+    Console(width=100).print(table)
+
+
+def main(
+    *, daemons: tuple[int, ...] = DAEMONS, engines: tuple[int, ...] = ENGINES
+) -> None:
+    """Measure failure domains of several sizes.
+
+    :param daemons: numbers of daemons
+    :param engines: numbers of engines, each with each number of daemons
+    """
+    rows = [asyncio.run(measure(d, e)) for d in daemons for e in engines]
+    show(rows)
+
+
+if __name__ == "__main__":
+    defopt.run(main)
--- a/features/fakes/sharing.py
+++ b/features/fakes/sharing.py
@@ -5,6 +5,8 @@
 import asyncio
 from collections import defaultdict
 
+from loguru import logger
+
 from auburnproxy.errors import PlatformError, Ran, UpstreamError
 from auburnproxy.membership import Member, Reports
 from auburnproxy.platform import HostEntry, HostKind, HostList, Presence
@@ -19,6 +21,9 @@
 """Least seconds that a frame takes."""
 
 
+logger.disable("auburnproxy.upstreams")
+
+
 class StampedEngine(Engine):
     """One host; the number in flight tells which report it was."""
 
@@ -26,26 +31,27 @@
         self.entry = entry
         self.starts, self.state = 1, EngineState.IDLE
         self.alive, self.hangs = True, False
-        self.made_at: list[float] = []
+        self.made: list[tuple[float, EngineReport]] = []
 
     def restart(self):
         self.starts += 1
         self.alive, self.hangs, self.state = True, False, EngineState.IDLE
 
     def report_now(self) -> EngineReport:
-        self.made_at.append(now())
-        return EngineReport(
+        report = EngineReport(
             self.entry.name,
             f"{self.entry.name}#{self.starts}",
             self.state,
             Fence(0, 0),
             None,
-            in_flight=len(self.made_at) - 1,
+            in_flight=len(self.made),
             queued=0,
             weights=(),
             prefixes=(),
             prefix_gaps=0,
         )
+        self.made.append((now(), report))
+        return report
 
     async def report(self):
         return self.report_now()
@@ -163,7 +169,8 @@
         by_id = {daemon.me.id: daemon for daemon in self.switch.daemons}
         frame = (now(), self, reports._replace(sent_at=at))
         self.switch.bytes_sent += len(reports.data)
-        by_id[peer.id].arrivals.put_nowait(frame)
+        if peer.id in by_id:
+            by_id[peer.id].arrivals.put_nowait(frame)
 
     def start(self):
         self.tasks = [
@@ -195,12 +202,16 @@
             if self.switch.linked(*route):
                 self.sharing.take(sender.me, reports)
 
-    def oldest_s(self, host: str) -> float | None:
-        """Return the real age of the report that is held for fresh, if one is."""
+    def held(self, host: str) -> tuple[float, EngineReport, EngineReport] | None:
+        """Return the report held for fresh, if one is, and when and what was made.
+
+        :return: when the engine made it, what it made, and what is held
+        """
         report = self.watcher.report(host)
         if report is None:
             return None
-        return now() - self.switch.engines_by_host[host].made_at[report.in_flight]
+        made_at, made = self.switch.engines_by_host[host].made[report.in_flight]
+        return made_at, made, report
 
     async def stop(self):
         for task in self.tasks:
--- /dev/null
+++ b/features/steps/reports.py
@@ -0,0 +1,125 @@
+"""Steps for daemons that share the reports of upstreams."""
+
+import asyncio
+
+import async_solipsism
+from behave import given, then, when
+
+from auburnproxy.membership.rendezvous import rank
+from auburnproxy.upstreams.engine import EngineState
+from features.fakes.sharing import SharingDaemon, Switch
+from features.machines.reports import ReportsMachine, TransitMachine
+from features.machines.search import search
+
+SETTLE_S = 6.0
+LOOK_S = 0.05
+
+
+@when("pollers, links and hosts fail at random")
+def choose_reports(context):
+    context.search = (ReportsMachine, 40, 30)
+
+
+@when("frames of two clocks are delayed at random")
+def choose_transit(context):
+    context.search = (TransitMachine, 100, 40)
+
+
+@then("no report is held for fresh beyond its time")
+@then("none counts as younger than it is")
+def run_search(context):
+    machine, examples, steps = context.search
+    search(machine, examples=examples, steps=steps)
+
+
+@given("{count:d} pollers of {hosts:d} hosts")
+def start(context, count, hosts):
+    context.loop = async_solipsism.EventLoop()
+    context.switch = Switch(hosts)
+    context.add_cleanup(stop, context)
+    context.loop.run_until_complete(start_daemons(context, count))
+
+
+async def start_daemons(context, count):
+    for number in range(count):
+        context.switch.daemons.append(SharingDaemon(context.switch, number))
+    for daemon in context.switch.daemons:
+        daemon.start()
+    await asyncio.sleep(SETTLE_S)
+
+
+def stop(context):
+    for daemon in context.switch.daemons:
+        context.loop.run_until_complete(daemon.stop())
+    context.loop.close()
+
+
+@when("poller {number:d} is frozen")
+def freeze(context, number):
+    context.switch.daemons[number].runs.clear()
+
+
+@when("poller {number:d} is cut off from the others")
+def cut_off(context, number):
+    ids = [daemon.me.id for daemon in context.switch.daemons]
+    context.switch.cuts |= {frozenset((ids[number], other)) for other in ids}
+
+
+@when('all but the last poller of host "{host}" are walled off from it')
+def wall_off(context, host):
+    members = tuple(daemon.me for daemon in context.switch.daemons)
+    context.last = rank(f"poll/{host}", members)[-1]
+    for daemon in context.switch.daemons:
+        if daemon.me != context.last:
+            daemon.walls.add(host)
+
+
+@when('host "{host}" leaves')
+def leave(context, host):
+    context.switch.engines_by_host[host].state = EngineState.LEAVING
+
+
+@when('host "{host}" dies')
+def kill(context, host):
+    context.switch.engines_by_host[host].alive = False
+
+
+@when("{seconds:d} seconds pass at the pollers")
+def pass_time(context, seconds):
+    context.loop.run_until_complete(asyncio.sleep(seconds))
+
+
+@then("the others hold fresh reports of all hosts for {seconds:d} seconds")
+@then("all hold fresh reports of all hosts for {seconds:d} seconds")
+def check_covered(context, seconds):
+    context.loop.run_until_complete(look(context.switch, seconds))
+
+
+async def look(switch, seconds):
+    for _ in range(round(seconds / LOOK_S)):
+        await asyncio.sleep(LOOK_S)
+        for daemon in switch.daemons:
+            for host in switch.engines_by_host:
+                fresh = daemon.watcher.present(host)
+                assert fresh or not daemon.runs.is_set(), (daemon.me.name, host)
+
+
+@then('only that daemon holds a fresh report of "{host}"')
+def check_reached(context, host):
+    assert holders(context, host) == {context.last.name}
+
+
+@then('no daemon gives "{host}" new work')
+def check_unused(context, host):
+    async def usable():
+        return [d.watcher.usable(host) for d in context.switch.daemons]
+
+    assert not any(context.loop.run_until_complete(usable()))
+
+
+def holders(context, host):
+    async def held():
+        daemons = context.switch.daemons
+        return {d.me.name for d in daemons if d.watcher.present(host)}
+
+    return context.loop.run_until_complete(held())
