Tell peers of cached prompt prefixes a few at a time

A report's digest leaves the prefixes out, so peers knew only those that stood in the last whole report, and their choice of a replica by cached prefix went blind. New prefixes now travel with each round, 64 over all peers, hosts in turn.

The watcher's grace for relayed reports stays for whoever relays by own_reports and adopt; the daemon turns it off, because the sharing of reports decides who polls a host that does not answer, and every daemon polling it would be the cost again.

--- a/auburnproxy/journal/journal.py
+++ b/auburnproxy/journal/journal.py
@@ -26,7 +26,7 @@
 RETRY_S = 1.0
 READ_BACK_S = 1.0
 FOLLOWING_S = 1.0
-CHECKPOINT_S = 60.0
+CHECKPOINT_S = 300.0
 REPLAY_RECORDS = 2048
 """A longer log is searched for a checkpoint before it is replayed."""
 
@@ -94,8 +94,8 @@
 
     @property
     def offset(self) -> int:
-        """Return the offset of the last folded record."""
-        return self._fold.offset
+        """Return the offset of the last folded record, 0 while not ready."""
+        return self._fold.offset if self._ready else 0
 
     @property
     def up(self) -> bool:
@@ -147,7 +147,7 @@
     async def _turn_once(self) -> None:
         wait_s = POLL_S if self._current else 0.0
         try:
-            page = await self._access.read(self.offset + 1, wait_s=wait_s)
+            page = await self._access.read(self._fold.offset + 1, wait_s=wait_s)
             self._restorations.forget(page.start)
             if self._must_recover(page):
                 await self._recover(page)
@@ -163,20 +163,23 @@
             await asyncio.sleep(RETRY_S)
 
     def _must_recover(self, page: LogPage) -> bool:
-        self._gap = page.start > self.offset + 1
-        if self._gap or self.offset:
+        self._gap = page.start > self._fold.offset + 1
+        if self._gap or self._fold.offset:
             return self._gap
         searched, self._searched = self._searched, True
         return page.end > REPLAY_RECORDS and not searched
 
     async def _recover(self, page: LogPage) -> None:
         self._up = self._current = False
-        found = await self._recovery.search(page)
-        if found is None or not self._follows(found.snapshot):
+        found = await self._recovery.search(page, ready=self._ready)
+        if self._recovery.diverged:
+            self._diverge()
+        elif found is not None and self._follows(found.snapshot):
+            offset = found.snapshot.offset
+            log.info("The state of offset {} is taken from the log.", offset)
+            self._restore(found.snapshot)
+        elif self._gap:
             await asyncio.sleep(RETRY_S)
-            return
-        log.info("The state of offset {} is taken from the log.", found.snapshot.offset)
-        self._restore(found.snapshot)
 
     def _lost(self, error: PlatformError) -> None:
         if self._up:
@@ -186,14 +189,14 @@
     def _take(self, page: LogPage) -> None:
         for kept in page.records:
             self._step(Entry(kept.offset, decode_record(kept.payload)))
-        self._current = page.end <= self.offset + 1 and not self._diverged
+        self._current = page.end <= self._fold.offset + 1 and not self._diverged
         if self._current:
             self._ready = True
             self._writer.saw_bounds(page.start, page.end)
         self._notify()
 
     def _step(self, entry: Entry) -> None:
-        if entry.offset <= self.offset or self._diverged:
+        if entry.offset <= self._fold.offset or self._diverged:
             return
         sighting = sighting_of(entry.offset, entry.record)
         if sighting is not None:
@@ -208,18 +211,22 @@
         self._restorations.see(sighting)
         checkpoint = sighting.checkpoint
         if checkpoint is None:
-            self._writer.want()
             return True
         if not checkpoint.restores:
-            self._writer.saw_checkpoint(sighting.at)
+            if self._restorations.whole_at(checkpoint):
+                self._writer.saw_checkpoint(self._restorations.begun_at(checkpoint))
             return True
         if checkpoint.hole in self._fold.holes:
             return True
-        self._diverged = self._restorations.valid(checkpoint, start=0)
-        if self._diverged:
-            self._up = self._current = False
-            log.error("The log went on from an older state; the fold stops here.")
-        return not self._diverged
+        if not self._restorations.valid(checkpoint, start=0):
+            return True
+        self._diverge()
+        return False
+
+    def _diverge(self) -> None:
+        self._diverged = True
+        self._up = self._current = False
+        log.error("The log went on from an older state; the fold stops here.")
 
     def _notify(self) -> None:
         turn, self._turn = self._turn, asyncio.Event()
@@ -251,7 +258,9 @@
         try:
             async with asyncio.timeout(timeout_s):
                 await self._following()
-                record = Record(chosen, self._author, kind, body, expects, self.offset)
+                record = Record(
+                    chosen, self._author, kind, body, expects, self._fold.offset
+                )
                 return await self._append_until_folded(record)
         except TimeoutError:
             raise OutcomeUnknownError(chosen) from None
@@ -285,21 +294,25 @@
 
     async def _folded(self, record_id: str) -> Outcome:
         while (outcome := self.outcome(record_id)) is None:
-            await self.changed(self.offset)
+            await self._turn.wait()
         return outcome
 
     def entries_after(self, offset: int, limit: int) -> tuple[Entry, ...]:
         """Return the entries right after an offset, none if they are not kept.
 
-        :param offset: last offset that the peer has folded
+        A peer that has no whole state yet gets none: it needs a checkpoint.
+
+        :param offset: last offset that the peer has folded, 0 while it is not ready
         :param limit: greatest number of entries
         """
+        if not offset:
+            return ()
         return self._relay.after(offset, limit)
 
     def offer(self, entries: Iterable[Entry]) -> None:
         """Fold entries from a peer, as far as they follow on without a gap."""
         for entry in entries:
-            if entry.offset == self.offset + 1:
+            if entry.offset == self._fold.offset + 1:
                 self._step(entry)
         self._notify()
 
@@ -322,7 +335,8 @@
 
     def _follows(self, snapshot: Snapshot) -> bool:
         """Return whether a state is newer and went through all that this one holds."""
-        if self._diverged or snapshot.offset <= self.offset:
+        oldest = self._fold.offset + int(self._ready)
+        if self._diverged or snapshot.offset < oldest:
             return False
         same = same_history(self._fold, snapshot)
         if not same:
@@ -331,6 +345,5 @@
 
     def _restore(self, snapshot: Snapshot) -> None:
         self._fold.restore(snapshot)
-        self._relay.clear()
         self._ready = True
         self._notify()
--- a/auburnproxy/serving/stream.py
+++ b/auburnproxy/serving/stream.py
@@ -23,6 +23,7 @@
 from .budget import Budget
 from .limits import Limits
 from .placement import ModelPlacement
+from .refusal import may_have_run
 
 RETRY_AFTER_S = 1.0
 
@@ -89,19 +90,22 @@
 
         :raises RefusalError: if that can't be done; the caller must be told
         """
-        for attempt in range(1, self._limits.attempts + 1):
+        tries = 0
+        while True:
             try:
                 async with self._place(frozenset(self._avoid)) as placement:
                     await self._attempt(placement)
                 return
             except AttemptError as error:
                 log.info("Attempt of {} ended: {}", self._call.request_id, error.cause)
-                last = attempt == self._limits.attempts
-                if last or not (error.free or self._budget.spend()):
+                if error.free:
+                    continue
+                tries += 1
+                if tries == self._limits.attempts or not self._budget.spend():
                     raise self._given_up(error.cause) from error
             except RefusalError as refusal:
                 if self._may_have_run:
-                    refusal.ran = Ran.UNKNOWN
+                    raise may_have_run(refusal) from refusal
                 raise
 
     def _given_up(self, cause: Cause) -> RefusalError:
--- a/auburnproxy/upstreams/_shared.py
+++ b/auburnproxy/upstreams/_shared.py
@@ -12,6 +12,7 @@
 from ..errors import PeerError
 from .engine import EngineReport
 from .service import ServiceReport
+from .sighting import Report
 
 MS_PER_S = 1000
 NAMES_CACHED = 8192
@@ -20,8 +21,6 @@
 CLOSED = 1
 """Stands for a report where a host has just refused or closed the connection."""
 
-Report = EngineReport | ServiceReport
-
 
 class Polled(NamedTuple):
     """The newest poll of one host."""
@@ -36,6 +35,14 @@
     queued: int = 0
 
 
+class Prefixes(NamedTuple):
+    """Prompt prefixes that one engine has cached of late."""
+
+    host: int
+    """Digest of the host's name."""
+    added: tuple[str, ...]
+
+
 class Bundle(NamedTuple):
     """All that one frame says of hosts."""
 
@@ -44,6 +51,7 @@
     """Whole reports, of hosts that are among ``polled``."""
     services: tuple[ServiceReport, ...] = ()
     """Whole reports, of hosts that are among ``polled``."""
+    prefixes: tuple[Prefixes, ...] = ()
     wanted: tuple[int, ...] = ()
     """Digests of the names of hosts whose whole report the sender lacks."""
 
--- a/auburnproxy/upstreams/sharing.py
+++ b/auburnproxy/upstreams/sharing.py
@@ -4,10 +4,11 @@
 
 import asyncio
 import time
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Callable, Iterable
 from typing import NamedTuple
 
 from ..membership import Member, Reports
+from ._prefixes import PrefixNews, merged, shortened
 from ._ranking import Ranking
 from ._shared import (
     CLOSED,
@@ -15,6 +16,7 @@
     SILENT,
     Bundle,
     Polled,
+    Prefixes,
     age_ms,
     host_digest,
     pack,
@@ -25,8 +27,9 @@
 from .engine import EngineReport
 from .peers import Peers
 from .service import ServiceReport
+from .sighting import Poll, Report
 from .transit import Transit
-from .watcher import Poll, Report, Watcher
+from .watcher import Watcher
 
 COVERED_S = 1.2
 """Age in seconds from which a peer's poll no longer spares this daemon its own."""
@@ -40,6 +43,8 @@
 """Seconds in which urgent news of several hosts is gathered."""
 WHOLE_REPORTS = 32
 """Most whole reports in one frame."""
+PREFIXES_TOLD = 64
+"""Most prompt prefixes told in one round, over all peers."""
 
 
 class _Own(NamedTuple):
@@ -73,6 +78,7 @@
         self._transit_by_id: dict[str, Transit] = {}
         self._host_by_digest: dict[int, str] = {}
         self._urgent: set[str] = set()
+        self._prefix_news = PrefixNews()
         self._ranking = Ranking(peers)
 
     def attach(self, watcher: Watcher) -> None:
@@ -118,7 +124,7 @@
                 await self._watcher.rounds.wait(COVERED_S / 2)
             await asyncio.sleep(SETTLE_S)
             self._forget()
-            self._tell(self._peers.near, self._own_by_host)
+            self._tell_round()
 
     def take(self, peer: Member, reports: Reports) -> None:
         """Take what a peer has sent.
@@ -135,6 +141,8 @@
         whole: tuple[Report, ...] = (*bundle.engines, *bundle.services)
         for report in whole:
             self._whole_by_host[report.host] = (report_digest(report), report)
+        for prefixes in bundle.prefixes:
+            self._take_prefixes(prefixes)
         wanted: list[int] = []
         if transit_s is not None:
             wanted = [p.host for p in bundle.polled if self._lacks(peer, p, transit_s)]
@@ -142,7 +150,7 @@
             self._send(peer, Bundle(wanted=tuple(wanted)))
         if bundle.wanted:
             asked = [self._host_by_digest.get(digest, "") for digest in bundle.wanted]
-            self._tell((peer,), asked, whole=True)
+            self._send(peer, self._bundle(asked, whole=True))
 
     def _lacks(self, peer: Member, polled: Polled, transit_s: float) -> bool:
         """Take a peer's poll; return whether the whole report is needed for it."""
@@ -163,6 +171,12 @@
         covers[peer.id] = _Cover(_now() - age_s, answered)
         return False
 
+    def _take_prefixes(self, prefixes: Prefixes) -> None:
+        host = self._host_by_digest.get(prefixes.host, "")
+        digest, report = self._whole_by_host.get(host, (SILENT, None))
+        if isinstance(report, EngineReport):
+            self._whole_by_host[host] = (digest, merged(report, prefixes.added))
+
     def _take_poll(self, poll: Poll) -> None:
         host, report = poll.host, poll.report
         digest = CLOSED if poll.closed else SILENT
@@ -181,7 +195,21 @@
 
     def _tell_urgent(self) -> None:
         hosts, self._urgent = self._urgent, set()
-        self._tell(self._peers.near, sorted(hosts), whole=True)
+        bundle = self._bundle(sorted(hosts), whole=True)
+        for report in bundle.engines:
+            self._prefix_news.told(report)
+        self._send_all(bundle)
+
+    def _tell_round(self) -> None:
+        engines = [
+            own.report
+            for own in self._own_by_host.values()
+            if isinstance(own.report, EngineReport) and self._is_recent(own)
+        ]
+        most = PREFIXES_TOLD // max(1, len(self._peers.near))
+        prefixes = self._prefix_news.choose(engines, most=most)
+        bundle = self._bundle(self._own_by_host)._replace(prefixes=prefixes)
+        self._send_all(bundle)
 
     def _forget(self) -> None:
         """Drop what is known of hosts and peers that are not there any more."""
@@ -195,38 +223,45 @@
             for peer_id in covers.keys() - near:
                 del covers[peer_id]
 
-    def _tell(
-        self, peers: Sequence[Member], hosts: Iterable[str], *, whole: bool = False
-    ) -> None:
-        """Tell peers of this daemon's newest polls of hosts.
+    def _is_recent(self, own: _Own) -> bool:
+        return _now() - own.at < COVERED_S
 
-        :param whole: whether to send the whole reports too
+    def _bundle(self, hosts: Iterable[str], *, whole: bool = False) -> Bundle:
+        """Return this daemon's newest polls of hosts.
+
+        :param whole: whether to add the whole reports, of the first hosts only
         """
         now = _now()
         told = [
             (host, own)
             for host in hosts
-            if (own := self._own_by_host.get(host)) and now - own.at < COVERED_S
+            if (own := self._own_by_host.get(host)) and self._is_recent(own)
         ]
-        if whole:
-            told = told[:WHOLE_REPORTS]
-        polled = tuple(_polled(host, own, now, news=whole) for host, own in told)
-        reports = [own.report for _, own in told if whole]
-        bundle = Bundle(
-            polled,
-            engines=tuple(r for r in reports if isinstance(r, EngineReport)),
+        if not whole:
+            return Bundle(tuple(_polled(host, own, now) for host, own in told))
+        told = told[:WHOLE_REPORTS]
+        reports = [own.report for _, own in told]
+        return Bundle(
+            tuple(_polled(host, own, now, news=True) for host, own in told),
+            engines=tuple(shortened(r) for r in reports if isinstance(r, EngineReport)),
             services=tuple(r for r in reports if isinstance(r, ServiceReport)),
         )
-        for peer in peers:
-            self._send(peer, bundle)
+
+    def _send_all(self, bundle: Bundle) -> None:
+        data = pack(bundle)
+        for peer in self._peers.near:
+            self._send_data(peer, data)
 
     def _send(self, peer: Member, bundle: Bundle) -> None:
+        self._send_data(peer, pack(bundle))
+
+    def _send_data(self, peer: Member, data: bytes) -> None:
         transit = self._transit_by_id.get(peer.id)
         least_s = transit.least_s(self._clock()) if transit else None
-        self._peers.send(peer, Reports(_now(), least_s, pack(bundle)))
+        self._peers.send(peer, Reports(_now(), least_s, data))
 
 
-def _polled(host: str, own: _Own, now: float, *, news: bool) -> Polled:
+def _polled(host: str, own: _Own, now: float, *, news: bool = False) -> Polled:
     digest = own.digest
     if digest == CLOSED and not news:
         digest = SILENT
--- a/auburnproxy/upstreams/watcher.py
+++ b/auburnproxy/upstreams/watcher.py
@@ -3,17 +3,18 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
-from typing import NamedTuple
+import math
+from collections.abc import Callable, Mapping
 
 from loguru import logger
 
-from ..errors import AuburnError, PlatformError, UpstreamError
+from ..errors import PlatformError, UpstreamError
 from ..platform import HostEntry, HostKind, HostList, Presence
 from .engine import Engine, EngineReport, EngineState
 from .observation import Observation, Result
 from .pulse import Pulse
 from .service import PlainService, ServiceReport
+from .sighting import Poll, Report, Sighting, ask, part, says_leaving
 from .stragglers import Stragglers
 from .warmth import Warmth
 
@@ -29,31 +30,13 @@
 """Seconds that a poll may take."""
 FRESH_S = 2.0
 """Age in seconds at which a report no longer shows presence."""
+RELAY_GRACE_S = 1.0
+"""Age in seconds at which a host is polled here, whoever else should do it."""
+EJECTION_INTERVAL_S = 0.5
+"""Seconds between two comparisons of an upstream with its peers."""
 
 log = logger.bind(part="upstreams")
 
-Report = EngineReport | ServiceReport
-
-
-class Sighting(NamedTuple):
-    """A report and when it was asked for."""
-
-    report: Report
-    asked_at: float
-    """The loop's time in seconds at which the poll was sent."""
-
-
-class Poll(NamedTuple):
-    """A poll by this daemon that has ended."""
-
-    host: str
-    at: float
-    """The loop's time in seconds at which it was sent, or found closed."""
-    report: Report | None
-    """None if there was no answer."""
-    closed: bool = False
-    """Whether the connection was refused or closed."""
-
 
 class Watcher:
     """Watches each upstream of one failure domain, one task for each.
@@ -66,6 +49,8 @@
     :param polls: whether this daemon polls a host itself; reports of the others
         come through :meth:`adopt`
     :param interval_s: returns the seconds between two polls of a host
+    :param relay_grace_s: age in seconds of the newest report from which a host is
+        polled in any case
     """
 
     def __init__(
@@ -78,6 +63,7 @@
         is_out: Callable[[str, str], bool] = lambda domain, host: False,
         polls: Callable[[str], bool] = lambda host: True,
         interval_s: Callable[[], float] = lambda: REPORT_INTERVAL_S,
+        relay_grace_s: float = RELAY_GRACE_S,
     ) -> None:
         self.failure_domain = failure_domain
         self.entries_by_host: dict[str, HostEntry] = {}
@@ -96,6 +82,7 @@
         self._is_out = is_out
         self._polls = polls
         self._interval_s = interval_s
+        self._relay_grace_s = relay_grace_s
         self._due_by_host: dict[str, float] = {}
         self._turns_by_host: dict[str, asyncio.Event] = {}
         self._sightings_by_host: dict[str, Sighting] = {}
@@ -105,6 +92,8 @@
         self._warmth_by_host: dict[str, Warmth] = {}
         self._tasks_by_host: dict[str, asyncio.Task[None]] = {}
         self._stragglers = Stragglers()
+        self._ejected: frozenset[str] = frozenset()
+        self._compared_at = -EJECTION_INTERVAL_S
 
     async def run(self) -> None:
         """Watch until cancelled."""
@@ -124,8 +113,12 @@
     @property
     def ejected(self) -> frozenset[str]:
         """Return the hosts that are much slower than their peers."""
-        groups = {host: self._group(host) for host in self.entries_by_host}
-        return self._stragglers.ejected(groups, _now())
+        now = _now()
+        if now - self._compared_at >= EJECTION_INTERVAL_S:
+            groups = {host: self._group(host) for host in self.entries_by_host}
+            self._ejected = self._stragglers.ejected(groups, now)
+            self._compared_at = now
+        return self._ejected
 
     def report(self, host: str) -> EngineReport | None:
         """Return an engine's report if it is fresh."""
@@ -147,7 +140,7 @@
         if entry is not None and entry.presence is Presence.LEAVING:
             return True
         sighting = self._sightings_by_host.get(host)
-        return sighting is not None and _says_leaving(sighting.report)
+        return sighting is not None and says_leaving(sighting.report)
 
     def out(self, host: str) -> bool:
         """Return whether operators have taken a host or its domain out."""
@@ -193,6 +186,15 @@
         """Return whether reports of peers count for a host."""
         return host in self.entries_by_host and host not in self._distrusted
 
+    def own_reports(self) -> Mapping[str, tuple[Report, float]]:
+        """Return the fresh reports of the hosts polled here, with ages in seconds."""
+        now = _now()
+        return {
+            host: (sighting.report, now - sighting.asked_at)
+            for host, sighting in self._sightings_by_host.items()
+            if self._polls(host) and self._fresh(host)
+        }
+
     def bar(self, host: str, *, age_s: float) -> None:
         """Count a host as missing whose connection a peer has found closed.
 
@@ -211,10 +213,9 @@
         return report.assignment.model
 
     def _fresh(self, host: str) -> Report | None:
-        sighting = self._sightings_by_host.get(host)
-        if sighting is None or host not in self.entries_by_host:
+        if host not in self.entries_by_host or not self._seen_within(host, FRESH_S):
             return None
-        return sighting.report if _now() - sighting.asked_at < FRESH_S else None
+        return self._sightings_by_host[host].report
 
     async def _follow_list(self) -> None:
         while True:
@@ -238,7 +239,13 @@
     def _is_due(self, host: str) -> bool:
         # Half a tick early is on time: the ticks are no exact parts of an interval.
         due = self._due_by_host.get(host, 0.0) - TICK_S / 2 <= _now()
-        return due and (host in self._distrusted or self._polls(host))
+        return due and (self._polls(host) or not self._is_relayed(host))
+
+    def _is_relayed(self, host: str) -> bool:
+        if host in self._distrusted:
+            return False
+        grace_s = self._relay_grace_s
+        return grace_s == math.inf or self._seen_within(host, grace_s)
 
     async def _read_list(self) -> None:
         try:
@@ -307,14 +314,14 @@
         asked_at = _now()
         try:
             async with asyncio.timeout(REPORT_TIMEOUT_S):
-                report = await upstream.report()
+                report = await ask(upstream)
         except TimeoutError:
             return Poll(host, asked_at, None)
         except UpstreamError:
             self._distrust(host)
             return Poll(host, _now(), None, closed=True)
-        except AuburnError as error:
-            log.warning("Poll of {} failed: {}.", host, error)
+        except Exception as error:
+            log.opt(exception=error).error("Poll of {} failed.", host)
             return Poll(host, asked_at, None)
         if report.host != host:
             log.warning("Host {} reports as {}.", host, report.host)
@@ -324,6 +331,10 @@
         self._see(report, asked_at)
         return Poll(host, asked_at, report)
 
+    def _seen_within(self, host: str, age_s: float) -> bool:
+        sighting = self._sightings_by_host.get(host)
+        return sighting is not None and _now() - sighting.asked_at < age_s
+
     def _see(self, report: Report, asked_at: float) -> None:
         host = report.host
         known = self._sightings_by_host.get(host)
@@ -332,18 +343,18 @@
             return
         self._sightings_by_host[host] = Sighting(report, asked_at)
         self._warm(report, asked_at)
-        if known is None or known.report != report:
+        if known is None or part(known.report) != part(report):
             self.changes.send()
 
     def _warm(self, report: Report, now: float) -> None:
         warmth = self._warmth_by_host[report.host]
         if isinstance(report, ServiceReport):
-            warmth.see_start(report.incarnation, 0)
+            warmth.see_start(report.incarnation, None, ready=True)
             warmth.see_load(report.in_flight, 0, now)
             return
-        part = report.assignment
-        warmth.see_start(report.incarnation, part.generation if part else 0)
-        if report.state is EngineState.READY:
+        ready = report.state in (EngineState.READY, EngineState.LEAVING)
+        warmth.see_start(report.incarnation, report.assignment, ready=ready)
+        if ready:
             warmth.see_load(report.in_flight, report.queued, now)
 
     def _distrust(self, host: str) -> None:
@@ -358,11 +369,5 @@
             self.changes.send()
 
 
-def _says_leaving(report: Report) -> bool:
-    if isinstance(report, ServiceReport):
-        return report.leaving
-    return report.state is EngineState.LEAVING
-
-
 def _now() -> float:
     return asyncio.get_running_loop().time()
--- a/features/fakes/replicas.py
+++ b/features/fakes/replicas.py
@@ -23,7 +23,9 @@
     Planner,
     Policy,
     Readiness,
+    Repairs,
     Replicas,
+    custody_key,
 )
 from auburnproxy.upstreams import Observation, Result, Watcher
 from auburnproxy.upstreams.engine import (
@@ -52,7 +54,7 @@
         self.running, self.polled = asyncio.Event(), asyncio.Event()
         self.order_delay_s = 0.0
         self.duplicates = False
-        self.starts = 0
+        self.starts = self.polls = 0
         self.weights: set[str] = set()
         self.loads = 0
         self.first_token_s, self.delay_s = 0.1, 0.005
@@ -107,6 +109,7 @@
 
     async def report(self) -> EngineReport:
         await self._reach()
+        self.polls += 1
         self.polled.set()
         seen = self.publish()
         await asyncio.sleep(self.delay_s)
@@ -277,7 +280,7 @@
     """
 
     def __init__(self, platform, domain, wanted, *, marks, keys=None, policy=None):
-        self.keys = keys
+        self.keys, self.polls_all = keys, True
         self.store_part = 1.0
         self.replicas = Replicas()
         self.journal = FakeJournal(platform, self.replicas)
@@ -287,15 +290,19 @@
             lambda entry: None,
             failure_domain=domain,
             is_out=lambda domain, host: bool({domain, host} & marks),
+            polls=lambda host: self.polls_all or self.keeps(host),
         )
         self.readiness = Readiness(self.replicas, self.watcher)
+        self.repairs = Repairs(self.replicas)
         self.planner = Planner(
             self.replicas,
             self.journal,
             self.watcher,
             platform,
             wanted=lambda: wanted,
+            demand=lambda: wanted,
             holds=self.holds,
+            repairs=self.repairs,
             policy=policy or Policy(),
         )
         self.custodian = Custodian(
@@ -303,6 +310,7 @@
             self.watcher,
             platform,
             holds=self.holds,
+            repairs=self.repairs,
             store_share=lambda rate: rate * self.store_part,
         )
         self.downtime = Downtime(
@@ -313,11 +321,21 @@
     def holds(self, key):
         return self.keys is None or key in self.keys
 
+    def keeps(self, host):
+        entry = self.watcher.entries_by_host[host]
+        return self.holds(custody_key(entry.failure_domain, entry.fabric_domain))
+
     def start(self):
         parts = [self.journal, self.watcher, self.planner, self.custodian]
         parts.append(self.downtime)
         self.tasks = [asyncio.create_task(part.run()) for part in parts]
 
+    async def pause(self):
+        """End the tasks but for the watcher's, which keeps the reports fresh."""
+        for task in (*self.tasks[:1], *self.tasks[2:]):
+            task.cancel()
+        await asyncio.sleep(0)
+
     async def stop(self):
         for task in self.tasks:
             task.cancel()
--- a/features/fakes/sharing.py
+++ b/features/fakes/sharing.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from collections import defaultdict
 
 from loguru import logger
@@ -31,6 +32,7 @@
         self.entry = entry
         self.starts, self.state = 1, EngineState.IDLE
         self.alive, self.hangs = True, False
+        self.prefixes: tuple[str, ...] = ()
         self.made: list[tuple[float, EngineReport]] = []
 
     def restart(self):
@@ -47,7 +49,7 @@
             in_flight=len(self.made),
             queued=0,
             weights=(),
-            prefixes=(),
+            prefixes=self.prefixes,
             prefix_gaps=0,
         )
         self.made.append((now(), report))
@@ -147,6 +149,7 @@
             lambda entry: None,
             failure_domain=DOMAIN,
             polls=self.sharing.polls,
+            relay_grace_s=math.inf,
         )
         self.sharing.attach(self.watcher)
         self.tasks: list[asyncio.Task] = []
--- a/features/reports.feature
+++ b/features/reports.feature
@@ -38,3 +38,9 @@
     When host "h0" dies
     And 1 seconds pass at the pollers
     Then no daemon gives "h0" new work
+
+  Scenario: Prompt prefixes reach every daemon, a few at a time
+    Given 4 pollers of 8 hosts
+    When each host has cached 40 new prompt prefixes
+    And 20 seconds pass at the pollers
+    Then every daemon knows all prompt prefixes
--- a/features/steps/reports.py
+++ b/features/steps/reports.py
@@ -123,3 +123,20 @@
         return {d.me.name for d in daemons if d.watcher.present(host)}
 
     return context.loop.run_until_complete(held())
+
+
+@when("each host has cached {count:d} new prompt prefixes")
+def cache(context, count):
+    for host, engine in context.switch.engines_by_host.items():
+        engine.prefixes = tuple(f"{host}/{number:03}" for number in range(count))
+
+
+@then("every daemon knows all prompt prefixes")
+def check_prefixes(context):
+    async def check():
+        for daemon in context.switch.daemons:
+            for host, engine in context.switch.engines_by_host.items():
+                known = daemon.watcher.report(host).prefixes
+                assert set(known) == set(engine.prefixes), (daemon.me.name, known)
+
+    context.loop.run_until_complete(check())
