Share less often the more peers there are

Every daemon sends each of its peers a frame twice a second; with 21 peers that would be 42 frames a second each way. The rounds now slow down with the number of peers to one a second; polls, and news of a changed or closed host, do not. A peer's poll spares the others their own for half a second beyond that.

--- a/auburnproxy/upstreams/sharing.py
+++ b/auburnproxy/upstreams/sharing.py
@@ -29,10 +29,14 @@
 from .service import ServiceReport
 from .sighting import Poll, Report
 from .transit import Transit
-from .watcher import Watcher
-
-COVERED_S = 1.2
-"""Age in seconds from which a peer's poll no longer spares this daemon its own."""
+from .watcher import REPORT_INTERVAL_S, TICK_S, Watcher
+
+SHARE_PER_PEER_S = 0.1
+"""Seconds between two rounds of sharing for each peer; more peers, fewer rounds."""
+SHARE_MOST_S = 1.0
+"""Longest time in seconds between two rounds of sharing."""
+COVERED_S = 0.5
+"""Seconds beyond that from which a peer's poll no longer spares this daemon its own."""
 SILENT_POLLERS = 2
 """Daemons that go on polling a host that does not answer."""
 SILENT_RETRY_S = 5.0
@@ -77,6 +81,7 @@
         self._covers_by_host: dict[str, dict[str, _Cover]] = {}
         self._transit_by_id: dict[str, Transit] = {}
         self._host_by_digest: dict[int, str] = {}
+        self._interval_s = REPORT_INTERVAL_S
         self._urgent: set[str] = set()
         self._prefix_news = PrefixNews()
         self._ranking = Ranking(peers)
@@ -99,12 +104,13 @@
         :param host: the host
         """
         silent = 0
+        covered_s = self._interval_s + COVERED_S
         covers = self._covers_by_host.get(host, {})
         for member in self._ranking.order(host):
             if member == self._peers.me:
                 break
             cover = covers.get(member.id)
-            if cover is None or _now() - cover.at > COVERED_S:
+            if cover is None or _now() - cover.at > covered_s:
                 continue
             if cover.answered:
                 return False
@@ -118,13 +124,16 @@
         return _now() - own.at > SILENT_RETRY_S
 
     async def run(self) -> None:
-        """Share after each round of polls; until cancelled."""
+        """Share after a round of polls, each time that it is due; until cancelled."""
+        due = 0.0
         while True:
             if self._watcher is not None:
-                await self._watcher.rounds.wait(COVERED_S / 2)
+                await self._watcher.rounds.wait(REPORT_INTERVAL_S)
             await asyncio.sleep(SETTLE_S)
-            self._forget()
-            self._tell_round()
+            self._renew()
+            if _now() >= due:
+                due = _now() + self._interval_s - TICK_S / 2
+                self._tell_round()
 
     def take(self, peer: Member, reports: Reports) -> None:
         """Take what a peer has sent.
@@ -211,11 +220,13 @@
         bundle = self._bundle(self._own_by_host)._replace(prefixes=prefixes)
         self._send_all(bundle)
 
-    def _forget(self) -> None:
-        """Drop what is known of hosts and peers that are not there any more."""
+    def _renew(self) -> None:
+        """Drop what is known of hosts and peers that are gone, and set the pace."""
         hosts = self._watcher.entries_by_host if self._watcher else {}
         self._host_by_digest = {host_digest(host): host for host in hosts}
         near = {peer.id for peer in self._peers.near}
+        slowed_s = SHARE_PER_PEER_S * len(near)
+        self._interval_s = min(SHARE_MOST_S, max(REPORT_INTERVAL_S, slowed_s))
         for by_host in (self._own_by_host, self._whole_by_host, self._covers_by_host):
             for host in by_host.keys() - hosts.keys():
                 by_host.pop(host, None)
@@ -224,7 +235,7 @@
                 del covers[peer_id]
 
     def _is_recent(self, own: _Own) -> bool:
-        return _now() - own.at < COVERED_S
+        return _now() - own.at < self._interval_s + COVERED_S
 
     def _bundle(self, hosts: Iterable[str], *, whole: bool = False) -> Bundle:
         """Return this daemon's newest polls of hosts.
--- a/features/reports.feature
+++ b/features/reports.feature
@@ -10,11 +10,16 @@
     When frames of two clocks are delayed at random
     Then none counts as younger than it is
 
-  Scenario: A frozen daemon's hosts are covered before their reports go stale
-    Given 4 pollers of 8 hosts
+  Scenario Outline: A frozen daemon's hosts are covered before their reports go stale
+    Given <count> pollers of 16 hosts
     When poller 0 is frozen
     Then the others hold fresh reports of all hosts for 6 seconds
 
+    Examples:
+      | count |
+      | 4     |
+      | 14    |
+
   Scenario: A daemon that is cut off polls all hosts itself
     Given 4 pollers of 8 hosts
     When poller 0 is cut off from the others
