--- a/auburnproxy/journal/fold.py
+++ b/auburnproxy/journal/fold.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections import OrderedDict, deque
+from collections import OrderedDict
 from collections.abc import Iterable
 from typing import Any, NamedTuple
 
@@ -54,9 +54,6 @@
         self._reducer_by_name = {reducer.name: reducer for reducer in reducers}
         self._versions: dict[str, int] = {}
         self._outcome_by_id: OrderedDict[str, Outcome] = OrderedDict()
-        prefixes = (r.transient_keys for r in self._reducer_by_name.values())
-        self._transient = tuple(prefix for prefix in prefixes if prefix)
-        self._fading: deque[tuple[int, str]] = deque()
 
     def version(self, key: str) -> int:
         """Return the offset of the last accepted record that touched a key, or 0."""
@@ -97,10 +94,7 @@
             return INVALID
 
     def _accept(self, entry: Entry) -> None:
-        for key in entry.record.expects:
-            self._versions[key] = entry.offset
-            if self._transient and key.startswith(self._transient):
-                self._fading.append((entry.offset, key))
+        self._versions |= dict.fromkeys(entry.record.expects, entry.offset)
         reducer = self._reducer(entry.record)
         assert reducer is not None
         try:
@@ -118,10 +112,6 @@
             if first.offset >= oldest:
                 break
             self._outcome_by_id.popitem(last=False)
-        while self._fading and self._fading[0][0] < oldest:
-            offset, key = self._fading.popleft()
-            if self._versions.get(key) == offset:
-                del self._versions[key]
 
     def snapshot(self) -> Snapshot:
         """Return the whole state."""
@@ -135,12 +125,6 @@
         self.holes = list(snapshot.holes)
         self._versions = dict(snapshot.versions)
         self._outcome_by_id = OrderedDict((o.id, o) for o in snapshot.outcomes)
-        fading = (
-            (version, key)
-            for key, version in self._versions.items()
-            if self._transient and key.startswith(self._transient)
-        )
-        self._fading = deque(sorted(fading))
         for name, state in snapshot.state_by_reducer.items():
             if name in self._reducer_by_name:
                 self._reducer_by_name[name].restore(state)
--- a/auburnproxy/journal/reducer.py
+++ b/auburnproxy/journal/reducer.py
@@ -17,11 +17,6 @@
 
     name: ClassVar[str]
     """Prefix of the kinds that this reducer takes, and its key in checkpoints."""
-    transient_keys: ClassVar[str] = ""
-    """Prefix of keys whose versions fall back to 0 once they leave the window.
-
-    For keys of which new ones come all the time; empty for none.
-    """
 
     @abstractmethod
     def check(self, entry: Entry) -> str:
--- a/features/fakes/notes.py
+++ b/features/fakes/notes.py
@@ -11,7 +11,6 @@
     """Every accepted value with its offset."""
 
     name = "notes"
-    transient_keys = "brief/"
 
     def __init__(self) -> None:
         self.values: list[tuple[int, int]] = []
