--- a/features/quotas.feature
+++ b/features/quotas.feature
@@ -25,3 +25,15 @@
     Then neither has more than the dead one left
     When the upstream reports no calls
     Then together they may use 4 slots
+
+  Scenario: A failure domain counts until the last process that could act there is gone
+    Given a daemon a0, and daemons c0 and c1 of another failure domain
+    When c0 starts in a third domain at another address, and c1 leaves
+    Then a0 keeps to the divisions that have a part for c
+    When a0 finds that nothing listens at the old address of c0
+    Then a0 has its part of the newest division
+
+  Scenario: A checkpoint carries every epoch that may not be settled
+    Given a daemon a0, and daemons c0 and c1 of another failure domain
+    When c0 starts in a third domain at another address, and c1 leaves
+    Then the roster of a checkpoint is the same
--- a/features/steps/quotas.py
+++ b/features/steps/quotas.py
@@ -1,13 +1,15 @@
 """Steps for limits divided between daemons."""
 
+import msgspec
 from behave import given, then, when
 
 from auburnproxy.journal import Record
+from auburnproxy.membership import Beat, Roster
 from auburnproxy.membership.roster import JOIN, LEAVE
 from auburnproxy.membership.view import Probe
-from auburnproxy.quotas import Orphans
+from auburnproxy.quotas import Orphans, domain_share
 from features.fakes.journal import FakeLog
-from features.machines.quotas import UPSTREAM, Daemon, QuotasMachine
+from features.machines.quotas import LIMITS, PLAN, UPSTREAM, Daemon, QuotasMachine
 from features.machines.search import search
 
 
@@ -152,3 +154,58 @@
 @then("together they may use 4 slots")
 def all_slots(context):
     assert free(context, "a0") + free(context, "a1") == 4
+
+
+@given("a daemon a0, and daemons c0 and c1 of another failure domain")
+def start_in_two(context):
+    context.log = FakeLog()
+    context.daemon = join(context, "a0", "a0")
+    context.old, context.other = (join(context, n, n).me for n in ("c0", "c1"))
+
+
+@when("c0 starts in a third domain at another address, and c1 leaves")
+def move_and_leave(context):
+    moved = context.old._replace(incarnation="9", failure_domain="b", peer_address="z")
+    context.log.append(Record("move", "", JOIN, moved._asdict(), {}))
+    leave = Record("leave", "", LEAVE, {"member": context.other.id}, {})
+    newest = context.log.append(leave).offset
+    acknowledged(context)
+    context.daemon.view.hear(moved, Beat(newest, newest, newest, newest, 0))
+
+
+def part(context):
+    return context.daemon.gates.gate(PLAN).share
+
+
+@then("a0 keeps to the divisions that have a part for c")
+def keeps(context):
+    least = [
+        domain_share(LIMITS[PLAN], PLAN, (division,), "a")
+        for division in context.daemon.roster.divisions
+        if "c" in dict(division.weights)
+    ]
+    assert part(context) == min(least), (part(context), least)
+
+
+@when("a0 finds that nothing listens at the old address of c0")
+def find_gone(context):
+    context.before = part(context)
+    context.daemon.view.probed(context.old.id, Probe.REFUSED)
+
+
+@then("a0 has its part of the newest division")
+def newest_part(context):
+    newest = context.daemon.roster.divisions[-1:]
+    assert part(context) == domain_share(LIMITS[PLAN], PLAN, newest, "a")
+    assert part(context) > context.before
+
+
+@then("the roster of a checkpoint is the same")
+def restored(context):
+    roster, copy = context.daemon.roster, Roster()
+    copy.restore(msgspec.json.decode(msgspec.json.encode(roster.snapshot())))
+    assert [len(roster.epochs(d)) for d in ("a", "b", "c")] == [4, 2, 4]
+    assert copy.gone == roster.gone == {context.other.id}
+    assert copy.divisions == roster.divisions
+    for domain in ("a", "b", "c"):
+        assert copy.epochs(domain) == roster.epochs(domain)
