--- a/features/steps/membership.py
+++ b/features/steps/membership.py
@@ -8,76 +8,21 @@
 from behave import given, then, when
 
 from auburnproxy.errors import PeerError
-from auburnproxy.journal import Journal, Record
+from auburnproxy.journal import Record
 from auburnproxy.membership import Beat, Member, Membership, Roster, link
 from auburnproxy.membership._missing import Missing
 from auburnproxy.membership._relay import Relay
 from auburnproxy.membership.membership import PAUSE_BOUND_S, SILENCE_MIN_S
 from auburnproxy.membership.roster import JOIN
-from auburnproxy.quotas import Gates
 from features.fakes.journal import FakeJournal
 from features.fakes.journal import FakeLog as FoldedLog
-from features.fakes.log import FakeLog, LogPort
+from features.fakes.log import FakeLog
+from features.fakes.peers import LIMIT, PLAN, SECRET, Frozen, Peer
 from features.loopback import free_addresses
 
-SECRET = b"peers of the test"
-LIMIT = 12
-KEY, PLAN = "upstream/u", "plan/p"
 PATIENCE_S = 30.0
 
 
-class Peer:
-    """One daemon with its tasks."""
-
-    def __init__(self, name, incarnation, log, address, out):
-        self.me = Member(name, incarnation, name[0], address, "127.0.0.1:1")
-        self.port = LogPort(log)
-        self.roster = Roster()
-        self.journal = Journal(self.port, [self.roster], author=self.me.id)
-        self.membership = Membership(
-            self.me,
-            self.roster,
-            self.journal,
-            secret=SECRET,
-            version=lambda: self.roster.revision,
-            is_out=lambda domain, host: domain in out,
-        )
-        self.gates = Gates(lambda: self.membership.window, self.me.id)
-        for key in (KEY, PLAN):
-            self.gates.gate(key).limit = LIMIT
-        self.membership.attach(self.gates)
-        runs = (self.journal.run(), self.membership.run())
-        self.tasks = [asyncio.get_running_loop().create_task(run) for run in runs]
-
-    @property
-    def share(self):
-        return self.gates.gate(KEY).share
-
-    @property
-    def linked(self):
-        return {i.partition("@")[0] for i in self.membership.links_by_id}
-
-    async def stop(self):
-        for task in self.tasks:
-            task.cancel()
-        await asyncio.gather(*self.tasks, return_exceptions=True)
-
-
-class Frozen:
-    """Keeps an address as a stopped process does: it listens and never answers."""
-
-    def __init__(self, address):
-        host, _, port = address.rpartition(":")
-        self.opened = asyncio.start_server(lambda r, w: None, host, int(port))
-
-    async def start(self):
-        self.server = await self.opened
-        return self
-
-    async def stop(self):
-        self.server.close()
-
-
 def on_loop(context, awaitable):
     return context.loop.run_until_complete(asyncio.wait_for(awaitable, PATIENCE_S))
 
