--- a/auburnproxy/upstreams/watcher.py
+++ b/auburnproxy/upstreams/watcher.py
@@ -3,18 +3,18 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from collections.abc import Callable, Mapping
-from typing import NamedTuple
 
 from loguru import logger
-from xxhash import xxh64_intdigest
 
-from ..errors import PlatformError, Ran, UpstreamError
+from ..errors import PlatformError, UpstreamError
 from ..platform import HostEntry, HostKind, HostList, Presence
 from .engine import Engine, EngineReport, EngineState
 from .observation import Observation, Result
 from .pulse import Pulse
 from .service import PlainService, ServiceReport
+from .sighting import Poll, Report, Sighting, ask, part, says_leaving
 from .stragglers import Stragglers
 from .warmth import Warmth
 
@@ -22,6 +22,10 @@
 """Seconds between two readings of the platform's list."""
 REPORT_INTERVAL_S = 0.5
 """Seconds between two polls of an upstream."""
+TICK_S = 0.25
+"""Seconds between two looks for polls that are due."""
+GAP_S = 0.003
+"""Longest gap between two polls that fall due together."""
 REPORT_TIMEOUT_S = 1.0
 """Seconds that a poll may take."""
 FRESH_S = 2.0
@@ -33,16 +37,6 @@
 
 log = logger.bind(part="upstreams")
 
-Report = EngineReport | ServiceReport
-
-
-class Sighting(NamedTuple):
-    """A report and when it was asked for."""
-
-    report: Report
-    asked_at: float
-    """The loop's time in seconds at which the poll was sent."""
-
 
 class Watcher:
     """Watches each upstream of one failure domain, one task for each.
@@ -53,7 +47,10 @@
     :param failure_domain: the failure domain whose upstreams are watched
     :param is_out: whether operators have taken a failure domain and host out
     :param polls: whether this daemon polls a host itself; reports of the others
-        come through :meth:`adopt`, and a host that none came from is polled too
+        come through :meth:`adopt`
+    :param interval_s: returns the seconds between two polls of a host
+    :param relay_grace_s: age in seconds of the newest report from which a host is
+        polled in any case
     """
 
     def __init__(
@@ -65,6 +62,8 @@
         failure_domain: str,
         is_out: Callable[[str, str], bool] = lambda domain, host: False,
         polls: Callable[[str], bool] = lambda host: True,
+        interval_s: Callable[[], float] = lambda: REPORT_INTERVAL_S,
+        relay_grace_s: float = RELAY_GRACE_S,
     ) -> None:
         self.failure_domain = failure_domain
         self.entries_by_host: dict[str, HostEntry] = {}
@@ -73,13 +72,23 @@
         self.engines_by_host: dict[str, Engine] = {}
         self.services_by_host: dict[str, PlainService] = {}
         self.changes = Pulse()
+        self.rounds = Pulse()
+        """Sent after the polls that fell due together have been sent."""
+        self.polled: Callable[[Poll], None] = lambda poll: None
+        """Called with each poll of this daemon that has ended."""
         self._hosts = hosts
         self._connect_engine = connect_engine
         self._connect_service = connect_service
         self._is_out = is_out
         self._polls = polls
+        self._interval_s = interval_s
+        self._relay_grace_s = relay_grace_s
+        self._due_by_host: dict[str, float] = {}
+        self._turns_by_host: dict[str, asyncio.Event] = {}
         self._sightings_by_host: dict[str, Sighting] = {}
         self._barred_until_by_host: dict[str, float] = {}
+        self._distrusted: set[str] = set()
+        """Hosts whose closed connection was seen here; only own polls clear them."""
         self._warmth_by_host: dict[str, Warmth] = {}
         self._tasks_by_host: dict[str, asyncio.Task[None]] = {}
         self._stragglers = Stragglers()
@@ -89,9 +98,9 @@
     async def run(self) -> None:
         """Watch until cancelled."""
         try:
-            while True:
-                await self._read_list()
-                await asyncio.sleep(LIST_INTERVAL_S)
+            async with asyncio.TaskGroup() as group:
+                group.create_task(self._follow_list())
+                group.create_task(self._pace())
         finally:
             for host in list(self.entries_by_host):
                 await self._remove(host)
@@ -131,7 +140,7 @@
         if entry is not None and entry.presence is Presence.LEAVING:
             return True
         sighting = self._sightings_by_host.get(host)
-        return sighting is not None and _says_leaving(sighting.report)
+        return sighting is not None and says_leaving(sighting.report)
 
     def out(self, host: str) -> bool:
         """Return whether operators have taken a host or its domain out."""
@@ -153,14 +162,14 @@
         """Learn from a call that was sent to an upstream.
 
         After a closed connection the host counts as missing until a poll that
-        was sent later is answered.
+        this daemon sent later is answered.
         """
         warmth = self._warmth_by_host.get(host)
         if warmth is None:
             return
         warmth.see_call(observation, _now())
         if observation.result is Result.CLOSED:
-            self._close(host)
+            self._distrust(host)
         if observation.first_token_s is not None:
             self._stragglers.add(host, observation.first_token_s)
 
@@ -170,9 +179,13 @@
         :param report: the report
         :param age_s: seconds since the peer asked for it, transit included
         """
-        if report.host in self.entries_by_host:
+        if self.takes(report.host):
             self._see(report, _now() - age_s)
 
+    def takes(self, host: str) -> bool:
+        """Return whether reports of peers count for a host."""
+        return host in self.entries_by_host and host not in self._distrusted
+
     def own_reports(self) -> Mapping[str, tuple[Report, float]]:
         """Return the fresh reports of the hosts polled here, with ages in seconds."""
         now = _now()
@@ -182,6 +195,17 @@
             if self._polls(host) and self._fresh(host)
         }
 
+    def bar(self, host: str, *, age_s: float) -> None:
+        """Count a host as missing whose connection a peer has found closed.
+
+        :param host: the host
+        :param age_s: least seconds since then; later reports lift the bar
+        """
+        known = self._sightings_by_host.get(host)
+        closed_at = _now() - age_s
+        if host in self.entries_by_host and (not known or known.asked_at <= closed_at):
+            self._close(host, closed_at)
+
     def _group(self, host: str) -> str:
         report = self.report(host)
         if report is None or report.assignment is None:
@@ -193,6 +217,36 @@
             return None
         return self._sightings_by_host[host].report
 
+    async def _follow_list(self) -> None:
+        while True:
+            await self._read_list()
+            await asyncio.sleep(LIST_INTERVAL_S)
+
+    async def _pace(self) -> None:
+        """Give each host that this daemon polls its turn once in an interval."""
+        while True:
+            started = _now()
+            due = [host for host in self.entries_by_host if self._is_due(host)]
+            for host in due:
+                if host in self._turns_by_host:
+                    self._due_by_host[host] = started + self._interval_s()
+                    self._turns_by_host[host].set()
+                await asyncio.sleep(min(GAP_S, TICK_S / 2 / len(due)))
+            if due:
+                self.rounds.send()
+            await asyncio.sleep(max(0.0, started + TICK_S - _now()))
+
+    def _is_due(self, host: str) -> bool:
+        # Half a tick early is on time: the ticks are no exact parts of an interval.
+        due = self._due_by_host.get(host, 0.0) - TICK_S / 2 <= _now()
+        return due and (self._polls(host) or not self._is_relayed(host))
+
+    def _is_relayed(self, host: str) -> bool:
+        if host in self._distrusted:
+            return False
+        grace_s = self._relay_grace_s
+        return grace_s == math.inf or self._seen_within(host, grace_s)
+
     async def _read_list(self) -> None:
         try:
             entries = await self._hosts.fetch()
@@ -227,15 +281,19 @@
             self.engines_by_host[entry.name] = self._connect_engine(entry)
         else:
             self.services_by_host[entry.name] = self._connect_service(entry)
+        self._turns_by_host[entry.name] = asyncio.Event()
         task = asyncio.create_task(self._watch(entry.name))
         self._tasks_by_host[entry.name] = task
 
     async def _remove(self, host: str) -> None:
         log.info("Host {} is no longer listed.", host)
         self._tasks_by_host.pop(host).cancel()
+        del self._turns_by_host[host]
+        self._due_by_host.pop(host, None)
         del self.entries_by_host[host], self._warmth_by_host[host]
         self._sightings_by_host.pop(host, None)
         self._barred_until_by_host.pop(host, None)
+        self._distrusted.discard(host)
         self._stragglers.forget(host)
         engine = self.engines_by_host.pop(host, None)
         service = self.services_by_host.pop(host, None)
@@ -246,26 +304,32 @@
 
     async def _watch(self, host: str) -> None:
         upstream = self.engines_by_host.get(host) or self.services_by_host[host]
-        await asyncio.sleep(REPORT_INTERVAL_S * _phase(host))
+        turn = self._turns_by_host[host]
         while True:
-            started = _now()
-            if self._polls(host) or not self._seen_within(host, RELAY_GRACE_S):
-                await self._poll(host, upstream)
-            await asyncio.sleep(max(0.0, started + REPORT_INTERVAL_S - _now()))
+            await turn.wait()
+            turn.clear()
+            self.polled(await self._poll(host, upstream))
 
-    async def _poll(self, host: str, upstream: Engine | PlainService) -> None:
+    async def _poll(self, host: str, upstream: Engine | PlainService) -> Poll:
         asked_at = _now()
         try:
             async with asyncio.timeout(REPORT_TIMEOUT_S):
-                report = await _ask(upstream)
+                report = await ask(upstream)
         except TimeoutError:
-            return
+            return Poll(host, asked_at, None)
         except UpstreamError:
-            self._close(host)
+            self._distrust(host)
+            return Poll(host, _now(), None, closed=True)
         except Exception as error:
             log.opt(exception=error).error("Poll of {} failed.", host)
-        else:
-            self._see(report, asked_at)
+            return Poll(host, asked_at, None)
+        if report.host != host:
+            log.warning("Host {} reports as {}.", host, report.host)
+            return Poll(host, asked_at, None)
+        if asked_at > self._barred_until_by_host.get(host, -1.0):
+            self._distrusted.discard(host)
+        self._see(report, asked_at)
+        return Poll(host, asked_at, report)
 
     def _seen_within(self, host: str, age_s: float) -> bool:
         sighting = self._sightings_by_host.get(host)
@@ -279,7 +343,7 @@
             return
         self._sightings_by_host[host] = Sighting(report, asked_at)
         self._warm(report, asked_at)
-        if known is None or _part(known.report) != _part(report):
+        if known is None or part(known.report) != part(report):
             self.changes.send()
 
     def _warm(self, report: Report, now: float) -> None:
@@ -293,39 +357,17 @@
         if ready:
             warmth.see_load(report.in_flight, report.queued, now)
 
-    def _close(self, host: str) -> None:
-        self._barred_until_by_host[host] = _now()
+    def _distrust(self, host: str) -> None:
+        self._distrusted.add(host)
+        self._close(host, _now())
+
+    def _close(self, host: str, closed_at: float) -> None:
+        barred = self._barred_until_by_host.get(host, closed_at)
+        self._barred_until_by_host[host] = max(barred, closed_at)
         if self._sightings_by_host.pop(host, None) is not None:
             log.info("Host {} does not answer.", host)
             self.changes.send()
 
 
-async def _ask(upstream: Engine | PlainService) -> Report:
-    """Return a report; a connection that closed while idle gets a second try."""
-    try:
-        return await upstream.report()
-    except UpstreamError as error:
-        if error.ran is Ran.NO:
-            raise
-    return await upstream.report()
-
-
-def _part(report: Report) -> tuple[object, ...]:
-    """Return what a report says beside the load, which changes all the time."""
-    if isinstance(report, ServiceReport):
-        return report.incarnation, report.leaving
-    return report.incarnation, report.state, report.assignment
-
-
-def _says_leaving(report: Report) -> bool:
-    if isinstance(report, ServiceReport):
-        return report.leaving
-    return report.state is EngineState.LEAVING
-
-
 def _now() -> float:
     return asyncio.get_running_loop().time()
-
-
-def _phase(host: str) -> float:
-    return (xxh64_intdigest(host.encode()) % 1000) / 1000
