Reroute a waiting call whose target goes out, and name the incarnation observed

A call that waited when its target went out was refused, though a peer of another failure domain could have taken it. It now goes there, once. What an attempt shows of an engine is told to the watcher with the incarnation that it was sent to.

--- a/auburnproxy/serving/models.py
+++ b/auburnproxy/serving/models.py
@@ -247,8 +247,12 @@
                 placement = await stack.enter_async_context(ticket)
                 self._observe(Measure.QUEUE_WAIT, request)
             except RefusalError as refusal:
+                if refusal.code not in NO_SLOT_HERE:
+                    raise
+                if wait:  # the target went out while the call waited
+                    peer, holder = self._peers(request, avoid)
                 other = peer or holder
-                if other is None or refusal.code not in NO_SLOT_HERE:
+                if other is None:
                     raise
                 placement = self._remote(other, request, wait=peer is None)
             yield placement
--- a/auburnproxy/serving/placement.py
+++ b/auburnproxy/serving/placement.py
@@ -55,6 +55,7 @@
         self._router = router
         self._watcher = watcher
         self._readiness = readiness
+        self._incarnation = ""
         self._held = True
 
     def generate(self, call: ModelCall) -> AsyncIterator[Chunk]:
@@ -67,6 +68,7 @@
         serving = self._readiness.serving(self._replica.model)
         if engine is None or report is None or self._replica not in serving:
             raise UpstreamError(f"{self._replica.name} does not serve", ran=Ran.NO)
+        self._incarnation = report.incarnation
         meant = call._replace(
             incarnation=report.incarnation, generation=self._replica.generation
         )
@@ -78,7 +80,8 @@
 
     def observe(self, observation: Observation) -> None:
         """Tell the watcher how the attempt ended."""
-        self._watcher.observe(self.host, observation)
+        seen = observation._replace(incarnation=self._incarnation)
+        self._watcher.observe(self.host, seen)
 
     def release(self) -> None:
         """Give the slot back; a second call does nothing."""
--- a/auburnproxy/serving/services.py
+++ b/auburnproxy/serving/services.py
@@ -247,13 +247,27 @@
             tried.add(waiting_at(holder))
             with suppress(_NoSlotError):
                 return await self._elsewhere(request, holder, wait=True)
+        wait = self._waits_here(request)
         try:
-            wait = self._waits_here(request)
             async with self._ticket(request, avoid, wait=wait) as place:
                 return await use(place)
         except _NoSlotError as error:
+            if wait and request.may_spill:
+                return await self._rerouted(request, error.refusal)
             raise error.refusal from None
 
+    async def _rerouted(self, request: Request, refusal: RefusalError) -> PlainAnswer:
+        """Return a peer's answer to a call whose target went out while it waited.
+
+        :raises RefusalError: the given one, if no peer takes the call
+        """
+        plan, target = request.plan.name, request.target
+        peer = self._spill.choose(plan, target) or self._spill.holder(plan, target)
+        if peer is not None:
+            with suppress(_NoSlotError):
+                return await self._elsewhere(request, peer, wait=True)
+        raise refusal
+
     def _holder(self, request: Request, tried: Collection[str]) -> Member | None:
         """Return a peer to wait at, None if the call can wait here or was forwarded."""
         if not request.may_spill:
--- a/features/fakes/serving.py
+++ b/features/fakes/serving.py
@@ -18,6 +18,7 @@
 from auburnproxy.serving.forward import Forwarder
 from auburnproxy.serving.intake import Headers
 from auburnproxy.serving.models import Models, Request
+from auburnproxy.serving.services import Request as PlainRequest
 from auburnproxy.serving.services import Services
 from auburnproxy.serving.signature import Signer
 from auburnproxy.telemetry import Telemetry
@@ -29,11 +30,12 @@
     Fence,
     ModelCall,
 )
-from auburnproxy.upstreams.service import PlainAnswer
+from auburnproxy.upstreams.service import PlainAnswer, PlainCall
 from features.fakes.ledger import FakeJournal, FakeLog
 
 SECRET = b"shared"
 STALL_S = 1000.0
+PLAIN_DEADLINE_S = 10.0
 
 
 def make_plan(name, *, weight=1, concurrent=8, queue=16):
@@ -239,6 +241,21 @@
         return PlainAnswer(200, "text/plain", b"done " + call.body)
 
 
+class FakeForwarder:
+    """A peer that answers every call."""
+
+    def __init__(self):
+        self.calls = []
+
+    async def generate(self, member, plan, call, **options):
+        self.calls.append("model")
+        yield Chunk(call.request_id.encode(), call.resume_from, b"", ChunkKind.END)
+
+    async def call(self, member, plan, service, call, **options):
+        self.calls.append("service")
+        return PlainAnswer(200, "text/plain", b"far")
+
+
 class FakePeers:
     def __init__(self):
         self.near_by_id = {}
@@ -318,3 +335,11 @@
     call = ModelCall(number, model, b"{}", plan.weight, deadline_s)
     headers = Headers(number, now + deadline_s, "")
     return Request(plan, headers, call, True, prefixes, now, True)
+
+
+def make_plain(plan, *, method="GET", key="", body=b"x", path="/orders", number="r"):
+    """Return a plain call as the face would make it."""
+    grant = Grant(plan.name, TargetKind.SERVICE, "s")
+    call = PlainCall(number, method, path, body, "", key, PLAIN_DEADLINE_S)
+    deadline = asyncio.get_running_loop().time() + PLAIN_DEADLINE_S
+    return PlainRequest(plan, grant, deadline, call, True)
--- a/features/isolation.feature
+++ b/features/isolation.feature
@@ -23,6 +23,12 @@
     When every replica of its model goes out
     Then the waiting call is refused as no_replica within 0.1 s and was not run
 
+  @point4 @point8
+  Scenario: A queued call goes to a peer when its target goes out
+    Given calls that wait for a slot of a model and of a service
+    When both targets go out here and a peer of another failure domain has them
+    Then both calls are answered by the peer
+
   Scenario: A call that can't make its deadline is refused at once
     Given a busy target of 1 slot whose calls take 2 s
     When 3 calls with a deadline of 5 s come
--- a/features/steps/isolation.py
+++ b/features/steps/isolation.py
@@ -6,10 +6,14 @@
 from behave import given, then, when
 
 from auburnproxy.errors import Ran, RefusalError
+from auburnproxy.membership import Member
 from bench import isolation
 from features.fakes.serving import (
     FakeEngine,
+    FakeForwarder,
+    FakeService,
     FakeUpstreams,
+    make_plain,
     make_plan,
     make_request,
     make_site,
@@ -152,3 +156,35 @@
         assert refusal.ran is Ran.NO
         assert refusal.retry_after_s >= 1
         assert took_s == 0, took_s
+
+
+@given("calls that wait for a slot of a model and of a service")
+def waiting_both(context):
+    context.plan = make_plan("alpha")
+
+
+@when("both targets go out here and a peer of another failure domain has them")
+def both_go_out(context):
+    async def steps():
+        engine, service = FakeEngine(), FakeService()
+        upstreams = FakeUpstreams({"e0": engine}, {"p0": service}, slots=0)
+        site = make_site([context.plan], upstreams)
+        forwarder = FakeForwarder()
+        site.models._forwarder = site.services._forwarder = forwarder
+        model = asyncio.create_task(outcome(site, context.plan, "r"))
+        plain = asyncio.create_task(site.services.run(make_plain(context.plan)))
+        await asyncio.sleep(0.5)
+        assert not forwarder.calls
+        member = Member("b", "1", "domain-b", "", "")
+        site.peers.far_by_domain = {"domain-b": [member]}
+        upstreams.unusable |= {"e0", "p0"}
+        context.ends = (await model)[0], (await plain).body
+        context.calls, context.own = forwarder.calls, engine.calls + [*service.runs]
+
+    run_virtual(steps())
+
+
+@then("both calls are answered by the peer")
+def by_peer(context):
+    assert context.ends == (None, b"far"), context.ends
+    assert sorted(context.calls) == ["model", "service"] and not context.own
--- a/features/steps/services.py
+++ b/features/steps/services.py
@@ -4,14 +4,16 @@
 
 from behave import given, then, when
 
-from auburnproxy.configuration import Grant, TargetKind
 from auburnproxy.errors import RefusalError
-from auburnproxy.serving.services import Request
-from auburnproxy.upstreams.service import PlainCall
-from features.fakes.serving import FakeService, FakeUpstreams, make_plan, make_site
+from features.fakes.serving import (
+    FakeService,
+    FakeUpstreams,
+    make_plain,
+    make_plan,
+    make_site,
+)
 from features.machines.search import run_virtual
 
-DEADLINE_S = 10.0
 FAULTS = {
     "answer": "",
     "lose answers": "lost answer",
@@ -19,13 +21,6 @@
 }
 
 
-def make_call(plan, method="POST", key="", body=b"x", path="/orders", number="r"):
-    grant = Grant(plan.name, TargetKind.SERVICE, "s")
-    call = PlainCall(number, method, path, body, "", key, DEADLINE_S)
-    deadline = asyncio.get_running_loop().time() + DEADLINE_S
-    return Request(plan, grant, deadline, call, True)
-
-
 def with_site(context, steps):
     async def run():
         hosts = {f"p{i}": service for i, service in enumerate(context.hosts)}
@@ -60,7 +55,7 @@
 @when("a GET call is made")
 def get(context):
     async def steps(site, plan):
-        await answer(context, site, make_call(plan, "GET"))
+        await answer(context, site, make_plain(plan))
 
     with_site(context, steps)
 
@@ -69,7 +64,7 @@
 def post(context, keyed):
     async def steps(site, plan):
         key = "k" if keyed == "with" else ""
-        await answer(context, site, make_call(plan, key=key))
+        await answer(context, site, make_plain(plan, method="POST", key=key))
         await asyncio.sleep(5)
 
     with_site(context, steps)
@@ -78,12 +73,14 @@
 @when("a POST call with a key is left under way and made again")
 def left(context):
     async def steps(site, plan):
-        request = make_call(plan, key="k")
+        request = make_plain(plan, method="POST", key="k")
         first = asyncio.create_task(site.services.run(request))
         await asyncio.sleep(0.025)
         first.cancel()
         await asyncio.sleep(5)
-        await answer(context, site, make_call(plan, key="k", number="r2"))
+        await answer(
+            context, site, make_plain(plan, method="POST", key="k", number="r2")
+        )
 
     with_site(context, steps)
 
@@ -91,8 +88,8 @@
 @when("two different POST calls are made with one key")
 def reused(context):
     async def steps(site, plan):
-        await answer(context, site, make_call(plan, key="k"))
-        await answer(context, site, make_call(plan, key="k", body=b"y"))
+        await answer(context, site, make_plain(plan, method="POST", key="k"))
+        await answer(context, site, make_plain(plan, method="POST", key="k", body=b"y"))
 
     with_site(context, steps)
 
@@ -124,7 +121,7 @@
 def repeatable(context, call, entry, verdict):
     async def check():
         method, path = call.split(" ")
-        request = make_call(make_plan("alpha"), method, path=path)
+        request = make_plain(make_plan("alpha"), method=method, path=path)
         grant = request.grant._replace(repeatable=(entry,))
         return request._replace(grant=grant).repeatable
 
