--- a/auburnproxy/membership/membership.py
+++ b/auburnproxy/membership/membership.py
@@ -17,10 +17,12 @@
 from ._relay import Relay
 from ._steward import Steward
 from ._teller import Teller
+from ._wire import encode
 from .beat import Beat, key_digest
 from .epoch import NOTHING, Epoch, Window
 from .link import Link
 from .member import Member
+from .reports import Reports
 from .roster import JOIN, LEAVE, Roster
 from .view import View
 
@@ -70,6 +72,8 @@
         self.links_by_id: dict[str, Link] = {}
         self.beats_by_member: dict[str, Beat] = {}
         """Newest beat of each connected member, by member id."""
+        self.take_reports: Callable[[Member, Reports], None] = _ignore_reports
+        """Called with the reports of peers of the own failure domain."""
         self._version = version
         self._conditions: list[Callable[[Epoch], bool]] = []
         self._teller = Teller(self, version)
@@ -221,6 +225,16 @@
         except AuburnError as error:
             log.warning("The leave was not recorded: {}.", error)
 
+    def send_reports(self, peer: Member, reports: Reports) -> None:
+        """Send reports over the link with a peer, if there is one.
+
+        :param peer: the peer
+        :param reports: what it is told
+        """
+        link = self.links_by_id.get(peer.id)
+        if link:
+            link.send(encode(reports))
+
     async def serve(self, link: Link) -> None:
         """Take a link's messages until it ends.
 
@@ -241,6 +255,8 @@
                 message = await link.receive(timeout_s=self.silence_s)
                 if isinstance(message, Beat):
                     self._hear(link, message)
+                elif isinstance(message, Reports):
+                    self._take_reports(peer, message)
                 else:
                     self._relay.take(link, message)
         except AuburnError as error:
@@ -338,7 +354,15 @@
             self._suspended = False
             log.info("{} answered after the pause.", peer.id)
 
+    def _take_reports(self, peer: Member, reports: Reports) -> None:
+        if peer.failure_domain == self.me.failure_domain:
+            self.take_reports(peer, reports)
+
     def _send_beat(self) -> None:
         frame = self._teller.next_frame()
         for link in self.links:
             link.send(frame)
+
+
+def _ignore_reports(peer: Member, reports: Reports) -> None:
+    pass
