Forget the clocks of peers that are gone, and check the loop's clock

The bound on the transit needs the loop's clock never to run ahead of the machine's monotonic one; a scenario now holds a uvloop up and compares them. The bench works the cost out for 22 daemons and 89 engines from a fit by frames, polled hosts and all hosts.

--- a/auburnproxy/upstreams/sharing.py
+++ b/auburnproxy/upstreams/sharing.py
@@ -230,6 +230,8 @@
         for by_host in (self._own_by_host, self._whole_by_host, self._covers_by_host):
             for host in by_host.keys() - hosts.keys():
                 by_host.pop(host, None)
+        for peer_id in self._transit_by_id.keys() - near:
+            del self._transit_by_id[peer_id]
         for covers in self._covers_by_host.values():
             for peer_id in covers.keys() - near:
                 del covers[peer_id]
--- a/auburnproxy/upstreams/watcher.py
+++ b/auburnproxy/upstreams/watcher.py
@@ -179,13 +179,9 @@
         :param report: the report
         :param age_s: seconds since the peer asked for it, transit included
         """
-        if self.takes(report.host):
+        if self._takes(report.host):
             self._see(report, _now() - age_s)
 
-    def takes(self, host: str) -> bool:
-        """Return whether reports of peers count for a host."""
-        return host in self.entries_by_host and host not in self._distrusted
-
     def own_reports(self) -> Mapping[str, tuple[Report, float]]:
         """Return the fresh reports of the hosts polled here, with ages in seconds."""
         now = _now()
@@ -331,6 +327,9 @@
         self._see(report, asked_at)
         return Poll(host, asked_at, report)
 
+    def _takes(self, host: str) -> bool:
+        return host in self.entries_by_host and host not in self._distrusted
+
     def _seen_within(self, host: str, age_s: float) -> bool:
         sighting = self._sightings_by_host.get(host)
         return sighting is not None and _now() - sighting.asked_at < age_s
--- a/bench/fit.py
+++ b/bench/fit.py
@@ -71,3 +71,30 @@
         f"{line.intercept:.4g} {unit}, residual {line.residual:.1%}\n"
     )
     return line
+
+
+def fit_terms(
+    terms: Sequence[Sequence[float]], values: Sequence[float]
+) -> tuple[float, ...]:
+    """Fit a sum of terms by least squares and return the factor of each term.
+
+    :param terms: the terms at each point; more points than terms
+    :param values: the value measured at each point
+    """
+    count = len(terms[0])
+    points = list(zip(terms, values, strict=True))
+    matrix = [
+        [sum(t[i] * t[j] for t in terms) for j in range(count)]
+        + [sum(t[i] * value for t, value in points)]
+        for i in range(count)
+    ]
+    for i in range(count):
+        pivot = max(range(i, count), key=lambda row: abs(matrix[row][i]))
+        matrix[i], matrix[pivot] = matrix[pivot], matrix[i]
+        matrix[i] = [cell / matrix[i][i] for cell in matrix[i]]
+        for row in range(count):
+            if row != i:
+                factor = matrix[row][i]
+                pairs = zip(matrix[row], matrix[i], strict=True)
+                matrix[row] = [cell - factor * other for cell, other in pairs]
+    return tuple(row[-1] for row in matrix)
--- a/bench/polling.py
+++ b/bench/polling.py
@@ -12,6 +12,7 @@
 import tempfile
 from collections.abc import Sequence
 from datetime import datetime
+from operator import mul
 from pathlib import Path
 from statistics import mean
 from typing import NamedTuple
@@ -22,14 +23,18 @@
 from rich.console import Console
 from rich.table import Table
 
+from auburnproxy.upstreams.sharing import SHARE_MOST_S, SHARE_PER_PEER_S
+from auburnproxy.upstreams.watcher import REPORT_INTERVAL_S
 from standins.deployment import Deployment, Shape, lay_out
 from standins.processes import Processes, processes, until_listens
 from standins.upstreams import FaultKind, UpstreamFault
 
 from .control import START_TIMEOUT_S, cpu_s, memory_mb
+from .fit import fit_terms
 
-DAEMONS = (1, 2, 4, 6)
+DAEMONS = (1, 2, 4, 8)
 ENGINES = (16, 32, 64)
+TARGET_DAEMONS, TARGET_ENGINES = 22, 89
 SETTLE_S = 6.0
 MEASURE_S = 8.0
 KILLS = 8
@@ -154,6 +159,31 @@
     Console(width=100).print(table)
 
 
+def terms(daemons: int, engines: int) -> tuple[float, ...]:
+    """Return what the cost consists of: a constant, polled and all hosts, frames."""
+    peers = daemons - 1
+    interval_s = min(SHARE_MOST_S, max(REPORT_INTERVAL_S, SHARE_PER_PEER_S * peers))
+    return 1.0, engines / daemons, engines, peers / interval_s
+
+
+def work_out(rows: Sequence[Row]) -> None:
+    """Print the cost at the target size, from a fit of the rows.
+
+    :param rows: rows of at least five sizes
+    """
+    sizes = [terms(row.daemons, row.engines) for row in rows]
+    target = terms(TARGET_DAEMONS, TARGET_ENGINES)
+    print(f"Worked out for {TARGET_DAEMONS} daemons and {TARGET_ENGINES} engines:")
+    for place, unit in enumerate(("% of a core", "kB/s read", "kB/s written")):
+        values = [row.usage[place] for row in rows]
+        factors = fit_terms(sizes, values)
+        fitted = [sum(map(mul, factors, size)) for size in sizes]
+        residual = max(abs(v - f) for v, f in zip(values, fitted, strict=True))
+        total = sum(map(mul, factors, target))
+        shown = ", ".join(f"{factor:.4g}" for factor in factors)
+        print(f"  {total:.2f} {unit}; factors {shown}; residual {residual:.2f}")
+
+
 def main(
     *, daemons: tuple[int, ...] = DAEMONS, engines: tuple[int, ...] = ENGINES
 ) -> None:
@@ -164,6 +194,8 @@
     """
     rows = [asyncio.run(measure(d, e)) for d in daemons for e in engines]
     show(rows)
+    if len(rows) > len(terms(1, 1)):
+        work_out(rows)
 
 
 if __name__ == "__main__":
--- a/features/reports.feature
+++ b/features/reports.feature
@@ -49,3 +49,8 @@
     When each host has cached 40 new prompt prefixes
     And 20 seconds pass at the pollers
     Then every daemon knows all prompt prefixes
+
+  @point1
+  Scenario: The loop's clock never runs ahead of the machine's
+    When the loop of the daemon is held up for 0.3 seconds
+    Then its clock stands between the machine's at both ends
--- a/features/steps/reports.py
+++ b/features/steps/reports.py
@@ -1,8 +1,10 @@
 """Steps for daemons that share the reports of upstreams."""
 
 import asyncio
+import time
 
 import async_solipsism
+import uvloop
 from behave import given, then, when
 
 from auburnproxy.membership.rendezvous import rank
@@ -13,6 +15,8 @@
 
 SETTLE_S = 6.0
 LOOK_S = 0.05
+RESOLUTION_S = 0.002
+"""The loop counts whole milliseconds."""
 
 
 @when("pollers, links and hosts fail at random")
@@ -140,3 +144,21 @@
                 assert set(known) == set(engine.prefixes), (daemon.me.name, known)
 
     context.loop.run_until_complete(check())
+
+
+@when("the loop of the daemon is held up for {seconds:g} seconds")
+def hold_up(context, seconds):
+    async def read():
+        first = asyncio.get_running_loop().time()
+        time.sleep(seconds)  # noqa: ASYNC251
+        return first, asyncio.get_running_loop().time(), time.monotonic()
+
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        context.started_at = time.monotonic()
+        context.clocks = runner.run(read())
+
+
+@then("its clock stands between the machine's at both ends")
+def compare_clocks(context):
+    first, second, ended_at = context.clocks
+    assert context.started_at - RESOLUTION_S <= first <= second <= ended_at
