--- a/auburnproxy/membership/_wire.py
+++ b/auburnproxy/membership/_wire.py
@@ -73,7 +73,7 @@
         case Entries(entries):
             frame.entries = msgspec.msgpack.encode(entries)
         case CheckpointPart(part, parts, data):
-            frame.checkpoint = {"part": part, "parts": parts, "data": data}
+            _fill_checkpoint(frame.init("checkpoint"), part, parts, data)
         case Reports():
             _fill_reports(frame.init("reports"), message)
     return bytes(frame.to_bytes_packed())
@@ -100,6 +100,12 @@
     hello.nonce = nonce
 
 
+def _fill_checkpoint(target: Any, part: int, parts: int, data: bytes) -> None:
+    target.part = part
+    target.parts = parts
+    target.data = data
+
+
 def _fill_beat(target: Any, beat: Beat) -> None:
     target.epoch = beat.epoch
     target.acked = beat.acked
@@ -108,10 +114,11 @@
     target.version = beat.version
     target.needsRelay = beat.needs_relay
     target.gone = list(beat.gone)
-    free = target.init("free", len(beat.free))
-    for place, (digest, slots) in enumerate(beat.free.items()):
-        free[place].keyDigest = digest
-        free[place].slots = slots
+    for field, told in (("free", beat.free), ("busy", beat.busy)):
+        items = target.init(field, len(told))
+        for place, (digest, slots) in enumerate(told.items()):
+            items[place].keyDigest = digest
+            items[place].slots = slots
     summaries = target.init("summaries", len(beat.summaries))
     for place, summary in enumerate(beat.summaries):
         summaries[place].failureDomain = summary.failure_domain
@@ -176,4 +183,5 @@
             Summary(item.failureDomain, item.settled, item.version)
             for item in beat.summaries
         ),
+        busy={item.keyDigest: item.slots for item in beat.busy},
     )
--- a/auburnproxy/membership/membership.py
+++ b/auburnproxy/membership/membership.py
@@ -5,7 +5,6 @@
 import asyncio
 import time
 from collections.abc import Callable, Mapping, Sequence
-from typing import Protocol
 
 from loguru import logger
 
@@ -13,11 +12,13 @@
 from . import link as links
 from ._dialer import Dialer
 from ._journal import JournalPort
+from ._limits import SharedLimits
 from ._missing import Missing
 from ._relay import Relay
 from ._steward import Steward
+from ._teller import Teller
 from ._wire import encode
-from .beat import Beat, choose_free, key_digest
+from .beat import Beat, key_digest
 from .epoch import NOTHING, Epoch, Window
 from .link import Link
 from .member import Member
@@ -27,29 +28,16 @@
 
 TICK_S = 0.25
 BEAT_MIN_S = 0.5
-BEAT_PER_LINK_S = 0.1
-SILENCE_BEATS = 5
+BEAT_PER_LINK_S = 0.15
+SILENCE_BEATS = 4
 SILENCE_MIN_S = 8.0
 PAUSE_BOUND_S = 30.0
 """A daemon that did not run for this long asks its peers before it acts again."""
-MAX_FREE_TOLD = 24
-MAX_SUMMARIES_TOLD = 6
 PROPOSE_TIMEOUT_S = 10.0
 
 log = logger.bind(part="membership")
 
 
-class SharedLimits(Protocol):
-    """What membership needs of the gates."""
-
-    def fits(self, epoch: Epoch) -> bool:
-        """Return whether everything in flight fits an epoch."""
-
-    @property
-    def free_by_key(self) -> Mapping[str, int]:
-        """Return the free slots by key."""
-
-
 class Membership:
     """One daemon's place among the others.
 
@@ -88,16 +76,14 @@
         """Called with the reports of peers of the own failure domain."""
         self._version = version
         self._conditions: list[Callable[[Epoch], bool]] = []
-        self._limits: SharedLimits | None = None
+        self._teller = Teller(self, version)
         self._dialer = Dialer(self)
         self._relay = Relay(self)
         self._steward = Steward(self, lambda domain: is_out(domain, ""))
         self._missing = Missing(self, lost_hosts, is_out, PAUSE_BOUND_S)
-        self._told: tuple[object, ...] = ()
-        self._frame_told = b""
-        self._summaries_told = 0
         self._ran_at = time.clock_gettime(time.CLOCK_BOOTTIME)
         self._suspended = False
+        self._resumed_at = 0.0
         self._accepting = False
 
     @property
@@ -147,9 +133,25 @@
 
         :param limits: this daemon's gates
         """
-        self._limits = limits
+        self._teller.limits = limits
         self.require(limits.fits)
 
+    def tell_busy(self, busy: Callable[[], Mapping[str, int]]) -> None:
+        """Tell peers of the slots in use for a while after a member is lost.
+
+        :param busy: returns the slots in use by key
+        """
+        self._teller.busy = busy
+
+    def busy_slots(self, key: str) -> Mapping[str, int]:
+        """Return the slots that connected members said to use, by member id.
+
+        :param key: the quota's key
+        """
+        digest = key_digest(key)
+        beats = self.beats_by_member.items()
+        return {member_id: beat.busy.get(digest, 0) for member_id, beat in beats}
+
     def require(self, obeys: Callable[[Epoch], bool]) -> None:
         """Add a condition that has to hold before an epoch is acknowledged.
 
@@ -248,11 +250,11 @@
         self.links_by_id[peer.id] = link
         log.debug("Linked with {}.", peer.id)
         try:
-            link.send(self._frame_told or self._frame())
-            while True:
+            link.send(self._teller.frame)
+            while self.links_by_id.get(peer.id) is link:
                 message = await link.receive(timeout_s=self.silence_s)
                 if isinstance(message, Beat):
-                    self._hear(peer, message)
+                    self._hear(link, message)
                 elif isinstance(message, Reports):
                     self._take_reports(peer, message)
                 else:
@@ -316,7 +318,7 @@
             self._ran()
             self.view.acknowledge(self._obeys)
             now = asyncio.get_running_loop().time()
-            if now >= due or self._news() != self._told:
+            if now >= due or self._teller.has_news:
                 self._send_beat()
                 due = now + self.beat_interval_s
             await asyncio.sleep(TICK_S)
@@ -326,6 +328,7 @@
         now = time.clock_gettime(time.CLOCK_BOOTTIME)
         if now - self._ran_at > PAUSE_BOUND_S:
             self._suspended = True
+            self._resumed_at = asyncio.get_running_loop().time()
             log.warning("Paused for {:.0f} s; asking peers.", now - self._ran_at)
             for link in self.links:
                 link.close()
@@ -342,10 +345,12 @@
     def _obeys(self, epoch: Epoch) -> bool:
         return all(obeys(epoch) for obeys in self._conditions)
 
-    def _hear(self, peer: Member, beat: Beat) -> None:
+    def _hear(self, link: Link, beat: Beat) -> None:
+        peer = link.peer
         self.view.hear(peer, beat)
+        self._teller.heard_from(peer)
         self.beats_by_member[peer.id] = beat
-        if self._suspended and not self.view.expelled:
+        if self._suspended and link.opened_at > self._resumed_at:
             self._suspended = False
             log.info("{} answered after the pause.", peer.id)
 
@@ -353,39 +358,10 @@
         if peer.failure_domain == self.me.failure_domain:
             self.take_reports(peer, reports)
 
-    def _news(self) -> tuple[object, ...]:
-        """Return what peers are told of before the next beat is due."""
-        view = self.view
-        relayed = any(beat.needs_relay for beat in self.beats_by_member.values())
-        offset = self.journal.offset if relayed else 0
-        facts = (view.acked, view.settled, view.gone, tuple(self.in_force.values()))
-        return (*facts, view.epoch, offset)
-
     def _send_beat(self) -> None:
-        self._told = self._news()
-        self._frame_told = self._frame()
+        frame = self._teller.next_frame()
         for link in self.links:
-            link.send(self._frame_told)
-
-    def _frame(self) -> bytes:
-        view = self.view
-        free = self._limits.free_by_key if self._limits else {}
-        summaries = view.summaries()
-        start = self._summaries_told
-        chosen = (summaries[start:] + summaries[:start])[:MAX_SUMMARIES_TOLD]
-        self._summaries_told = (start + MAX_SUMMARIES_TOLD) % max(len(summaries), 1)
-        beat = Beat(
-            epoch=view.epoch,
-            acked=view.acked,
-            settled=view.settled,
-            offset=self.journal.offset,
-            version=self.in_force[self.me.failure_domain],
-            needs_relay=not self.journal.up,
-            gone=view.gone_to_tell(),
-            free=choose_free(free, self.me.id, most=MAX_FREE_TOLD),
-            summaries=chosen,
-        )
-        return encode(beat)
+            link.send(frame)
 
 
 def _ignore_reports(peer: Member, reports: Reports) -> None:
--- a/auburnproxy/serving/services.py
+++ b/auburnproxy/serving/services.py
@@ -33,6 +33,8 @@
 BUSY = frozenset({429, 503})
 READ_METHODS = frozenset({"GET", "HEAD", "OPTIONS"})
 RETRY_AFTER_S = 1.0
+SETTLE_S = 5.0
+"""Seconds that a shutdown waits for the log to take what became of calls."""
 Use = Callable[[LocalService], Awaitable[PlainAnswer]]
 
 
@@ -152,7 +154,9 @@
         """Wait until calls that may not be repeated have run to their end."""
         while self._tasks:
             await asyncio.wait(self._tasks)
-        await self._ledger.settled()
+        with suppress(TimeoutError):
+            async with asyncio.timeout(SETTLE_S):
+                await self._ledger.settled()
 
     async def run(self, request: Request) -> PlainAnswer:
         """Return the answer of a call.
@@ -205,19 +209,24 @@
         return await self._placed(request, avoid, use)
 
     async def _once(self, request: Request) -> PlainAnswer:
-        plan, service = request.plan.name, request.grant.target
-        known = self._ledger.known(plan, request.call, service=service)
-        if known is not None:
-            return known
+        """Return the answer of a call that is dispatched at most once.
+
+        Its key is claimed before a slot is taken, so that calls which wait for
+        the log keep no others waiting. A daemon that a call was forwarded to
+        dispatches it under the claim of the one that it came from.
+        """
 
         async def use(place: LocalService) -> PlainAnswer:
-            def dispatch(call: PlainCall) -> Awaitable[PlainAnswer]:
-                return self._sent(place, call, _remaining_s(request))
+            return await self._sent(place, request.call, _remaining_s(request))
 
-            return await self._ledger.run(plan, request.call, dispatch, service=service)
+        async def dispatch(call: PlainCall) -> PlainAnswer:
+            return await self._placed(request, (), use)
 
+        if request.may_spill:
+            plan, service = request.plan.name, request.grant.target
+            return await self._ledger.run(plan, request.call, dispatch, service=service)
         try:
-            return await self._placed(request, (), use)
+            return await dispatch(request.call)
         except UpstreamError as error:
             raise _given_up(error.ran) from error
 
--- a/features/machines/journal.py
+++ b/features/machines/journal.py
@@ -92,6 +92,11 @@
             return None
 
 
+def folded_to(process):
+    """Return the last folded offset, also while the state is not whole."""
+    return process.journal._fold.offset
+
+
 class JournalMachine(RuleBasedStateMachine):
     """Outages, lost answers, expired records, races, slow readers, relay."""
 
@@ -216,7 +221,8 @@
             port.cut, port.lag, port.lose_answers = False, 0, 0
         for sender, receiver in permutations(range(len(self.processes)), 2):
             self.hand_over(sender, receiver)
-        blank = all(p.journal.offset == 0 for p in self.processes)
+        left = [p.journal for p in self.processes if not p.journal.diverged]
+        blank = all(journal.offset == 0 for journal in left)
         self.loop.run_until_complete(asyncio.sleep(SETTLE_S))
         journals = [p.journal for p in self.processes if not p.journal.diverged]
         assert journals, "every process has stopped"
@@ -231,7 +237,7 @@
     def states_are_the_list_folded_in_order(self):
         for process in getattr(self, "processes", ()):
             assert not process.task.done(), process.task
-            folded = self.oracle_of(process).at(process.journal.offset)
+            folded = self.oracle_of(process).at(folded_to(process))
             assert tuple(process.notes.values) == folded
 
     @invariant()
@@ -263,7 +269,7 @@
     def oracle_of(self, process):
         holes = process.journal.holes
         oracle = self.oracles.setdefault(holes, Oracle(self.log, holes))
-        oracle.at(process.journal.offset)
+        oracle.at(folded_to(process))
         return oracle
 
     def stop(self, process):
