Let delayed frames arrive within the rule that delays them

Leaving the transit out of a report's age went uncaught after the pace of sharing changed: the random runs hardly ever waited out a delay. The rule now does, and the break is caught again.

--- a/features/machines/reports.py
+++ b/features/machines/reports.py
@@ -85,6 +85,7 @@
     def delay(self, one, other, seconds):
         route = (self.daemons[one].me.id, self.daemons[other].me.id)
         self.switch.delay_s[route] = seconds
+        self.run(self.look(seconds + REPORT_INTERVAL_S))
 
     @rule(host=hosts, hangs=st.booleans())
     def kill(self, host, hangs):
