--- a/features/membership.feature
+++ b/features/membership.feature
@@ -32,6 +32,7 @@
     When a1 restarts on its address
     Then a0 and the new a1 share everything in one epoch
 
+  @point10
   Scenario: A failure domain that is cut off from the log stays current through its peers
     Given daemons a0 and a1 and b0 and b1
     And every epoch is settled
@@ -47,6 +48,7 @@
     When the end of this link in b freezes
     Then one link joins a and b
 
+  @point4
   Scenario: A failure domain that is out has no part of the plans until it is back
     Given daemons a0 and a1 and b0
     And every epoch is settled
@@ -63,3 +65,20 @@
     Then the member is not gone
     When the pause bound passes
     Then the member is gone
+
+  @point2 @point3
+  Scenario: A daemon that was paused past the bound holds nothing until a peer has answered
+    Given daemons a0 and a1
+    And every epoch is settled
+    When a0 finds that it was paused for 60 s
+    Then a0 holds nothing
+    And a0 has its share again after a new link
+
+  @point2 @point3
+  Scenario: A daemon that peers took for gone during its pause holds nothing for good
+    Given daemons a0 and a1
+    And every epoch is settled
+    When a1 takes a0 for gone
+    And a0 finds that it was paused for 60 s
+    Then a0 holds nothing
+    And a0 learns that it is expelled and a1 has its share
