--- a/auburnproxy/daemon/daemon.py
+++ b/auburnproxy/daemon/daemon.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import time
 from collections.abc import Coroutine
 from typing import Any
@@ -15,19 +16,20 @@
 from ..membership.rendezvous import rank
 from ..operators import Overview
 from ..platform.http import connect_hosts, connect_log, connect_weights
-from ..quotas import Gates, custodian, holds, share
+from ..quotas import Gates, Orphans, custodian, holds, share
 from ..replicas import Custodian, Downtime, Planner, Readiness, Repairs, Replicas
 from ..routing import Router
 from ..serving import Face, Limits, Spill
 from ..telemetry import Telemetry, part
-from ..upstreams import Exchange, Watcher
+from ..upstreams import Watcher
 from ..upstreams.http_engine import connect_engine
 from ..upstreams.http_service import connect_service
-from ..upstreams.watcher import poll_key
+from ..upstreams.sharing import Sharing
 from ._local import DaemonView
 from ._lost import LostDaemons
 from ._moves import Moves
 from ._peers import KnownPeers, Offers, Targets
+from ._sharing import LinkedPeers
 from ._wants import Wants
 from .settings import Calls, Settings
 
@@ -105,22 +107,28 @@
         )
         self.lost = LostDaemons(lambda: self.watcher.listed_by_name, self._linked)
         self.gates = Gates(lambda: self.membership.window, self.me.id)
+        self.orphans = Orphans(
+            self.gates, self.membership.busy_slots, self._reported_calls
+        )
+        self.membership.tell_busy(lambda: self.gates.busy_by_key)
         self.membership.require(self._gave_up_custody)
 
     def _join_upstreams(self, settings: Settings) -> None:
         self.hosts = connect_hosts(settings.platform.hosts)
         self.weights = connect_weights(settings.platform.weights)
         self.wants = Wants(self.configuration)
+        self.sharing = Sharing(LinkedPeers(self.membership))
         self.watcher = Watcher(
             self.hosts,
             connect_engine,
             connect_service,
             failure_domain=self.me.failure_domain,
             is_out=self.configuration.is_out,
-            polls=lambda host: self._holds(poll_key(host)),
+            polls=self.sharing.polls,
+            relay_grace_s=math.inf,
         )
-        self.exchange = Exchange(self.watcher, self.me.id, self.membership.tell_reports)
-        self.membership.hear_reports = self.exchange.take
+        self.sharing.attach(self.watcher)
+        self.membership.take_reports = self.sharing.take
         self.readiness = Readiness(self.replicas, self.watcher)
         self.downtime = Downtime(
             self.replicas, self.watcher, self.readiness, wanted=self.wants.replicas
@@ -191,11 +199,12 @@
         self._spawn("journal", self.journal.run())
         self._spawn("membership", self.membership.run())
         self._spawn("upstreams", self.watcher.run())
-        self._spawn("exchange", self.exchange.run())
+        self._spawn("sharing", self.sharing.run())
         self._spawn("planner", self.planner.run())
         self._spawn("custodian", self.custodian.run())
         self._spawn("downtime", self.downtime.run())
         self._spawn("serving", self.face.run())
+        self._spawn("orphans", self.orphans.run())
         self._spawn("moves", self.moves.run())
         self._spawn("divergence", self._until_diverged())
         log.info("{} started.", self.me.id)
@@ -256,6 +265,14 @@
     def _holds(self, key: str) -> bool:
         return holds(key, self.membership.window, self.me.id)
 
+    def _reported_calls(self, host: str) -> int | None:
+        """Return the calls that an upstream reports to run or queue."""
+        engine = self.watcher.report(host)
+        if engine is not None:
+            return engine.in_flight + engine.queued
+        service = self.watcher.service_report(host)
+        return service.in_flight if service is not None else None
+
     def _linked(self) -> set[str]:
         return {link.peer.name for link in self.membership.links_by_id.values()}
 
--- a/auburnproxy/membership/membership.py
+++ b/auburnproxy/membership/membership.py
@@ -17,18 +17,19 @@
 from ._relay import Relay
 from ._steward import Steward
 from ._teller import Teller
-from ._wire import Reports, encode
+from ._wire import encode
 from .beat import Beat, key_digest
 from .epoch import NOTHING, Epoch, Window
 from .link import Link
 from .member import Member
+from .reports import Reports
 from .roster import JOIN, LEAVE, Roster
 from .view import View
 
 TICK_S = 0.25
 BEAT_MIN_S = 0.5
-BEAT_PER_LINK_S = 0.12
-SILENCE_BEATS = 5
+BEAT_PER_LINK_S = 0.15
+SILENCE_BEATS = 4
 SILENCE_MIN_S = 8.0
 PAUSE_BOUND_S = 30.0
 """A daemon that did not run for this long asks its peers before it acts again."""
@@ -71,13 +72,13 @@
         self.links_by_id: dict[str, Link] = {}
         self.beats_by_member: dict[str, Beat] = {}
         """Newest beat of each connected member, by member id."""
+        self.take_reports: Callable[[Member, Reports], None] = _ignore_reports
+        """Called with the reports of peers of the own failure domain."""
         self._version = version
         self._conditions: list[Callable[[Epoch], bool]] = []
         self._teller = Teller(self, version)
         self._dialer = Dialer(self)
         self._relay = Relay(self)
-        self.hear_reports: Callable[[bytes], None] = lambda data: None
-        """Takes the reports that a member of the own failure domain sent."""
         self._steward = Steward(self, lambda domain: is_out(domain, ""))
         self._missing = Missing(self, lost_hosts, is_out, PAUSE_BOUND_S)
         self._ran_at = time.clock_gettime(time.CLOCK_BOOTTIME)
@@ -158,16 +159,6 @@
         """
         self._conditions.append(obeys)
 
-    def tell_reports(self, data: bytes) -> None:
-        """Send reports of upstreams to the connected members of the failure domain.
-
-        :param data: reports, as the upstreams slice packs them
-        """
-        frame = encode(Reports(data))
-        for link in self.links:
-            if link.peer.failure_domain == self.me.failure_domain:
-                link.send(frame)
-
     def delegate(self, failure_domain: str) -> Member | None:
         """Return the member of a failure domain that the own one links with.
 
@@ -234,6 +225,16 @@
         except AuburnError as error:
             log.warning("The leave was not recorded: {}.", error)
 
+    def send_reports(self, peer: Member, reports: Reports) -> None:
+        """Send reports over the link with a peer, if there is one.
+
+        :param peer: the peer
+        :param reports: what it is told
+        """
+        link = self.links_by_id.get(peer.id)
+        if link:
+            link.send(encode(reports))
+
     async def serve(self, link: Link) -> None:
         """Take a link's messages until it ends.
 
@@ -254,6 +255,8 @@
                 message = await link.receive(timeout_s=self.silence_s)
                 if isinstance(message, Beat):
                     self._hear(link, message)
+                elif isinstance(message, Reports):
+                    self._take_reports(peer, message)
                 else:
                     self._relay.take(link, message)
         except AuburnError as error:
@@ -351,7 +354,15 @@
             self._suspended = False
             log.info("{} answered after the pause.", peer.id)
 
+    def _take_reports(self, peer: Member, reports: Reports) -> None:
+        if peer.failure_domain == self.me.failure_domain:
+            self.take_reports(peer, reports)
+
     def _send_beat(self) -> None:
         frame = self._teller.next_frame()
         for link in self.links:
             link.send(frame)
+
+
+def _ignore_reports(peer: Member, reports: Reports) -> None:
+    pass
