Tell the slots in use for as long as a peer counts

Peers told them for 60 s after a loss only. A gate made later, or a call of a dead daemon that outlived the minute, then took all other calls for orphans and held its whole growth back as long as the upstream was busy. Now a daemon that counts says so in its beats.

--- a/auburnproxy/membership/_teller.py
+++ b/auburnproxy/membership/_teller.py
@@ -17,8 +17,8 @@
 MAX_FREE_TOLD = 24
 MAX_BUSY_TOLD = 128
 MAX_SUMMARIES_TOLD = 6
-TELL_BUSY_S = 60.0
-"""How long after a loss peers are told of the slots in use."""
+COUNTING_S = 5.0
+"""How long peers are asked for the slots that they use, after each need of them."""
 
 
 class Teller:
@@ -38,8 +38,7 @@
         self._told: tuple[object, ...] = ()
         self._frame = b""
         self._turn = 0
-        self._lost: frozenset[str] = frozenset()
-        self._busy_until = 0.0
+        self._counting_until = 0.0
 
     @property
     def frame(self) -> bytes:
@@ -49,7 +48,6 @@
     @property
     def has_news(self) -> bool:
         """Return whether peers should hear something before the next beat is due."""
-        self._see_losses()
         return self._news() != self._told
 
     def heard_from(self, peer: Member) -> None:
@@ -59,12 +57,17 @@
         """
         self._first_hand.add(peer.failure_domain)
 
+    def count(self) -> None:
+        """Ask peers for the slots that they use, for some seconds."""
+        self._counting_until = asyncio.get_running_loop().time() + COUNTING_S
+
     def next_frame(self) -> bytes:
         """Return a new beat as a frame."""
         view, journal = self._membership.view, self._membership.journal
         me = self._membership.me.id
         self._told = self._news()
         free = self.limits.free_by_key if self.limits else {}
+        busy = self.busy() if self._is_asked else {}
         beat = Beat(
             epoch=view.epoch,
             acked=view.acked,
@@ -75,7 +78,8 @@
             gone=view.gone_to_tell(),
             free=choose_slots(free, me, most=MAX_FREE_TOLD),
             summaries=self._choose_summaries(),
-            busy=choose_slots(self._busy_now(), me, most=MAX_BUSY_TOLD),
+            busy=choose_slots(busy, me, most=MAX_BUSY_TOLD),
+            counting=self._counting,
         )
         self._frame = encode(beat)
         return self._frame
@@ -86,8 +90,9 @@
         relayed = any(beat.needs_relay for beat in beats)
         offset = membership.journal.offset if relayed else 0
         first_hand = tuple(s for s in view.summaries() if self._is_first_hand(s))
+        counts = (self._counting, self._is_asked)
         facts = (view.epoch, view.acked, view.settled, view.gone, self._version())
-        return (*facts, offset, first_hand)
+        return (*facts, offset, first_hand, counts)
 
     def _choose_summaries(self) -> tuple[Summary, ...]:
         """Return those that changed first-hand, and others in turn."""
@@ -109,12 +114,11 @@
     def _is_first_hand(self, summary: Summary) -> bool:
         return summary.failure_domain in self._first_hand
 
-    def _see_losses(self) -> None:
-        gone = self._membership.gone
-        if not gone <= self._lost:
-            self._busy_until = asyncio.get_running_loop().time() + TELL_BUSY_S
-        self._lost = gone
+    @property
+    def _counting(self) -> bool:
+        return asyncio.get_running_loop().time() < self._counting_until
 
-    def _busy_now(self) -> Mapping[str, int]:
-        told = asyncio.get_running_loop().time() <= self._busy_until
-        return self.busy() if told else {}
+    @property
+    def _is_asked(self) -> bool:
+        beats = self._membership.beats_by_member.values()
+        return any(beat.counting for beat in beats)
--- a/auburnproxy/membership/_wire.py
+++ b/auburnproxy/membership/_wire.py
@@ -113,6 +113,7 @@
     target.offset = beat.offset
     target.version = beat.version
     target.needsRelay = beat.needs_relay
+    target.counting = beat.counting
     target.gone = list(beat.gone)
     for field, told in (("free", beat.free), ("busy", beat.busy)):
         items = target.init(field, len(told))
@@ -184,4 +185,5 @@
             for item in beat.summaries
         ),
         busy={item.keyDigest: item.slots for item in beat.busy},
+        counting=beat.counting,
     )
--- a/auburnproxy/membership/beat.py
+++ b/auburnproxy/membership/beat.py
@@ -42,7 +42,9 @@
     summaries: tuple[Summary, ...] = ()
     """Of other failure domains, a selection."""
     busy: Mapping[int, int] = {}
-    """Slots in use by digest of the key, told for a while after a loss."""
+    """Slots in use by digest of the key, told while a peer counts them."""
+    counting: bool = False
+    """Whether the sender has to know the slots that its peers use."""
 
 
 def key_digest(key: str) -> int:
--- a/auburnproxy/membership/membership.py
+++ b/auburnproxy/membership/membership.py
@@ -137,7 +137,7 @@
         self.require(limits.fits)
 
     def tell_busy(self, busy: Callable[[], Mapping[str, int]]) -> None:
-        """Tell peers of the slots in use for a while after a member is lost.
+        """Tell peers of the slots in use while one of them counts.
 
         :param busy: returns the slots in use by key
         """
@@ -146,8 +146,12 @@
     def busy_slots(self, key: str) -> Mapping[str, int]:
         """Return the slots that connected members said to use, by member id.
 
+        Members are asked for some seconds after each call; the first answers
+        come with their next beats.
+
         :param key: the quota's key
         """
+        self._teller.count()
         digest = key_digest(key)
         beats = self.beats_by_member.items()
         return {member_id: beat.busy.get(digest, 0) for member_id, beat in beats}
--- a/auburnproxy/membership/peer.capnp
+++ b/auburnproxy/membership/peer.capnp
@@ -20,6 +20,7 @@
   free @7 :List(Slots);
   summaries @8 :List(Summary);
   busy @9 :List(Slots);
+  counting @10 :Bool;
 
   struct Slots {
     keyDigest @0 :UInt32;
--- a/features/fakes/peers.py
+++ b/features/fakes/peers.py
@@ -33,6 +33,7 @@
         for key in (KEY, PLAN):
             self.gates.gate(key).limit = LIMIT
         self.membership.attach(self.gates)
+        self.membership.tell_busy(lambda: self.gates.busy_by_key)
         runs = (self.journal.run(), self.membership.run())
         self.tasks = [asyncio.get_running_loop().create_task(run) for run in runs]
 
--- a/features/membership.feature
+++ b/features/membership.feature
@@ -87,3 +87,9 @@
     Given a daemon without the log, and two peers that are ahead and answer nothing
     When it fetches for 10 seconds
     Then both peers were asked
+
+  Scenario: A daemon that counts is told of the slots that its peers use
+    Given daemons a0 and a1
+    And every epoch is settled
+    When a0 uses 3 slots
+    Then a1 learns that a0 uses 3 slots while it asks
--- a/features/steps/membership.py
+++ b/features/steps/membership.py
@@ -17,7 +17,7 @@
 from features.fakes.journal import FakeJournal
 from features.fakes.journal import FakeLog as FoldedLog
 from features.fakes.log import FakeLog
-from features.fakes.peers import LIMIT, PLAN, SECRET, Frozen, Peer
+from features.fakes.peers import KEY, LIMIT, PLAN, SECRET, Frozen, Peer
 from features.loopback import free_addresses
 
 PATIENCE_S = 30.0
@@ -383,3 +383,15 @@
 @then("both peers were asked")
 def both_asked(context):
     assert set(context.asked) == {"a1", "a2"}, context.asked
+
+
+@when("a0 uses 3 slots")
+def use_slots(context):
+    gate = context.peers["a0"].gates.gate(KEY)
+    assert all(gate.try_acquire() for _ in range(3))
+
+
+@then("a1 learns that a0 uses 3 slots while it asks")
+def learns(context):
+    a1 = context.peers["a1"].membership
+    wait(context, lambda: a1.busy_slots(KEY) == {"a0@1": 3})
