--- a/features/machines/replicas.py
+++ b/features/machines/replicas.py
@@ -163,12 +163,18 @@
             self.left_at.setdefault(name, self.now)
 
     @rule(
-        host=hosts, delay_s=st.sampled_from([0.0, 0.5, 1.5, 6.0]), twice=st.booleans()
+        host=hosts, delay_s=st.sampled_from([0.0, 0.5, 1.5, 12.0]), twice=st.booleans()
     )
     def slow_orders(self, host, delay_s, twice):
         self.engines[host].order_delay_s = delay_s
         self.engines[host].duplicates = twice
 
+    @rule(delay_s=st.sampled_from([0.0, 12.0]), odd=st.booleans())
+    def slow_half(self, delay_s, odd):
+        """Let orders reach every second host late, so that they differ in a replica."""
+        for engine in self.engines[odd::2]:
+            engine.order_delay_s = delay_s
+
     @rule(fabric=st.integers(0, len(FABRICS) - 1), back=st.booleans())
     def darken(self, fabric, back):
         for engine in self.engines[fabric * HOSTS : (fabric + 1) * HOSTS]:
