--- a/features/reports.feature
+++ b/features/reports.feature
@@ -54,3 +54,9 @@
   Scenario: The loop's clock never runs ahead of the machine's
     When the loop of the daemon is held up for 0.3 seconds
     Then its clock stands between the machine's at both ends
+
+  @point1
+  Scenario: A load is never put under an older report of its host
+    Given 2 pollers of 8 hosts
+    When every host restarts while the frames of a link are lost
+    Then each report that is held is one that its host made
--- a/features/steps/reports.py
+++ b/features/steps/reports.py
@@ -15,6 +15,8 @@
 
 SETTLE_S = 6.0
 LOOK_S = 0.05
+LOSS_S = 0.55
+"""A poll and its news fit in, the silence that makes a peer poll does not."""
 RESOLUTION_S = 0.002
 """The loop counts whole milliseconds."""
 
@@ -162,3 +164,27 @@
 def compare_clocks(context):
     first, second, ended_at = context.clocks
     assert context.started_at - RESOLUTION_S <= first <= second <= ended_at
+
+
+@when("every host restarts while the frames of a link are lost")
+def restart_unseen(context):
+    switch = context.switch
+    switch.lossy = frozenset(daemon.me.id for daemon in switch.daemons)
+    for engine in switch.engines_by_host.values():
+        engine.restart()
+    context.loop.run_until_complete(asyncio.sleep(LOSS_S))
+    switch.lossy = frozenset()
+
+
+@then("each report that is held is one that its host made")
+def compare_made(context):
+    context.loop.run_until_complete(look_at_reports(context.switch))
+
+
+async def look_at_reports(switch):
+    for _ in range(round(SETTLE_S / LOOK_S)):
+        await asyncio.sleep(LOOK_S)
+        for daemon in switch.daemons:
+            for host in switch.engines_by_host:
+                held = daemon.held(host)
+                assert held is None or held[1] == held[2], (daemon.me.name, held)
