--- a/auburnproxy/journal/__init__.py
+++ b/auburnproxy/journal/__init__.py
@@ -2,6 +2,7 @@
 
 from ._codec import decode_entries, encode_entries
 from .journal import Journal
+from .proposer import Proposer
 from .record import Entry, Outcome, Record
 from .reducer import Reducer
 
@@ -9,6 +10,7 @@
     "Entry",
     "Journal",
     "Outcome",
+    "Proposer",
     "Record",
     "Reducer",
     "decode_entries",
--- a/auburnproxy/ledger/runner.py
+++ b/auburnproxy/ledger/runner.py
@@ -5,7 +5,7 @@
 import asyncio
 from collections.abc import Awaitable, Callable, Coroutine, Mapping
 from hashlib import sha256
-from typing import Any, Protocol
+from typing import Any
 from uuid import uuid4
 
 import msgspec
@@ -18,7 +18,7 @@
     RefusalError,
     UpstreamError,
 )
-from ..journal import Outcome
+from ..journal import Outcome, Proposer
 from ..upstreams.service import PlainAnswer, PlainCall
 from .ledger import (
     CLAIM,
@@ -50,25 +50,6 @@
 Dispatch = Callable[[PlainCall], Awaitable[PlainAnswer]]
 
 
-class Journal(Protocol):
-    """What the ledger needs of the journal."""
-
-    @property
-    def up(self) -> bool:
-        """Return whether the log answered the last time."""
-
-    async def propose(
-        self,
-        kind: str,
-        body: Mapping[str, Any],
-        *,
-        expects: Mapping[str, int],
-        timeout_s: float,
-        record_id: str = "",
-    ) -> Outcome:
-        """Append a record and return what became of it, once it is folded."""
-
-
 class LedgerRunner:
     """Claims a key in the journal before its call is dispatched.
 
@@ -82,7 +63,7 @@
     def __init__(
         self,
         ledger: Ledger,
-        journal: Journal,
+        journal: Proposer,
         *,
         claim_timeout_s: float = CLAIM_TIMEOUT_S,
     ) -> None:
--- a/auburnproxy/membership/_journal.py
+++ b/auburnproxy/membership/_journal.py
@@ -2,23 +2,19 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Mapping, Sequence
-from typing import Any, Protocol
+from collections.abc import Iterable, Sequence
+from typing import Protocol
 
-from ..journal import Entry, Outcome
+from ..journal import Entry, Proposer
 
 
-class JournalPort(Protocol):
+class JournalPort(Proposer, Protocol):
     """The part of the journal that is relayed, and proposed to."""
 
     @property
     def offset(self) -> int:
         """Return the offset of the last folded entry."""
 
-    @property
-    def up(self) -> bool:
-        """Return whether the log answered last time."""
-
     @property
     def ready(self) -> bool:
         """Return whether the state is usable."""
@@ -27,17 +23,6 @@
     def diverged(self) -> bool:
         """Return whether this state is of a history that the log gave up."""
 
-    async def propose(
-        self,
-        kind: str,
-        body: Mapping[str, Any],
-        *,
-        expects: Mapping[str, int],
-        timeout_s: float,
-        record_id: str = "",
-    ) -> Outcome:
-        """Append a record and return what became of it."""
-
     def entries_after(self, offset: int, limit: int) -> Sequence[Entry]:
         """Return kept entries after an offset."""
 
--- a/auburnproxy/operators/changes.py
+++ b/auburnproxy/operators/changes.py
@@ -12,7 +12,7 @@
 
 from ..configuration import LISTS_KEY, LISTS_KIND, MARK_KIND, Configuration, Lists, Mark
 from ..errors import OutcomeUnknownError, PlatformError
-from ..journal import Outcome
+from ..journal import Outcome, Proposer
 from .bodies import Answer, Verdict
 
 POLL_S = 0.1
@@ -21,7 +21,7 @@
 log = logger.bind(part="operators")
 
 
-class JournalPort(Protocol):
+class JournalPort(Proposer, Protocol):
     """What changes need of the journal."""
 
     def version(self, key: str) -> int:
@@ -30,17 +30,6 @@
     def outcome(self, record_id: str) -> Outcome | None:
         """Return what became of a record."""
 
-    async def propose(
-        self,
-        kind: str,
-        body: Mapping[str, Any],
-        *,
-        expects: Mapping[str, int],
-        timeout_s: float,
-        record_id: str = "",
-    ) -> Outcome:
-        """Append a record and return what became of it."""
-
 
 def answer(
     verdict: Verdict,
--- a/auburnproxy/replicas/planner.py
+++ b/auburnproxy/replicas/planner.py
@@ -9,7 +9,7 @@
 from loguru import logger
 
 from ..errors import AuburnError, PlatformError
-from ..journal import Outcome
+from ..journal import Proposer
 from ..platform import HostEntry, HostKind, WeightStore
 from ..upstreams import Watcher
 from .assignment import custody_key
@@ -38,13 +38,9 @@
 log = logger.bind(part="replicas")
 
 
-class Proposals(Protocol):
+class Proposals(Proposer, Protocol):
     """What the planner needs of the journal."""
 
-    @property
-    def up(self) -> bool:
-        """Whether the log answered last time."""
-
     @property
     def ready(self) -> bool:
         """Whether the state is whole."""
@@ -56,16 +52,6 @@
     def version(self, key: str) -> int:
         """Return the version of a key."""
 
-    async def propose(
-        self,
-        kind: str,
-        body: Mapping[str, Any],
-        *,
-        expects: Mapping[str, int],
-        timeout_s: float,
-    ) -> Outcome:
-        """Append a record and return what became of it."""
-
 
 class Planner:
     """Plans the replicas of the fabric domains that are in this daemon's custody.
--- a/auburnproxy/serving/_labels.py
+++ b/auburnproxy/serving/_labels.py
@@ -6,5 +6,7 @@
 
 PLAN = web.RequestKey("plan", str)
 """Name of the caller's plan."""
+REQUEST = web.RequestKey("request", str)
+"""The request's id, the caller's or a new one."""
 TARGET = web.RequestKey("target", str)
 """Kind and name of what the caller asks for."""
--- a/auburnproxy/serving/face.py
+++ b/auburnproxy/serving/face.py
@@ -19,7 +19,7 @@
 from ..routing import Router
 from ..routing._protocols import Readiness, Watcher
 from ..telemetry import Counter, Telemetry
-from ._labels import PLAN, TARGET
+from ._labels import PLAN, REQUEST, TARGET
 from .forward import MODEL_PATH, SERVICE_PATH, Forwarder
 from .intake import bearer, request_id
 from .limits import Limits
@@ -183,7 +183,9 @@
         """Return a handler that counts requests and words every refusal."""
 
         async def guarded(http: web.Request) -> web.StreamResponse:
-            with self._counted():
+            http[REQUEST] = request_id(http.headers)
+            named = logger.contextualize(request=f" [{http[REQUEST]}]")
+            with self._counted(), named:
                 response = await self._worded(handler, http)
                 if self.draining:
                     response.force_close()
@@ -204,7 +206,7 @@
         except RefusalError as error:
             refusal = error
         except DocumentError as error:
-            return findings_response(error, request_id(http.headers))
+            return findings_response(error, http[REQUEST])
         except (asyncio.CancelledError, ConnectionError):
             plan, target = http.get(PLAN, ""), http.get(TARGET, "")
             self._telemetry.count(Counter.CANCELLED, plan, target)
@@ -214,9 +216,10 @@
             message = "The daemon failed on the request."
             refusal = RefusalError("internal", message, status=500, ran=Ran.UNKNOWN)
         self._count_refusal(http, refusal)
-        return refusal_response(refusal, request_id(http.headers))
+        return refusal_response(refusal, http[REQUEST])
 
     def _count_refusal(self, http: web.Request, refusal: RefusalError) -> None:
+        log.debug("Refused with {}, ran: {}.", refusal.code, refusal.ran)
         counter = Counter.REFUSED if refusal.ran is Ran.NO else Counter.UNKNOWN
         plan, target = http.get(PLAN, ""), http.get(TARGET, "")
         self._telemetry.count(counter, plan, target, refusal.code)
--- a/auburnproxy/serving/intake.py
+++ b/auburnproxy/serving/intake.py
@@ -13,6 +13,7 @@
 
 from ..errors import DocumentError, RefusalError
 from ..findings import Finding
+from ._labels import REQUEST
 from .limits import Limits
 
 REQUEST_ID = "X-Request-Id"
@@ -68,14 +69,15 @@
 
 
 def read_headers(
-    headers: Mapping[str, str], limits: Limits, *, now: float
+    http: web.Request, limits: Limits, *, now: float
 ) -> tuple[Headers, list[Finding]]:
     """Return the headers with what is wrong with them.
 
-    :param headers: the headers of a request
+    :param http: a request that its id is noted on
     :param limits: the bounds on it
     :param now: the loop's time in seconds
     """
+    headers = http.headers
     findings = [
         _finding("header", name, "text", "must be 1 to 128 visible ASCII characters")
         for name in (REQUEST_ID, IDEMPOTENCY_KEY)
@@ -90,7 +92,7 @@
             message = f"must be a whole number from 1 to {most}"
             findings.append(_finding("header", DEADLINE, "range", message))
     key = headers.get(IDEMPOTENCY_KEY, "")
-    return Headers(request_id(headers), now + deadline_s, key), findings
+    return Headers(http[REQUEST], now + deadline_s, key), findings
 
 
 async def read_body(request: web.Request, limits: Limits) -> bytes:
--- a/auburnproxy/serving/models.py
+++ b/auburnproxy/serving/models.py
@@ -97,7 +97,7 @@
         :raises RefusalError: before any byte of the answer was sent
         """
         now = asyncio.get_running_loop().time()
-        headers, findings = read_headers(http.headers, self._limits, now=now)
+        headers, findings = read_headers(http, self._limits, now=now)
         content = await read_body(http, self._limits)
         body, more = read_chat(content)
         check(findings + more)
@@ -122,7 +122,7 @@
         :raises RefusalError: before any byte of the answer was sent
         """
         now = asyncio.get_running_loop().time()
-        headers, findings = read_headers(http.headers, self._limits, now=now)
+        headers, findings = read_headers(http, self._limits, now=now)
         content = await http.read()
         body, more = read_chat(content)
         check(findings + more)
--- a/auburnproxy/serving/services.py
+++ b/auburnproxy/serving/services.py
@@ -100,7 +100,7 @@
         :raises RefusalError: if the call is given up
         """
         now = asyncio.get_running_loop().time()
-        headers, findings = read_headers(http.headers, self._limits, now=now)
+        headers, findings = read_headers(http, self._limits, now=now)
         body = await read_body(http, self._limits)
         check(findings)
         grant = self._admission.allow(
@@ -131,7 +131,7 @@
         :raises RefusalError: if the call is given up
         """
         now = asyncio.get_running_loop().time()
-        headers, findings = read_headers(http.headers, self._limits, now=now)
+        headers, findings = read_headers(http, self._limits, now=now)
         check([f for f in findings if f.key != "Idempotency-Key"])
         grant = self._admission.allow(
             plan, TargetKind.SERVICE, http.headers["X-Target"]
--- /dev/null
+++ b/examples/__init__.py
@@ -0,0 +1,1 @@
+"""Runnable examples that embed parts of the project."""
--- /dev/null
+++ b/examples/journal.py
@@ -0,0 +1,95 @@
+"""Embeds the journal: two processes fold one log into the same stock.
+
+Run it with ``python -m examples.journal``. The log here is a list in memory; a
+real one is an adapter of the platform's log service.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Any, ClassVar
+
+from auburnproxy.journal import Entry, Journal, Reducer
+from auburnproxy.platform import LogPage, LogRecord, LogService
+
+TAKE = "stock.take"
+
+
+class ListLog(LogService):
+    """A log that keeps everything in memory."""
+
+    def __init__(self) -> None:
+        self._records: list[LogRecord] = []
+        self._grown = asyncio.Condition()
+
+    async def append(self, payload: bytes) -> int:
+        """Append a record and return its offset."""
+        async with self._grown:
+            self._records.append(LogRecord(len(self._records) + 1, payload))
+            self._grown.notify_all()
+        return len(self._records)
+
+    async def read(self, offset: int, *, limit: int, wait_s: float) -> LogPage:
+        """Read records from an offset, waiting for one if there is none yet."""
+        async with self._grown:
+            try:
+                async with asyncio.timeout(wait_s):
+                    await self._grown.wait_for(lambda: len(self._records) >= offset)
+            except TimeoutError:
+                pass
+        records = tuple(self._records[offset - 1 :][:limit])
+        return LogPage(records, start=1, end=len(self._records) + 1)
+
+
+class Stock(Reducer):
+    """Rolls of fabric; none is taken that is not there."""
+
+    name: ClassVar[str] = "stock"
+
+    def __init__(self, rolls: int) -> None:
+        self.rolls = rolls
+
+    def check(self, entry: Entry) -> str:
+        """Return the code of a rejection, or an empty string to accept."""
+        return "" if entry.record.body["rolls"] <= self.rolls else "sold_out"
+
+    def apply(self, entry: Entry) -> None:
+        """Take the rolls of an accepted record."""
+        self.rolls -= entry.record.body["rolls"]
+
+    def snapshot(self) -> Any:
+        """Return the rolls that are left."""
+        return self.rolls
+
+    def restore(self, snapshot: Any) -> None:
+        """Replace the rolls that are left."""
+        self.rolls = snapshot
+
+
+async def main() -> None:
+    """Let two processes race for the last rolls."""
+    log = ListLog()
+    stocks = [Stock(rolls=5), Stock(rolls=5)]
+    journals = [
+        Journal(log, [stock], author=f"process-{number}")
+        for number, stock in enumerate(stocks)
+    ]
+    readers = [asyncio.create_task(journal.run()) for journal in journals]
+    outcomes = await asyncio.gather(
+        *(
+            journal.propose(TAKE, {"rolls": 4}, expects={}, timeout_s=5.0)
+            for journal in journals
+        )
+    )
+    for journal, outcome in zip(journals, outcomes, strict=True):
+        verdict = "accepted" if outcome.accepted else outcome.reason
+        await journal.changed(1)
+        print(f"offset {outcome.offset}: {verdict}")
+    print(f"left: {[stock.rolls for stock in stocks]}")
+    for reader in readers:
+        reader.cancel()
+    await asyncio.gather(*readers, return_exceptions=True)
+
+
+if __name__ == "__main__":
+    asyncio.run(main())
--- /dev/null
+++ b/examples/quotas.py
@@ -0,0 +1,46 @@
+"""Embeds the quotas: three processes divide a limit without asking each other.
+
+Run it with ``python -m examples.quotas``.
+"""
+
+from __future__ import annotations
+
+from auburnproxy.membership import Epoch, Member, Window
+from auburnproxy.quotas import Gates
+
+KEY = "upstream/printer"
+LIMIT = 8
+
+
+def make_member(name: str) -> Member:
+    """Return one start of a process."""
+    return Member(name, "1", "workshop", "127.0.0.1:1", "127.0.0.1:2")
+
+
+def shares(members: tuple[Member, ...], window: Window) -> dict[str, int]:
+    """Return the share of each member under a window."""
+    by_name = {}
+    for member in members:
+        gate = Gates(lambda: window, member.id).gate(KEY)
+        gate.limit = LIMIT
+        by_name[member.name] = gate.share
+    return by_name
+
+
+def main() -> None:
+    """Show the shares in calm, while a process joins, and after a loss."""
+    two = (make_member("a"), make_member("b"))
+    three = (*two, make_member("c"))
+    old, new = Epoch(1, two), Epoch(2, three)
+    calm = Window((old,), frozenset(), (), "workshop")
+    joining = Window((old, new), frozenset(), (), "workshop")
+    joined = Window((new,), frozenset(), (), "workshop")
+    lost = joined._replace(gone=frozenset({three[0].id}))
+    print(f"two processes: {shares(two, calm)}")
+    print(f"one joins, not all have seen it: {shares(three, joining)}")
+    print(f"all have seen it: {shares(three, joined)}")
+    print(f"one is gone for good: {shares(three[1:], lost)}")
+
+
+if __name__ == "__main__":
+    main()
--- a/features/serving.feature
+++ b/features/serving.feature
@@ -54,3 +54,8 @@
     Given a plain service with 1 slot, and a log that does not answer
     When an order with a key waits for the log, and a lookup comes
     Then the lookup is answered while the order still waits
+
+  Scenario: A refusal is logged under the id that its caller is told
+    Given a daemon with 2 engines and 1 plain service
+    When a caller without a key and without a request id calls
+    Then the id in the refusal is the one in the log
--- a/features/steps/serving.py
+++ b/features/steps/serving.py
@@ -6,6 +6,7 @@
 
 from aiohttp import ClientSession, ClientTimeout, web
 from behave import given, then, when
+from loguru import logger
 
 from auburnproxy.membership import Member
 from auburnproxy.serving import Limits
@@ -345,3 +346,23 @@
         assert await forward(body, signed({"X-Issued-Ms": "1"})) == 403
 
     run(context, steps)
+
+
+@when("a caller without a key and without a request id calls")
+def call_without_id(context):
+    context.logged = []
+    sink = logger.add(context.logged.append, level="DEBUG", format="{extra[request]}")
+
+    async def steps(daemon, _):
+        return await daemon.read(chat(stream=False), key=None)
+
+    try:
+        context.refusal = json.loads(run(context, steps)[1])["error"]
+    finally:
+        logger.remove(sink)
+
+
+@then("the id in the refusal is the one in the log")
+def same_id(context):
+    wanted = f" [{context.refusal['request_id']}]"
+    assert wanted in [line.rstrip("\n") for line in context.logged], context.logged
