--- a/auburnproxy/daemon/listener.py
+++ b/auburnproxy/daemon/listener.py
@@ -14,6 +14,8 @@
 
 CLOSE_S = 2
 """Seconds that connections may take to close once all calls are answered."""
+IDLE_S = 75.0
+"""Seconds after which a connection without a whole request head is closed."""
 
 
 class SliceService(Service):
@@ -41,16 +43,24 @@
     :param address: IP number and port
     :param application: what it serves
     :param daemon: the daemon
+    :param idle_s: seconds that a connection may take for the head of a request
     """
 
-    def __init__(self, address: str, application: web.Application, daemon: Daemon):
+    def __init__(
+        self,
+        address: str,
+        application: web.Application,
+        daemon: Daemon,
+        *,
+        idle_s: float = IDLE_S,
+    ) -> None:
         host, _, port = address.rpartition(":")
         super().__init__(
             host.strip("[]"),
             int(port),
             shutdown_timeout=CLOSE_S,
             handler_cancellation=True,
-            runner_kwargs={"access_log": None},
+            runner_kwargs={"access_log": None, "keepalive_timeout": idle_s},
         )
         self._application = application
         self._daemon = daemon
