--- /dev/null
+++ b/bench/answers.py
@@ -0,0 +1,82 @@
+"""The processor time of a daemon for one call, against the length of its answer.
+
+``python -m bench.answers``: the slope of the line is the cost of a chunk, its
+intercept that of a request.
+"""
+
+from __future__ import annotations
+
+import statistics
+from typing import NamedTuple
+
+import defopt
+import uvloop
+from aiohttp import ClientSession, TCPConnector
+
+from standins.trial import trial
+
+from .fit import print_fit
+from .forward import SHAPE, US_PER_S, Client, Target, idle_rate, start
+
+LENGTHS = (1, 50, 100, 200, 400)
+"""Tokens of an answer."""
+CALLS = 96
+WORKERS = 32
+CHUNKS_PER_DAEMON_S = 18_250
+"""Chunks a second of one daemon at the target."""
+
+
+class Point(NamedTuple):
+    """The cost of calls of one length."""
+
+    tokens: int
+    call_us: float
+    """Median of the rounds."""
+
+
+async def measure(target: Target, *, rounds: int) -> list[Point]:
+    """Return the cost of a call at each length.
+
+    :param target: the daemon
+    :param rounds: rounds for each length
+    """
+    points = []
+    async with ClientSession(connector=TCPConnector(limit=0)) as session:
+        client = Client(session)
+        idle = await idle_rate(target)
+        for tokens in LENGTHS:
+            costs = []
+            for _ in range(rounds):
+                took = await client.measure(
+                    target, calls=CALLS, workers=WORKERS, tokens=tokens, idle=idle
+                )
+                costs.append(took.cpu_s / took.calls * US_PER_S)
+            points.append(Point(tokens, statistics.median(costs)))
+    return points
+
+
+async def run(rounds: int) -> list[Point]:
+    """Measure in a deployment of its own and leave no process.
+
+    :param rounds: rounds for each length
+    """
+    async with trial(SHAPE) as running:
+        targets = {target.name: target for target in await start(running)}
+        return await measure(targets["daemon"], rounds=rounds)
+
+
+def main(*, rounds: int = 3) -> None:
+    """Measure and print the line through the lengths.
+
+    :param rounds: rounds for each length
+    """
+    points = uvloop.run(run(rounds))
+    lengths = [point.tokens for point in points]
+    costs = [point.call_us for point in points]
+    line = print_fit("Daemon, one call", "tokens", lengths, costs, "us")
+    core = line.slope * CHUNKS_PER_DAEMON_S / US_PER_S
+    print(f"{CHUNKS_PER_DAEMON_S} chunks a second: {core:.0%} of a core")
+
+
+if __name__ == "__main__":
+    defopt.run(main)
