Share what two adapters and three benchmarks wrote again, and drop a gauge unused

The adapters of engines and plain services opened and closed their connections each in code of their own; they use one class. Processor time and memory of a process were read in two ways by three benchmarks; one module reads them, by the finer clock. The base class of gauges and the option of the exposition for it had no user. The benchmarks were imported, not run again.

--- a/auburnproxy/telemetry/exposition.py
+++ b/auburnproxy/telemetry/exposition.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterator
 
 from prometheus_client import CollectorRegistry, generate_latest
 from prometheus_client.core import (
@@ -19,14 +19,6 @@
 PREFIX = "auburnproxy"
 
 
-class Gauge(Collector):
-    """Base of gauges that other slices add to the exposition."""
-
-    def collect(self) -> Iterable[Metric]:
-        """Return the gauge's current samples."""
-        raise NotImplementedError
-
-
 class _TelemetryCollector(Collector):
     def __init__(self, telemetry: Telemetry) -> None:
         self._telemetry = telemetry
@@ -67,14 +59,11 @@
             yield family
 
 
-def exposition(telemetry: Telemetry, gauges: Iterable[Collector] = ()) -> bytes:
+def exposition(telemetry: Telemetry) -> bytes:
     """Return the measures in the Prometheus text format.
 
     :param telemetry: the measures
-    :param gauges: further collectors, read at the time of the call
     """
     registry = CollectorRegistry()
     registry.register(_TelemetryCollector(telemetry))
-    for gauge in gauges:
-        registry.register(gauge)
     return generate_latest(registry)
--- a/auburnproxy/upstreams/_client.py
+++ b/auburnproxy/upstreams/_client.py
@@ -66,3 +66,22 @@
         middlewares=(_send_once,),
         auto_decompress=False,
     )
+
+
+class Connections:
+    """The connections to one upstream; they open with the first call."""
+
+    def __init__(self) -> None:
+        self._session: ClientSession | None = None
+
+    def open(self) -> ClientSession:
+        """Return the session that calls go through."""
+        if self._session is None:
+            self._session = open_session()
+        return self._session
+
+    async def close(self) -> None:
+        """Close every connection; a later call opens new ones."""
+        if self._session is not None:
+            await self._session.close()
+            self._session = None
--- a/auburnproxy/upstreams/http_engine.py
+++ b/auburnproxy/upstreams/http_engine.py
@@ -5,11 +5,11 @@
 from collections.abc import AsyncGenerator
 
 import msgspec
-from aiohttp import ClientResponse, ClientSession
+from aiohttp import ClientResponse
 
 from ..errors import Ran, StaleFenceError, UpstreamError
 from ..platform import HostEntry
-from ._client import CONTROL, STREAM, open_session, upstream_errors
+from ._client import CONTROL, STREAM, Connections, upstream_errors
 from .engine import Chunk, Engine, EngineReport, ModelCall, Order
 from .events import split
 
@@ -45,19 +45,14 @@
 
     def __init__(self, address: str) -> None:
         self._address = address
-        self._session: ClientSession | None = None
-
-    def _open(self) -> ClientSession:
-        if self._session is None:
-            self._session = open_session()
-        return self._session
+        self._connections = Connections()
 
     async def _control(
         self, method: str, path: str, *, body: bytes | None = None
     ) -> tuple[int, bytes]:
         url = f"http://{self._address}{path}"
         with upstream_errors(self._address):
-            async with self._open().request(
+            async with self._connections.open().request(
                 method, url, data=body, timeout=CONTROL
             ) as response:
                 return response.status, await response.read()
@@ -101,7 +96,7 @@
         url = f"http://{self._address}/generate"
         headers = call_headers(call)
         with upstream_errors(self._address):
-            async with self._open().post(
+            async with self._connections.open().post(
                 url, data=call.body, headers=headers, timeout=STREAM
             ) as response:
                 self._check_accepted(response)
@@ -120,9 +115,7 @@
 
     async def close(self) -> None:
         """Close every connection to the engine."""
-        if self._session is not None:
-            await self._session.close()
-            self._session = None
+        await self._connections.close()
 
 
 def connect_engine(entry: HostEntry) -> HttpEngine:
--- a/auburnproxy/upstreams/http_service.py
+++ b/auburnproxy/upstreams/http_service.py
@@ -3,11 +3,11 @@
 from __future__ import annotations
 
 import msgspec
-from aiohttp import ClientSession, ClientTimeout
+from aiohttp import ClientTimeout
 
 from ..errors import UpstreamError
 from ..platform import HostEntry
-from ._client import CONNECT_TIMEOUT_S, CONTROL, open_session, upstream_errors
+from ._client import CONNECT_TIMEOUT_S, CONTROL, Connections, upstream_errors
 from .service import PlainAnswer, PlainCall, PlainService, ServiceReport
 
 OK = 200
@@ -23,12 +23,7 @@
 
     def __init__(self, address: str) -> None:
         self._address = address
-        self._session: ClientSession | None = None
-
-    def _open(self) -> ClientSession:
-        if self._session is None:
-            self._session = open_session()
-        return self._session
+        self._connections = Connections()
 
     async def report(self) -> ServiceReport:
         """Return the service's newest report.
@@ -37,7 +32,7 @@
         """
         url = f"http://{self._address}/report"
         with upstream_errors(self._address):
-            async with self._open().get(url, timeout=CONTROL) as response:
+            async with self._connections.open().get(url, timeout=CONTROL) as response:
                 status, body = response.status, await response.read()
         if status != OK:
             raise UpstreamError(f"{self._address}: report has status {status}")
@@ -60,7 +55,7 @@
         if call.idempotency_key:
             headers["Idempotency-Key"] = call.idempotency_key
         with upstream_errors(self._address):
-            async with self._open().request(
+            async with self._connections.open().request(
                 call.method,
                 url,
                 data=call.body or None,
@@ -74,9 +69,7 @@
 
     async def close(self) -> None:
         """Close every connection to the service."""
-        if self._session is not None:
-            await self._session.close()
-            self._session = None
+        await self._connections.close()
 
 
 def connect_service(entry: HostEntry) -> HttpPlainService:
--- a/bench/control.py
+++ b/bench/control.py
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 import asyncio
-import os
 import tempfile
 from pathlib import Path
 from typing import NamedTuple
@@ -18,15 +17,13 @@
 from standins.processes import Processes, processes, until_listens
 
 from .fit import print_fit
+from .process import cpu_s, memory_mb
 
 ENGINES = (4, 8, 16, 32, 64)
 TARGET_ENGINES = 89
 SETTLE_S = 4.0
 MEASURE_S = 8.0
 START_TIMEOUT_S = 15.0
-KB_PER_MB = 1024
-UTIME, STIME = 11, 12
-"""Places in ``/proc/PID/stat`` after the command's name."""
 
 
 class Usage(NamedTuple):
@@ -36,26 +33,6 @@
     memory_mb: float
 
 
-def cpu_s(pid: int) -> float:
-    """Return the processor time of a process in seconds.
-
-    :param pid: its id
-    """
-    fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
-    ticks = int(fields[UTIME]) + int(fields[STIME])
-    return ticks / os.sysconf("SC_CLK_TCK")
-
-
-def memory_mb(pid: int) -> float:
-    """Return the resident memory of a process in MB.
-
-    :param pid: its id
-    """
-    lines = Path(f"/proc/{pid}/status").read_text().splitlines()
-    line = next(line for line in lines if line.startswith("VmRSS:"))
-    return int(line.split()[1]) / KB_PER_MB
-
-
 async def measure(engines: int, running: Processes, folder: Path) -> Usage:
     """Return what an idle daemon uses in front of a number of engines.
 
--- a/bench/forward.py
+++ b/bench/forward.py
@@ -25,6 +25,8 @@
 from standins.processes import until_listens
 from standins.trial import Trial, trial
 
+from .process import cpu_s
+
 MODEL = "quilt"
 KEY = "bench-key"
 CHAT_PATH = "/v1/chat/completions"
@@ -36,10 +38,6 @@
 SHORT_TOKENS = 1
 START_TIMEOUT_S = 15.0
 IDLE_S = 2.0
-CPU_CLOCK_SHIFT = 3
-"""Where the process id stands in the clock id of clock_getcpuclockid(3)."""
-CPU_CLOCK_SCHED = 2
-"""The clock of that process that counts in nanoseconds."""
 US_PER_S = 1_000_000
 MS_PER_S = 1000
 SHAPE = Shape(
@@ -87,17 +85,6 @@
     """Median."""
 
 
-def cpu_s(pid: int | None) -> float:
-    """Return the processor time that a process has used, in seconds.
-
-    :param pid: the process, None for none at all
-    """
-    if pid is None:
-        return 0.0
-    clock = (~pid << CPU_CLOCK_SHIFT) | CPU_CLOCK_SCHED
-    return time.clock_gettime(clock)
-
-
 class Client:
     """Sends calls in a closed loop and counts what comes back."""
 
--- a/bench/polling.py
+++ b/bench/polling.py
@@ -29,8 +29,9 @@
 from standins.processes import Processes, processes, until_listens
 from standins.upstreams import FaultKind, UpstreamFault
 
-from .control import START_TIMEOUT_S, cpu_s, memory_mb
+from .control import START_TIMEOUT_S
 from .fit import fit_terms
+from .process import cpu_s, memory_mb
 
 DAEMONS = (1, 2, 4, 8)
 ENGINES = (16, 32, 64)
