--- /dev/null
+++ b/auburnproxy/beats/__init__.py
@@ -0,0 +1,6 @@
+"""What daemons tell each other several times a second, by datagrams."""
+
+from .beat import Beat
+from .circle import Circle
+
+__all__ = ["Beat", "Circle"]
--- /dev/null
+++ b/auburnproxy/beats/beat.py
@@ -0,0 +1,42 @@
+"""One datagram from a daemon to another."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+import msgspec
+
+from ..errors import PeerError
+
+
+class Beat(NamedTuple):
+    """What a daemon says of itself."""
+
+    name: str
+    on_duty: bool
+    """Whether it forms replicas."""
+    served: bool
+    """Whether it has served a request since its start."""
+    in_flight_by_host: dict[str, int]
+    """Its requests at each upstream that has any."""
+    suspects: list[str]
+    """Upstreams that it leaves out since they fell silent."""
+
+
+_decoder = msgspec.msgpack.Decoder(Beat)
+
+
+def pack(beat: Beat) -> bytes:
+    """Return the bytes of a beat."""
+    return msgspec.msgpack.encode(beat)
+
+
+def unpack(data: bytes) -> Beat:
+    """Return a beat from its bytes.
+
+    :raises PeerError: if they are malformed
+    """
+    try:
+        return _decoder.decode(data)
+    except msgspec.MsgspecError as error:
+        raise PeerError(f"malformed beat of {len(data)} bytes") from error
--- /dev/null
+++ b/auburnproxy/beats/circle.py
@@ -0,0 +1,193 @@
+"""The other daemons: who is heard, what they run, and who is told."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Mapping
+from typing import NamedTuple, cast
+
+import msgspec
+
+from ..errors import PeerError
+from ..store import Change, Follower
+from ..telemetry.decisions import Decisions
+from .beat import Beat, pack, unpack
+
+TICK_S = 0.1
+"""Seconds between two beats to daemons of the own failure domain."""
+FAR_TICKS = 3
+"""Ticks between two beats to other failure domains, whose links are paid for."""
+NEAR_BEATS_PER_S = 120
+"""Most beats that a daemon sends to its own failure domain in a second."""
+FAR_BEATS_PER_S = 40
+"""Most beats that a daemon sends to other failure domains in a second."""
+HEARD_S = 1.5
+"""Age at which a beat no longer shows its daemon to be there; three far ones late."""
+LOAD_S = 1.0
+"""Age at which a beat's requests in flight are no longer counted."""
+
+
+class Seat(NamedTuple):
+    """Where a daemon listens for beats, as it has recorded."""
+
+    address: str
+    """IP number and port."""
+    failure_domain: str
+
+
+class Heard(NamedTuple):
+    """The newest beat of a daemon."""
+
+    beat: Beat
+    at: float
+    """The loop's time in seconds at which it came."""
+
+
+class Circle(asyncio.DatagramProtocol):
+    """Sends beats to the recorded daemons and keeps theirs.
+
+    :param name: name of this daemon
+    :param seat: where it listens
+    :param follower: the recorded daemons
+    :param say: returns what to tell
+    :param decisions: takes a line for each daemon that comes and goes
+    """
+
+    def __init__(
+        self,
+        name: str,
+        seat: Seat,
+        follower: Follower,
+        say: Callable[[], Beat],
+        decisions: Decisions,
+    ) -> None:
+        self._name = name
+        self._seat = seat
+        self._follower = follower
+        self._say = say
+        self._decisions = decisions
+        self._seats: dict[str, Seat] = {}
+        self._heard: dict[str, Heard] = {}
+        self._present: frozenset[str] = frozenset()
+        self._transport: asyncio.DatagramTransport | None = None
+        self._turn = 0
+        follower.on_change = self._take_seat
+
+    @property
+    def seats(self) -> Mapping[str, Seat]:
+        """Return every recorded daemon, this one included once it is recorded."""
+        return self._seats
+
+    @property
+    def size(self) -> int:
+        """Return how many daemons there may be."""
+        return max(len(self._seats), len(self._present) + 1)
+
+    @property
+    def present(self) -> frozenset[str]:
+        """Return the other daemons that were heard of late."""
+        now = _now()
+        return frozenset(n for n, h in self._heard.items() if now - h.at < HEARD_S)
+
+    @property
+    def served(self) -> bool:
+        """Return whether one of the others has served a request."""
+        return any(heard.beat.served for heard in self._heard.values())
+
+    @property
+    def suspects(self) -> frozenset[str]:
+        """Return the upstreams that others leave out."""
+        now = _now()
+        return frozenset(
+            host
+            for heard in self._heard.values()
+            if now - heard.at < LOAD_S
+            for host in heard.beat.suspects
+        )
+
+    def in_flight(self, host: str) -> int:
+        """Return the requests of the others at an upstream."""
+        now = _now()
+        return sum(
+            heard.beat.in_flight_by_host.get(host, 0)
+            for heard in self._heard.values()
+            if now - heard.at < LOAD_S
+        )
+
+    def record(self) -> Change | None:
+        """Return the record of this daemon's seat, None if it stands already."""
+        if self._seats.get(self._name) == self._seat:
+            return None
+        return Change(self._name, msgspec.json.encode(self._seat))
+
+    async def run(self) -> None:
+        """Listen and send until cancelled."""
+        host, _, port = self._seat.address.rpartition(":")
+        loop = asyncio.get_running_loop()
+        transport, _ = await loop.create_datagram_endpoint(
+            lambda: self, local_addr=(host, int(port))
+        )
+        self._transport = transport
+        try:
+            while True:
+                self._send_beats()
+                self._note_presence()
+                await asyncio.sleep(TICK_S)
+        finally:
+            transport.close()
+
+    def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
+        """Take a beat."""
+        try:
+            beat = unpack(data)
+        except PeerError as error:
+            self._decisions.belief("beat_unreadable", peer=addr[0], reason=str(error))
+            return
+        if beat.name != self._name:
+            self._heard[beat.name] = Heard(beat, _now())
+
+    def error_received(self, exc: Exception) -> None:
+        """Log a datagram that the network gave back."""
+        self._decisions.belief("beat_unsent", reason=repr(exc))
+
+    def _send_beats(self) -> None:
+        """Send to a few daemons in turn, near ones more often."""
+        data = pack(self._say())
+        own = self._seat.failure_domain
+        others = [s for n, s in sorted(self._seats.items()) if n != self._name]
+        near = [seat for seat in others if seat.failure_domain == own]
+        far = [seat for seat in others if seat.failure_domain != own]
+        self._turn += 1
+        self._send(data, near, int(NEAR_BEATS_PER_S * TICK_S))
+        if self._turn % FAR_TICKS == 0:
+            self._send(data, far, int(FAR_BEATS_PER_S * TICK_S * FAR_TICKS))
+
+    def _send(self, data: bytes, seats: list[Seat], most: int) -> None:
+        start = self._turn * most % len(seats) if len(seats) > most else 0
+        for seat in (seats[start:] + seats[:start])[:most]:
+            host, _, port = seat.address.rpartition(":")
+            transport = cast(asyncio.DatagramTransport, self._transport)
+            transport.sendto(data, (host, int(port)))
+
+    def _note_presence(self) -> None:
+        present = self.present
+        for name in present - self._present:
+            self._decisions.belief("dependency_regained", dependency=f"daemon/{name}")
+        for name in self._present - present:
+            self._decisions.belief("dependency_lost", dependency=f"daemon/{name}")
+        self._present = present
+
+    def _take_seat(self, change: Change) -> None:
+        if not change.value:
+            self._seats.pop(change.key, None)
+            return
+        try:
+            self._seats[change.key] = msgspec.json.decode(change.value, type=Seat)
+        except msgspec.MsgspecError as error:
+            self._decisions.belief(
+                "record_unreadable", key=change.key, reason=str(error)
+            )
+
+
+def _now() -> float:
+    return asyncio.get_running_loop().time()
--- a/auburnproxy/daemon/_lost.py
+++ b/auburnproxy/daemon/_lost.py
@@ -5,7 +5,7 @@
 import asyncio
 from collections.abc import Callable, Collection, Mapping
 
-from ..platform import HostEntry, HostKind
+from ..external import HostEntry, HostKind
 
 ABSENT_S = 10.0
 """Seconds that a host must be off the list before its daemon counts as lost."""
--- /dev/null
+++ b/auburnproxy/daemon/applications.py
@@ -0,0 +1,58 @@
+"""What the listeners of a daemon with its own interface serve."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from aiohttp import web
+
+from ..operators import routes
+from ..telemetry.exposition import exposition
+from .daemon import Daemon
+from .listener import Listener, SliceService
+
+
+def callers_application(daemon: Daemon) -> web.Application:
+    """Return what the callers' listener serves."""
+    application = daemon.face.caller_app()
+
+    async def metrics(request: web.Request) -> web.Response:
+        return web.Response(
+            body=exposition(daemon.telemetry), content_type="text/plain"
+        )
+
+    application.router.add_get("/metrics", metrics)
+    return application
+
+
+def internal_application(daemon: Daemon) -> web.Application:
+    """Return what the listener for peers and operators serves."""
+    body_bytes = daemon.settings.calls.body_bytes
+    application = web.Application(client_max_size=2 * body_bytes)
+    application.add_routes(daemon.face.forward_routes())
+    application.add_routes(operator_routes(daemon))
+    return application
+
+
+def operator_routes(daemon: Daemon) -> list[web.RouteDef]:
+    """Return the operators' calls to a daemon."""
+    return routes(
+        daemon.configuration,
+        daemon.journal,
+        key=daemon.settings.operator_key,
+        in_force=lambda: daemon.membership.in_force,
+        wanted=lambda: daemon.roster.failure_domains,
+        local=daemon.view,
+        overview=daemon.overview,
+        hosts=lambda: daemon.watcher.listed_by_name,
+    )
+
+
+def services(daemon: Daemon) -> list[Any]:
+    """Return all services of a daemon's entry point."""
+    listen = daemon.settings.listen
+    return [
+        SliceService(daemon),
+        Listener(listen.callers, callers_application(daemon), daemon),
+        Listener(listen.internal, internal_application(daemon), daemon),
+    ]
--- a/auburnproxy/daemon/daemon.py
+++ b/auburnproxy/daemon/daemon.py
@@ -10,12 +10,12 @@
 
 from ..admission import Admission
 from ..configuration import Configuration
+from ..external.http import connect_hosts, connect_log, connect_weights
 from ..journal import Journal
 from ..ledger import Ledger, LedgerRunner
 from ..membership import Epoch, Member, Membership, Roster
 from ..membership.rendezvous import rank
 from ..operators import Overview
-from ..platform.http import connect_hosts, connect_log, connect_weights
 from ..quotas import Gates, Orphans, custodian, holds, share
 from ..replicas import Custodian, Downtime, Planner, Readiness, Repairs, Replicas
 from ..routing import Router
--- /dev/null
+++ b/auburnproxy/daemon/deployment.py
@@ -0,0 +1,85 @@
+"""What a deployment provides to a daemon that routes by host name and path."""
+
+from __future__ import annotations
+
+from abc import ABC, abstractmethod
+from typing import NamedTuple
+
+from ..formation import Orders
+from ..gateway.dialect import Dialect
+from ..gateway.host import Host
+from ..gateway.resends import Allowance
+from ..gateway.route import Configuration
+from ..store import Change, Store
+
+
+class RoutedSettings(NamedTuple):
+    """Settings of one routed daemon."""
+
+    name: str
+    failure_domain: str
+    callers: str
+    """Address for callers, IP number and port."""
+    readiness: str
+    """Address that a balancer asks whether to send callers here."""
+    beats: str
+    """Address for the datagrams of other daemons."""
+    metrics: str
+    store: str
+    first_start: bool
+    """Whether the whole system starts for the first time."""
+    allowance: Allowance
+    stall_s: float
+    """Time after which the head of a replica notices that a member is lost."""
+    grace_s: float
+    """Time from the signal to stop until the process is killed."""
+
+
+class DomainMark(NamedTuple):
+    """An operator's mark on a failure domain."""
+
+    failure_domain: str
+    out: bool
+
+
+class Deployment(ABC):
+    """Translates between an outside platform and the product."""
+
+    operator_topic: str
+    """Topic of the operators' records."""
+    upstream_topic: str
+    """Topic of the upstreams' registrations."""
+
+    @abstractmethod
+    def settings(self) -> RoutedSettings:
+        """Return the settings as they are now.
+
+        :raises DocumentError: with every finding
+        """
+
+    @abstractmethod
+    def store(self, settings: RoutedSettings) -> Store:
+        """Return the platform's log service."""
+
+    @abstractmethod
+    def dialect(self) -> Dialect:
+        """Return the headers' dialect."""
+
+    @abstractmethod
+    def orders(self) -> Orders:
+        """Return the engines' order dialect."""
+
+    @abstractmethod
+    def read_operator(self, change: Change) -> Configuration | DomainMark | None:
+        """Return what an operator's record says, None if it is not for daemons.
+
+        :raises PlatformError: if it cannot be read
+        """
+
+    @abstractmethod
+    def read_upstream(self, change: Change, *, now: float) -> Host:
+        """Return a host as it registered.
+
+        :param now: the loop's time in seconds
+        :raises PlatformError: if the record names no host to use
+        """
--- a/auburnproxy/daemon/main.py
+++ b/auburnproxy/daemon/main.py
@@ -4,33 +4,47 @@
 
 import gc
 import sys
+from collections.abc import Callable
+from importlib import import_module
 from pathlib import Path
+from typing import TYPE_CHECKING, Any
 
 import defopt
 import uvloop
 from aiomisc import entrypoint
 
 from ..errors import DocumentError
-from ..telemetry import configure_logs
-from .daemon import Daemon
-from .listener import services
-from .settings import Settings, load_settings
+
+if TYPE_CHECKING:
+    from .settings import Settings
 
 EXIT_FINDINGS = 2
 SHUTDOWN_MARGIN_S = 10.0
 YOUNG_OBJECTS = 20_000
 """New objects after which the youngest ones are collected."""
+Services = Callable[[], list[Any]]
 
 
-def auburnproxyd(*, settings: Path, check: bool = False) -> int:
+def auburnproxyd(
+    *, settings: Path | None = None, deployment: str = "", check: bool = False
+) -> int:
     """Serve callers until SIGTERM, then drain and leave.
 
     Exits with 2 if the settings have findings; each is printed with its place.
 
-    :param settings: the YAML file of the settings
+    :param settings: the YAML file of the settings, for the product's own platform
+    :param deployment: package that adapts the daemon to another platform; it
+        knows where its settings are
     :param check: only check the settings
     """
+    if (settings is None) == (not deployment):
+        print("give either --settings or --deployment", file=sys.stderr)
+        return EXIT_FINDINGS
     try:
+        if settings is None:
+            return serve_deployment(deployment, check=check)
+        from .settings import load_settings
+
         checked = load_settings(settings)
     except DocumentError as error:
         for finding in error.findings:
@@ -43,26 +57,52 @@
 
 
 def serve(settings: Settings) -> int:
-    """Run one daemon until it is told to stop.
+    """Run one daemon on the product's own platform until it is told to stop.
 
     :param settings: checked settings
     """
+    # Only the daemon that runs is loaded: start-up and memory are paid each time.
+    from ..telemetry import configure_logs
+    from .applications import services
+    from .daemon import Daemon
+
     configure_logs(level=settings.log.level, json=settings.log.json)
-    timeout_s = settings.drain_s + SHUTDOWN_MARGIN_S
+    return _run(lambda: services(Daemon(settings)), settings.drain_s)
+
+
+def serve_deployment(package: str, *, check: bool) -> int:
+    """Run one daemon on another platform until it is told to stop.
+
+    :param package: name of the package that adapts to the platform
+    :param check: only check the settings
+    :raises DocumentError: if the settings have findings
+    """
+    from .routed import RoutedDaemon
+    from .routed_services import services
+
+    adapter = import_module(package).adapter()
+    settings = adapter.settings()
+    if check:
+        print("no findings")
+        return 0
+    return _run(lambda: services(RoutedDaemon(adapter)), settings.grace_s)
+
+
+def _run(services: Services, drain_s: float) -> int:
     runtime = entrypoint(
         loop_factory=uvloop.new_event_loop,
         log_config=False,
-        shutdown_timeout=timeout_s,
+        shutdown_timeout=drain_s + SHUTDOWN_MARGIN_S,
     )
     with runtime as loop:
-        loop.run_until_complete(_start(runtime, settings))
+        loop.run_until_complete(_start(runtime, services))
         loop.run_forever()
     return 0
 
 
-async def _start(runtime: entrypoint, settings: Settings) -> None:
+async def _start(runtime: entrypoint, services: Services) -> None:
     # The slices bind to the running loop, so they are made on it.
-    await runtime.start_services(*services(Daemon(settings)))
+    await runtime.start_services(*services())
     _collect_less_often()
 
 
--- /dev/null
+++ b/auburnproxy/daemon/routed.py
@@ -0,0 +1,327 @@
+"""A daemon that routes by host name and path on an outside platform."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+from collections.abc import Coroutine
+from typing import Any
+
+from aiohttp import ClientTimeout, web
+
+from ..beats import Beat, Circle
+from ..beats.circle import Seat
+from ..errors import DocumentError, PlatformError
+from ..formation import Conductor, Register
+from ..formation.duty import Duty
+from ..formation.register import TOPIC as REPLICAS_TOPIC
+from ..gateway.call import CONNECT_TIMEOUT_S
+from ..gateway.choice import Choice
+from ..gateway.directory import Directory
+from ..gateway.face import RoutedFace
+from ..gateway.health import Health
+from ..gateway.plain import Plain
+from ..gateway.route import Configuration
+from ..gateway.streams import Streams
+from ..store import Change, Follower
+from ..telemetry import Telemetry
+from ..telemetry.decisions import Decisions, open_decisions
+from ..upstreams.client import open_session
+from .deployment import Deployment, DomainMark
+
+DAEMONS_TOPIC = "daemons"
+LONG_WAIT_S = 20.0
+"""Seconds that a reading of a topic that seldom changes waits for a record."""
+QUICK_PAUSE_S = 0.25
+"""Pause between two readings of the registrations while replicas are formed."""
+PAUSE_S = 0.45
+"""The same at other times; an upstream that leaves must be known within two seconds."""
+REPLICAS_PAUSE_S = 0.5
+EXPIRY_S = 0.5
+RECORD_RETRY_S = 1.0
+BALANCER_S = 3.0
+"""Seconds after the signal to stop in which the balancer still sends callers here."""
+CLOSE_S = 0.5
+"""Seconds that connections may take to close once all requests are answered."""
+ANSWER_MARGIN_S = 1.0
+"""Seconds before the process is killed in which no request is waited for."""
+
+
+class RoutedDaemon:
+    """Owns the slices of one process and the tasks that they run in.
+
+    It is made on the event loop that it runs on.
+
+    :param deployment: translates to the outside platform
+    """
+
+    def __init__(self, deployment: Deployment) -> None:
+        self.settings = settings = deployment.settings()
+        self.drained = asyncio.Event()
+        self.decisions: Decisions = open_decisions(settings.name)
+        self.telemetry = Telemetry()
+        self._deployment = deployment
+        self._tasks: list[asyncio.Task[None]] = []
+        self._store = deployment.store(settings)
+        self._session = open_session(
+            keep=False, timeout=ClientTimeout(sock_connect=CONNECT_TIMEOUT_S)
+        )
+        self._join_beliefs()
+        self._join_formation()
+        self._join_serving()
+
+    def _join_beliefs(self) -> None:
+        settings, decisions = self.settings, self.decisions
+        self._operators = Follower(
+            self._store,
+            self._deployment.operator_topic,
+            decisions,
+            wait_s=LONG_WAIT_S,
+        )
+        self._upstreams = Follower(
+            self._store,
+            self._deployment.upstream_topic,
+            decisions,
+            pause_s=self._registration_pause_s,
+        )
+        self._operators.on_change = self._take_operator
+        self._upstreams.on_change = self._take_upstream
+        self.directory = Directory(
+            decisions, store_away_at=lambda: self._upstreams.away_at
+        )
+        self.health = Health(decisions)
+        self._seats = Follower(
+            self._store, DAEMONS_TOPIC, decisions, wait_s=LONG_WAIT_S
+        )
+        seat = Seat(settings.beats, settings.failure_domain)
+        self.circle = Circle(settings.name, seat, self._seats, self._beat, decisions)
+
+    def _join_formation(self) -> None:
+        settings, decisions = self.settings, self.decisions
+        replicas = Follower(
+            self._store,
+            REPLICAS_TOPIC,
+            decisions,
+            wait_s=LONG_WAIT_S,
+            pause_s=lambda: REPLICAS_PAUSE_S,
+        )
+        self.register = Register(self._store, decisions, replicas)
+        self.duty = Duty(
+            settings.name,
+            self.register,
+            present=lambda: self.circle.present,
+            known=lambda: self.circle.seats,
+            decisions=decisions,
+        )
+        self.conductor = Conductor(
+            settings.name,
+            self.directory,
+            self.register,
+            self._deployment.orders(),
+            decisions,
+            on_duty=lambda: self.duty.held,
+            suspects=lambda: {*self.health.suspects, *self.circle.suspects},
+            starting=self._starting,
+            stall_s=settings.stall_s,
+        )
+
+    def _join_serving(self) -> None:
+        settings = self.settings
+        dialect = self._deployment.dialect()
+        choice = Choice(
+            self.directory,
+            self.health,
+            failure_domain=settings.failure_domain,
+            elsewhere=lambda host: self.circle.in_flight(host),
+            daemons=lambda: self.circle.size,
+        )
+        plain = Plain(self._session, dialect, choice, self.health, self.decisions)
+        streams = Streams(
+            self._session,
+            dialect,
+            choice,
+            self.health,
+            lambda: (self.directory.engine or (None, None))[1],
+            self.decisions,
+            self.telemetry,
+        )
+        self.face = RoutedFace(
+            self.directory,
+            dialect,
+            plain,
+            streams,
+            allowance=settings.allowance,
+            daemons=lambda: self.circle.size,
+            decisions=self.decisions,
+            telemetry=self.telemetry,
+        )
+
+    @property
+    def ready(self) -> bool:
+        """Return whether callers are to be sent here."""
+        configured = self.directory.configuration.version >= 0
+        return configured and self._upstreams.whole and not self.face.draining
+
+    def start(self) -> None:
+        """Start the tasks of all slices."""
+        self.decisions.belief(
+            "started", failure_domain=self.settings.failure_domain, version="0.1.0"
+        )
+        for name, work in (
+            ("operators", self._operators.run()),
+            ("upstreams", self._upstreams.run()),
+            ("replicas", self.register.follower.run()),
+            ("daemons", self._seats.run()),
+            ("seat", self._take_seat()),
+            ("beats", self.circle.run()),
+            ("duty", self.duty.run()),
+            ("conductor", self.conductor.run()),
+            ("expiry", self._expire()),
+        ):
+            self._spawn(name, work)
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGHUP, self.reload)
+
+    def reload(self) -> None:
+        """Read the settings again; addresses are taken at the next start."""
+        try:
+            settings = self._deployment.settings()
+        except DocumentError as error:
+            self.decisions.belief("reload_rejected", reason=str(error))
+            return
+        changed = [
+            name
+            for name, old, new in zip(
+                settings._fields, self.settings, settings, strict=True
+            )
+            if old != new
+        ]
+        self.decisions.belief("reloaded", changed=changed)
+        self.settings = settings
+
+    async def stop(self) -> None:
+        """Let the balancer turn away, finish what is in flight and end every task."""
+        began = asyncio.get_running_loop().time()
+        self.face.draining = True
+        self.decisions.belief("stopping", in_flight=self.face.in_flight)
+        await self.duty.give_up()
+        await asyncio.sleep(BALANCER_S)
+        until = began + self.settings.grace_s - ANSWER_MARGIN_S
+        try:
+            async with asyncio.timeout_at(until):
+                await self.face.idle()
+        except TimeoutError:
+            self.decisions.belief("requests_cut_off", count=self.face.in_flight)
+        self.drained.set()
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._session.close()
+        await self._store.close()
+        self.decisions.belief("stopped")
+
+    def callers_application(self) -> web.Application:
+        """Return what the callers' listener serves."""
+        return self.face.application()
+
+    def readiness_application(self) -> web.Application:
+        """Return what the balancer's listener serves."""
+        application = web.Application()
+
+        async def readiness(http: web.Request) -> web.Response:
+            return web.Response(status=200 if self.ready else 503)
+
+        application.router.add_get("/{path:.*}", readiness)
+        return application
+
+    def metrics_application(self) -> web.Application:
+        """Return what the metrics listener serves."""
+        application = web.Application()
+
+        async def metrics(http: web.Request) -> web.Response:
+            # The exposition library is only loaded where somebody asks for it.
+            from ..telemetry.exposition import exposition
+
+            return web.Response(
+                body=exposition(self.telemetry), content_type="text/plain"
+            )
+
+        application.router.add_get("/metrics", metrics)
+        return application
+
+    def _spawn(self, name: str, work: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.create_task(work, name=name)
+        task.add_done_callback(self._ended)
+        self._tasks.append(task)
+
+    def _ended(self, task: asyncio.Task[None]) -> None:
+        """Shut down if a slice has failed: a part of a daemon is worse than none."""
+        if task.cancelled():
+            return
+        error = task.exception()
+        if error is not None:
+            name = task.get_name()
+            self.decisions.belief("task_failed", task=name, error=repr(error))
+            asyncio.get_running_loop().stop()
+
+    async def _take_seat(self) -> None:
+        """Record where this daemon listens for beats."""
+        while not self._seats.whole:
+            await asyncio.sleep(QUICK_PAUSE_S)
+        while (record := self.circle.record()) is not None:
+            try:
+                await self._store.append(DAEMONS_TOPIC, [record])
+            except PlatformError as error:
+                self.decisions.belief("seat_not_recorded", reason=str(error))
+            await asyncio.sleep(RECORD_RETRY_S)
+
+    async def _expire(self) -> None:
+        while True:
+            self.directory.expire()
+            await asyncio.sleep(EXPIRY_S)
+
+    def _registration_pause_s(self) -> float:
+        forming = self.duty.held and self.conductor.busy
+        return QUICK_PAUSE_S if forming else PAUSE_S
+
+    def _starting(self) -> bool:
+        served = self.face.served > 0 or self.circle.served
+        return self.settings.first_start and not served
+
+    def _beat(self) -> Beat:
+        return Beat(
+            self.settings.name,
+            self.duty.held,
+            self.face.served > 0,
+            self.health.in_flight_by_host,
+            list(self.health.suspects),
+        )
+
+    def _take_operator(self, change: Change) -> None:
+        try:
+            said = self._deployment.read_operator(change)
+        except PlatformError as error:
+            self.decisions.belief(
+                "record_unreadable", key=change.key, reason=str(error)
+            )
+            return
+        if isinstance(said, Configuration):
+            self.directory.configure(said)
+        elif isinstance(said, DomainMark):
+            self.directory.set_out(said.failure_domain, out=said.out)
+
+    def _take_upstream(self, change: Change) -> None:
+        if not change.value:
+            self.directory.unregister(change.key)
+            self.health.forget(change.key)
+            return
+        now = asyncio.get_running_loop().time()
+        try:
+            host = self._deployment.read_upstream(change, now=now)
+        except PlatformError as error:
+            self.decisions.belief(
+                "record_unreadable", key=change.key, reason=str(error)
+            )
+            self.directory.unregister(change.key)
+            return
+        self.directory.register(host)
--- /dev/null
+++ b/auburnproxy/external/__init__.py
@@ -0,0 +1,17 @@
+"""The platform's services, one abstract base class for each."""
+
+from .hosts import HostEntry, HostKind, HostList, Presence
+from .log import LogPage, LogRecord, LogService
+from .weights import ModelSpec, WeightStore
+
+__all__ = [
+    "HostEntry",
+    "HostKind",
+    "HostList",
+    "LogPage",
+    "LogRecord",
+    "LogService",
+    "ModelSpec",
+    "Presence",
+    "WeightStore",
+]
--- a/auburnproxy/platform/_client.py
+++ b/auburnproxy/external/client.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from typing import Any
+from collections.abc import Mapping
+from typing import NamedTuple
 
 from aiohttp import (
     ClientConnectorError,
@@ -21,6 +22,13 @@
 ERROR_STATUS = 400
 
 
+class Answer(NamedTuple):
+    """A complete answer, whatever its status."""
+
+    status: int
+    body: bytes
+
+
 class LostAnswerError(PlatformError):
     """A request was sent, and no complete answer came back."""
 
@@ -66,29 +74,58 @@
         :raises LostAnswerError: if the write may have taken effect
         :raises PlatformError: if it surely has not
         """
-        return await self._request("POST", path, data=body)
+        return await self._request("POST", path, body=body)
 
-    async def _request(
-        self, method: str, path: str, *, wait_s: float = 0.0, **options: Any
-    ) -> bytes:
+    async def send(
+        self,
+        method: str,
+        path: str,
+        *,
+        params: Mapping[str, str | int] | None = None,
+        body: bytes | None = None,
+        wait_s: float = 0.0,
+    ) -> Answer:
+        """Send a request once and return its answer, whatever the status.
+
+        :param params: query of the request
+        :param wait_s: seconds that the service may take before it answers
+        :raises LostAnswerError: if the request may have taken effect
+        :raises PlatformError: if it surely has not
+        """
         timeout = ClientTimeout(
             total=ANSWER_TIMEOUT_S + wait_s, sock_connect=CONNECT_TIMEOUT_S
         )
         url = self._base_url + path
         try:
             async with self._open().request(
-                method, url, timeout=timeout, allow_redirects=False, **options
+                method,
+                url,
+                timeout=timeout,
+                allow_redirects=False,
+                params=params,
+                data=body,
             ) as response:
-                body = await response.read()
+                return Answer(response.status, await response.read())
         except (ClientConnectorError, ConnectionTimeoutError) as error:
             raise PlatformError(f"{url}: {error}") from error
         except (TimeoutError, ClientError, OSError) as error:
             raise LostAnswerError(f"{url}: {error!r}") from error
-        if response.status == UNAVAILABLE_STATUS:
-            raise PlatformError(f"{url}: unavailable")
-        if response.status >= ERROR_STATUS:
-            raise LostAnswerError(f"{url}: status {response.status}")
-        return body
+
+    async def _request(
+        self,
+        method: str,
+        path: str,
+        *,
+        params: Mapping[str, str | int] | None = None,
+        body: bytes | None = None,
+        wait_s: float = 0.0,
+    ) -> bytes:
+        answer = await self.send(method, path, params=params, body=body, wait_s=wait_s)
+        if answer.status == UNAVAILABLE_STATUS:
+            raise PlatformError(f"{self._base_url}{path}: unavailable")
+        if answer.status >= ERROR_STATUS:
+            raise LostAnswerError(f"{self._base_url}{path}: status {answer.status}")
+        return answer.body
 
     async def close(self) -> None:
         """Close every connection."""
--- a/auburnproxy/platform/http.py
+++ b/auburnproxy/external/http.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from ..errors import AppendUncertainError, PlatformError
-from ._client import Client, LostAnswerError
+from .client import Client, LostAnswerError
 from .hosts import HostEntry, HostList
 from .log import LogPage, LogService
 from .weights import ModelSpec, WeightStore
--- /dev/null
+++ b/auburnproxy/formation/conductor.py
@@ -0,0 +1,343 @@
+"""Forms, opens and retires replicas while this daemon is on duty."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Collection, Coroutine, Mapping
+from itertools import zip_longest
+from typing import Any, NamedTuple, TypeVar
+
+from ..errors import AuburnError, PlatformError
+from ..gateway.directory import Directory
+from ..gateway.host import Host
+from ..gateway.route import EngineSpec, ModelSpec
+from ..telemetry.decisions import Decisions
+from .layout import Form, Stage, fabric_domains, plan
+from .loads import Loads
+from .orders import Answer, Orders
+from .record import Formed, Member
+from .register import Register
+from .retirement import Retirement
+from .standing import Standing, has_part, standing
+
+STEP_S = 0.2
+"""Seconds between two looks; half of the pause between two readings of the register."""
+REPEAT_S = 2.0
+"""Seconds until an order whose effect is not reported is repeated."""
+PROBES = 2
+"""Probes without an answer that show a member of a stalled replica to be lost."""
+SUSPECT_S = 5.0
+"""Seconds for which a probed host that answered is not probed again."""
+DEAD_KEPT_S = 10.0
+"""Seconds for which a lost process is remembered; its registration lapses sooner."""
+LOAD_SLACK = 1.5
+"""Times the configured time of a load after which it is not waited for any more."""
+
+K = TypeVar("K")
+
+
+class _Sent(NamedTuple):
+    at: float
+    order: str
+
+
+class Conductor:
+    """Keeps the replicas of all fabric domains formed.
+
+    Every daemon runs one; only the one on duty acts. Two that act at the same
+    time do no harm, since every replica is recorded by a conditional append
+    before any host is ordered.
+
+    :param name: name of this daemon
+    :param directory: the registered hosts
+    :param register: the recorded replicas
+    :param orders: sends orders to engines
+    :param decisions: takes a line for each order and change
+    :param on_duty: whether this daemon is to act, asked at each step
+    :param suspects: returns the ids of heads whose streams have stalled
+    :param starting: whether no request has been served yet
+    :param stall_s: time after which a head notices that a member is lost
+    """
+
+    def __init__(
+        self,
+        name: str,
+        directory: Directory,
+        register: Register,
+        orders: Orders,
+        decisions: Decisions,
+        *,
+        on_duty: Callable[[], bool],
+        suspects: Callable[[], Collection[str]] = tuple,
+        starting: Callable[[], bool] = lambda: False,
+        stall_s: float = 5.0,
+    ) -> None:
+        self._name = name
+        self._directory = directory
+        self._register = register
+        self._orders = orders
+        self._decisions = decisions
+        self._on_duty = on_duty
+        self._suspects = suspects
+        self._starting = starting
+        self._loads = Loads()
+        self._retirement = Retirement(orders, decisions, stall_s=stall_s)
+        self._sent_by_host: dict[str, _Sent] = {}
+        self._staging_by_host: dict[str, tuple[str, float]] = {}
+        self._dead_until: dict[tuple[str, int], float] = {}
+        self._probed_until: dict[str, float] = {}
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    @property
+    def busy(self) -> bool:
+        """Return whether changes are under way that reports will show soon."""
+        now = _now()
+        return any(now - sent.at < REPEAT_S for sent in self._sent_by_host.values())
+
+    async def run(self) -> None:
+        """Act until cancelled."""
+        try:
+            while True:
+                try:
+                    await self.step()
+                except PlatformError as error:
+                    self._decisions.belief("formation_delayed", reason=str(error))
+                await asyncio.sleep(STEP_S)
+        finally:
+            for task in self._tasks:
+                task.cancel()
+            self._retirement.cancel()
+
+    async def step(self) -> None:
+        """Look once at the replicas and do what is due.
+
+        :raises PlatformError: if a change was not recorded
+        """
+        engine = self._directory.engine
+        if engine is None or not self._register.follower.whole or not self._on_duty():
+            return
+        service, spec = engine
+        self._expire()
+        self._probe_suspects()
+        standings = {
+            formed.name: standing(
+                formed, self._directory.hosts, dead=self._dead_until.keys()
+            )
+            for formed in self._register.by_name.values()
+        }
+        self._retire(standings)
+        if self._register.follower.up:
+            await self._record(service, spec)
+        self._order(spec, standings)
+
+    def _expire(self) -> None:
+        now = _now()
+        self._dead_until = _after(now, self._dead_until)
+        self._probed_until = _after(now, self._probed_until)
+        hosts = self._directory.hosts
+        for host_id, (model, until) in list(self._staging_by_host.items()):
+            host = hosts.get(host_id)
+            if host is None or model in host.staged or until <= now:
+                del self._staging_by_host[host_id]
+                self._loads.end(host_id)
+        self._sent_by_host = {
+            host: sent for host, sent in self._sent_by_host.items() if host in hosts
+        }
+
+    def _probe_suspects(self) -> None:
+        """Ask every member of a stalled replica whether it is there."""
+        by_head = {f.head.id: f for f in self._register.by_name.values()}
+        for head in self._suspects():
+            formed = by_head.get(head)
+            if formed is not None:
+                for member in formed.members:
+                    self._probe(member, "stalled")
+
+    def _probe(self, member: Member, reason: str) -> None:
+        host = self._directory.hosts.get(member.id)
+        if (
+            member.id in self._probed_until
+            or (member.id, member.born) in self._dead_until
+        ):
+            return
+        if host is None:
+            host = Host(member.id, "", member.address, "", 0, False, 0.0, member.born)
+        self._probed_until[member.id] = _now() + SUSPECT_S
+        self._spawn(self._check(member, host, reason))
+
+    async def _check(self, member: Member, host: Host, reason: str) -> None:
+        error: AuburnError | None = None
+        for _ in range(PROBES):
+            try:
+                seen = await self._orders.report(host)
+            except AuburnError as failure:
+                error = failure
+                continue
+            if seen.born == member.born:
+                return
+            error = None
+            break
+        self._dead_until[member.id, member.born] = _now() + DEAD_KEPT_S
+        self._decisions.belief(
+            "host_lost", upstream=member.id, reason=reason, error=repr(error)
+        )
+
+    def _retire(self, standings: dict[str, Standing]) -> None:
+        for formed in self._register.by_name.values():
+            state = standings[formed.name]
+            if state is Standing.MISSING:
+                for member in formed.members:
+                    if member.id not in self._directory.hosts:
+                        self._probe(member, "unregistered")
+            elif state in (Standing.LOST, Standing.LEAVING):
+                self._retirement.begin(
+                    formed,
+                    [m for m in formed.members[1:] if self._may_live(m)],
+                    head_gone=self._restarted(formed.head),
+                    gentle=state is Standing.LEAVING,
+                )
+        self._retirement.keep(self._register.by_name)
+
+    def _may_live(self, member: Member) -> bool:
+        dead = (member.id, member.born) in self._dead_until
+        return not dead and not self._restarted(member)
+
+    def _restarted(self, member: Member) -> bool:
+        host = self._directory.hosts.get(member.id)
+        return host is not None and host.born != member.born
+
+    async def _record(self, service: str, spec: EngineSpec) -> None:
+        """Drop the replicas that have ended, and record those to form instead."""
+        ended = [
+            formed
+            for name, formed in self._register.by_name.items()
+            if name in self._retirement.ended
+        ]
+        forms, stages = self._plan(service, spec, {formed.name for formed in ended})
+        if forms or ended:
+            await self._register.change(forms, dropped=ended)
+        for stage in stages:
+            self._stage(stage, spec)
+
+    def _plan(
+        self, service: str, spec: EngineSpec, ended: Collection[str]
+    ) -> tuple[list[Form], list[Stage]]:
+        taken = {
+            host: (formed.name, formed.model)
+            for host, formed in self._register.by_host.items()
+            if formed.name not in ended
+        }
+        usable = [
+            host
+            for host in self._directory.hosts.values()
+            if host.service == service
+            and not host.leaving
+            and host.fabric_domain
+            and host.life not in self._dead_until
+        ]
+        staging = {host: model for host, (model, _) in self._staging_by_host.items()}
+        starting = self._starting()
+        plans = [
+            plan(domain, spec, starting=starting)
+            for domain in fabric_domains(usable, taken, staging)
+        ]
+        # One replica of each fabric domain in turn, so that the first ones of all
+        # domains are complete before the second ones load.
+        rounds = zip_longest(*(each.forms for each in plans))
+        forms = [form for turn in rounds for form in turn if form is not None]
+        return forms, [stage for each in plans for stage in each.stages]
+
+    def _order(self, spec: EngineSpec, standings: dict[str, Standing]) -> None:
+        for name, state in standings.items():
+            formed = self._register.by_name.get(name)
+            model = spec.model(formed.model) if formed else None
+            if formed is None or model is None or name in self._retirement.under_way:
+                continue
+            if state is Standing.FORMING:
+                for member in formed.members:
+                    if not has_part(formed, member, self._directory.hosts):
+                        self._join(member, formed, model, spec)
+            elif state is Standing.JOINED and self._due(formed.head.id, f"open {name}"):
+                self._spawn(self._send_open(formed))
+
+    def _join(
+        self, member: Member, formed: Formed, model: ModelSpec, spec: EngineSpec
+    ) -> None:
+        order = f"join {formed.name}"
+        sent = self._sent_by_host.get(member.id)
+        again = sent is not None and sent.order == order
+        if again and not self._due(member.id, order, mark=False):
+            return
+        host = self._directory.hosts.get(member.id)
+        staged = host is not None and formed.model in host.staged
+        if not staged and not again and not self._begin_load(member.id, model, spec):
+            return
+        self._sent_by_host[member.id] = _Sent(_now(), order)
+        self._spawn(self._send_join(member, formed))
+
+    def _begin_load(self, host: str, model: ModelSpec, spec: EngineSpec) -> bool:
+        started = self._loads.begin(
+            host,
+            takes_s=LOAD_SLACK * model.load_s,
+            per_s=0.0 if self._starting() else spec.loads_per_s,
+            at_once=spec.loads_at_once,
+        )
+        if started:
+            until = _now() + LOAD_SLACK * model.load_s
+            self._staging_by_host[host] = (model.name, until)
+        return started
+
+    def _stage(self, stage: Stage, spec: EngineSpec) -> None:
+        model = spec.model(stage.model)
+        host = stage.host
+        if model is None or host.id in self._staging_by_host:
+            return
+        if self._begin_load(host.id, model, spec):
+            self._spawn(self._send_stage(stage))
+
+    def _due(self, host: str, order: str, *, mark: bool = True) -> bool:
+        sent = self._sent_by_host.get(host)
+        if sent is not None and sent.order == order and _now() - sent.at < REPEAT_S:
+            return False
+        if mark:
+            self._sent_by_host[host] = _Sent(_now(), order)
+        return True
+
+    async def _send_join(self, member: Member, formed: Formed) -> None:
+        self._log(
+            "join", member.id, formed.name, await self._orders.join(member, formed)
+        )
+
+    async def _send_open(self, formed: Formed) -> None:
+        self._log("open", formed.head.id, formed.name, await self._orders.open(formed))
+
+    async def _send_stage(self, stage: Stage) -> None:
+        host = stage.host
+        member = Member(host.id, host.born, host.address)
+        answer = await self._orders.stage(member, stage.model)
+        if answer in (Answer.REFUSED, Answer.OTHER_LIFE):
+            self._loads.end(host.id)
+        self._log("stage", host.id, stage.model, answer)
+
+    def _log(self, order: str, host: str, subject: str, answer: Answer) -> None:
+        self._decisions.belief(
+            "order", order=order, upstream=host, subject=subject, answer=answer
+        )
+
+    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._ended)
+
+    def _ended(self, task: asyncio.Task[None]) -> None:
+        self._tasks.discard(task)
+        if not task.cancelled() and (error := task.exception()):
+            self._decisions.belief("order_failed", error=repr(error))
+
+
+def _after(now: float, until_by_key: Mapping[K, float]) -> dict[K, float]:
+    return {key: until for key, until in until_by_key.items() if until > now}
+
+
+def _now() -> float:
+    return asyncio.get_running_loop().time()
--- /dev/null
+++ b/auburnproxy/formation/layout.py
@@ -0,0 +1,224 @@
+"""Which replicas a fabric domain should form next, and what its spares hold.
+
+Answers engines that are lost faster than weights load: a lost host costs its
+replica, a load takes ten times as long as a join with weights that are staged.
+So each fabric domain keeps a spare for each model with its weights staged, and
+replicas are formed only from staged hosts once the system runs.
+"""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Sequence
+from typing import NamedTuple
+
+from ..gateway.host import Host
+from ..gateway.route import EngineSpec, ModelSpec
+
+SPARE_PART = 0.15
+"""Part of a fabric domain's hosts that are kept as spares."""
+
+
+class Form(NamedTuple):
+    """A replica to form."""
+
+    model: str
+    fabric_domain: str
+    hosts: tuple[Host, ...]
+    """The head first."""
+
+
+class Stage(NamedTuple):
+    """Weights to load onto a spare host."""
+
+    host: Host
+    model: str
+
+
+class Domain(NamedTuple):
+    """One fabric domain as the layout sees it."""
+
+    name: str
+    idle: tuple[Host, ...]
+    """Hosts that may be given a part."""
+    staging: dict[str, str]
+    """Model that is being loaded, by the id of an idle host."""
+    replicas_by_model: dict[str, int]
+    """Replicas that serve or are being formed."""
+    size: int
+    """Hosts that are alive, idle or not."""
+
+
+class Plan(NamedTuple):
+    """What to do next in one fabric domain."""
+
+    forms: tuple[Form, ...]
+    stages: tuple[Stage, ...]
+
+
+def targets(size: int, engine: EngineSpec) -> dict[str, int]:
+    """Return the replicas of each model that a fabric domain should have.
+
+    Each model gets its share of the hosts that are not spares, the model with
+    the most hosts in a replica first, since the small ones fill what is left.
+
+    :param size: live hosts of the fabric domain
+    :param engine: the models
+    """
+    left = size - max(round(size * SPARE_PART), 1)
+    shares = sum(model.share for model in engine.models) or 1.0
+    wanted: dict[str, int] = {}
+    for model in sorted(engine.models, key=lambda model: -model.hosts):
+        part = left * model.share / shares
+        shares -= model.share
+        count = min(round(part / model.hosts), left // model.hosts)
+        wanted[model.name] = max(count, 0)
+        left -= wanted[model.name] * model.hosts
+        shares = shares or 1.0
+    return wanted
+
+
+def plan(domain: Domain, engine: EngineSpec, *, starting: bool) -> Plan:
+    """Return what a fabric domain should form and stage next.
+
+    :param domain: the fabric domain
+    :param engine: the models
+    :param starting: whether replicas may be formed from hosts without weights,
+        which load faster before the first request
+    """
+    return _Planner(domain, engine, starting=starting).plan()
+
+
+class _Planner:
+    def __init__(self, domain: Domain, engine: EngineSpec, *, starting: bool) -> None:
+        self._domain = domain
+        self._models = {model.name: model for model in engine.models}
+        self._targets = targets(domain.size, engine)
+        self._have = Counter(domain.replicas_by_model)
+        self._starting = starting
+        self._idle = {host.id: host for host in domain.idle}
+        self._forms: list[Form] = []
+
+    def plan(self) -> Plan:
+        while model := self._next_to_form():
+            self._form(model)
+        return Plan(tuple(self._forms), tuple(self._stages()))
+
+    def _held(self, host: Host) -> str:
+        """Return the model that a host holds or is loading."""
+        if host.id in self._domain.staging:
+            return self._domain.staging[host.id]
+        return host.staged[-1] if host.staged else ""
+
+    def _staged(self, model: str) -> list[Host]:
+        """Return the idle hosts with a model's weights, the last to run it first."""
+        staging = self._domain.staging
+        found = [
+            host
+            for host in self._idle.values()
+            if model in host.staged and host.id not in staging
+        ]
+        return sorted(found, key=lambda host: (model not in host.models, host.id))
+
+    def _empty(self) -> list[Host]:
+        found = (h for h in self._idle.values() if not self._held(h))
+        return sorted(found, key=lambda host: host.id)
+
+    def _usable(self, model: str) -> list[Host]:
+        return self._staged(model) + (self._empty() if self._starting else [])
+
+    def _saturation(self, model: ModelSpec) -> tuple[float, int]:
+        target = max(self._targets[model.name], 1)
+        return self._have[model.name] / target, -model.hosts
+
+    def _next_to_form(self) -> ModelSpec | None:
+        for model in sorted(self._models.values(), key=self._saturation):
+            lacks = self._have[model.name] < self._targets[model.name]
+            spare = 0 if lacks else 1
+            hosts = self._usable(model.name) if lacks else self._staged(model.name)
+            if len(hosts) >= model.hosts + spare:
+                return model
+        return None
+
+    def _form(self, model: ModelSpec) -> None:
+        hosts = tuple(self._usable(model.name)[: model.hosts])
+        for host in hosts:
+            del self._idle[host.id]
+        self._have[model.name] += 1
+        self._forms.append(Form(model.name, self._domain.name, hosts))
+
+    def _stages(self) -> list[Stage]:
+        held = Counter(map(self._held, self._idle.values()))
+        found = []
+        for host in [*self._empty(), *self._misplaced(held)]:
+            model = self._next_to_stage(held)
+            if model is None or model == self._held(host):
+                continue
+            held[self._held(host)] -= 1
+            held[model] += 1
+            found.append(Stage(host, model))
+        return found
+
+    def _misplaced(self, held: Counter[str]) -> list[Host]:
+        """Return staged spares that another model lacks more than their own does."""
+        lacking = [
+            m
+            for m in self._models.values()
+            if self._have[m.name] < self._targets[m.name]
+        ]
+        if not lacking:
+            return []
+        return [
+            host
+            for host in self._idle.values()
+            if (own := self._held(host))
+            and host.id not in self._domain.staging
+            and self._have[own] >= self._targets.get(own, 0)
+            and held[own] > 1
+        ][:1]
+
+    def _next_to_stage(self, held: Counter[str]) -> str | None:
+        """Return the model that most lacks hosts with its weights."""
+        lacking = [
+            model
+            for model in sorted(self._models.values(), key=self._saturation)
+            if self._have[model.name] < self._targets[model.name]
+            and held[model.name] < model.hosts
+        ]
+        if lacking:
+            return lacking[0].name
+        spares = sorted(
+            self._models.values(), key=lambda m: (held[m.name] / m.hosts, -m.hosts)
+        )
+        return spares[0].name if spares else None
+
+
+def fabric_domains(
+    hosts: Sequence[Host],
+    taken: dict[str, tuple[str, str]],
+    staging: dict[str, str],
+) -> list[Domain]:
+    """Return the fabric domains of hosts.
+
+    :param hosts: the hosts that may be used, idle or not
+    :param taken: replica and model of each host that is in one, by host id
+    :param staging: model that is being loaded, by host id
+    """
+    hosts_by_domain: dict[str, list[Host]] = {}
+    for host in hosts:
+        name = f"{host.failure_domain}/{host.fabric_domain}"
+        hosts_by_domain.setdefault(name, []).append(host)
+    found = []
+    for name, members in sorted(hosts_by_domain.items()):
+        idle = tuple(host for host in members if host.id not in taken)
+        replicas = {taken[host.id] for host in members if host.id in taken}
+        found.append(
+            Domain(
+                name=name,
+                idle=idle,
+                staging={h.id: staging[h.id] for h in idle if h.id in staging},
+                replicas_by_model=dict(Counter(model for _, model in replicas)),
+                size=len(members),
+            )
+        )
+    return found
--- /dev/null
+++ b/auburnproxy/formation/record.py
@@ -0,0 +1,65 @@
+"""A replica as the shared register records it."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+import msgspec
+
+from ..errors import PlatformError
+from ..gateway.host import Host
+
+
+class Member(NamedTuple):
+    """One host of a replica, as it was when the replica was recorded."""
+
+    id: str
+    born: int
+    """Start of its process in Unix milliseconds."""
+    address: str
+
+
+class Formed(NamedTuple):
+    """A replica that exists from its record on, until the record is dropped."""
+
+    name: str
+    epoch: int
+    """Offset of the record; a later replica always has a higher one."""
+    model: str
+    fabric_domain: str
+    members: tuple[Member, ...]
+    """By rank; the first is the head."""
+
+    @property
+    def head(self) -> Member:
+        """Return the member that takes requests."""
+        return self.members[0]
+
+    @property
+    def ids(self) -> tuple[str, ...]:
+        """Return the ids of the members by rank."""
+        return tuple(member.id for member in self.members)
+
+
+_decoder = msgspec.json.Decoder(Formed)
+
+
+def encode(formed: Formed) -> bytes:
+    """Return the bytes of a record."""
+    return msgspec.json.encode(formed)
+
+
+def decode(value: bytes) -> Formed:
+    """Return a record from its bytes.
+
+    :raises PlatformError: if it cannot be read
+    """
+    try:
+        return _decoder.decode(value)
+    except msgspec.MsgspecError as error:
+        raise PlatformError(f"unreadable replica record: {error}") from error
+
+
+def member_of(host: Host) -> Member:
+    """Return a host as a record names it."""
+    return Member(host.id, host.born, host.address)
--- /dev/null
+++ b/auburnproxy/formation/retirement.py
@@ -0,0 +1,159 @@
+"""Ends replicas so that their hosts may safely be given other parts.
+
+A host may join another replica only when the head of its own is known not to
+serve. The head is told to leave; where it cannot be reached, another member
+leaves, and the head stops by itself once it has noticed that.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Collection, Sequence
+
+from ..errors import AuburnError
+from ..gateway.host import Host, PartState
+from ..telemetry.decisions import Decisions
+from .orders import Answer, Orders
+from .record import Formed, Member
+
+RETRY_S = 0.3
+"""Seconds between two tries to reach a head."""
+DRAIN_S = 6.0
+"""Longest wait for the requests of a replica that is to end; a stream takes two."""
+NOTICE_S = 1.0
+"""Beyond the head's own time to notice a member that left; the register's lag."""
+
+
+class Retirement:
+    """Ends replicas, one task for each.
+
+    :param orders: sends orders to engines
+    :param decisions: takes a line for each replica that ends
+    :param stall_s: time after which a head notices that a member is lost
+    """
+
+    def __init__(self, orders: Orders, decisions: Decisions, *, stall_s: float) -> None:
+        self.ended: set[str] = set()
+        """Names of the replicas whose hosts are free."""
+        self._orders = orders
+        self._decisions = decisions
+        self._stall_s = stall_s
+        self._tasks_by_name: dict[str, asyncio.Task[None]] = {}
+
+    @property
+    def under_way(self) -> frozenset[str]:
+        """Return the names of the replicas that end or have ended."""
+        return frozenset(self._tasks_by_name) | self.ended
+
+    def begin(
+        self,
+        formed: Formed,
+        others: Sequence[Member],
+        *,
+        head_gone: bool,
+        gentle: bool,
+    ) -> None:
+        """Begin to end a replica, unless that is under way.
+
+        :param formed: the replica
+        :param others: its members beside the head that may be there
+        :param head_gone: whether the head's process is known to have ended
+        :param gentle: whether its requests may end first
+        """
+        if formed.name in self.under_way:
+            return
+        self._decisions.belief(
+            "replica_retiring",
+            replica=formed.name,
+            gentle=gentle,
+            head_gone=head_gone,
+        )
+        work = self._end(formed, others, head_gone=head_gone, gentle=gentle)
+        task = asyncio.create_task(work)
+        self._tasks_by_name[formed.name] = task
+        task.add_done_callback(lambda done: self._note(formed.name, done))
+
+    def keep(self, names: Collection[str]) -> None:
+        """Forget the replicas that are recorded no more.
+
+        :param names: the replicas that are still recorded
+        """
+        self.ended.intersection_update(names)
+        for name in self._tasks_by_name.keys() - set(names):
+            self._tasks_by_name.pop(name).cancel()
+
+    def cancel(self) -> None:
+        """Stop every task; a later daemon begins anew."""
+        for task in self._tasks_by_name.values():
+            task.cancel()
+
+    def _note(self, name: str, task: asyncio.Task[None]) -> None:
+        self._tasks_by_name.pop(name, None)
+        if task.cancelled():
+            return
+        if error := task.exception():
+            self._decisions.belief("retirement_failed", replica=name, error=repr(error))
+            return
+        self.ended.add(name)
+
+    async def _end(
+        self,
+        formed: Formed,
+        others: Sequence[Member],
+        *,
+        head_gone: bool,
+        gentle: bool,
+    ) -> None:
+        if head_gone:
+            return
+        if gentle:
+            await self._drain(formed)
+        left_at: float | None = None
+        while not await self._head_left(formed):
+            if left_at is None and await self._one_left(formed, others):
+                left_at = _now()
+            if left_at is not None and _now() - left_at > self._stall_s + NOTICE_S:
+                return
+            await asyncio.sleep(RETRY_S)
+
+    async def _drain(self, formed: Formed) -> None:
+        """Let the head finish what it has."""
+        await self._orders.close(formed)
+        until = _now() + DRAIN_S
+        while _now() < until:
+            state = await self._state(formed, formed.head)
+            if state not in (PartState.OPEN, PartState.CLOSING):
+                return
+            await asyncio.sleep(RETRY_S)
+
+    async def _head_left(self, formed: Formed) -> bool:
+        answer = await self._orders.leave(formed.head, formed)
+        if answer is Answer.OTHER_LIFE:
+            return True
+        if answer is Answer.SILENT:
+            return False
+        return await self._state(formed, formed.head) is None
+
+    async def _one_left(self, formed: Formed, members: Sequence[Member]) -> bool:
+        answers = await asyncio.gather(
+            *(self._orders.leave(member, formed) for member in members)
+        )
+        return any(answer in (Answer.DONE, Answer.BEGUN) for answer in answers)
+
+    async def _state(self, formed: Formed, member: Member) -> PartState | None:
+        """Return the state of a member's part, ``BROKEN`` while it does not answer."""
+        host = Host(member.id, "", member.address, "", 0, False, 0.0, member.born)
+        try:
+            seen = await self._orders.report(host)
+        except AuburnError as error:
+            self._decisions.belief("host_silent", upstream=member.id, error=repr(error))
+            return PartState.BROKEN
+        part = seen.part
+        if seen.born != member.born or part is None:
+            return None
+        ours = (part.replica, part.epoch) == (formed.name, formed.epoch)
+        return part.state if ours else None
+
+
+def _now() -> float:
+    return asyncio.get_running_loop().time()
--- /dev/null
+++ b/auburnproxy/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""Routed requests: from a caller's connection to an upstream and back."""
--- /dev/null
+++ b/auburnproxy/gateway/directory.py
@@ -0,0 +1,184 @@
+"""What this daemon believes: configuration in force, hosts, evacuated domains."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Iterable, Mapping
+from types import MappingProxyType
+
+from ..pulse import Pulse
+from ..telemetry.decisions import Decisions
+from .host import Host, PartState
+from .route import NOTHING, Configuration, EngineSpec
+from .serving_replica import ServingReplica, serving_replicas
+
+LAPSE_GRACE_S = 2.5
+"""Seconds after an outage of the store in which a live host registers again."""
+
+
+class Directory:
+    """The newest configuration and the registered hosts.
+
+    :param decisions: takes a line for each change of belief
+    :param store_away_at: returns the loop's time of the store's newest failure
+    """
+
+    def __init__(
+        self,
+        decisions: Decisions,
+        *,
+        store_away_at: Callable[[], float] = lambda: -1.0,
+    ) -> None:
+        self.configuration = NOTHING
+        self.configured_at = -1.0
+        """The loop's time at which the configuration came into force."""
+        self.out_domains: frozenset[str] = frozenset()
+        """Failure domains that operators have taken out of service."""
+        self.changed = Pulse()
+        self._decisions = decisions
+        self._store_away_at = store_away_at
+        self._hosts: dict[str, Host] = {}
+        self._lapsed_at_by_id: dict[str, float] = {}
+        self._replicas: tuple[ServingReplica, ...] | None = None
+
+    @property
+    def hosts(self) -> Mapping[str, Host]:
+        """Return the registered hosts by id."""
+        return MappingProxyType(self._hosts)
+
+    @property
+    def engine(self) -> tuple[str, EngineSpec] | None:
+        """Return the service whose engines form replicas, with its parameters."""
+        for name, service in self.configuration.services_by_name.items():
+            if service.engine is not None and service.engine.models:
+                return name, service.engine
+        return None
+
+    def configure(self, configuration: Configuration) -> None:
+        """Put a configuration in force, unless a newer one is.
+
+        :param configuration: a version as it was read
+        """
+        before = self.configuration.version
+        if configuration.version <= before:
+            return
+        self.configuration = configuration
+        self.configured_at = _now()
+        self._replicas = None
+        self._decisions.belief(
+            "configuration_in_force", version=configuration.version, before=before
+        )
+        self.changed.send()
+
+    def set_out(self, failure_domain: str, *, out: bool) -> None:
+        """Take a failure domain out of service, or back.
+
+        :param failure_domain: its name
+        :param out: whether its upstreams are to get nothing
+        """
+        before = self.out_domains
+        names = {failure_domain}
+        self.out_domains = before | names if out else before - names
+        if self.out_domains != before:
+            kind = "domain_out" if out else "domain_back"
+            self._decisions.belief(kind, failure_domain=failure_domain)
+            self.changed.send()
+
+    def register(self, host: Host) -> None:
+        """Take a host's registration.
+
+        :param host: the host as it registered
+        """
+        known = self._hosts.get(host.id)
+        self._lapsed_at_by_id.pop(host.id, None)
+        self._hosts[host.id] = host
+        if known is None or known._replace(seen_at=host.seen_at) != host:
+            self._replicas = None
+            self._log_host(known, host)
+            self.changed.send()
+
+    def unregister(self, host_id: str) -> None:
+        """Take the removal of a host's registration.
+
+        Registrations also lapse while the store is away; a host that lapsed
+        around an outage is kept for as long as a live one needs to come back.
+
+        :param host_id: id of the host
+        """
+        if host_id not in self._hosts:
+            return
+        if self._near_outage():
+            self._lapsed_at_by_id.setdefault(host_id, _now())
+            self._decisions.belief("host_lapsed", upstream=host_id)
+            return
+        self._drop(host_id)
+
+    def expire(self) -> None:
+        """Drop the hosts that lapsed and did not come back."""
+        now = _now()
+        away_at = self._store_away_at()
+        for host_id, at in list(self._lapsed_at_by_id.items()):
+            if now - max(at, away_at) >= LAPSE_GRACE_S:
+                del self._lapsed_at_by_id[host_id]
+                self._drop(host_id)
+
+    def replicas(self) -> tuple[ServingReplica, ...]:
+        """Return the replicas whose heads take requests, by the hosts' reports."""
+        if self._replicas is None:
+            engine = self.engine
+            self._replicas = (
+                serving_replicas(self._hosts.values(), engine[1]) if engine else ()
+            )
+        return self._replicas
+
+    def plain_hosts(self, service: str) -> Iterable[Host]:
+        """Return the hosts of a plain service that may get requests.
+
+        :param service: name of the service
+        """
+        return [
+            host
+            for host in self._hosts.values()
+            if host.service == service and self.may_use(host)
+        ]
+
+    def may_use(self, host: Host) -> bool:
+        """Return whether a host is neither leaving nor out of service."""
+        return not host.leaving and host.failure_domain not in self.out_domains
+
+    def cold_s(self, host: Host) -> float:
+        """Return the seconds for which a host is still cold."""
+        return max(host.cold_s - (_now() - host.seen_at), 0.0)
+
+    def _near_outage(self) -> bool:
+        away_at = self._store_away_at()
+        return away_at >= 0 and _now() - away_at < LAPSE_GRACE_S
+
+    def _drop(self, host_id: str) -> None:
+        del self._hosts[host_id]
+        self._replicas = None
+        self._decisions.belief("host_gone", upstream=host_id)
+        self.changed.send()
+
+    def _log_host(self, known: Host | None, host: Host) -> None:
+        if known is None or known.life != host.life:
+            self._decisions.belief(
+                "host_registered",
+                upstream=host.id,
+                born=host.born,
+                failure_domain=host.failure_domain,
+            )
+        if host.leaving and not (known and known.leaving):
+            self._decisions.belief("host_leaving", upstream=host.id)
+        before = known.part if known else None
+        if host.part != before and host.part and host.part.state is PartState.OPEN:
+            self._decisions.belief(
+                "replica_open",
+                upstream=host.id,
+                replica=host.part.replica,
+                epoch=host.part.epoch,
+            )
+
+
+def _now() -> float:
+    return asyncio.get_running_loop().time()
--- /dev/null
+++ b/auburnproxy/gateway/face.py
@@ -0,0 +1,212 @@
+"""The HTTP face of a daemon that routes by host name and path."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+
+from aiohttp import web
+
+from ..errors import Ran, RefusalError
+from ..telemetry import Counter, Measure, Telemetry
+from ..telemetry.decisions import Decisions
+from .call import Call
+from .dialect import Ask, Dialect
+from .directory import Directory
+from .plain import Plain
+from .resends import Allowance, Resends
+from .route import RouteKind
+from .streams import Streams
+
+UNCONFIGURED_RETRY_S = 0.5
+"""Wait until a started daemon has usually read its configuration."""
+
+
+class RoutedFace:
+    """Answers callers.
+
+    :param directory: configuration and hosts
+    :param dialect: reads and writes headers
+    :param plain: sends requests of plain routes
+    :param streams: sends requests of streamed routes
+    :param allowance: bound on resends
+    :param daemons: returns how many daemons share that bound
+    :param decisions: takes a line for each request
+    :param telemetry: histograms and counters
+    """
+
+    def __init__(
+        self,
+        directory: Directory,
+        dialect: Dialect,
+        plain: Plain,
+        streams: Streams,
+        *,
+        allowance: Allowance,
+        daemons: Callable[[], int],
+        decisions: Decisions,
+        telemetry: Telemetry,
+    ) -> None:
+        self.draining = False
+        self.served = 0
+        """Requests that were routed to a service since the start."""
+        self._directory = directory
+        self._dialect = dialect
+        self._plain = plain
+        self._streams = streams
+        self._allowance = allowance
+        self._daemons = daemons
+        self._decisions = decisions
+        self._telemetry = telemetry
+        self._resends_by_service: dict[str, Resends] = {}
+        self._in_flight = 0
+        self._idle = asyncio.Event()
+        self._idle.set()
+
+    @property
+    def in_flight(self) -> int:
+        """Return the requests that are not yet answered."""
+        return self._in_flight
+
+    async def idle(self) -> None:
+        """Wait until every request is answered."""
+        await self._idle.wait()
+
+    def application(self) -> web.Application:
+        """Return the application of the callers' listener."""
+        app = web.Application(
+            client_max_size=self._directory.configuration.bounds.body_bytes
+        )
+        app.router.add_route("*", "/{path:.*}", self.handle)
+        return app
+
+    async def handle(self, http: web.Request) -> web.StreamResponse:
+        """Answer one request."""
+        arrived = asyncio.get_running_loop().time()
+        ask = self._dialect.read_ask(http.headers)
+        with self._counted():
+            try:
+                response = await self._answered(http, ask, arrived)
+            except RefusalError as refusal:
+                response = self._refused(ask, refusal, arrived)
+            except (asyncio.CancelledError, ConnectionError):
+                self._decisions.request(
+                    "caller_left", ask.request_id, after_s=_since(arrived)
+                )
+                self._telemetry.count(Counter.CANCELLED, "", "")
+                raise
+            if self.draining and not response.prepared:
+                response.force_close()
+            return response
+
+    async def _answered(
+        self, http: web.Request, ask: Ask, arrived: float
+    ) -> web.StreamResponse:
+        call = await self._routed(http, ask, arrived)
+        self.served += 1
+        resends = self._resends(call.service)
+        resends.request()
+        if call.route.kind is RouteKind.STREAM:
+            response = await self._streams.answer(call, resends)
+        else:
+            response = await self._plain.answer(call, resends)
+        self._decisions.request(
+            "answered",
+            call.id,
+            account=call.account,
+            route=call.route.name,
+            configuration=self._directory.configuration.version,
+            status=response.status,
+            took_s=_since(arrived),
+        )
+        self._telemetry.observe(
+            Measure.WHOLE_ANSWER, call.account, call.service, _since(arrived)
+        )
+        self._telemetry.count(Counter.ANSWERED, call.account, call.service)
+        return response
+
+    async def _routed(self, http: web.Request, ask: Ask, arrived: float) -> Call:
+        """Return a request with its route and account.
+
+        :raises RefusalError: if it has none
+        """
+        try:
+            body = await http.read()
+        except web.HTTPRequestEntityTooLarge:
+            message = "The body is too long."
+            raise RefusalError("body_too_long", message, status=413) from None
+        configuration = self._directory.configuration
+        if configuration.version < 0:
+            message = "This daemon has no configuration yet."
+            raise RefusalError(
+                "unconfigured", message, retry_after_s=UNCONFIGURED_RETRY_S
+            )
+        host = http.headers.get("Host", "").partition(":")[0]
+        route = configuration.route(host, http.raw_path.partition("?")[0])
+        if route is None:
+            raise RefusalError("no_route", "There is no such route.", status=404)
+        account = configuration.account_by_key.get(ask.key) if ask.key else None
+        if configuration.checks_keys and account is None and not route.public:
+            raise RefusalError("unauthenticated", "The key is not known.", status=401)
+        urgency = route.priority
+        if account is not None and account.priority is not None:
+            urgency = account.priority
+        waits_s = route.timeout_s
+        if ask.deadline_s is not None:
+            waits_s = min(waits_s, ask.deadline_s)
+        return Call(
+            http=http,
+            ask=ask,
+            route=route,
+            service=route.service(ask.request_id),
+            account=account.name if account else "",
+            urgency=min(max(urgency, 0), 9),
+            body=body,
+            arrived=arrived,
+            deadline=arrived + waits_s,
+        )
+
+    def _refused(
+        self, ask: Ask, refusal: RefusalError, arrived: float
+    ) -> web.StreamResponse:
+        self._decisions.request(
+            "refused",
+            ask.request_id,
+            code=refusal.code,
+            status=refusal.status,
+            ran=refusal.ran,
+            retry_after_s=refusal.retry_after_s,
+            configuration=self._directory.configuration.version,
+            after_s=_since(arrived),
+        )
+        counter = Counter.REFUSED if refusal.ran is Ran.NO else Counter.UNKNOWN
+        self._telemetry.count(counter, "", "", refusal.code)
+        headers = self._dialect.answer_headers(ask.request_id)
+        if refusal.retry_after_s is not None:
+            headers["Retry-After"] = f"{refusal.retry_after_s:.2f}"
+        return web.Response(
+            status=refusal.status, headers=headers, text=f"{refusal.code}: {refusal}\n"
+        )
+
+    def _resends(self, service: str) -> Resends:
+        found = self._resends_by_service.get(service)
+        if found is None:
+            found = Resends(self._allowance, self._daemons)
+            self._resends_by_service[service] = found
+        return found
+
+    @contextmanager
+    def _counted(self) -> Iterator[None]:
+        self._in_flight += 1
+        self._idle.clear()
+        try:
+            yield
+        finally:
+            self._in_flight -= 1
+            if not self._in_flight:
+                self._idle.set()
+
+
+def _since(arrived: float) -> float:
+    return round(asyncio.get_running_loop().time() - arrived, 4)
--- /dev/null
+++ b/auburnproxy/gateway/health.py
@@ -0,0 +1,146 @@
+"""Which upstreams answer, by what this daemon's own requests show.
+
+Answers a dead replica that looks alive: its head goes on accepting requests for
+seconds. The events of its other streams tell sooner than any report, so a head
+that is silent towards all of them is left out, and tried again by one request
+at a time with growing pauses.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+
+from ..telemetry.decisions import Decisions
+
+FIRST_PAUSE_S = 0.5
+"""Shortest exclusion; stalled batches of long prompts pass within it."""
+LONGEST_PAUSE_S = 4.0
+"""Longest exclusion; the register drops a dead host within that time."""
+FORGET_S = 10.0
+"""Seconds without trouble after which an upstream's pauses start short again."""
+
+
+class _State:
+    def __init__(self) -> None:
+        self.in_flight = 0
+        self.heard_at = -1.0
+        self.excluded_until = -1.0
+        self.pause_s = 0.0
+        self.probing = False
+        self.watches: set[Callable[[], None]] = set()
+
+
+class Health:
+    """What is known of upstreams from the requests that were sent to them.
+
+    :param decisions: takes a line for each upstream that is excluded or back
+    """
+
+    def __init__(self, decisions: Decisions) -> None:
+        self._decisions = decisions
+        self._states: dict[str, _State] = {}
+
+    def in_flight(self, host: str) -> int:
+        """Return this daemon's requests that are at an upstream."""
+        state = self._states.get(host)
+        return state.in_flight if state else 0
+
+    @property
+    def in_flight_by_host(self) -> dict[str, int]:
+        """Return this daemon's requests at each upstream that has any."""
+        return {h: s.in_flight for h, s in self._states.items() if s.in_flight}
+
+    @property
+    def suspects(self) -> tuple[str, ...]:
+        """Return the upstreams that are excluded now."""
+        now = _now()
+        return tuple(h for h, s in self._states.items() if s.excluded_until > now)
+
+    def excluded(self, host: str) -> bool:
+        """Return whether an upstream is not to get a request now.
+
+        After its pause an upstream gets one request, and the others once that
+        one has been answered.
+        """
+        state = self._states.get(host)
+        if state is None or not state.pause_s:
+            return False
+        return state.excluded_until > _now() or state.probing
+
+    @contextmanager
+    def request(self, host: str, on_lost: Callable[[], None]) -> Iterator[None]:
+        """Count a request at an upstream for as long as it is there.
+
+        :param on_lost: called if the upstream turns out to be silent towards all
+        """
+        state = self._states.setdefault(host, _State())
+        probe = bool(state.pause_s)
+        state.in_flight += 1
+        state.probing |= probe
+        state.watches.add(on_lost)
+        try:
+            yield
+        finally:
+            state.in_flight -= 1
+            state.watches.discard(on_lost)
+            if probe:
+                state.probing = False
+
+    def heard(self, host: str) -> None:
+        """Note that an upstream has sent something."""
+        state = self._states.setdefault(host, _State())
+        state.heard_at = _now()
+        if state.pause_s:
+            state.pause_s = 0.0
+            state.probing = False
+            state.excluded_until = -1.0
+            self._decisions.belief("upstream_back", upstream=host)
+
+    def stalled(self, host: str, *, silence_s: float, reason: str) -> None:
+        """Note that a request got nothing from an upstream.
+
+        :param silence_s: how long it got nothing
+        :param reason: what its request saw
+        """
+        state = self._states.setdefault(host, _State())
+        if _now() - state.heard_at < silence_s:
+            return
+        self.failed(host, reason=reason)
+        for on_lost in tuple(state.watches):
+            on_lost()
+
+    def failed(self, host: str, *, reason: str) -> None:
+        """Exclude an upstream for a while.
+
+        :param reason: what was seen of it
+        """
+        state = self._states.setdefault(host, _State())
+        now = _now()
+        if state.excluded_until > now:
+            return
+        calm = now - state.excluded_until > FORGET_S
+        state.pause_s = (
+            FIRST_PAUSE_S
+            if calm or not state.pause_s
+            else min(2 * state.pause_s, LONGEST_PAUSE_S)
+        )
+        state.excluded_until = now + state.pause_s
+        self._decisions.belief(
+            "upstream_excluded",
+            upstream=host,
+            reason=reason,
+            pause_s=state.pause_s,
+            silent_s=round(now - state.heard_at, 3) if state.heard_at >= 0 else None,
+        )
+
+    def forget(self, host: str) -> None:
+        """Drop what is known of an upstream that is gone."""
+        state = self._states.get(host)
+        if state is not None and not state.in_flight:
+            del self._states[host]
+
+
+def _now() -> float:
+    return asyncio.get_running_loop().time()
--- /dev/null
+++ b/auburnproxy/gateway/plain.py
@@ -0,0 +1,152 @@
+"""Requests with a whole answer: repeated where allowed, else sent at most once."""
+
+from __future__ import annotations
+
+import asyncio
+
+from aiohttp import ClientError, ClientSession, web
+
+from ..errors import Ran, RefusalError
+from ..telemetry.decisions import Decisions
+from .call import Call, Ending, TryError, check_head, send
+from .choice import Choice
+from .dialect import Dialect, Dispatch, passed_on
+from .health import Health
+from .host import Host
+from .resends import Resends
+
+PATIENCE = 0.45
+"""Part of the time left after which a silent host is given up for another one."""
+LEAST_PATIENCE_S = 0.2
+"""Shortest wait for an answer; hosts take a quarter of that on average."""
+MOST_UNSENT = 3
+"""Hosts that cannot be reached before a request is refused."""
+SERVER_ERROR = 500
+
+
+class Plain:
+    """Sends requests of plain routes.
+
+    :param session: connections to upstreams
+    :param dialect: reads and writes headers
+    :param choice: chooses hosts
+    :param health: learns from each try
+    :param decisions: takes a line for each try
+    """
+
+    def __init__(
+        self,
+        session: ClientSession,
+        dialect: Dialect,
+        choice: Choice,
+        health: Health,
+        decisions: Decisions,
+    ) -> None:
+        self._session = session
+        self._dialect = dialect
+        self._choice = choice
+        self._health = health
+        self._decisions = decisions
+
+    async def answer(self, call: Call, resends: Resends) -> web.Response:
+        """Return the answer of an upstream.
+
+        :raises RefusalError: if there is none
+        """
+        ran = Ran.NO
+        exclude: set[str] = set()
+        sent = unsent = 0
+        failure: web.Response | None = None
+        while True:
+            try:
+                host = self._choice.plain(call.service, exclude=exclude)
+            except RefusalError as refusal:
+                if failure is not None:
+                    return failure
+                raise _given_up(refusal.code, ran, refusal.retry_after_s) from refusal
+            exclude.add(host.id)
+            last = sent + 1 >= call.route.attempts or not call.route.repeatable
+            try:
+                response = await self._try(call, host, last=last)
+                if response.status < SERVER_ERROR or last or not resends.spend():
+                    return response
+                failure = response
+                error = TryError(f"answered_{response.status}", ran=Ran.UNKNOWN)
+            except TryError as caught:
+                error = caught
+            self._log(call, host, error)
+            sent += error.sent
+            unsent += not error.sent
+            if error.ran is Ran.UNKNOWN:
+                ran = Ran.UNKNOWN
+            if not error.sent:
+                if unsent < MOST_UNSENT:
+                    continue
+                raise _given_up(error.code, ran, None)
+            if sent >= call.route.attempts or (
+                ran is Ran.UNKNOWN and not call.route.repeatable
+            ):
+                if failure is not None:
+                    return failure
+                raise _given_up(error.code, ran, None)
+            if failure is None and not resends.spend():
+                raise _given_up(error.code, ran, None)
+
+    async def _try(self, call: Call, host: Host, *, last: bool) -> web.Response:
+        remaining_s = call.remaining_s
+        if remaining_s <= 0:
+            raise TryError("deadline", ran=Ran.NO, sent=False)
+        patience_s = (
+            remaining_s if last else max(PATIENCE * remaining_s, LEAST_PATIENCE_S)
+        )
+        dispatch = Dispatch(host, remaining_s, call.account, call.urgency)
+        try:
+            with self._health.request(host.id, _nothing):
+                async with asyncio.timeout(min(patience_s, remaining_s)):
+                    return await self._exchange(call, dispatch)
+        except TimeoutError:
+            self._health.stalled(host.id, silence_s=patience_s, reason="no answer")
+            raise TryError("silent", ran=Ran.UNKNOWN) from None
+        except TryError as error:
+            if not error.sent:
+                self._health.failed(host.id, reason=error.code)
+            raise
+
+    async def _exchange(self, call: Call, dispatch: Dispatch) -> web.Response:
+        host = dispatch.host
+        answer = await send(self._session, self._dialect, call, dispatch)
+        async with answer:
+            self._health.heard(host.id)
+            ending = Ending(answer)
+            check_head(call, self._dialect.read_reply(answer.status, answer.headers))
+            try:
+                body = await answer.read()
+            except (ClientError, OSError) as error:
+                raise TryError("broken", ran=Ran.UNKNOWN) from error
+            if not ending.clean:
+                raise TryError("reset", ran=Ran.UNKNOWN)
+        return web.Response(
+            status=answer.status, headers=passed_on(answer.headers), body=body
+        )
+
+    def _log(self, call: Call, host: Host, error: TryError) -> None:
+        self._decisions.request(
+            "try_failed",
+            call.id,
+            upstream=host.id,
+            code=error.code,
+            ran=error.ran,
+            remaining_s=round(call.remaining_s, 3),
+        )
+
+
+def _given_up(code: str, ran: Ran, retry_after_s: float | None) -> RefusalError:
+    if ran is Ran.NO:
+        message = "No upstream took the request."
+        return RefusalError(code, message, retry_after_s=retry_after_s or 0.2)
+    message = "An upstream may have run the request and gave no whole answer."
+    return RefusalError(code, message, status=502, ran=ran)
+
+
+def _nothing() -> None:
+    """Plain requests wait for their own answer."""
--- /dev/null
+++ b/auburnproxy/gateway/resends.py
@@ -0,0 +1,65 @@
+"""How many requests may be sent to a second upstream.
+
+Answers retries that multiply load: the bound holds for all daemons together, so
+each takes its part of the fixed allowance, and its own requests earn the rest.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections import deque
+from collections.abc import Callable
+from typing import NamedTuple
+
+MARGIN = 0.8
+"""Part of the bound that is used: windows of daemons and callers are not aligned."""
+
+
+class Allowance(NamedTuple):
+    """The bound for all daemons together, for each service."""
+
+    ratio: float
+    """Resends for each request of a window."""
+    slack: float
+    """Resends that are allowed beside those."""
+    window_s: float
+
+
+class Resends:
+    """Counts the requests and resends to one service in a sliding window.
+
+    :param allowance: the bound for all daemons together
+    :param daemons: returns how many daemons share it
+    """
+
+    def __init__(self, allowance: Allowance, daemons: Callable[[], int]) -> None:
+        self._allowance = allowance
+        self._daemons = daemons
+        self._requests: deque[float] = deque()
+        self._resends: deque[float] = deque()
+
+    def request(self) -> None:
+        """Count a request."""
+        self._requests.append(_now())
+
+    @property
+    def left(self) -> int:
+        """Return how many resends may be made now."""
+        since = _now() - self._allowance.window_s
+        for times in (self._requests, self._resends):
+            while times and times[0] <= since:
+                times.popleft()
+        earned = self._allowance.ratio * len(self._requests)
+        own = self._allowance.slack / max(self._daemons(), 1)
+        return int(MARGIN * (earned + own)) - len(self._resends)
+
+    def spend(self) -> bool:
+        """Take a resend if one is left."""
+        if self.left < 1:
+            return False
+        self._resends.append(_now())
+        return True
+
+
+def _now() -> float:
+    return asyncio.get_running_loop().time()
--- /dev/null
+++ b/auburnproxy/gateway/streams.py
@@ -0,0 +1,277 @@
+"""Streams: each event passed on once and in order, resumed when a replica is lost."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+from aiohttp import ClientError, ClientResponse, ClientSession, web
+
+from ..errors import Ran, RefusalError
+from ..telemetry import Measure, Telemetry
+from ..telemetry.decisions import Decisions
+from .call import Call, Ending, TryError, check_head, send
+from .choice import Choice
+from .dialect import Dialect, Dispatch, passed_on
+from .events import EventReader, follows
+from .health import Health
+from .resends import Resends
+from .route import EngineSpec
+from .serving_replica import ServingReplica
+
+FIRST_PART = 0.7
+"""Part of the objective for the first event in which a head shows itself."""
+PAUSE_PART = 1.0
+"""Part of the objective for pauses after which a head counts as silent."""
+LEAST_PAUSE_S = 0.25
+"""Shortest silence that counts: batches of long prompts take up to 0.2 s."""
+MOST_UNSENT = 3
+"""Heads that cannot be reached before a request is refused."""
+OK = 200
+
+
+class Streams:
+    """Sends requests of streamed routes.
+
+    :param session: connections to upstreams
+    :param dialect: reads and writes headers
+    :param choice: chooses replicas
+    :param health: learns from each event
+    :param engine: returns how the engines batch, None while unknown
+    :param decisions: takes a line for each try
+    :param telemetry: histograms
+    """
+
+    def __init__(
+        self,
+        session: ClientSession,
+        dialect: Dialect,
+        choice: Choice,
+        health: Health,
+        engine: Callable[[], EngineSpec | None],
+        decisions: Decisions,
+        telemetry: Telemetry,
+    ) -> None:
+        self.session = session
+        self.dialect = dialect
+        self.choice = choice
+        self.health = health
+        self.engine = engine
+        self.decisions = decisions
+        self.telemetry = telemetry
+
+    async def answer(self, call: Call, resends: Resends) -> web.StreamResponse:
+        """Pass a stream on and return its response, complete or aborted.
+
+        :raises RefusalError: if no byte of it was sent
+        """
+        return await _Stream(self, call, resends).run()
+
+
+class _Stream:
+    """One request and what its caller has of the answer."""
+
+    def __init__(self, parts: Streams, call: Call, resends: Resends) -> None:
+        self._parts = parts
+        self._call = call
+        self._resends = resends
+        self._response: web.StreamResponse | None = None
+        self._last_id = call.ask.resume_after
+        self._heard = False
+        self._ran = Ran.NO
+        self._exclude: set[str] = set()
+        self._counted = 0
+        self._unsent = 0
+
+    async def run(self) -> web.StreamResponse:
+        while True:
+            try:
+                replica = self._parts.choice.replica(
+                    self._call.ask.model, exclude=self._exclude
+                )
+            except RefusalError as refusal:
+                return self._give_up(refusal.code, refusal.retry_after_s)
+            try:
+                return await self._try(replica)
+            except TryError as error:
+                self._log(replica, error)
+                if not self._may_go_on(replica, error):
+                    return self._give_up(error.code, None)
+
+    def _may_go_on(self, replica: ServingReplica, error: TryError) -> bool:
+        """Count a failed try; return whether another one is allowed."""
+        self._exclude.add(replica.head.id)
+        if error.ran is Ran.UNKNOWN:
+            self._ran = Ran.UNKNOWN
+        if self._call.remaining_s <= 0:
+            return False
+        if not error.sent:
+            self._unsent += 1
+            return self._unsent < MOST_UNSENT
+        if not self._parts.health.excluded(replica.head.id):
+            # A head that is lost does not count against the route's attempts.
+            self._counted += 1
+        if self._counted >= self._call.route.attempts:
+            return False
+        if self._ran is Ran.UNKNOWN and not self._call.route.repeatable:
+            return False
+        return self._resends.spend()
+
+    def _give_up(self, code: str, retry_after_s: float | None) -> web.StreamResponse:
+        if self._response is not None:
+            self._parts.decisions.request("stream_aborted", self._call.id, code=code)
+            if self._call.http.transport is not None:
+                self._call.http.transport.close()
+            return self._response
+        if self._ran is Ran.NO:
+            message = "No replica took the request."
+            raise RefusalError(code, message, retry_after_s=retry_after_s or 0.2)
+        status = 504 if self._call.remaining_s <= 0 else 502
+        message = "A replica may have run the request and gave no whole answer."
+        raise RefusalError(code, message, status=status, ran=Ran.UNKNOWN)
+
+    async def _try(self, replica: ServingReplica) -> web.StreamResponse:
+        head, health = replica.head, self._parts.health
+        now = asyncio.get_running_loop().time()
+        remaining_s = self._call.deadline - now
+        if remaining_s <= 0:
+            raise TryError("deadline", ran=Ran.NO, sent=False)
+        bound_s = self._first_bound_s(replica)
+        dispatch = Dispatch(
+            head, remaining_s, self._call.account, self._call.urgency, self._last_id
+        )
+        self._heard = False
+        try:
+            async with asyncio.timeout_at(self._limit_at(bound_s)) as limit:
+
+                def lost() -> None:
+                    if not limit.expired():
+                        limit.reschedule(asyncio.get_running_loop().time())
+
+                with health.request(head.id, lost):
+                    return await self._exchange(dispatch, replica, limit)
+        except TimeoutError:
+            if self._call.remaining_s <= 0:
+                raise TryError("deadline", ran=Ran.UNKNOWN) from None
+            silence_s = self._pause_bound_s() if self._heard else bound_s
+            health.stalled(head.id, silence_s=silence_s, reason="no event")
+            raise TryError("stalled", ran=Ran.UNKNOWN) from None
+        except TryError as error:
+            if not error.sent or error.code == "rejected_503":
+                health.failed(head.id, reason=error.code)
+            raise
+
+    async def _exchange(
+        self, dispatch: Dispatch, replica: ServingReplica, limit: asyncio.Timeout
+    ) -> web.StreamResponse:
+        parts = self._parts
+        answer = await send(parts.session, parts.dialect, self._call, dispatch)
+        async with answer:
+            reply = parts.dialect.read_reply(answer.status, answer.headers)
+            check_head(self._call, reply)
+            if reply.status != OK:
+                return await self._failure(answer)
+            await self._pass_on(answer, replica, limit)
+        if self._response is None:
+            await self._start(answer)
+        assert self._response is not None
+        limit.reschedule(None)
+        await self._response.write_eof()
+        return self._response
+
+    async def _pass_on(
+        self, answer: ClientResponse, replica: ServingReplica, limit: asyncio.Timeout
+    ) -> None:
+        """Pass the events of one try on until it ends.
+
+        :raises TryError: if it ends early
+        """
+        reader, ending, health = EventReader(), Ending(answer), self._parts.health
+        head, bound_s = replica.head.id, self._pause_bound_s()
+        while True:
+            try:
+                block = await answer.content.readany()
+            except (ClientError, OSError) as error:
+                raise TryError("broken", ran=Ran.UNKNOWN) from error
+            if not block:
+                break
+            health.heard(head)
+            try:
+                events = reader.feed(block)
+            except ValueError as error:
+                raise TryError("unreadable", ran=Ran.UNKNOWN) from error
+            if events:
+                self._heard = True
+                limit.reschedule(None)
+                data = b""
+                for event in events:
+                    if not follows(event.id, self._last_id):
+                        raise TryError("out_of_order", ran=Ran.UNKNOWN)
+                    self._last_id = event.id or self._last_id
+                    data += event.data
+                await self._write(answer, data)
+                limit.reschedule(self._limit_at(bound_s))
+        if reader.rest or not ending.clean:
+            raise TryError("truncated", ran=Ran.UNKNOWN)
+
+    async def _write(self, answer: ClientResponse, data: bytes) -> None:
+        if self._response is None:
+            await self._start(answer)
+        assert self._response is not None
+        await self._response.write(data)
+
+    async def _start(self, answer: ClientResponse) -> None:
+        call = self._call
+        self._response = web.StreamResponse(
+            status=answer.status, headers=passed_on(answer.headers)
+        )
+        took_s = asyncio.get_running_loop().time() - call.arrived
+        self._parts.telemetry.observe(
+            Measure.FIRST_CHUNK, call.account, call.service, took_s
+        )
+        await self._response.prepare(call.http)
+
+    async def _failure(self, answer: ClientResponse) -> web.StreamResponse:
+        """Return an upstream's own failure, unless the request may run again."""
+        if self._call.route.repeatable and answer.status >= 500:
+            raise TryError(f"answered_{answer.status}", ran=Ran.UNKNOWN)
+        if self._response is not None:
+            raise TryError(f"answered_{answer.status}", ran=Ran.UNKNOWN)
+        try:
+            body = await answer.read()
+        except (ClientError, OSError) as error:
+            raise TryError("broken", ran=Ran.UNKNOWN) from error
+        return web.Response(
+            status=answer.status, headers=passed_on(answer.headers), body=body
+        )
+
+    def _first_bound_s(self, replica: ServingReplica) -> float:
+        """Return the silence before the first event that shows a head to be lost."""
+        engine = self._parts.engine()
+        rate = engine.prompt_tokens_per_s if engine else 0.0
+        tokens = self._call.ask.prompt_tokens
+        reading_s = tokens / rate * replica.model.pace if rate else 0.0
+        objective_s = self._call.route.objective_s
+        return max(FIRST_PART * objective_s, LEAST_PAUSE_S) + reading_s
+
+    def _pause_bound_s(self) -> float:
+        return max(PAUSE_PART * self._call.route.pause_objective_s, LEAST_PAUSE_S)
+
+    def _limit_at(self, bound_s: float) -> float:
+        return min(asyncio.get_running_loop().time() + bound_s, self._call.deadline)
+
+    def _log(self, replica: ServingReplica, error: TryError) -> None:
+        self._parts.decisions.request(
+            "try_failed",
+            self._call.id,
+            upstream=replica.head.id,
+            replica=replica.name,
+            code=error.code,
+            ran=error.ran,
+            last_event=self._last_id,
+            load=self._parts.choice.load(replica.head),
+            report_age_s=round(
+                asyncio.get_running_loop().time() - replica.head.seen_at, 3
+            ),
+            remaining_s=round(self._call.remaining_s, 3),
+        )
--- a/auburnproxy/journal/_access.py
+++ b/auburnproxy/journal/_access.py
@@ -5,7 +5,7 @@
 import asyncio
 
 from ..errors import AppendUncertainError, PlatformError
-from ..platform import LogPage, LogService
+from ..external import LogPage, LogService
 
 PAGE_RECORDS = 512
 READ_MARGIN_S = 10.0
--- a/auburnproxy/journal/_recovery.py
+++ b/auburnproxy/journal/_recovery.py
@@ -8,7 +8,7 @@
 
 from loguru import logger
 
-from ..platform import LogPage
+from ..external import LogPage
 from . import checkpoint as checkpoints
 from ._access import PAGE_RECORDS, LogAccess
 from ._codec import decode_record, encode_record
--- a/auburnproxy/journal/journal.py
+++ b/auburnproxy/journal/journal.py
@@ -10,7 +10,7 @@
 from loguru import logger
 
 from ..errors import AppendUncertainError, OutcomeUnknownError, PlatformError
-from ..platform import LogPage, LogService
+from ..external import LogPage, LogService
 from . import checkpoint as checkpoints
 from ._access import LogAccess
 from ._codec import decode_record, encode_record
--- a/auburnproxy/platform/__init__.py
+++ b/auburnproxy/platform/__init__.py
@@ -1,17 +1,9 @@
-"""The platform's services, one abstract base class for each."""
+"""Runs the product on the users' platform: translation only.
 
-from .hosts import HostEntry, HostKind, HostList, Presence
-from .log import LogPage, LogRecord, LogService
-from .weights import ModelSpec, WeightStore
+Nothing outside this package knows the platform's names, headers, topics or
+fields, and nothing in it decides anything.
+"""
 
-__all__ = [
-    "HostEntry",
-    "HostKind",
-    "HostList",
-    "LogPage",
-    "LogRecord",
-    "LogService",
-    "ModelSpec",
-    "Presence",
-    "WeightStore",
-]
+from .adapter import PlatformAdapter, adapter
+
+__all__ = ["PlatformAdapter", "adapter"]
--- /dev/null
+++ b/auburnproxy/platform/adapter.py
@@ -0,0 +1,79 @@
+"""The platform's side of a routed daemon."""
+
+from __future__ import annotations
+
+import os
+from pathlib import Path
+
+from ..daemon.deployment import Deployment, DomainMark, RoutedSettings
+from ..formation import Orders
+from ..gateway.dialect import Dialect
+from ..gateway.host import Host
+from ..gateway.route import Configuration
+from ..store import Change, Store
+from .engine_orders import PlatformOrders
+from .headers import PlatformDialect
+from .operator_records import (
+    CONFIGURATION_KEY,
+    EVACUATION_PREFIX,
+    read_configuration,
+)
+from .registrations import read_registration
+from .settings import SETTINGS_VARIABLE, read_settings
+from .store import PlatformStore
+
+
+class PlatformAdapter(Deployment):
+    """Translates between the platform and a routed daemon.
+
+    :param path: the settings file
+    """
+
+    operator_topic = "op"
+    upstream_topic = "servers"
+
+    def __init__(self, path: Path) -> None:
+        self._path = path
+
+    def settings(self) -> RoutedSettings:
+        """Return the settings as they are now.
+
+        :raises DocumentError: with every finding
+        """
+        return read_settings(self._path)
+
+    def store(self, settings: RoutedSettings) -> Store:
+        """Return the platform's log service."""
+        return PlatformStore(settings.store)
+
+    def dialect(self) -> Dialect:
+        """Return the headers' dialect."""
+        return PlatformDialect()
+
+    def orders(self) -> Orders:
+        """Return the engines' order dialect."""
+        return PlatformOrders()
+
+    def read_operator(self, change: Change) -> Configuration | DomainMark | None:
+        """Return what an operator's record says, None if it is not for daemons.
+
+        :raises PlatformError: if it cannot be read
+        """
+        if change.key.startswith(EVACUATION_PREFIX):
+            zone = change.key.removeprefix(EVACUATION_PREFIX)
+            return DomainMark(zone, out=bool(change.value))
+        if change.key == CONFIGURATION_KEY and change.value:
+            return read_configuration(change.value)
+        return None
+
+    def read_upstream(self, change: Change, *, now: float) -> Host:
+        """Return a host as it registered.
+
+        :raises PlatformError: if the record names no host to use
+        """
+        return read_registration(change.key, change.value, now=now)
+
+
+def adapter() -> PlatformAdapter:
+    """Return the adapter for the settings file that the environment names."""
+    return PlatformAdapter(Path(os.environ[SETTINGS_VARIABLE]))
--- /dev/null
+++ b/auburnproxy/platform/engine_orders.py
@@ -0,0 +1,103 @@
+"""Orders to the platform's engines over HTTP."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Any
+
+import msgspec
+from aiohttp import ClientTimeout
+
+from ..errors import UpstreamError
+from ..formation.orders import Answer, Orders
+from ..formation.record import Formed, Member
+from ..gateway.host import Host
+from ..upstreams.client import open_session, upstream_errors
+from .headers import HOST_ID
+from .registrations import read_report
+
+ORDER_TIMEOUT_S = 0.6
+"""Two round trips between failure domains, and a lost packet that is sent again."""
+REPORT_TIMEOUT_S = 0.3
+"""As above without the second packet; a report that is late is asked for anew."""
+DONE, BEGUN, MISDIRECTED = 200, 202, 421
+CLOSE_AFTER_QUEUE = "queue"
+
+
+class PlatformOrders(Orders):
+    """Sends the platform's orders."""
+
+    def __init__(self) -> None:
+        self._session = open_session(keep=False)
+
+    async def join(self, member: Member, formed: Formed) -> Answer:
+        """Order a member to take its part in a replica."""
+        body = {"model": formed.model, "members": formed.ids}
+        return await self._order(member, "join", formed, **body)
+
+    async def open(self, formed: Formed) -> Answer:
+        """Order the head of a replica to serve."""
+        return await self._order(formed.head, "open", formed)
+
+    async def close(self, formed: Formed) -> Answer:
+        """Order the head to finish its requests and to take no further ones."""
+        mode = {"close-mode": CLOSE_AFTER_QUEUE}
+        return await self._order(formed.head, "close", formed, **mode)
+
+    async def leave(self, member: Member, formed: Formed) -> Answer:
+        """Order a member to give its part up, at once."""
+        return await self._order(member, "leave", formed)
+
+    async def stage(self, member: Member, model: str) -> Answer:
+        """Order a host to load a model's weights."""
+        return await self._send(member, {"operation": "stage", "model": model})
+
+    async def report(self, host: Host) -> Host:
+        """Return a host as it reports itself now.
+
+        :raises UpstreamError: if it does not answer
+        :raises PlatformError: if its report cannot be read
+        """
+        url = f"http://{host.address}/report"
+        timeout = ClientTimeout(total=REPORT_TIMEOUT_S)
+        with upstream_errors(host.address):
+            async with self._session.get(
+                url, headers={HOST_ID: host.id}, timeout=timeout
+            ) as response:
+                body = await response.read()
+                if response.status != DONE:
+                    raise UpstreamError(f"{host.id}: report has {response.status}")
+        return read_report(host, body, now=asyncio.get_running_loop().time())
+
+    async def close_connections(self) -> None:
+        """Close every connection."""
+        await self._session.close()
+
+    async def _order(
+        self, member: Member, operation: str, formed: Formed, **more: Any
+    ) -> Answer:
+        group = {"operation": operation, "group": formed.name, "epoch": formed.epoch}
+        return await self._send(member, group | more)
+
+    async def _send(self, member: Member, body: dict[str, Any]) -> Answer:
+        url = f"http://{member.address}/order"
+        headers = {HOST_ID: member.id, "Content-Type": "application/json"}
+        timeout = ClientTimeout(total=ORDER_TIMEOUT_S)
+        try:
+            with upstream_errors(member.address):
+                async with self._session.post(
+                    url,
+                    data=msgspec.json.encode(body),
+                    headers=headers,
+                    timeout=timeout,
+                ) as response:
+                    await response.read()
+                    status = response.status
+        except UpstreamError:
+            # A refused connection proves nothing: some partitions refuse.
+            return Answer.SILENT
+        if status == DONE:
+            return Answer.DONE
+        if status == BEGUN:
+            return Answer.BEGUN
+        return Answer.OTHER_LIFE if status == MISDIRECTED else Answer.REFUSED
--- /dev/null
+++ b/auburnproxy/platform/headers.py
@@ -0,0 +1,93 @@
+"""The platform's headers on requests and answers."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+
+from multidict import CIMultiDict, CIMultiDictProxy
+
+from ..gateway.dialect import Ask, Dialect, Dispatch, Load, Reply, passed_on
+
+REQUEST_ID = "Attempt-Id"
+DEADLINE_MS = "Deadline-Ms"
+KEY = "Api-Key"
+ACCOUNT = "Tenant"
+MODEL = "Model"
+TOKENS = "Token-Usage"
+"""Prompt tokens and the most answer tokens, separated by a comma."""
+RESUME_AFTER = "Last-Event-Id"
+HOST_ID = "Expect-Instance"
+URGENCY = "Request-Urgency"
+WEIGHT_VERSION = "Expect-Version"
+NOT_RUN = "Not-Executed"
+SIGNATURE = "Engine-Stamp"
+LOAD = "Engine-Load"
+"""Requests running, requests waiting, and slots, separated by commas."""
+AT_FAULT = "At-Server"
+OWN = (KEY, ACCOUNT, HOST_ID, URGENCY, WEIGHT_VERSION, DEADLINE_MS, RESUME_AFTER)
+"""Headers that the system sets for itself, whatever the caller sent."""
+MS_PER_S = 1000
+MISDIRECTED = 421
+
+
+class PlatformDialect(Dialect):
+    """Reads and writes the platform's headers."""
+
+    def read_ask(self, headers: Mapping[str, str]) -> Ask:
+        """Return what a caller's headers say; bad values count as missing."""
+        prompt, _, answer = headers.get(TOKENS, "").partition(",")
+        deadline_ms = _number(headers.get(DEADLINE_MS, ""))
+        return Ask(
+            request_id=headers.get(REQUEST_ID, ""),
+            key=headers.get(KEY, ""),
+            deadline_s=None if deadline_ms is None else deadline_ms / MS_PER_S,
+            model=headers.get(MODEL, ""),
+            prompt_tokens=int(_number(prompt) or 0),
+            answer_tokens=int(_number(answer) or 0),
+            resume_after=headers.get(RESUME_AFTER, ""),
+        )
+
+    def forwarded(
+        self, headers: CIMultiDictProxy[str], dispatch: Dispatch
+    ) -> CIMultiDict[str]:
+        """Return the headers that an upstream gets."""
+        found = passed_on(headers)
+        for name in OWN:
+            found.popall(name, None)
+        found[DEADLINE_MS] = str(max(int(dispatch.deadline_s * MS_PER_S), 1))
+        found[HOST_ID] = dispatch.host.id
+        if dispatch.account:
+            found[ACCOUNT] = dispatch.account
+        if dispatch.resume_after:
+            found[RESUME_AFTER] = dispatch.resume_after
+        if dispatch.host.part is not None:
+            found[URGENCY] = str(dispatch.urgency)
+        return found
+
+    def read_reply(self, status: int, headers: Mapping[str, str]) -> Reply:
+        """Return what the head of an upstream's answer says."""
+        return Reply(
+            status=status,
+            not_run=NOT_RUN in headers or status == MISDIRECTED,
+            signed=SIGNATURE in headers,
+            request_id=headers.get(REQUEST_ID, ""),
+            encoded="Content-Encoding" in headers,
+            load=_load(headers.get(LOAD, "")),
+            at_fault=headers.get(AT_FAULT, ""),
+        )
+
+    def answer_headers(self, request_id: str) -> dict[str, str]:
+        """Return the headers of an answer of this daemon's own."""
+        return {REQUEST_ID: request_id} if request_id else {}
+
+
+def _number(text: str) -> float | None:
+    text = text.strip()
+    return float(text) if text.isascii() and text.isdigit() else None
+
+
+def _load(text: str) -> Load | None:
+    parts = [_number(part) for part in text.split(",")]
+    if len(parts) != len(Load._fields) or any(part is None for part in parts):
+        return None
+    return Load(*(int(part or 0) for part in parts))
--- /dev/null
+++ b/auburnproxy/platform/operator_records.py
@@ -0,0 +1,198 @@
+"""The operators' records on the platform: the configuration and evacuations."""
+
+from __future__ import annotations
+
+import msgspec
+
+from ..errors import PlatformError
+from ..gateway.route import (
+    DEFAULT_ATTEMPTS,
+    Account,
+    Bounds,
+    Configuration,
+    EngineSpec,
+    ModelSpec,
+    Route,
+    RouteKind,
+    ServiceSpec,
+    Target,
+)
+
+MS_PER_S = 1000
+CONFIGURATION_KEY = "config"
+EVACUATION_PREFIX = "evacuate/"
+KIND_BY_WORD = {
+    "idempotent": RouteKind.IDEMPOTENT,
+    "non_idempotent": RouteKind.ONCE,
+    "streaming": RouteKind.STREAM,
+}
+
+
+class _Split(msgspec.Struct):
+    service: str
+    weight: int = 1
+
+
+class _Route(msgspec.Struct, rename="kebab"):
+    name: str
+    host: str
+    path_prefix: str
+    kind: str
+    timeout_ms: float
+    service: str = ""
+    traffic_split: list[_Split] = []
+    target_latency_ms: float = 0.0
+    gap_aim_ms: float = 0.0
+    """Objective for the pause between events."""
+    max_attempts: int = DEFAULT_ATTEMPTS
+    resumable: bool = False
+    public: bool = False
+    priority: int = 0
+
+
+class _Model(msgspec.Struct, rename="kebab"):
+    name: str
+    size: int
+    """Hosts of one replica."""
+    share: float = 1.0
+    pace: float = 1.0
+    load_s: float = 0.0
+    warm_s: float = 0.0
+
+
+class _Usual(msgspec.Struct, frozen=True):
+    prompt: float = 0.0
+    answer: float = 0.0
+
+
+class _Engine(msgspec.Struct):
+    slots: int
+    models: list[_Model] = []
+    step_ms: float = 0.0
+    per_seq_ms: float = 0.0
+    read_per_s: float = 0.0
+    """Prompt tokens read in a second."""
+    stride: int = 1
+    """Tokens in one event of a stream."""
+    loads_at_once: int = 1
+    loads_per_s: float = msgspec.field(default=0.0, name="loads-per-s")
+    form_ms: float = msgspec.field(default=0.0, name="form-ms")
+    usual: _Usual = _Usual()
+
+
+class _Service(msgspec.Struct, rename="kebab"):
+    name: str
+    cold_start_s: float = 0.0
+    cold_per_s: float = 0.0
+    engine: _Engine | None = None
+
+
+class _Tenant(msgspec.Struct, rename="kebab"):
+    name: str
+    api_keys: list[str] = []
+    priority: int | None = None
+
+
+class _Limits(msgspec.Struct, rename="kebab", frozen=True):
+    max_header_bytes: int = 16_384
+    max_body_bytes: int = 4_194_304
+    idle_timeout_ms: float = 15_000.0
+
+
+class _Config(msgspec.Struct):
+    version: int
+    routes: list[_Route] = []
+    services: list[_Service] = []
+    tenants: list[_Tenant] | None = None
+    limits: _Limits = _Limits()
+
+
+_decoder = msgspec.json.Decoder(_Config)
+
+
+def read_configuration(value: bytes) -> Configuration:
+    """Return the operators' configuration.
+
+    :param value: the record's value
+    :raises PlatformError: if it cannot be read whole
+    """
+    try:
+        config = _decoder.decode(value)
+    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        raise PlatformError(f"unreadable configuration: {error}") from error
+    routes_by_host: dict[str, list[Route]] = {}
+    for route in map(_route, config.routes):
+        routes_by_host.setdefault(route.host, []).append(route)
+    for routes in routes_by_host.values():
+        routes.sort(key=lambda route: -len(route.prefix))
+    return Configuration(
+        version=config.version,
+        routes_by_host={host: tuple(found) for host, found in routes_by_host.items()},
+        services_by_name={each.name: _service(each) for each in config.services},
+        account_by_key={
+            key: Account(tenant.name, tenant.priority)
+            for tenant in config.tenants or ()
+            for key in tenant.api_keys
+        },
+        checks_keys=config.tenants is not None,
+        bounds=Bounds(
+            header_bytes=config.limits.max_header_bytes,
+            body_bytes=config.limits.max_body_bytes,
+            idle_s=config.limits.idle_timeout_ms / MS_PER_S,
+        ),
+    )
+
+
+def _route(route: _Route) -> Route:
+    splits = route.traffic_split or [_Split(route.service)]
+    return Route(
+        name=route.name,
+        host=route.host,
+        prefix=route.path_prefix,
+        # An unknown kind of request is never repeated.
+        kind=KIND_BY_WORD.get(route.kind, RouteKind.ONCE),
+        targets=tuple(Target(split.service, split.weight) for split in splits),
+        timeout_s=route.timeout_ms / MS_PER_S,
+        objective_s=route.target_latency_ms / MS_PER_S,
+        pause_objective_s=route.gap_aim_ms / MS_PER_S,
+        attempts=route.max_attempts,
+        resumable=route.resumable,
+        public=route.public,
+        priority=route.priority,
+    )
+
+
+def _service(service: _Service) -> ServiceSpec:
+    return ServiceSpec(
+        name=service.name,
+        cold_s=service.cold_start_s,
+        cold_per_s=service.cold_per_s,
+        engine=_engine(service.engine) if service.engine else None,
+    )
+
+
+def _engine(engine: _Engine) -> EngineSpec:
+    models = tuple(
+        ModelSpec(
+            name=model.name,
+            hosts=model.size,
+            share=model.share,
+            pace=model.pace,
+            load_s=model.load_s,
+            warm_s=model.warm_s,
+        )
+        for model in engine.models
+    )
+    return EngineSpec(
+        slots=engine.slots,
+        models=models,
+        step_s=engine.step_ms / MS_PER_S,
+        step_per_request_s=engine.per_seq_ms / MS_PER_S,
+        prompt_tokens_per_s=engine.read_per_s,
+        tokens_per_event=engine.stride,
+        loads_per_s=engine.loads_per_s,
+        loads_at_once=engine.loads_at_once,
+        form_s=engine.form_ms / MS_PER_S,
+        usual_prompt_tokens=engine.usual.prompt,
+        usual_answer_tokens=engine.usual.answer,
+    )
--- /dev/null
+++ b/auburnproxy/platform/settings.py
@@ -0,0 +1,87 @@
+"""The platform's settings file."""
+
+from __future__ import annotations
+
+from pathlib import Path
+from typing import Any
+
+from ..daemon.deployment import RoutedSettings
+from ..errors import DocumentError
+from ..findings import Finding, check, parse
+from ..gateway.resends import Allowance
+
+SETTINGS_VARIABLE = "AUBURNPROXY_CONFIG"
+METRICS_PORT = 9464
+"""Port of the metrics, as the deploy file names it."""
+MS_PER_S = 1000
+
+_TEXT = {"type": "string", "minLength": 1}
+_ADDRESS = {"type": "string", "pattern": r"^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$"}
+_NUMBER = {"type": "number", "minimum": 0}
+
+
+def _object(properties: dict[str, Any], *, required: bool = True) -> dict[str, Any]:
+    """Return the schema of an object whose further fields are ignored."""
+    names = list(properties) if required else []
+    return {"type": "object", "properties": properties, "required": names}
+
+
+SCHEMA = {
+    "type": "object",
+    "required": ["node-name", "ip", "zone", "listen", "internal-ports", "platform"],
+    "properties": {
+        "node-name": _TEXT,
+        "ip": _TEXT,
+        "zone": _TEXT,
+        "listen": _object({"front": _ADDRESS, "readiness": _ADDRESS}),
+        "internal-ports": {
+            "type": "array",
+            "items": {"type": "integer"},
+            "minItems": 2,
+        },
+        "platform": _object({"address": _ADDRESS}),
+        "bootstrap": {"type": "boolean"},
+        "bounds": _object(
+            {
+                "retry-budget-ratio": _NUMBER,
+                "budget-slack": _NUMBER,
+                "budget-window-s": _NUMBER,
+                "stall-ms": _NUMBER,
+                "grace-s": _NUMBER,
+            },
+            required=False,
+        ),
+    },
+}
+
+
+def read_settings(path: Path) -> RoutedSettings:
+    """Return the settings in a file.
+
+    :param path: the platform's YAML file
+    :raises DocumentError: with every finding, also if the file can't be read
+    """
+    try:
+        text = path.read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        raise DocumentError([Finding(str(path), 1, "", "file", str(error))]) from error
+    value = check(parse(text, file=str(path)), SCHEMA)
+    bounds = value.get("bounds", {})
+    first_port, _ = value["internal-ports"][:2]
+    return RoutedSettings(
+        name=value["node-name"],
+        failure_domain=value["zone"],
+        callers=value["listen"]["front"],
+        readiness=value["listen"]["readiness"],
+        beats=f"{value['ip']}:{first_port}",
+        metrics=f"{value['ip']}:{METRICS_PORT}",
+        store=value["platform"]["address"],
+        first_start=value.get("bootstrap", False),
+        allowance=Allowance(
+            ratio=bounds.get("retry-budget-ratio", 0.0),
+            slack=bounds.get("budget-slack", 0.0),
+            window_s=bounds.get("budget-window-s", 10.0),
+        ),
+        stall_s=bounds.get("stall-ms", 5000) / MS_PER_S,
+        grace_s=bounds.get("grace-s", 8.0),
+    )
--- a/auburnproxy/replicas/custodian.py
+++ b/auburnproxy/replicas/custodian.py
@@ -9,7 +9,7 @@
 from loguru import logger
 
 from ..errors import AuburnError, PlatformError
-from ..platform import WeightStore
+from ..external import WeightStore
 from ..upstreams import Watcher
 from ..upstreams.engine import Assignment, EngineReport, Fence, Order
 from .assignment import assignments, custody_key
--- a/auburnproxy/replicas/downtime.py
+++ b/auburnproxy/replicas/downtime.py
@@ -6,7 +6,7 @@
 from collections import Counter
 from collections.abc import Callable, Mapping
 
-from ..platform import HostKind
+from ..external import HostKind
 from ..upstreams import Watcher
 from .readiness import Readiness
 from .replicas import Replicas
--- a/auburnproxy/replicas/planner.py
+++ b/auburnproxy/replicas/planner.py
@@ -9,8 +9,8 @@
 from loguru import logger
 
 from ..errors import AuburnError, PlatformError
+from ..external import HostEntry, HostKind, WeightStore
 from ..journal import Proposer
-from ..platform import HostEntry, HostKind, WeightStore
 from ..upstreams import Watcher
 from .assignment import custody_key
 from .placement import Candidate, Change, Placement, Policy, Want
--- a/auburnproxy/routing/_protocols.py
+++ b/auburnproxy/routing/_protocols.py
@@ -5,7 +5,7 @@
 from collections.abc import Mapping
 from typing import Protocol
 
-from ..platform import HostEntry
+from ..external import HostEntry
 from ..replicas import Replica
 from ..upstreams.engine import Engine, EngineReport
 from ..upstreams.observation import Observation
--- /dev/null
+++ b/auburnproxy/store/__init__.py
@@ -0,0 +1,14 @@
+"""Shared state in a log of keyed records whose newest values are kept."""
+
+from .follower import Follower
+from .store import Change, ConflictError, ExpiredError, Newest, Page, Store
+
+__all__ = [
+    "Change",
+    "ConflictError",
+    "ExpiredError",
+    "Follower",
+    "Newest",
+    "Page",
+    "Store",
+]
--- a/auburnproxy/upstreams/_client.py
+++ b/auburnproxy/upstreams/client.py
@@ -25,6 +25,7 @@
 CONNECT_TIMEOUT_S = 1.0
 CONTROL_TIMEOUT_S = 2.0
 CONTROL = ClientTimeout(total=CONTROL_TIMEOUT_S, sock_connect=CONNECT_TIMEOUT_S)
+UNBOUNDED = ClientTimeout(total=None)
 STREAM = ClientTimeout(sock_connect=CONNECT_TIMEOUT_S)
 
 
@@ -58,13 +59,21 @@
         raise UpstreamError(f"{place}: {error!r}", ran=Ran.UNKNOWN) from error
 
 
-def open_session() -> ClientSession:
-    """Return a session that bounds nothing, keeps no cookies and sends once."""
+def open_session(
+    *, keep: bool = True, timeout: ClientTimeout = UNBOUNDED
+) -> ClientSession:
+    """Return a session that bounds nothing, keeps no cookies and sends once.
+
+    :param keep: whether connections are used again; a new one for each request
+        takes no answer that belongs to the request before
+    :param timeout: bounds of every request that names none
+    """
     return ClientSession(
-        connector=TCPConnector(limit=0),
+        connector=TCPConnector(limit=0, force_close=not keep),
         cookie_jar=DummyCookieJar(),
         middlewares=(_send_once,),
         auto_decompress=False,
+        timeout=timeout,
     )
 
 
--- a/auburnproxy/upstreams/http_engine.py
+++ b/auburnproxy/upstreams/http_engine.py
@@ -8,8 +8,8 @@
 from aiohttp import ClientResponse
 
 from ..errors import Ran, StaleFenceError, UpstreamError
-from ..platform import HostEntry
-from ._client import CONTROL, STREAM, Connections, upstream_errors
+from ..external import HostEntry
+from .client import CONTROL, STREAM, Connections, upstream_errors
 from .engine import Chunk, Engine, EngineReport, ModelCall, Order
 from .events import split
 
--- a/auburnproxy/upstreams/http_service.py
+++ b/auburnproxy/upstreams/http_service.py
@@ -6,8 +6,8 @@
 from aiohttp import ClientTimeout
 
 from ..errors import UpstreamError
-from ..platform import HostEntry
-from ._client import CONNECT_TIMEOUT_S, CONTROL, Connections, upstream_errors
+from ..external import HostEntry
+from .client import CONNECT_TIMEOUT_S, CONTROL, Connections, upstream_errors
 from .service import PlainAnswer, PlainCall, PlainService, ServiceReport
 
 OK = 200
--- a/auburnproxy/upstreams/watcher.py
+++ b/auburnproxy/upstreams/watcher.py
@@ -9,10 +9,10 @@
 from loguru import logger
 
 from ..errors import PlatformError, UpstreamError
-from ..platform import HostEntry, HostKind, HostList, Presence
+from ..external import HostEntry, HostKind, HostList, Presence
+from ..pulse import Pulse
 from .engine import Engine, EngineReport, EngineState
 from .observation import Observation, Result
-from .pulse import Pulse
 from .service import PlainService, ServiceReport
 from .sighting import Poll, Report, Sighting, ask, part, says_leaving
 from .stragglers import Stragglers
--- a/bench/journal.py
+++ b/bench/journal.py
@@ -21,7 +21,7 @@
 from auburnproxy.journal.record import Entry
 from auburnproxy.ledger import Ledger
 from auburnproxy.ledger.ledger import CLAIM, Claim
-from auburnproxy.platform import LogPage, LogRecord, LogService
+from auburnproxy.external import LogPage, LogRecord, LogService
 
 from .fit import print_fit
 
--- a/bench/placement.py
+++ b/bench/placement.py
@@ -12,7 +12,7 @@
 
 import defopt
 
-from auburnproxy.platform import ModelSpec
+from auburnproxy.external import ModelSpec
 from features.fakes.replicas import FakeDaemon, FakePlatform
 from features.machines.search import run_virtual
 
--- a/bench/replicas.py
+++ b/bench/replicas.py
@@ -20,7 +20,7 @@
 from rich.console import Console
 from rich.table import Table
 
-from auburnproxy.platform import ModelSpec
+from auburnproxy.external import ModelSpec
 from auburnproxy.replicas import Placement, Policy, planner
 from features.fakes.replicas import FakeDaemon, FakePlatform
 from features.machines.search import run_virtual
--- a/examples/journal.py
+++ b/examples/journal.py
@@ -10,7 +10,7 @@
 from typing import Any, ClassVar
 
 from auburnproxy.journal import Entry, Journal, Reducer
-from auburnproxy.platform import LogPage, LogRecord, LogService
+from auburnproxy.external import LogPage, LogRecord, LogService
 
 TAKE = "stock.take"
 
--- a/features/fakes/log.py
+++ b/features/fakes/log.py
@@ -5,7 +5,7 @@
 import asyncio
 
 from auburnproxy.errors import AppendUncertainError, PlatformError
-from auburnproxy.platform import LogPage, LogRecord, LogService
+from auburnproxy.external import LogPage, LogRecord, LogService
 
 
 class FakeLog:
--- a/features/fakes/replicas.py
+++ b/features/fakes/replicas.py
@@ -9,7 +9,7 @@
 
 from auburnproxy.errors import PlatformError, Ran, StaleFenceError, UpstreamError
 from auburnproxy.journal import Entry, Outcome, Record
-from auburnproxy.platform import (
+from auburnproxy.external import (
     HostEntry,
     HostKind,
     HostList,
--- a/features/fakes/sharing.py
+++ b/features/fakes/sharing.py
@@ -10,7 +10,7 @@
 
 from auburnproxy.errors import PlatformError, Ran, UpstreamError
 from auburnproxy.membership import Member, Reports
-from auburnproxy.platform import HostEntry, HostKind, HostList, Presence
+from auburnproxy.external import HostEntry, HostKind, HostList, Presence
 from auburnproxy.upstreams import Watcher
 from auburnproxy.upstreams.engine import Engine, EngineReport, EngineState, Fence
 from auburnproxy.upstreams.peers import Peers
--- a/features/machines/cold_starts.py
+++ b/features/machines/cold_starts.py
@@ -8,7 +8,7 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, rule
 
-from auburnproxy.platform import ModelSpec
+from auburnproxy.external import ModelSpec
 from features.fakes.caller import Caller
 from features.fakes.replicas import FakeDaemon, FakePlatform
 
--- a/features/machines/replicas.py
+++ b/features/machines/replicas.py
@@ -9,7 +9,7 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
 
 from auburnproxy.journal import Record
-from auburnproxy.platform import ModelSpec, Presence
+from auburnproxy.external import ModelSpec, Presence
 from auburnproxy.replicas import Replica, custody_key
 from auburnproxy.replicas.replicas import Kind
 from auburnproxy.upstreams.engine import EngineState
--- a/features/steps/adapters.py
+++ b/features/steps/adapters.py
@@ -10,7 +10,7 @@
 from hypothesis import strategies as st
 
 from auburnproxy.errors import AppendUncertainError, PlatformError, Ran, UpstreamError
-from auburnproxy.platform.http import connect_log
+from auburnproxy.external.http import connect_log
 from auburnproxy.upstreams.engine import Chunk, ChunkKind
 from auburnproxy.upstreams.events import render, split
 from auburnproxy.upstreams.http_engine import HttpEngine
--- a/features/steps/lost.py
+++ b/features/steps/lost.py
@@ -5,7 +5,7 @@
 from behave import given, then, when
 
 from auburnproxy.daemon._lost import LostDaemons
-from auburnproxy.platform import HostEntry, HostKind, Presence
+from auburnproxy.external import HostEntry, HostKind, Presence
 from features.machines.search import run_virtual
 
 NAME = "fd1-a"
--- a/features/steps/replicas.py
+++ b/features/steps/replicas.py
@@ -5,7 +5,7 @@
 import async_solipsism
 from behave import given, then, when
 
-from auburnproxy.platform import ModelSpec
+from auburnproxy.external import ModelSpec
 from auburnproxy.replicas import Policy, custody_key
 from auburnproxy.upstreams import Observation, Result
 from features.fakes.replicas import FakeDaemon, FakePlatform
--- a/standins/hosts.py
+++ b/standins/hosts.py
@@ -9,7 +9,7 @@
 import msgspec
 from aiohttp import web
 
-from auburnproxy.platform import HostEntry, Presence
+from auburnproxy.external import HostEntry, Presence
 
 from .listener import cut, json_answer
 
--- a/standins/log.py
+++ b/standins/log.py
@@ -8,7 +8,7 @@
 import msgspec
 from aiohttp import web
 
-from auburnproxy.platform import LogPage, LogRecord
+from auburnproxy.external import LogPage, LogRecord
 
 from .listener import cut, json_answer
 
--- a/standins/settings.py
+++ b/standins/settings.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from auburnproxy.platform import HostEntry, HostKind, ModelSpec, Presence
+from auburnproxy.external import HostEntry, HostKind, ModelSpec, Presence
 
 T = TypeVar("T")
 
--- a/standins/weights.py
+++ b/standins/weights.py
@@ -8,7 +8,7 @@
 import msgspec
 from aiohttp import web
 
-from auburnproxy.platform import ModelSpec
+from auburnproxy.external import ModelSpec
 
 from .listener import cut, json_answer
 
