--- a/auburnproxy/beats/beat.py
+++ b/auburnproxy/beats/beat.py
@@ -17,8 +17,8 @@
     """Whether it forms replicas."""
     served: bool
     """Whether it has served a request since its start."""
-    in_flight_by_host: dict[str, int]
-    """Its requests at each upstream that has any."""
+    work_by_host: dict[str, tuple[int, int]]
+    """Its requests at each upstream that has any, and those without an answer."""
     suspects: list[str]
     """Upstreams that it leaves out since they fell silent."""
 
--- a/auburnproxy/beats/circle.py
+++ b/auburnproxy/beats/circle.py
@@ -105,14 +105,15 @@
             for host in heard.beat.suspects
         )
 
-    def in_flight(self, host: str) -> int:
-        """Return the requests of the others at an upstream."""
-        now = _now()
-        return sum(
-            heard.beat.in_flight_by_host.get(host, 0)
-            for heard in self._heard.values()
-            if now - heard.at < LOAD_S
-        )
+    def work(self, host: str) -> tuple[int, int]:
+        """Return the requests of the others at an upstream, and those that wait."""
+        now, in_flight, waiting = _now(), 0, 0
+        for heard in self._heard.values():
+            work = heard.beat.work_by_host.get(host)
+            if work is not None and now - heard.at < LOAD_S:
+                in_flight += work[0]
+                waiting += work[1]
+        return in_flight, waiting
 
     def record(self) -> Change | None:
         """Return the record of this daemon's seat, None if it stands already."""
--- a/auburnproxy/daemon/deployment.py
+++ b/auburnproxy/daemon/deployment.py
@@ -29,8 +29,6 @@
     first_start: bool
     """Whether the whole system starts for the first time."""
     allowance: Allowance
-    stall_s: float
-    """Time after which the head of a replica notices that a member is lost."""
     grace_s: float
     """Time from the signal to stop until the process is killed."""
 
--- a/auburnproxy/daemon/routed.py
+++ b/auburnproxy/daemon/routed.py
@@ -34,6 +34,8 @@
 """Seconds that a reading of a topic that seldom changes waits for a record."""
 QUICK_PAUSE_S = 0.25
 """Pause between two readings of the registrations while replicas are formed."""
+START_PAUSE_S = 0.12
+"""The same until the first request, while loads take a tenth of their time."""
 PAUSE_S = 0.45
 """The same at other times; an upstream that leaves must be known within two seconds."""
 REPLICAS_PAUSE_S = 0.5
@@ -113,6 +115,7 @@
             known=lambda: self.circle.seats,
             decisions=decisions,
         )
+        self.directory.recorded = lambda: self.register.by_name
         self.conductor = Conductor(
             settings.name,
             self.directory,
@@ -122,7 +125,6 @@
             on_duty=lambda: self.duty.held,
             suspects=lambda: {*self.health.suspects, *self.circle.suspects},
             starting=self._starting,
-            stall_s=settings.stall_s,
         )
 
     def _join_serving(self) -> None:
@@ -132,7 +134,8 @@
             self.directory,
             self.health,
             failure_domain=settings.failure_domain,
-            elsewhere=lambda host: self.circle.in_flight(host),
+            elsewhere=lambda host: self.circle.work(host),
+            suspected=lambda: self.circle.suspects,
             daemons=lambda: self.circle.size,
         )
         plain = Plain(self._session, dialect, choice, self.health, self.decisions)
@@ -281,8 +284,11 @@
             await asyncio.sleep(EXPIRY_S)
 
     def _registration_pause_s(self) -> float:
-        forming = self.duty.held and self.conductor.busy
-        return QUICK_PAUSE_S if forming else PAUSE_S
+        if not self.duty.held:
+            return PAUSE_S
+        if self._starting():
+            return START_PAUSE_S
+        return QUICK_PAUSE_S if self.conductor.busy else PAUSE_S
 
     def _starting(self) -> bool:
         served = self.face.served > 0 or self.circle.served
@@ -293,8 +299,8 @@
             self.settings.name,
             self.duty.held,
             self.face.served > 0,
-            self.health.in_flight_by_host,
-            list(self.health.suspects),
+            self.health.work_by_host,
+            [*self.health.suspects, *self.conductor.retiring_heads],
         )
 
     def _take_operator(self, change: Change) -> None:
--- a/auburnproxy/formation/conductor.py
+++ b/auburnproxy/formation/conductor.py
@@ -30,6 +30,13 @@
 """Seconds for which a probed host that answered is not probed again."""
 DEAD_KEPT_S = 10.0
 """Seconds for which a lost process is remembered; its registration lapses sooner."""
+START_STEP_S = 0.1
+"""Seconds between two looks until the first request, as long as loads are short."""
+START_OVERLAP = 2.0
+"""Loads at once until the first request, as a multiple of those that do not slow
+each other down: the next ones begin before the end of the last is reported."""
+START_SETTLE_S = 0.6
+"""Seconds without a new host after which a started system is taken to be whole."""
 LOAD_SLACK = 1.5
 """Times the configured time of a load after which it is not waited for any more."""
 
@@ -56,7 +63,6 @@
     :param on_duty: whether this daemon is to act, asked at each step
     :param suspects: returns the ids of heads whose streams have stalled
     :param starting: whether no request has been served yet
-    :param stall_s: time after which a head notices that a member is lost
     """
 
     def __init__(
@@ -70,7 +76,6 @@
         on_duty: Callable[[], bool],
         suspects: Callable[[], Collection[str]] = tuple,
         starting: Callable[[], bool] = lambda: False,
-        stall_s: float = 5.0,
     ) -> None:
         self._name = name
         self._directory = directory
@@ -81,12 +86,26 @@
         self._suspects = suspects
         self._starting = starting
         self._loads = Loads()
-        self._retirement = Retirement(orders, decisions, stall_s=stall_s)
+        self._retirement = Retirement(orders, decisions)
         self._sent_by_host: dict[str, _Sent] = {}
         self._staging_by_host: dict[str, tuple[str, float]] = {}
         self._dead_until: dict[tuple[str, int], float] = {}
         self._probed_until: dict[str, float] = {}
         self._tasks: set[asyncio.Task[None]] = set()
+        self._hosts_seen = (0, 0.0)
+        """Hosts that were registered, and the loop's time at which that changed."""
+
+    @property
+    def starting(self) -> bool:
+        """Return whether loads are still short because nothing has been served."""
+        return self._starting()
+
+    @property
+    def retiring_heads(self) -> tuple[str, ...]:
+        """Return the heads of the replicas that this daemon is ending."""
+        by_name = self._register.by_name
+        names = self._retirement.under_way & by_name.keys()
+        return tuple(by_name[name].head.id for name in names)
 
     @property
     def busy(self) -> bool:
@@ -102,7 +121,7 @@
                     await self.step()
                 except PlatformError as error:
                     self._decisions.belief("formation_delayed", reason=str(error))
-                await asyncio.sleep(STEP_S)
+                await asyncio.sleep(START_STEP_S if self._starting() else STEP_S)
         finally:
             for task in self._tasks:
                 task.cancel()
@@ -126,10 +145,20 @@
             for formed in self._register.by_name.values()
         }
         self._retire(standings)
-        if self._register.follower.up:
-            await self._record(service, spec)
+        if self._register.follower.up and self._settled():
+            await self._record(service, spec, standings)
+            self._leave_strays()
         self._order(spec, standings)
 
+    def _settled(self) -> bool:
+        """Return whether the hosts of a started system have all registered."""
+        if not self._starting():
+            return True
+        count, now = len(self._directory.hosts), _now()
+        if count != self._hosts_seen[0]:
+            self._hosts_seen = (count, now)
+        return now - self._hosts_seen[1] >= START_SETTLE_S
+
     def _expire(self) -> None:
         now = _now()
         self._dead_until = _after(now, self._dead_until)
@@ -206,7 +235,9 @@
         host = self._directory.hosts.get(member.id)
         return host is not None and host.born != member.born
 
-    async def _record(self, service: str, spec: EngineSpec) -> None:
+    async def _record(
+        self, service: str, spec: EngineSpec, standings: Mapping[str, Standing]
+    ) -> None:
         """Drop the replicas that have ended, and record those to form instead."""
         ended = [
             formed
@@ -216,9 +247,20 @@
         forms, stages = self._plan(service, spec, {formed.name for formed in ended})
         if forms or ended:
             await self._register.change(forms, dropped=ended)
+        if forms or (self._starting() and self._joins_wait(standings)):
+            return
         for stage in stages:
             self._stage(stage, spec)
 
+    def _joins_wait(self, standings: Mapping[str, Standing]) -> bool:
+        """Return whether a host of a replica has still to be ordered to load."""
+        return any(
+            member.id not in self._sent_by_host
+            for name, formed in self._register.by_name.items()
+            for member in formed.members
+            if standings.get(name, Standing.FORMING) is Standing.FORMING
+        )
+
     def _plan(
         self, service: str, spec: EngineSpec, ended: Collection[str]
     ) -> tuple[list[Form], list[Stage]]:
@@ -234,6 +276,7 @@
             and not host.leaving
             and host.fabric_domain
             and host.life not in self._dead_until
+            and not self._stray(host)
         ]
         staging = {host: model for host, (model, _) in self._staging_by_host.items()}
         starting = self._starting()
@@ -247,6 +290,22 @@
         forms = [form for turn in rounds for form in turn if form is not None]
         return forms, [stage for each in plans for stage in each.stages]
 
+    def _stray(self, host: Host) -> bool:
+        """Return whether a host has a part in a replica that has been ended."""
+        part = host.part
+        return part is not None and part.replica not in self._register.by_name
+
+    def _leave_strays(self) -> None:
+        """Free the hosts that a late order or a healed cut has left in a part."""
+        for host in self._directory.hosts.values():
+            part = host.part
+            if part is None or not self._stray(host):
+                continue
+            if self._due(host.id, f"leave {part.replica}"):
+                member = Member(host.id, host.born, host.address)
+                formed = Formed(part.replica, part.epoch, "", "", (member,))
+                self._spawn(self._send_leave(member, formed))
+
     def _order(self, spec: EngineSpec, standings: dict[str, Standing]) -> None:
         for name, state in standings.items():
             formed = self._register.by_name.get(name)
@@ -275,12 +334,16 @@
         self._sent_by_host[member.id] = _Sent(_now(), order)
         self._spawn(self._send_join(member, formed))
 
-    def _begin_load(self, host: str, model: ModelSpec, spec: EngineSpec) -> bool:
+    def _begin_load(
+        self, host: str, model: ModelSpec, spec: EngineSpec, *, at_once: int = 0
+    ) -> bool:
+        starting = self._starting()
+        overlap = START_OVERLAP if starting else 1.0
         started = self._loads.begin(
             host,
             takes_s=LOAD_SLACK * model.load_s,
-            per_s=0.0 if self._starting() else spec.loads_per_s,
-            at_once=spec.loads_at_once,
+            per_s=0.0 if starting else spec.loads_per_s,
+            at_once=at_once or int(overlap * spec.loads_at_once),
         )
         if started:
             until = _now() + LOAD_SLACK * model.load_s
@@ -292,7 +355,9 @@
         host = stage.host
         if model is None or host.id in self._staging_by_host:
             return
-        if self._begin_load(host.id, model, spec):
+        # A load that begins before the first request is short however many there are.
+        at_once = len(self._directory.hosts) if self._starting() else 0
+        if self._begin_load(host.id, model, spec, at_once=at_once):
             self._spawn(self._send_stage(stage))
 
     def _due(self, host: str, order: str, *, mark: bool = True) -> bool:
@@ -311,6 +376,10 @@
     async def _send_open(self, formed: Formed) -> None:
         self._log("open", formed.head.id, formed.name, await self._orders.open(formed))
 
+    async def _send_leave(self, member: Member, formed: Formed) -> None:
+        answer = await self._orders.leave(member, formed)
+        self._log("leave", member.id, formed.name, answer)
+
     async def _send_stage(self, stage: Stage) -> None:
         host = stage.host
         member = Member(host.id, host.born, host.address)
--- a/auburnproxy/formation/retirement.py
+++ b/auburnproxy/formation/retirement.py
@@ -1,8 +1,8 @@
 """Ends replicas so that their hosts may safely be given other parts.
 
 A host may join another replica only when the head of its own is known not to
-serve. The head is told to leave; where it cannot be reached, another member
-leaves, and the head stops by itself once it has noticed that.
+serve. The head is told to leave; where it cannot be reached, every other member
+leaves, which stops a head that lives. Each report must show that it was done.
 """
 
 from __future__ import annotations
@@ -20,8 +20,8 @@
 """Seconds between two tries to reach a head."""
 DRAIN_S = 6.0
 """Longest wait for the requests of a replica that is to end; a stream takes two."""
-NOTICE_S = 1.0
-"""Beyond the head's own time to notice a member that left; the register's lag."""
+HEAD_TRIES = 2
+"""Tries to reach a head before its members leave without it."""
 
 
 class Retirement:
@@ -29,15 +29,13 @@
 
     :param orders: sends orders to engines
     :param decisions: takes a line for each replica that ends
-    :param stall_s: time after which a head notices that a member is lost
     """
 
-    def __init__(self, orders: Orders, decisions: Decisions, *, stall_s: float) -> None:
+    def __init__(self, orders: Orders, decisions: Decisions) -> None:
         self.ended: set[str] = set()
         """Names of the replicas whose hosts are free."""
         self._orders = orders
         self._decisions = decisions
-        self._stall_s = stall_s
         self._tasks_by_name: dict[str, asyncio.Task[None]] = {}
 
     @property
@@ -108,11 +106,10 @@
             return
         if gentle:
             await self._drain(formed)
-        left_at: float | None = None
-        while not await self._head_left(formed):
-            if left_at is None and await self._one_left(formed, others):
-                left_at = _now()
-            if left_at is not None and _now() - left_at > self._stall_s + NOTICE_S:
+        tries = 0
+        while not await self._left(formed, formed.head):
+            tries += 1
+            if tries >= HEAD_TRIES and await self._all_left(formed, others):
                 return
             await asyncio.sleep(RETRY_S)
 
@@ -126,19 +123,22 @@
                 return
             await asyncio.sleep(RETRY_S)
 
-    async def _head_left(self, formed: Formed) -> bool:
-        answer = await self._orders.leave(formed.head, formed)
+    async def _left(self, formed: Formed, member: Member) -> bool:
+        """Order a member to leave and return whether its report shows that it has."""
+        answer = await self._orders.leave(member, formed)
         if answer is Answer.OTHER_LIFE:
             return True
         if answer is Answer.SILENT:
             return False
-        return await self._state(formed, formed.head) is None
+        return await self._state(formed, member) is None
 
-    async def _one_left(self, formed: Formed, members: Sequence[Member]) -> bool:
-        answers = await asyncio.gather(
-            *(self._orders.leave(member, formed) for member in members)
-        )
-        return any(answer in (Answer.DONE, Answer.BEGUN) for answer in answers)
+    async def _all_left(self, formed: Formed, members: Sequence[Member]) -> bool:
+        """Return whether every member that may live has left its part.
+
+        A head without members serves nothing, and its process stops by itself.
+        """
+        left = await asyncio.gather(*(self._left(formed, m) for m in members))
+        return bool(left) and all(left)
 
     async def _state(self, formed: Formed, member: Member) -> PartState | None:
         """Return the state of a member's part, ``BROKEN`` while it does not answer."""
--- a/auburnproxy/gateway/choice.py
+++ b/auburnproxy/gateway/choice.py
@@ -14,11 +14,16 @@
 from .host import Host
 from .serving_replica import ServingReplica
 
-FAR_LOAD = 0.2
+FAR_LOAD = 0.1
 """Load, as a part of the slots, that a near upstream may have more than a far one."""
+WAITING_WEIGHT = 3.0
+"""Requests that one without its first event counts as: reading its prompt holds up
+every stream of the replica for about as long as the objective for pauses."""
+SUSPECT_LOAD = 1.0
+"""Load that an upstream counts as having which another daemon leaves out."""
 MISSING_LOAD = 0.5
 """Load that a replica counts as having whose member is not registered any more."""
-QUEUE_PART = 0.35
+QUEUE_PART = 0.2
 """Requests beyond an upstream's slots, as a part of them, that it may queue."""
 COLD_WINDOW_S = 1.0
 FULL_RETRY_S = 0.35
@@ -35,7 +40,9 @@
     :param directory: the registered hosts
     :param health: what this daemon's requests showed of them
     :param failure_domain: where this daemon runs
-    :param elsewhere: returns the requests of other daemons at an upstream
+    :param elsewhere: returns the requests of other daemons at an upstream, and of
+        those the ones without an answer
+    :param suspected: returns the upstreams that other daemons leave out
     :param daemons: returns how many daemons share the bound of a cold upstream
     """
 
@@ -45,7 +52,8 @@
         health: Health,
         *,
         failure_domain: str,
-        elsewhere: Callable[[str], int] = lambda host: 0,
+        elsewhere: Callable[[str], tuple[int, int]] = lambda host: (0, 0),
+        suspected: Callable[[], Collection[str]] = tuple,
         daemons: Callable[[], int] = lambda: 1,
         random: Random | None = None,
     ) -> None:
@@ -53,6 +61,7 @@
         self._health = health
         self._failure_domain = failure_domain
         self._elsewhere = elsewhere
+        self._suspected = suspected
         self._daemons = daemons
         self._random = random or Random()
         self._turn = count()
@@ -65,10 +74,12 @@
         :param exclude: heads that the request has failed on
         :raises RefusalError: if none can take it now
         """
+        recorded = self._directory.recorded()
         found = [
             replica
             for replica in self._directory.replicas()
             if replica.model.name == model
+            and replica.name in recorded
             and not replica.leaving
             and self._directory.may_use(replica.head)
         ]
@@ -125,15 +136,22 @@
 
     def load(self, host: Host) -> int:
         """Return the requests at an upstream, as far as they are known."""
-        return self._health.in_flight(host.id) + self._elsewhere(host.id)
+        return self._health.in_flight(host.id) + self._elsewhere(host.id)[0]
 
     def _score(self, replica: ServingReplica) -> float:
         missing = MISSING_LOAD if replica.missing else 0.0
         return self._host_score(replica.head) + missing
 
     def _host_score(self, host: Host) -> float:
-        far = host.failure_domain != self._failure_domain
-        return self.load(host) / max(host.slots, 1) + (FAR_LOAD if far else 0.0)
+        in_flight, waiting = self._elsewhere(host.id)
+        in_flight += self._health.in_flight(host.id)
+        waiting += self._health.waiting(host.id)
+        score = (in_flight + WAITING_WEIGHT * waiting) / max(host.slots, 1)
+        if host.failure_domain != self._failure_domain:
+            score += FAR_LOAD
+        if host.id in self._suspected():
+            score += SUSPECT_LOAD
+        return score
 
     def _has_room(self, host: Host) -> bool:
         return self.load(host) < host.slots * (1 + QUEUE_PART)
--- a/auburnproxy/gateway/directory.py
+++ b/auburnproxy/gateway/directory.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Collection, Iterable, Mapping
 from types import MappingProxyType
 
 from ..pulse import Pulse
@@ -40,6 +40,8 @@
         self._hosts: dict[str, Host] = {}
         self._lapsed_at_by_id: dict[str, float] = {}
         self._replicas: tuple[ServingReplica, ...] | None = None
+        self.recorded: Callable[[], Collection[str]] = tuple
+        """Returns the names of the replicas that have not been ended."""
 
     @property
     def hosts(self) -> Mapping[str, Host]:
--- a/auburnproxy/gateway/health.py
+++ b/auburnproxy/gateway/health.py
@@ -25,6 +25,7 @@
 class _State:
     def __init__(self) -> None:
         self.in_flight = 0
+        self.waiting = 0
         self.heard_at = -1.0
         self.excluded_until = -1.0
         self.pause_s = 0.0
@@ -47,10 +48,22 @@
         state = self._states.get(host)
         return state.in_flight if state else 0
 
+    def waiting(self, host: str) -> int:
+        """Return this daemon's requests at an upstream that have no answer yet."""
+        state = self._states.get(host)
+        return state.waiting if state else 0
+
     @property
-    def in_flight_by_host(self) -> dict[str, int]:
-        """Return this daemon's requests at each upstream that has any."""
-        return {h: s.in_flight for h, s in self._states.items() if s.in_flight}
+    def work_by_host(self) -> dict[str, tuple[int, int]]:
+        """Return this daemon's requests at each upstream that has any.
+
+        :return: requests in flight and, of those, without an answer, by host id
+        """
+        return {
+            host: (state.in_flight, state.waiting)
+            for host, state in self._states.items()
+            if state.in_flight
+        }
 
     @property
     def suspects(self) -> tuple[str, ...]:
@@ -70,19 +83,32 @@
         return state.excluded_until > _now() or state.probing
 
     @contextmanager
-    def request(self, host: str, on_lost: Callable[[], None]) -> Iterator[None]:
+    def request(
+        self, host: str, on_lost: Callable[[], None]
+    ) -> Iterator[Callable[[], None]]:
         """Count a request at an upstream for as long as it is there.
 
         :param on_lost: called if the upstream turns out to be silent towards all
+        :return: a function to be called when the answer has begun
         """
         state = self._states.setdefault(host, _State())
         probe = bool(state.pause_s)
         state.in_flight += 1
+        state.waiting += 1
         state.probing |= probe
         state.watches.add(on_lost)
+        began = False
+
+        def begin() -> None:
+            nonlocal began
+            if not began:
+                began = True
+                state.waiting -= 1
+
         try:
-            yield
+            yield begin
         finally:
+            begin()
             state.in_flight -= 1
             state.watches.discard(on_lost)
             if probe:
--- a/auburnproxy/gateway/streams.py
+++ b/auburnproxy/gateway/streams.py
@@ -25,6 +25,8 @@
 """Part of the objective for pauses after which a head counts as silent."""
 LEAST_PAUSE_S = 0.25
 """Shortest silence that counts: batches of long prompts take up to 0.2 s."""
+QUEUED_S = 0.3
+"""Longer wait for the first event at a head whose slots are all taken."""
 MOST_UNSENT = 3
 """Heads that cannot be reached before a request is refused."""
 OK = 200
@@ -78,6 +80,7 @@
         self._response: web.StreamResponse | None = None
         self._last_id = call.ask.resume_after
         self._heard = False
+        self._begin: Callable[[], None] = _nothing
         self._ran = Ran.NO
         self._exclude: set[str] = set()
         self._counted = 0
@@ -148,7 +151,8 @@
                     if not limit.expired():
                         limit.reschedule(asyncio.get_running_loop().time())
 
-                with health.request(head.id, lost):
+                with health.request(head.id, lost) as begin:
+                    self._begin = begin
                     return await self._exchange(dispatch, replica, limit)
         except TimeoutError:
             if self._call.remaining_s <= 0:
@@ -202,6 +206,7 @@
                 raise TryError("unreadable", ran=Ran.UNKNOWN) from error
             if events:
                 self._heard = True
+                self._begin()
                 limit.reschedule(None)
                 data = b""
                 for event in events:
@@ -252,7 +257,9 @@
         tokens = self._call.ask.prompt_tokens
         reading_s = tokens / rate * replica.model.pace if rate else 0.0
         objective_s = self._call.route.objective_s
-        return max(FIRST_PART * objective_s, LEAST_PAUSE_S) + reading_s
+        full = self._parts.choice.load(replica.head) >= replica.head.slots
+        queued_s = QUEUED_S if full else 0.0
+        return max(FIRST_PART * objective_s, LEAST_PAUSE_S) + reading_s + queued_s
 
     def _pause_bound_s(self) -> float:
         return max(PAUSE_PART * self._call.route.pause_objective_s, LEAST_PAUSE_S)
@@ -275,3 +282,7 @@
             ),
             remaining_s=round(self._call.remaining_s, 3),
         )
+
+
+def _nothing() -> None:
+    """Stand in until a try has been counted."""
--- a/auburnproxy/platform/settings.py
+++ b/auburnproxy/platform/settings.py
@@ -13,7 +13,6 @@
 SETTINGS_VARIABLE = "AUBURNPROXY_CONFIG"
 METRICS_PORT = 9464
 """Port of the metrics, as the deploy file names it."""
-MS_PER_S = 1000
 
 _TEXT = {"type": "string", "minLength": 1}
 _ADDRESS = {"type": "string", "pattern": r"^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$"}
@@ -46,7 +45,6 @@
                 "retry-budget-ratio": _NUMBER,
                 "budget-slack": _NUMBER,
                 "budget-window-s": _NUMBER,
-                "stall-ms": _NUMBER,
                 "grace-s": _NUMBER,
             },
             required=False,
@@ -82,6 +80,5 @@
             slack=bounds.get("budget-slack", 0.0),
             window_s=bounds.get("budget-window-s", 10.0),
         ),
-        stall_s=bounds.get("stall-ms", 5000) / MS_PER_S,
         grace_s=bounds.get("grace-s", 8.0),
     )
