Relay records between daemons when the store turns some of them away

Ruled out: shorter waits alone, since a refused daemon learns nothing from the store. Change: beats tell how far each daemon has read; one that is behind fetches the topic from a peer. Readings of operators' records wait 2.5 s, so silent connections show.

--- a/auburnproxy/beats/beat.py
+++ b/auburnproxy/beats/beat.py
@@ -19,6 +19,8 @@
     """Whether it has served a request since its start."""
     work_by_host: dict[str, tuple[int, int]]
     """Its requests at each upstream that has any, and those without an answer."""
+    end_by_topic: dict[str, int]
+    """How far it has read each topic."""
     suspects: list[str]
     """Upstreams that it leaves out since they fell silent."""
 
--- a/auburnproxy/beats/circle.py
+++ b/auburnproxy/beats/circle.py
@@ -33,6 +33,8 @@
     address: str
     """IP number and port."""
     failure_domain: str
+    internal: str
+    """IP number and port of its listener for peers."""
 
 
 class Heard(NamedTuple):
@@ -105,6 +107,16 @@
             for host in heard.beat.suspects
         )
 
+    @property
+    def end_by_peer(self) -> Mapping[str, Mapping[str, int]]:
+        """Return how far the others have read each topic, by internal address."""
+        now = _now()
+        return {
+            self._seats[name].internal: heard.beat.end_by_topic
+            for name, heard in self._heard.items()
+            if now - heard.at < LOAD_S and name in self._seats
+        }
+
     def work(self, host: str) -> tuple[int, int]:
         """Return the requests of the others at an upstream, and those that wait."""
         now, in_flight, waiting = _now(), 0, 0
--- a/auburnproxy/daemon/deployment.py
+++ b/auburnproxy/daemon/deployment.py
@@ -24,6 +24,8 @@
     """Address that a balancer asks whether to send callers here."""
     beats: str
     """Address for the datagrams of other daemons."""
+    internal: str
+    """Address that other daemons read records from."""
     metrics: str
     store: str
     first_start: bool
--- a/auburnproxy/daemon/routed.py
+++ b/auburnproxy/daemon/routed.py
@@ -23,7 +23,7 @@
 from ..gateway.plain import Plain
 from ..gateway.route import Configuration
 from ..gateway.streams import Streams
-from ..store import Change, Follower
+from ..store import Change, Follower, Relay
 from ..telemetry import Telemetry
 from ..telemetry.decisions import Decisions, open_decisions
 from ..upstreams.client import open_session
@@ -31,7 +31,11 @@
 
 DAEMONS_TOPIC = "daemons"
 LONG_WAIT_S = 20.0
-"""Seconds that a reading of a topic that seldom changes waits for a record."""
+"""Seconds that a reading of the daemons' records waits for a new one."""
+WAIT_S = 2.5
+"""The same for operators' and replicas' records; a connection that has gone silent
+is noticed within that time and the store's longest answer."""
+RELAY_S = 0.1
 QUICK_PAUSE_S = 0.25
 """Pause between two readings of the registrations while replicas are formed."""
 START_PAUSE_S = 0.12
@@ -78,7 +82,7 @@
             self._store,
             self._deployment.operator_topic,
             decisions,
-            wait_s=LONG_WAIT_S,
+            wait_s=WAIT_S,
         )
         self._upstreams = Follower(
             self._store,
@@ -95,7 +99,7 @@
         self._seats = Follower(
             self._store, DAEMONS_TOPIC, decisions, wait_s=LONG_WAIT_S
         )
-        seat = Seat(settings.beats, settings.failure_domain)
+        seat = Seat(settings.beats, settings.failure_domain, settings.internal)
         self.circle = Circle(settings.name, seat, self._seats, self._beat, decisions)
 
     def _join_formation(self) -> None:
@@ -104,10 +108,16 @@
             self._store,
             REPLICAS_TOPIC,
             decisions,
-            wait_s=LONG_WAIT_S,
+            wait_s=WAIT_S,
             pause_s=lambda: REPLICAS_PAUSE_S,
         )
         self.register = Register(self._store, decisions, replicas)
+        topics = {
+            self._deployment.operator_topic: self._operators,
+            self._deployment.upstream_topic: self._upstreams,
+            REPLICAS_TOPIC: replicas,
+        }
+        self.relay = Relay(topics, self._session, decisions)
         self.duty = Duty(
             settings.name,
             self.register,
@@ -180,6 +190,7 @@
             ("duty", self.duty.run()),
             ("conductor", self.conductor.run()),
             ("expiry", self._expire()),
+            ("relay", self._relay_records()),
         ):
             self._spawn(name, work)
         loop = asyncio.get_running_loop()
@@ -269,8 +280,7 @@
 
     async def _take_seat(self) -> None:
         """Record where this daemon listens for beats."""
-        while not self._seats.whole:
-            await asyncio.sleep(QUICK_PAUSE_S)
+        await self._seats.changed.wait(LONG_WAIT_S)
         while (record := self.circle.record()) is not None:
             try:
                 await self._store.append(DAEMONS_TOPIC, [record])
@@ -278,6 +288,11 @@
                 self.decisions.belief("seat_not_recorded", reason=str(error))
             await asyncio.sleep(RECORD_RETRY_S)
 
+    async def _relay_records(self) -> None:
+        while True:
+            await self.relay.step(self.circle.end_by_peer)
+            await asyncio.sleep(RELAY_S)
+
     async def _expire(self) -> None:
         while True:
             self.directory.expire()
@@ -300,6 +315,7 @@
             self.duty.held,
             self.face.served > 0,
             self.health.work_by_host,
+            self.relay.end_by_topic,
             [*self.health.suspects, *self.conductor.retiring_heads],
         )
 
--- a/auburnproxy/daemon/routed_services.py
+++ b/auburnproxy/daemon/routed_services.py
@@ -13,6 +13,7 @@
     settings = daemon.settings
     listeners = (
         (settings.readiness, daemon.readiness_application()),
+        (settings.internal, daemon.relay.application()),
         (settings.metrics, daemon.metrics_application()),
         (settings.callers, daemon.callers_application()),
     )
--- a/auburnproxy/platform/settings.py
+++ b/auburnproxy/platform/settings.py
@@ -65,13 +65,14 @@
         raise DocumentError([Finding(str(path), 1, "", "file", str(error))]) from error
     value = check(parse(text, file=str(path)), SCHEMA)
     bounds = value.get("bounds", {})
-    first_port, _ = value["internal-ports"][:2]
+    beats_port, last_port = value["internal-ports"][:2]
     return RoutedSettings(
         name=value["node-name"],
         failure_domain=value["zone"],
         callers=value["listen"]["front"],
         readiness=value["listen"]["readiness"],
-        beats=f"{value['ip']}:{first_port}",
+        beats=f"{value['ip']}:{beats_port}",
+        internal=f"{value['ip']}:{last_port}",
         metrics=f"{value['ip']}:{METRICS_PORT}",
         store=value["platform"]["address"],
         first_start=value.get("bootstrap", False),
--- a/auburnproxy/store/__init__.py
+++ b/auburnproxy/store/__init__.py
@@ -1,6 +1,7 @@
 """Shared state in a log of keyed records whose newest values are kept."""
 
 from .follower import Follower
+from .relay import Relay
 from .store import Change, ConflictError, ExpiredError, Newest, Page, Store
 
 __all__ = [
@@ -10,5 +11,6 @@
     "Follower",
     "Newest",
     "Page",
+    "Relay",
     "Store",
 ]
--- a/auburnproxy/store/follower.py
+++ b/auburnproxy/store/follower.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Mapping, Sequence
 from types import MappingProxyType
 
 from ..errors import PlatformError
@@ -104,13 +104,23 @@
 
     async def _load(self) -> None:
         newest = await self._store.newest(self._topic)
-        present = {change.key for change in newest.changes}
+        self.adopt(newest.changes, newest.end)
+
+    def adopt(self, changes: Sequence[Change], end: int) -> None:
+        """Take the newest record of each key, unless this copy is newer.
+
+        :param changes: every key that has a value
+        :param end: end of the topic at which no other key had one
+        """
+        if self.whole and end < self.end:
+            return
+        present = {change.key for change in changes}
         for key, known in list(self._by_key.items()):
-            if key not in present and known.offset < newest.end:
-                self._take(Change(key, b"", newest.end))
-        for change in newest.changes:
+            if key not in present and known.offset < end:
+                self._take(Change(key, b"", end))
+        for change in changes:
             self._take(change)
-        self.end = max(self.end, newest.end)
+        self.end = max(self.end, end)
         self.whole = True
         self.changed.send()
 
--- /dev/null
+++ b/auburnproxy/store/relay.py
@@ -0,0 +1,110 @@
+"""Records that a daemon gets from its peers while it cannot read them itself.
+
+Answers a store that turns some daemons away and serves the others: each beat
+tells how far its daemon has read, and who is behind fetches from who is ahead.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Mapping
+from typing import NamedTuple
+
+import msgspec
+from aiohttp import ClientError, ClientSession, ClientTimeout, web
+
+from ..telemetry.decisions import Decisions
+from .follower import Follower
+from .store import Change
+
+PATH = "/records/"
+BEHIND_S = 0.15
+"""Seconds for which a peer must be ahead; the own reading mostly comes sooner."""
+FETCH_TIMEOUT_S = 0.8
+"""A whole configuration of a hundred kilobytes over the slowest link."""
+RETRY_S = 0.3
+
+
+class Shared(NamedTuple):
+    """A topic as one daemon knows it."""
+
+    changes: tuple[Change, ...]
+    end: int
+
+
+_decoder = msgspec.msgpack.Decoder(Shared)
+
+
+class Relay:
+    """Serves the followed topics to peers, and fetches from those that are ahead.
+
+    :param followers: the shared topics by name
+    :param session: connections to peers
+    :param decisions: takes a line for each fetch
+    """
+
+    def __init__(
+        self,
+        followers: Mapping[str, Follower],
+        session: ClientSession,
+        decisions: Decisions,
+    ) -> None:
+        self._followers = followers
+        self._session = session
+        self._decisions = decisions
+        self._behind_since: dict[str, float] = {}
+        self._fetch_at: dict[str, float] = {}
+
+    @property
+    def end_by_topic(self) -> dict[str, int]:
+        """Return how far this daemon has read each topic."""
+        return {name: f.end for name, f in self._followers.items() if f.whole}
+
+    def application(self) -> web.Application:
+        """Return what the listener for peers serves."""
+        application = web.Application()
+        application.router.add_get(PATH + "{topic}", self._serve)
+        return application
+
+    async def step(self, end_by_peer: Mapping[str, Mapping[str, int]]) -> None:
+        """Fetch the topics that a peer has read further for a while.
+
+        :param end_by_peer: what each peer's beat told, by its internal address
+        """
+        now = asyncio.get_running_loop().time()
+        for topic, follower in self._followers.items():
+            ahead = [
+                (ends.get(topic, 0), address) for address, ends in end_by_peer.items()
+            ]
+            end, address = max(ahead, default=(0, ""))
+            if end <= follower.end:
+                self._behind_since.pop(topic, None)
+                continue
+            since = self._behind_since.setdefault(topic, now)
+            if now - since >= BEHIND_S and now >= self._fetch_at.get(topic, 0.0):
+                self._fetch_at[topic] = now + RETRY_S
+                await self._fetch(topic, follower, address)
+
+    async def _fetch(self, topic: str, follower: Follower, address: str) -> None:
+        url = f"http://{address}{PATH}{topic}"
+        timeout = ClientTimeout(total=FETCH_TIMEOUT_S)
+        try:
+            async with self._session.get(url, timeout=timeout) as response:
+                shared = _decoder.decode(await response.read())
+        except (TimeoutError, ClientError, OSError, msgspec.MsgspecError) as error:
+            self._decisions.belief(
+                "relay_failed", topic=topic, peer=address, reason=repr(error)
+            )
+            return
+        before = follower.end
+        follower.adopt(shared.changes, shared.end)
+        self._decisions.belief(
+            "relayed", topic=topic, peer=address, before=before, end=follower.end
+        )
+
+    async def _serve(self, http: web.Request) -> web.Response:
+        follower = self._followers.get(http.match_info["topic"])
+        if follower is None or not follower.whole:
+            return web.Response(status=404)
+        shared = Shared(tuple(follower.by_key.values()), follower.end)
+        return web.Response(body=msgspec.msgpack.encode(shared))
