--- a/auburnproxy/beats/beat.py
+++ b/auburnproxy/beats/beat.py
@@ -14,7 +14,7 @@
 
     name: str
     on_duty: bool
-    """Whether it forms replicas."""
+    """Whether it forms replicas and is able to."""
     served: bool
     """Whether it has served a request since its start."""
     work_by_host: dict[str, tuple[int, int]]
--- a/auburnproxy/beats/circle.py
+++ b/auburnproxy/beats/circle.py
@@ -91,6 +91,16 @@
         now = _now()
         return frozenset(n for n, h in self._heard.items() if now - h.at < HEARD_S)
 
+    @property
+    def acting(self) -> frozenset[str]:
+        """Return the other daemons that lately said to be on duty."""
+        now = _now()
+        return frozenset(
+            name
+            for name, heard in self._heard.items()
+            if heard.beat.on_duty and now - heard.at < HEARD_S
+        )
+
     @property
     def served(self) -> bool:
         """Return whether one of the others has served a request."""
--- a/auburnproxy/daemon/routed.py
+++ b/auburnproxy/daemon/routed.py
@@ -122,6 +122,7 @@
             settings.name,
             self.register,
             present=lambda: self.circle.present,
+            acting=lambda: self.circle.acting,
             known=lambda: self.circle.seats,
             decisions=decisions,
         )
@@ -312,7 +313,7 @@
     def _beat(self) -> Beat:
         return Beat(
             self.settings.name,
-            self.duty.held,
+            self.duty.acting,
             self.face.served > 0,
             self.health.work_by_host,
             self.relay.end_by_topic,
--- a/auburnproxy/formation/conductor.py
+++ b/auburnproxy/formation/conductor.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections import Counter
 from collections.abc import Callable, Collection, Coroutine, Mapping
 from itertools import zip_longest
 from typing import Any, NamedTuple, TypeVar
@@ -24,6 +25,10 @@
 """Seconds between two looks; half of the pause between two readings of the register."""
 REPEAT_S = 2.0
 """Seconds until an order whose effect is not reported is repeated."""
+SILENT_REPEAT_S = 0.5
+"""Seconds until an order that got no answer is repeated; a repeat does no harm."""
+CENSUS_S = 1.0
+"""Seconds between two lines that tell how the replicas stand."""
 PROBES = 2
 """Probes without an answer that show a member of a stalled replica to be lost."""
 SUSPECT_S = 5.0
@@ -92,6 +97,7 @@
         self._dead_until: dict[tuple[str, int], float] = {}
         self._probed_until: dict[str, float] = {}
         self._tasks: set[asyncio.Task[None]] = set()
+        self._census_at = 0.0
         self._hosts_seen = (0, 0.0)
         """Hosts that were registered, and the loop's time at which that changed."""
 
@@ -145,11 +151,35 @@
             for formed in self._register.by_name.values()
         }
         self._retire(standings)
+        self._take_census(spec, standings)
         if self._register.follower.up and self._settled():
             await self._record(service, spec, standings)
             self._leave_strays()
         self._order(spec, standings)
 
+    def _take_census(self, spec: EngineSpec, standings: Mapping[str, Standing]) -> None:
+        """Log once a second how many replicas serve and what the spares hold."""
+        now = _now()
+        if now < self._census_at:
+            return
+        self._census_at = now + CENSUS_S
+        by_host = self._register.by_host
+        idle = [h for h in self._directory.hosts.values() if h.id not in by_host]
+        for model in spec.models:
+            states = Counter(
+                standings[name]
+                for name, formed in self._register.by_name.items()
+                if formed.model == model.name
+            )
+            self._decisions.belief(
+                "census",
+                model=model.name,
+                hosts=model.hosts,
+                replicas=states,
+                spares=sum(model.name in host.staged for host in idle),
+                loading=sum(m == model.name for m, _ in self._staging_by_host.values()),
+            )
+
     def _settled(self) -> bool:
         """Return whether the hosts of a started system have all registered."""
         if not self._starting():
@@ -369,12 +399,21 @@
         return True
 
     async def _send_join(self, member: Member, formed: Formed) -> None:
-        self._log(
-            "join", member.id, formed.name, await self._orders.join(member, formed)
-        )
+        answer = await self._orders.join(member, formed)
+        self._note_answer(member.id, answer)
+        self._log("join", member.id, formed.name, answer)
 
     async def _send_open(self, formed: Formed) -> None:
-        self._log("open", formed.head.id, formed.name, await self._orders.open(formed))
+        answer = await self._orders.open(formed)
+        self._note_answer(formed.head.id, answer)
+        self._log("open", formed.head.id, formed.name, answer)
+
+    def _note_answer(self, host: str, answer: Answer) -> None:
+        """Let an order that got no answer be repeated sooner."""
+        sent = self._sent_by_host.get(host)
+        if answer is Answer.SILENT and sent is not None:
+            at = _now() - REPEAT_S + SILENT_REPEAT_S
+            self._sent_by_host[host] = sent._replace(at=at)
 
     async def _send_leave(self, member: Member, formed: Formed) -> None:
         answer = await self._orders.leave(member, formed)
--- a/auburnproxy/formation/duty.py
+++ b/auburnproxy/formation/duty.py
@@ -29,6 +29,7 @@
     :param name: name of this daemon
     :param register: records who is on duty
     :param present: returns the other daemons that are heard
+    :param acting: returns those of them that are on duty and able to act
     :param known: returns every recorded daemon
     :param decisions: takes a line for each failed try
     """
@@ -39,12 +40,14 @@
         register: Register,
         *,
         present: Callable[[], Collection[str]],
+        acting: Callable[[], Collection[str]],
         known: Callable[[], Collection[str]],
         decisions: Decisions,
     ) -> None:
         self._name = name
         self._register = register
         self._present = present
+        self._acting = acting
         self._known = known
         self._decisions = decisions
         self._silent_since: float | None = None
@@ -55,6 +58,11 @@
         """Return whether this daemon is on duty."""
         return not self._left and self._register.on_duty == self._name
 
+    @property
+    def acting(self) -> bool:
+        """Return whether this daemon is on duty and reaches the store."""
+        return self.held and self._register.follower.up
+
     async def run(self) -> None:
         """Watch the holder until cancelled."""
         while True:
@@ -73,7 +81,7 @@
         if self._left or not follower.whole or not follower.up:
             return
         holder, present = self._register.on_duty, self._present()
-        if holder and (holder == self._name or holder in present):
+        if holder == self._name or (holder and holder in self._acting()):
             self._silent_since = None
             return
         now = asyncio.get_running_loop().time()
