--- a/auburnproxy/formation/conductor.py
+++ b/auburnproxy/formation/conductor.py
@@ -13,7 +13,7 @@
 from ..gateway.host import Host
 from ..gateway.route import EngineSpec, ModelSpec
 from ..telemetry.decisions import Decisions
-from .layout import Form, Stage, fabric_domains, plan
+from .layout import Form, Stage, fabric_domains, plan, targets_by_domain
 from .loads import Loads
 from .orders import Answer, Orders
 from .record import Formed, Member
@@ -31,6 +31,8 @@
 """Seconds between two lines that tell how the replicas stand."""
 PROBES = 2
 """Probes without an answer that show a member of a stalled replica to be lost."""
+CONTROLS = 3
+"""Other hosts of a failure domain that are asked before a silent one is given up."""
 SUSPECT_S = 5.0
 """Seconds for which a probed host that answered is not probed again."""
 DEAD_KEPT_S = 10.0
@@ -220,10 +222,18 @@
         ):
             return
         if host is None:
-            host = Host(member.id, "", member.address, "", 0, False, 0.0, member.born)
+            domain = self._domain_of(member)
+            host = Host(
+                member.id, "", member.address, domain, 0, False, 0.0, member.born
+            )
         self._probed_until[member.id] = _now() + SUSPECT_S
         self._spawn(self._check(member, host, reason))
 
+    def _domain_of(self, member: Member) -> str:
+        """Return the failure domain of a member that is not registered any more."""
+        formed = self._register.by_host.get(member.id)
+        return formed.fabric_domain.partition("/")[0] if formed else ""
+
     async def _check(self, member: Member, host: Host, reason: str) -> None:
         error: AuburnError | None = None
         for _ in range(PROBES):
@@ -236,11 +246,34 @@
                 return
             error = None
             break
+        if error is not None and not await self._reaches(host):
+            self._decisions.belief("host_unreachable", upstream=member.id)
+            return
         self._dead_until[member.id, member.born] = _now() + DEAD_KEPT_S
         self._decisions.belief(
             "host_lost", upstream=member.id, reason=reason, error=repr(error)
         )
 
+    async def _reaches(self, silent: Host) -> bool:
+        """Return whether another host near a silent one answers this daemon.
+
+        If none does, this daemon is more likely cut off than they are all lost.
+        """
+        others = [
+            host
+            for host in self._directory.hosts.values()
+            if host.failure_domain == silent.failure_domain
+            and host.fabric_domain != silent.fabric_domain
+            and host.life not in self._dead_until
+        ]
+        for host in sorted(others, key=lambda host: -host.seen_at)[:CONTROLS]:
+            try:
+                await self._orders.report(host)
+            except AuburnError:
+                continue
+            return True
+        return False
+
     def _retire(self, standings: dict[str, Standing]) -> None:
         for formed in self._register.by_name.values():
             state = standings[formed.name]
@@ -249,10 +282,12 @@
                     if member.id not in self._directory.hosts:
                         self._probe(member, "unregistered")
             elif state in (Standing.LOST, Standing.LEAVING):
+                others = [m for m in formed.members[1:] if self._may_live(m)]
+                lost = not others and not self._may_live(formed.head)
                 self._retirement.begin(
                     formed,
-                    [m for m in formed.members[1:] if self._may_live(m)],
-                    head_gone=self._restarted(formed.head),
+                    others,
+                    head_gone=lost or self._restarted(formed.head),
                     gentle=state is Standing.LEAVING,
                 )
         self._retirement.keep(self._register.by_name)
@@ -310,9 +345,11 @@
         ]
         staging = {host: model for host, (model, _) in self._staging_by_host.items()}
         starting = self._starting()
+        domains = fabric_domains(usable, taken, staging)
+        targets = targets_by_domain(domains, spec)
         plans = [
-            plan(domain, spec, starting=starting)
-            for domain in fabric_domains(usable, taken, staging)
+            plan(domain, spec, targets[domain.name], starting=starting)
+            for domain in domains
         ]
         # One replica of each fabric domain in turn, so that the first ones of all
         # domains are complete before the second ones load.
--- a/auburnproxy/formation/layout.py
+++ b/auburnproxy/formation/layout.py
@@ -2,14 +2,14 @@
 
 Answers engines that are lost faster than weights load: a lost host costs its
 replica, a load takes ten times as long as a join with weights that are staged.
-So each fabric domain keeps a spare for each model with its weights staged, and
-replicas are formed only from staged hosts once the system runs.
+So a fabric domain serves one model where that can be had and keeps spares with its
+weights, and once the system runs replicas are formed from staged hosts alone.
 """
 
 from __future__ import annotations
 
 from collections import Counter
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 from typing import NamedTuple
 
 from ..gateway.host import Host
@@ -39,6 +39,7 @@
     """One fabric domain as the layout sees it."""
 
     name: str
+    failure_domain: str
     idle: tuple[Host, ...]
     """Hosts that may be given a part."""
     staging: dict[str, str]
@@ -56,44 +57,89 @@
     stages: tuple[Stage, ...]
 
 
-def targets(size: int, engine: EngineSpec) -> dict[str, int]:
-    """Return the replicas of each model that a fabric domain should have.
+def targets_by_domain(
+    domains: Sequence[Domain], engine: EngineSpec
+) -> dict[str, dict[str, int]]:
+    """Return the replicas of each model that each fabric domain should have.
 
-    Each model gets its share of the hosts that are not spares, the model with
-    the most hosts in a replica first, since the small ones fill what is left.
+    A failure domain's fabric domains are divided between the models by share, as
+    few of them as can be serving two. So the survivors of lost replicas and the
+    spares of one fabric domain hold the same weights and complete each other.
 
-    :param size: live hosts of the fabric domain
+    :param domains: the fabric domains of all failure domains
     :param engine: the models
     """
-    left = size - max(round(size * SPARE_PART), 1)
-    shares = sum(model.share for model in engine.models) or 1.0
+    by_failure_domain: dict[str, list[Domain]] = {}
+    for domain in domains:
+        by_failure_domain.setdefault(domain.failure_domain, []).append(domain)
+    found: dict[str, dict[str, int]] = {}
+    for near in by_failure_domain.values():
+        for index, domain in enumerate(near):
+            shares = _shares(index / len(near), (index + 1) / len(near), engine)
+            found[domain.name] = _targets(domain.size, shares, engine)
+    return found
+
+
+def _shares(start: float, end: float, engine: EngineSpec) -> dict[str, float]:
+    """Return how a stretch of a failure domain's hosts is divided between models."""
+    total = sum(model.share for model in engine.models) or 1.0
+    at, found = 0.0, {}
+    for model in sorted(engine.models, key=lambda model: -model.hosts):
+        until = at + model.share / total
+        overlap = min(end, until) - max(start, at)
+        found[model.name] = max(overlap, 0.0) / (end - start)
+        at = until
+    return found
+
+
+def _targets(
+    size: int, shares: Mapping[str, float], engine: EngineSpec
+) -> dict[str, int]:
+    """Return the replicas of one fabric domain.
+
+    The model with the most hosts in a replica comes first, since the small ones
+    fill what is left.
+    """
+    left = usable = size - max(round(size * SPARE_PART), 1)
     wanted: dict[str, int] = {}
     for model in sorted(engine.models, key=lambda model: -model.hosts):
-        part = left * model.share / shares
-        shares -= model.share
+        part = usable * shares[model.name]
         count = min(round(part / model.hosts), left // model.hosts)
         wanted[model.name] = max(count, 0)
         left -= wanted[model.name] * model.hosts
-        shares = shares or 1.0
     return wanted
 
 
-def plan(domain: Domain, engine: EngineSpec, *, starting: bool) -> Plan:
+def plan(
+    domain: Domain,
+    engine: EngineSpec,
+    targets: Mapping[str, int],
+    *,
+    starting: bool,
+) -> Plan:
     """Return what a fabric domain should form and stage next.
 
     :param domain: the fabric domain
     :param engine: the models
+    :param targets: replicas that it should have, by model
     :param starting: whether replicas may be formed from hosts without weights,
         which load faster before the first request
     """
-    return _Planner(domain, engine, starting=starting).plan()
+    return _Planner(domain, engine, targets, starting=starting).plan()
 
 
 class _Planner:
-    def __init__(self, domain: Domain, engine: EngineSpec, *, starting: bool) -> None:
+    def __init__(
+        self,
+        domain: Domain,
+        engine: EngineSpec,
+        targets: Mapping[str, int],
+        *,
+        starting: bool,
+    ) -> None:
         self._domain = domain
         self._models = {model.name: model for model in engine.models}
-        self._targets = targets(domain.size, engine)
+        self._targets = targets
         self._have = Counter(domain.replicas_by_model)
         self._starting = starting
         self._idle = {host.id: host for host in domain.idle}
@@ -128,8 +174,9 @@
         return self._staged(model) + (self._empty() if self._starting else [])
 
     def _saturation(self, model: ModelSpec) -> tuple[float, int]:
-        target = max(self._targets[model.name], 1)
-        return self._have[model.name] / target, -model.hosts
+        target = self._targets[model.name]
+        have = self._have[model.name]
+        return have / target if target else float("inf"), -model.hosts
 
     def _next_to_form(self) -> ModelSpec | None:
         for model in sorted(self._models.values(), key=self._saturation):
@@ -188,7 +235,8 @@
         if lacking:
             return lacking[0].name
         spares = sorted(
-            self._models.values(), key=lambda m: (held[m.name] / m.hosts, -m.hosts)
+            (m for m in self._models.values() if self._targets[m.name]),
+            key=lambda m: (held[m.name] / m.hosts, -m.hosts),
         )
         return spares[0].name if spares else None
 
@@ -215,6 +263,7 @@
         found.append(
             Domain(
                 name=name,
+                failure_domain=members[0].failure_domain,
                 idle=idle,
                 staging={h.id: staging[h.id] for h in idle if h.id in staging},
                 replicas_by_model=dict(Counter(model for _, model in replicas)),
--- a/auburnproxy/gateway/directory.py
+++ b/auburnproxy/gateway/directory.py
@@ -169,6 +169,7 @@
                 upstream=host.id,
                 born=host.born,
                 failure_domain=host.failure_domain,
+                fabric_domain=host.fabric_domain,
             )
         if host.leaving and not (known and known.leaving):
             self._decisions.belief("host_leaving", upstream=host.id)
