--- a/auburnproxy/formation/conductor.py
+++ b/auburnproxy/formation/conductor.py
@@ -5,6 +5,7 @@
 import asyncio
 from collections import Counter
 from collections.abc import Callable, Collection, Coroutine, Mapping
+from functools import partial
 from itertools import zip_longest
 from typing import Any, NamedTuple, TypeVar
 
@@ -35,7 +36,7 @@
 """Other hosts of a failure domain that are asked before a silent one is given up."""
 SUSPECT_S = 5.0
 """Seconds for which a probed host that answered is not probed again."""
-DEAD_KEPT_S = 10.0
+DEAD_KEPT_S = 30.0
 """Seconds for which a lost process is remembered; its registration lapses sooner."""
 START_STEP_S = 0.1
 """Seconds between two looks until the first request, as long as loads are short."""
@@ -282,16 +283,19 @@
                     if member.id not in self._directory.hosts:
                         self._probe(member, "unregistered")
             elif state in (Standing.LOST, Standing.LEAVING):
-                others = [m for m in formed.members[1:] if self._may_live(m)]
-                lost = not others and not self._may_live(formed.head)
+                lost = not any(map(self._may_live, formed.members))
                 self._retirement.begin(
                     formed,
-                    others,
+                    partial(self._others, formed),
                     head_gone=lost or self._restarted(formed.head),
                     gentle=state is Standing.LEAVING,
                 )
         self._retirement.keep(self._register.by_name)
 
+    def _others(self, formed: Formed) -> list[Member]:
+        """Return the members beside the head that may be there."""
+        return [member for member in formed.members[1:] if self._may_live(member)]
+
     def _may_live(self, member: Member) -> bool:
         dead = (member.id, member.born) in self._dead_until
         return not dead and not self._restarted(member)
--- a/auburnproxy/formation/retirement.py
+++ b/auburnproxy/formation/retirement.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Collection, Sequence
+from collections.abc import Callable, Collection, Sequence
 
 from ..errors import AuburnError
 from ..gateway.host import Host, PartState
@@ -46,7 +46,7 @@
     def begin(
         self,
         formed: Formed,
-        others: Sequence[Member],
+        others: Callable[[], Sequence[Member]],
         *,
         head_gone: bool,
         gentle: bool,
@@ -54,7 +54,7 @@
         """Begin to end a replica, unless that is under way.
 
         :param formed: the replica
-        :param others: its members beside the head that may be there
+        :param others: returns its members beside the head that may be there
         :param head_gone: whether the head's process is known to have ended
         :param gentle: whether its requests may end first
         """
@@ -97,7 +97,7 @@
     async def _end(
         self,
         formed: Formed,
-        others: Sequence[Member],
+        others: Callable[[], Sequence[Member]],
         *,
         head_gone: bool,
         gentle: bool,
@@ -109,7 +109,7 @@
         tries = 0
         while not await self._left(formed, formed.head):
             tries += 1
-            if tries >= HEAD_TRIES and await self._all_left(formed, others):
+            if tries >= HEAD_TRIES and await self._all_left(formed, others()):
                 return
             await asyncio.sleep(RETRY_S)
 
--- a/auburnproxy/gateway/streams.py
+++ b/auburnproxy/gateway/streams.py
@@ -85,6 +85,10 @@
         self._exclude: set[str] = set()
         self._counted = 0
         self._unsent = 0
+        self._tries = 0
+        self._first_at = 0.0
+        self._event_at = 0.0
+        self._longest_pause_s = 0.0
 
     async def run(self) -> web.StreamResponse:
         while True:
@@ -94,8 +98,11 @@
                 )
             except RefusalError as refusal:
                 return self._give_up(refusal.code, refusal.retry_after_s)
+            self._tries += 1
             try:
-                return await self._try(replica)
+                response = await self._try(replica)
+                self._log_end(replica)
+                return response
             except TryError as error:
                 self._log(replica, error)
                 if not self._may_go_on(replica, error):
@@ -214,11 +221,20 @@
                         raise TryError("out_of_order", ran=Ran.UNKNOWN)
                     self._last_id = event.id or self._last_id
                     data += event.data
+                self._time_event()
                 await self._write(answer, data)
                 limit.reschedule(self._limit_at(bound_s))
         if reader.rest or not ending.clean:
             raise TryError("truncated", ran=Ran.UNKNOWN)
 
+    def _time_event(self) -> None:
+        now = asyncio.get_running_loop().time()
+        if not self._first_at:
+            self._first_at = now
+        else:
+            self._longest_pause_s = max(self._longest_pause_s, now - self._event_at)
+        self._event_at = now
+
     async def _write(self, answer: ClientResponse, data: bytes) -> None:
         if self._response is None:
             await self._start(answer)
@@ -267,6 +283,17 @@
     def _limit_at(self, bound_s: float) -> float:
         return min(asyncio.get_running_loop().time() + bound_s, self._call.deadline)
 
+    def _log_end(self, replica: ServingReplica) -> None:
+        self._parts.decisions.request(
+            "streamed",
+            self._call.id,
+            upstream=replica.head.id,
+            replica=replica.name,
+            tries=self._tries,
+            first_s=round(self._first_at - self._call.arrived, 3),
+            longest_pause_s=round(self._longest_pause_s, 3),
+        )
+
     def _log(self, replica: ServingReplica, error: TryError) -> None:
         self._parts.decisions.request(
             "try_failed",
