--- a/auburnproxy/beats/beat.py
+++ b/auburnproxy/beats/beat.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from ..errors import PeerError
+from ..gateway.health import Work
 
 
 class Beat(NamedTuple):
@@ -17,12 +18,14 @@
     """Whether it forms replicas and is able to."""
     served: bool
     """Whether it has served a request since its start."""
-    work_by_host: dict[str, tuple[int, int]]
-    """Its requests at each upstream that has any, and those without an answer."""
+    work_by_host: dict[str, Work]
+    """Its requests at each upstream that has any."""
     end_by_topic: dict[str, int]
     """How far it has read each topic."""
     suspects: list[str]
     """Upstreams that it leaves out since they fell silent."""
+    lost: list[str]
+    """Heads of replicas that it is ending, if it is on duty."""
 
 
 _decoder = msgspec.msgpack.Decoder(Beat)
--- a/auburnproxy/beats/circle.py
+++ b/auburnproxy/beats/circle.py
@@ -25,6 +25,7 @@
 """Age at which a beat no longer shows its daemon to be there; three far ones late."""
 LOAD_S = 1.0
 """Age at which a beat's requests in flight are no longer counted."""
+MS_PER_S = 1000
 
 
 class Seat(NamedTuple):
@@ -127,16 +128,36 @@
             if now - heard.at < LOAD_S and name in self._seats
         }
 
+    @property
+    def lost(self) -> frozenset[str]:
+        """Return the heads of the replicas that the daemon on duty is ending."""
+        now = _now()
+        return frozenset(
+            host
+            for heard in self._heard.values()
+            if now - heard.at < LOAD_S
+            for host in heard.beat.lost
+        )
+
     def work(self, host: str) -> tuple[int, int]:
         """Return the requests of the others at an upstream, and those that wait."""
         now, in_flight, waiting = _now(), 0, 0
         for heard in self._heard.values():
             work = heard.beat.work_by_host.get(host)
             if work is not None and now - heard.at < LOAD_S:
-                in_flight += work[0]
-                waiting += work[1]
+                in_flight += work.in_flight
+                waiting += work.waiting
         return in_flight, waiting
 
+    def heard_at(self, host: str) -> float:
+        """Return the loop's time at which one of the others last heard an upstream."""
+        times = [
+            heard.at - work.silent_ms / MS_PER_S
+            for heard in self._heard.values()
+            if (work := heard.beat.work_by_host.get(host)) is not None
+        ]
+        return max(times, default=-1.0)
+
     def record(self) -> Change | None:
         """Return the record of this daemon's seat, None if it stands already."""
         if self._seats.get(self._name) == self._seat:
--- a/auburnproxy/daemon/routed.py
+++ b/auburnproxy/daemon/routed.py
@@ -11,7 +11,7 @@
 
 from ..beats import Beat, Circle
 from ..beats.circle import Seat
-from ..errors import DocumentError, PlatformError
+from ..errors import AuburnError, DocumentError, PlatformError
 from ..formation import Conductor, Register
 from ..formation.duty import Duty
 from ..formation.register import TOPIC as REPLICAS_TOPIC
@@ -95,7 +95,12 @@
         self.directory = Directory(
             decisions, store_away_at=lambda: self._upstreams.away_at
         )
-        self.health = Health(decisions)
+        self.orders = self._deployment.orders()
+        self.health = Health(
+            decisions,
+            probe=self._answers,
+            heard_elsewhere=lambda host: self.circle.heard_at(host),
+        )
         self._seats = Follower(
             self._store, DAEMONS_TOPIC, decisions, wait_s=LONG_WAIT_S
         )
@@ -131,7 +136,7 @@
             settings.name,
             self.directory,
             self.register,
-            self._deployment.orders(),
+            self.orders,
             decisions,
             on_duty=lambda: self.duty.held,
             suspects=lambda: {*self.health.suspects, *self.circle.suspects},
@@ -147,6 +152,7 @@
             failure_domain=settings.failure_domain,
             elsewhere=lambda host: self.circle.work(host),
             suspected=lambda: self.circle.suspects,
+            lost=lambda: self.circle.lost,
             daemons=lambda: self.circle.size,
         )
         plain = Plain(self._session, dialect, choice, self.health, self.decisions)
@@ -299,6 +305,18 @@
             self.directory.expire()
             await asyncio.sleep(EXPIRY_S)
 
+    async def _answers(self, host_id: str) -> bool:
+        """Return whether a registered host answers a probe."""
+        host = self.directory.hosts.get(host_id)
+        if host is None:
+            return False
+        try:
+            await self.orders.report(host)
+        except AuburnError as error:
+            self.decisions.belief("host_silent", upstream=host_id, error=repr(error))
+            return False
+        return True
+
     def _registration_pause_s(self) -> float:
         if not self.duty.held:
             return PAUSE_S
@@ -317,7 +335,8 @@
             self.face.served > 0,
             self.health.work_by_host,
             self.relay.end_by_topic,
-            [*self.health.suspects, *self.conductor.retiring_heads],
+            list(self.health.suspects),
+            list(self.conductor.retiring_heads),
         )
 
     def _take_operator(self, change: Change) -> None:
--- a/auburnproxy/gateway/choice.py
+++ b/auburnproxy/gateway/choice.py
@@ -43,6 +43,7 @@
     :param elsewhere: returns the requests of other daemons at an upstream, and of
         those the ones without an answer
     :param suspected: returns the upstreams that other daemons leave out
+    :param lost: returns the heads of replicas that are being ended
     :param daemons: returns how many daemons share the bound of a cold upstream
     """
 
@@ -54,6 +55,7 @@
         failure_domain: str,
         elsewhere: Callable[[str], tuple[int, int]] = lambda host: (0, 0),
         suspected: Callable[[], Collection[str]] = tuple,
+        lost: Callable[[], Collection[str]] = tuple,
         daemons: Callable[[], int] = lambda: 1,
         random: Random | None = None,
     ) -> None:
@@ -62,6 +64,7 @@
         self._failure_domain = failure_domain
         self._elsewhere = elsewhere
         self._suspected = suspected
+        self._lost = lost
         self._daemons = daemons
         self._random = random or Random()
         self._turn = count()
@@ -83,10 +86,12 @@
             and not replica.leaving
             and self._directory.may_use(replica.head)
         ]
+        lost = self._lost()
         fit = [
             replica
             for replica in found
             if replica.head.id not in exclude
+            and replica.head.id not in lost
             and not self._health.excluded(replica.head.id)
         ]
         if not fit:
--- a/auburnproxy/gateway/health.py
+++ b/auburnproxy/gateway/health.py
@@ -9,8 +9,9 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable, Iterator
+from collections.abc import Awaitable, Callable, Iterator
 from contextlib import contextmanager
+from typing import NamedTuple
 
 from ..telemetry.decisions import Decisions
 
@@ -18,8 +19,22 @@
 """Shortest exclusion; stalled batches of long prompts pass within it."""
 LONGEST_PAUSE_S = 4.0
 """Longest exclusion; the register drops a dead host within that time."""
+PROBE_LEAD_S = 0.3
+"""Seconds before the end of a pause at which the upstream is asked; a probe's time."""
 FORGET_S = 10.0
 """Seconds without trouble after which an upstream's pauses start short again."""
+MS_PER_S = 1000
+LONGEST_AGE_MS = 60_000
+
+
+class Work(NamedTuple):
+    """The requests of one daemon at an upstream."""
+
+    in_flight: int
+    waiting: int
+    """Those without an answer yet."""
+    silent_ms: int
+    """Milliseconds since the upstream last sent this daemon something."""
 
 
 class _State:
@@ -37,10 +52,22 @@
     """What is known of upstreams from the requests that were sent to them.
 
     :param decisions: takes a line for each upstream that is excluded or back
+    :param probe: returns whether an upstream's process answers
+    :param heard_elsewhere: returns the loop's time at which another daemon last
+        heard from an upstream, negative if none did
     """
 
-    def __init__(self, decisions: Decisions) -> None:
+    def __init__(
+        self,
+        decisions: Decisions,
+        *,
+        probe: Callable[[str], Awaitable[bool]],
+        heard_elsewhere: Callable[[str], float] = lambda host: -1.0,
+    ) -> None:
         self._decisions = decisions
+        self._probe = probe
+        self._heard_elsewhere = heard_elsewhere
+        self._probes: set[asyncio.Task[None]] = set()
         self._states: dict[str, _State] = {}
 
     def in_flight(self, host: str) -> int:
@@ -54,17 +81,21 @@
         return state.waiting if state else 0
 
     @property
-    def work_by_host(self) -> dict[str, tuple[int, int]]:
-        """Return this daemon's requests at each upstream that has any.
-
-        :return: requests in flight and, of those, without an answer, by host id
-        """
+    def work_by_host(self) -> dict[str, Work]:
+        """Return this daemon's requests at each upstream that has any."""
+        now = _now()
         return {
-            host: (state.in_flight, state.waiting)
+            host: Work(state.in_flight, state.waiting, _age_ms(now, state.heard_at))
             for host, state in self._states.items()
             if state.in_flight
         }
 
+    def heard_at(self, host: str) -> float:
+        """Return the loop's time at which any daemon last heard from an upstream."""
+        state = self._states.get(host)
+        own = state.heard_at if state else -1.0
+        return max(own, self._heard_elsewhere(host))
+
     @property
     def suspects(self) -> tuple[str, ...]:
         """Return the upstreams that are excluded now."""
@@ -131,7 +162,7 @@
         :param reason: what its request saw
         """
         state = self._states.setdefault(host, _State())
-        if _now() - state.heard_at < silence_s:
+        if _now() - self.heard_at(host) < silence_s:
             return
         self.failed(host, reason=reason)
         for on_lost in tuple(state.watches):
@@ -153,6 +184,7 @@
             else min(2 * state.pause_s, LONGEST_PAUSE_S)
         )
         state.excluded_until = now + state.pause_s
+        self._check_later(host, state.pause_s)
         self._decisions.belief(
             "upstream_excluded",
             upstream=host,
@@ -161,6 +193,21 @@
             silent_s=round(now - state.heard_at, 3) if state.heard_at >= 0 else None,
         )
 
+    def _check_later(self, host: str, pause_s: float) -> None:
+        """Ask an upstream before the end of its pause whether it is there at all."""
+        task = asyncio.create_task(self._check(host, pause_s))
+        self._probes.add(task)
+        task.add_done_callback(self._probes.discard)
+
+    async def _check(self, host: str, pause_s: float) -> None:
+        await asyncio.sleep(max(pause_s - PROBE_LEAD_S, 0.0))
+        state = self._states.get(host)
+        if state is None or not state.pause_s:
+            return
+        if not await self._probe(host) and self._states.get(host) is state:
+            state.excluded_until = _now()
+            self.failed(host, reason="no answer to a probe")
+
     def forget(self, host: str) -> None:
         """Drop what is known of an upstream that is gone."""
         state = self._states.get(host)
@@ -168,5 +215,9 @@
             del self._states[host]
 
 
+def _age_ms(now: float, at: float) -> int:
+    return min(round((now - at) * MS_PER_S), LONGEST_AGE_MS)
+
+
 def _now() -> float:
     return asyncio.get_running_loop().time()
--- a/auburnproxy/gateway/streams.py
+++ b/auburnproxy/gateway/streams.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
 
 from aiohttp import ClientError, ClientResponse, ClientSession, web
 
@@ -27,6 +28,9 @@
 """Shortest silence that counts: batches of long prompts take up to 0.2 s."""
 QUEUED_S = 0.3
 """Longer wait for the first event at a head whose slots are all taken."""
+LONGEST_FIRST_S = 1.5
+"""Longest wait for the first event at a head that sends events to others."""
+CHECK_SLACK_S = 0.005
 MOST_UNSENT = 3
 """Heads that cannot be reached before a request is refused."""
 OK = 200
@@ -152,13 +156,16 @@
         )
         self._heard = False
         try:
-            async with asyncio.timeout_at(self._limit_at(bound_s)) as limit:
+            async with asyncio.timeout_at(self._limit_at(LONGEST_FIRST_S)) as limit:
 
                 def lost() -> None:
                     if not limit.expired():
                         limit.reschedule(asyncio.get_running_loop().time())
 
-                with health.request(head.id, lost) as begin:
+                with (
+                    self._watch(head.id, bound_s, limit),
+                    health.request(head.id, lost) as begin,
+                ):
                     self._begin = begin
                     return await self._exchange(dispatch, replica, limit)
         except TimeoutError:
@@ -172,6 +179,30 @@
                 health.failed(head.id, reason=error.code)
             raise
 
+    @contextmanager
+    def _watch(
+        self, head: str, bound_s: float, limit: asyncio.Timeout
+    ) -> Iterator[None]:
+        """End a try without an event once its head is silent towards everybody."""
+        loop = asyncio.get_running_loop()
+
+        def look() -> None:
+            if self._heard or limit.expired():
+                return
+            silent_since = max(self._parts.health.heard_at(head), began)
+            if loop.time() - silent_since >= bound_s:
+                limit.reschedule(loop.time())
+                return
+            nonlocal timer
+            timer = loop.call_at(silent_since + bound_s + CHECK_SLACK_S, look)
+
+        began = loop.time()
+        timer = loop.call_later(bound_s, look)
+        try:
+            yield
+        finally:
+            timer.cancel()
+
     async def _exchange(
         self, dispatch: Dispatch, replica: ServingReplica, limit: asyncio.Timeout
     ) -> web.StreamResponse:
