Refuse requests late in a shutdown, let begun streams wait for a replica, survive a failed relay

Ruled out: the balancer, which had turned away in time; the requests came on kept connections. Plain hosts have no report, so they are not probed any more.

--- a/auburnproxy/daemon/routed.py
+++ b/auburnproxy/daemon/routed.py
@@ -227,6 +227,7 @@
         self.decisions.belief("stopping", in_flight=self.face.in_flight)
         await self.duty.give_up()
         await asyncio.sleep(BALANCER_S)
+        self.face.closed = True
         until = began + self.settings.grace_s - ANSWER_MARGIN_S
         try:
             async with asyncio.timeout_at(until):
@@ -237,7 +238,8 @@
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
-        await self._session.close()
+        if not self.face.in_flight:
+            await self._session.close()
         await self._store.close()
         self.decisions.belief("stopped")
 
@@ -310,6 +312,9 @@
         host = self.directory.hosts.get(host_id)
         if host is None:
             return False
+        if not host.fabric_domain:
+            # Plain services have no report; the next request shows how they are.
+            return True
         try:
             await self.orders.report(host)
         except AuburnError as error:
--- a/auburnproxy/gateway/face.py
+++ b/auburnproxy/gateway/face.py
@@ -19,6 +19,8 @@
 from .route import RouteKind
 from .streams import Streams
 
+CLOSED_RETRY_S = 0.05
+"""Wait of a caller whose next connection goes to another daemon."""
 UNCONFIGURED_RETRY_S = 0.5
 """Wait until a started daemon has usually read its configuration."""
 
@@ -49,6 +51,9 @@
         telemetry: Telemetry,
     ) -> None:
         self.draining = False
+        """Whether connections are closed with their next answer."""
+        self.closed = False
+        """Whether further requests are refused, since they might not end in time."""
         self.served = 0
         """Requests that were routed to a service since the start."""
         self._directory = directory
@@ -136,6 +141,9 @@
         except web.HTTPRequestEntityTooLarge:
             message = "The body is too long."
             raise RefusalError("body_too_long", message, status=413) from None
+        if self.closed:
+            message = "This daemon is shutting down."
+            raise RefusalError("draining", message, retry_after_s=CLOSED_RETRY_S)
         configuration = self._directory.configuration
         if configuration.version < 0:
             message = "This daemon has no configuration yet."
--- a/auburnproxy/gateway/streams.py
+++ b/auburnproxy/gateway/streams.py
@@ -31,6 +31,9 @@
 LONGEST_FIRST_S = 1.5
 """Longest wait for the first event at a head that sends events to others."""
 CHECK_SLACK_S = 0.005
+LONGEST_PAUSE_S = 1.8
+"""Pause of a stream that has begun after which its caller is about to leave."""
+REPLICA_WAIT_S = 0.05
 MOST_UNSENT = 3
 """Heads that cannot be reached before a request is refused."""
 OK = 200
@@ -101,6 +104,9 @@
                     self._call.ask.model, exclude=self._exclude
                 )
             except RefusalError as refusal:
+                if self._waits_for_replica():
+                    await asyncio.sleep(REPLICA_WAIT_S)
+                    continue
                 return self._give_up(refusal.code, refusal.retry_after_s)
             self._tries += 1
             try:
@@ -112,6 +118,17 @@
                 if not self._may_go_on(replica, error):
                     return self._give_up(error.code, None)
 
+    def _waits_for_replica(self) -> bool:
+        """Return whether a stream that has begun may still go on at a replica.
+
+        Its caller waits for the next event; heads that were left may answer again.
+        """
+        now = asyncio.get_running_loop().time()
+        if self._response is None or now - self._event_at > LONGEST_PAUSE_S:
+            return False
+        self._exclude.clear()
+        return self._call.remaining_s > REPLICA_WAIT_S
+
     def _may_go_on(self, replica: ServingReplica, error: TryError) -> bool:
         """Count a failed try; return whether another one is allowed."""
         self._exclude.add(replica.head.id)
--- a/auburnproxy/store/relay.py
+++ b/auburnproxy/store/relay.py
@@ -11,9 +11,11 @@
 from typing import NamedTuple
 
 import msgspec
-from aiohttp import ClientError, ClientSession, ClientTimeout, web
+from aiohttp import ClientSession, ClientTimeout, web
 
+from ..errors import UpstreamError
 from ..telemetry.decisions import Decisions
+from ..upstreams.client import upstream_errors
 from .follower import Follower
 from .store import Change
 
@@ -89,9 +91,11 @@
         url = f"http://{address}{PATH}{topic}"
         timeout = ClientTimeout(total=FETCH_TIMEOUT_S)
         try:
-            async with self._session.get(url, timeout=timeout) as response:
-                shared = _decoder.decode(await response.read())
-        except (TimeoutError, ClientError, OSError, msgspec.MsgspecError) as error:
+            with upstream_errors(address):
+                async with self._session.get(url, timeout=timeout) as response:
+                    body = await response.read()
+            shared = _decoder.decode(body)
+        except (UpstreamError, msgspec.MsgspecError) as error:
             self._decisions.belief(
                 "relay_failed", topic=topic, peer=address, reason=repr(error)
             )
