--- a/auburnproxy/gateway/choice.py
+++ b/auburnproxy/gateway/choice.py
@@ -21,6 +21,10 @@
 every stream of the replica for about as long as the objective for pauses."""
 SUSPECT_LOAD = 1.0
 """Load that an upstream counts as having which another daemon leaves out."""
+QUIET_S = 0.13
+"""Silence towards this daemon's streams after which new requests go elsewhere if
+they can; nine in ten pauses are half as long."""
+QUIET_LOAD = 0.5
 MISSING_LOAD = 0.5
 """Load that a replica counts as having whose member is not registered any more."""
 QUEUE_PART = 0.2
@@ -156,6 +160,8 @@
             score += FAR_LOAD
         if host.id in self._suspected():
             score += SUSPECT_LOAD
+        if self._health.quiet_s(host.id) > QUIET_S:
+            score += QUIET_LOAD
         return score
 
     def _has_room(self, host: Host) -> bool:
--- a/auburnproxy/gateway/health.py
+++ b/auburnproxy/gateway/health.py
@@ -90,6 +90,16 @@
             if state.in_flight
         }
 
+    def quiet_s(self, host: str) -> float:
+        """Return for how long an upstream has kept this daemon's streams waiting.
+
+        :return: 0 if there are no streams that have begun
+        """
+        state = self._states.get(host)
+        if state is None or state.in_flight <= state.waiting:
+            return 0.0
+        return _now() - state.heard_at
+
     def heard_at(self, host: str) -> float:
         """Return the loop's time at which any daemon last heard from an upstream."""
         state = self._states.get(host)
--- a/auburnproxy/gateway/streams.py
+++ b/auburnproxy/gateway/streams.py
@@ -203,6 +203,9 @@
         """End a try without an event once its head is silent towards everybody."""
         loop = asyncio.get_running_loop()
 
+        began = loop.time()
+        timers: list[asyncio.TimerHandle] = []
+
         def look() -> None:
             if self._heard or limit.expired():
                 return
@@ -210,15 +213,14 @@
             if loop.time() - silent_since >= bound_s:
                 limit.reschedule(loop.time())
                 return
-            nonlocal timer
-            timer = loop.call_at(silent_since + bound_s + CHECK_SLACK_S, look)
+            next_look = silent_since + bound_s + CHECK_SLACK_S
+            timers[:] = [loop.call_at(next_look, look)]
 
-        began = loop.time()
-        timer = loop.call_later(bound_s, look)
+        timers.append(loop.call_later(bound_s, look))
         try:
             yield
         finally:
-            timer.cancel()
+            timers[0].cancel()
 
     async def _exchange(
         self, dispatch: Dispatch, replica: ServingReplica, limit: asyncio.Timeout
