--- a/bench/journal.py
+++ b/bench/journal.py
@@ -14,6 +14,7 @@
 import defopt
 from loguru import logger
 
+from auburnproxy.external import LogPage, LogRecord, LogService
 from auburnproxy.journal import Journal, Record
 from auburnproxy.journal import checkpoint as checkpoints
 from auburnproxy.journal._codec import decode_record, encode_record
@@ -21,7 +22,6 @@
 from auburnproxy.journal.record import Entry
 from auburnproxy.ledger import Ledger
 from auburnproxy.ledger.ledger import CLAIM, Claim
-from auburnproxy.external import LogPage, LogRecord, LogService
 
 from .fit import print_fit
 
--- a/examples/journal.py
+++ b/examples/journal.py
@@ -9,8 +9,8 @@
 import asyncio
 from typing import Any, ClassVar
 
-from auburnproxy.journal import Entry, Journal, Reducer
 from auburnproxy.external import LogPage, LogRecord, LogService
+from auburnproxy.journal import Entry, Journal, Reducer
 
 TAKE = "stock.take"
 
--- a/features/fakes/replicas.py
+++ b/features/fakes/replicas.py
@@ -8,7 +8,6 @@
 from loguru import logger
 
 from auburnproxy.errors import PlatformError, Ran, StaleFenceError, UpstreamError
-from auburnproxy.journal import Entry, Outcome, Record
 from auburnproxy.external import (
     HostEntry,
     HostKind,
@@ -17,6 +16,7 @@
     Presence,
     WeightStore,
 )
+from auburnproxy.journal import Entry, Outcome, Record
 from auburnproxy.replicas import (
     Custodian,
     Downtime,
--- a/features/fakes/serving.py
+++ b/features/fakes/serving.py
@@ -10,8 +10,8 @@
 from auburnproxy.admission import Admission
 from auburnproxy.configuration import Grant, Lists, Plan, TargetKind
 from auburnproxy.errors import Ran, UpstreamError
-from auburnproxy.ledger import Ledger, LedgerRunner
 from auburnproxy.external import HostEntry, HostKind, Presence
+from auburnproxy.ledger import Ledger, LedgerRunner
 from auburnproxy.replicas import Replica
 from auburnproxy.routing import Router
 from auburnproxy.serving import Face, Limits, Spill
--- a/features/fakes/sharing.py
+++ b/features/fakes/sharing.py
@@ -9,8 +9,8 @@
 from loguru import logger
 
 from auburnproxy.errors import PlatformError, Ran, UpstreamError
-from auburnproxy.membership import Member, Reports
 from auburnproxy.external import HostEntry, HostKind, HostList, Presence
+from auburnproxy.membership import Member, Reports
 from auburnproxy.upstreams import Watcher
 from auburnproxy.upstreams.engine import Engine, EngineReport, EngineState, Fence
 from auburnproxy.upstreams.peers import Peers
--- a/features/loopback.py
+++ b/features/loopback.py
@@ -8,9 +8,9 @@
 
 from auburnproxy.configuration import Configuration, read_lists
 from auburnproxy.configuration.configuration import LISTS_KEY, LISTS_KIND
-from auburnproxy.journal import Journal
 from auburnproxy.external import ModelSpec
 from auburnproxy.external.http import connect_log
+from auburnproxy.journal import Journal
 from auburnproxy.upstreams.engine import Assignment, Fence, ModelCall, Order
 from standins.deployment import Addresses
 from standins.listener import listening
--- a/features/machines/replicas.py
+++ b/features/machines/replicas.py
@@ -8,8 +8,8 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
 
-from auburnproxy.journal import Record
 from auburnproxy.external import ModelSpec, Presence
+from auburnproxy.journal import Record
 from auburnproxy.replicas import Replica, custody_key
 from auburnproxy.replicas.replicas import Kind
 from auburnproxy.upstreams.engine import EngineState
