--- /dev/null
+++ b/features/fakes/fleet.py
@@ -0,0 +1,208 @@
+"""Engines in memory that form replicas by orders, and a small failure domain."""
+
+from __future__ import annotations
+
+import asyncio
+
+from auburnproxy.errors import UpstreamError
+from auburnproxy.formation.orders import Answer, Orders
+from auburnproxy.formation.record import Formed, Member
+from auburnproxy.gateway.directory import Directory
+from auburnproxy.gateway.host import Host, Part, PartState
+from auburnproxy.gateway.route import (
+    Bounds,
+    Configuration,
+    EngineSpec,
+    ModelSpec,
+    ServiceSpec,
+)
+
+SERVICE = "engines"
+LARGE = ModelSpec("large", 4, 0.5, 1.0, 16.0, 1.6)
+SMALL = ModelSpec("small", 2, 0.5, 0.6, 12.0, 1.1)
+ENGINE = EngineSpec(9, (LARGE, SMALL), 0.008, 0.0002, 45_900, 5, 5.0, 7, 0.3, 900, 150)
+REJOIN_S = 0.2
+
+
+def configuration(version: int = 1) -> Configuration:
+    service = ServiceSpec(SERVICE, 3.0, 36.0, ENGINE)
+    return Configuration(version, {}, {SERVICE: service}, {}, True, Bounds())
+
+
+def host(
+    name: str,
+    *,
+    failure_domain: str = "fd1",
+    fabric: str = "f0",
+    staged: tuple[str, ...] = (),
+    models: tuple[str, ...] = (),
+    part: Part | None = None,
+    **more,
+) -> Host:
+    values = {"service": SERVICE, "address": f"{name}:1", "slots": 9}
+    values |= {"leaving": False, "cold_s": 0.0, "born": 1} | more
+    return Host(
+        id=name,
+        failure_domain=failure_domain,
+        fabric_domain=fabric,
+        staged=staged,
+        models=models,
+        part=part,
+        **values,
+    )
+
+
+class FakeFleet(Orders):
+    """The engines and their orders; it notes what must never happen.
+
+    :param directory: where the engines register at once with each change
+    """
+
+    def __init__(self, directory: Directory) -> None:
+        self.directory = directory
+        self.hosts: dict[str, Host] = {}
+        self.silent: set[str] = set()
+        """Engines that answer nobody, though they may run."""
+        self.stopped: set[str] = set()
+        """Engines whose processes have ended."""
+        self.lose_orders = 0
+        """Orders that get no answer and are carried out later."""
+        self.late_s = 3.0
+        self.violations: list[str] = []
+        self.sent: list[tuple[str, str, str]] = []
+        self._members: dict[tuple[str, int], tuple[str, ...]] = {}
+
+    def add(self, *hosts: Host) -> None:
+        for each in hosts:
+            self.hosts[each.id] = each
+            self.directory.register(each)
+
+    def stop(self, name: str) -> None:
+        """End an engine's process; its registration lapses later."""
+        self.stopped.add(name)
+        self.silent.add(name)
+
+    def unregister(self, name: str) -> None:
+        self.directory.unregister(name)
+
+    def open_heads(self) -> list[Host]:
+        return [
+            each
+            for each in self.hosts.values()
+            if each.part
+            and each.part.state is PartState.OPEN
+            and each.id not in self.stopped
+        ]
+
+    async def join(self, member: Member, formed: Formed) -> Answer:
+        async def carry_out() -> None:
+            self._check_join(member, formed)
+            known = self.hosts[member.id]
+            if known.part and known.part.epoch > formed.epoch:
+                return
+            rank = formed.ids.index(member.id)
+            self._members[formed.name, formed.epoch] = formed.ids
+            joining = Part(formed.name, formed.epoch, rank, PartState.JOINING)
+            self._set(member.id, part=joining, models=(formed.model,))
+            await asyncio.sleep(self._join_s(known, formed.model))
+            if self.hosts[member.id].part == joining:
+                ready = joining._replace(state=PartState.READY)
+                self._set(member.id, part=ready, staged=(formed.model,))
+
+        return await self._ordered("join", member, formed.name, carry_out())
+
+    async def open(self, formed: Formed) -> Answer:
+        async def carry_out() -> None:
+            part = self.hosts[formed.head.id].part
+            if part != Part(formed.name, formed.epoch, 0, PartState.READY):
+                return
+            for member in formed.members:
+                if not self._has(member.id, formed):
+                    self.violations.append(f"{formed.name} opened without {member.id}")
+            await asyncio.sleep(ENGINE.form_s)
+            if self.hosts[formed.head.id].part == part:
+                opened = part._replace(state=PartState.OPEN)
+                self._set(formed.head.id, part=opened)
+
+        return await self._ordered("open", formed.head, formed.name, carry_out())
+
+    async def close(self, formed: Formed) -> Answer:
+        async def carry_out() -> None:
+            if self._has(formed.head.id, formed):
+                ready = Part(formed.name, formed.epoch, 0, PartState.READY)
+                self._set(formed.head.id, part=ready)
+
+        return await self._ordered("close", formed.head, formed.name, carry_out())
+
+    async def leave(self, member: Member, formed: Formed) -> Answer:
+        async def carry_out() -> None:
+            if self._has(member.id, formed):
+                self._set(member.id, part=None)
+
+        return await self._ordered("leave", member, formed.name, carry_out())
+
+    async def stage(self, member: Member, model: str) -> Answer:
+        async def carry_out() -> None:
+            await asyncio.sleep(12.0)
+            self._set(member.id, staged=(model,))
+
+        return await self._ordered("stage", member, model, carry_out())
+
+    async def report(self, host: Host) -> Host:
+        await asyncio.sleep(0.005)
+        if host.id in self.silent or host.id not in self.hosts:
+            raise UpstreamError(f"{host.id} does not answer")
+        return self.hosts[host.id]
+
+    async def _ordered(self, kind, member, subject, work) -> Answer:
+        self.sent.append((kind, member.id, subject))
+        await asyncio.sleep(0.005)
+        if member.id in self.silent:
+            work.close()
+            await asyncio.sleep(0.5)
+            return Answer.SILENT
+        if self.hosts[member.id].born != member.born:
+            work.close()
+            return Answer.OTHER_LIFE
+        if self.lose_orders:
+            self.lose_orders -= 1
+            asyncio.get_running_loop().call_later(
+                self.late_s, lambda: asyncio.ensure_future(work)
+            )
+            await asyncio.sleep(0.5)
+            return Answer.SILENT
+        task = asyncio.ensure_future(work)
+        await asyncio.sleep(0)
+        return Answer.DONE if task.done() else Answer.BEGUN
+
+    def _check_join(self, member: Member, formed: Formed) -> None:
+        """Note a join of a host whose own replica's head still serves."""
+        part = self.hosts[member.id].part
+        if part is None or part.replica == formed.name:
+            return
+        members = self._members.get((part.replica, part.epoch), ())
+        head = self.hosts.get(members[0]) if members else None
+        if head is None or head.id in self.stopped or not head.part:
+            return
+        serves = head.part.state in (PartState.OPEN, PartState.CLOSING)
+        if head.part.replica == part.replica and serves:
+            self.violations.append(f"{member.id} taken from {part.replica}")
+
+    def _has(self, name: str, formed: Formed) -> bool:
+        part = self.hosts[name].part
+        return part is not None and (part.replica, part.epoch) == (
+            formed.name,
+            formed.epoch,
+        )
+
+    def _join_s(self, known: Host, model: str) -> float:
+        if model in known.models and model in known.staged:
+            return REJOIN_S
+        spec = ENGINE.model(model)
+        assert spec is not None
+        return spec.warm_s if model in known.staged else spec.load_s / 10
+
+    def _set(self, name: str, **changes) -> None:
+        self.hosts[name] = self.hosts[name]._replace(**changes)
+        if name in self.directory.hosts and name not in self.silent:
+            self.directory.register(self.hosts[name])
--- /dev/null
+++ b/features/fakes/store.py
@@ -0,0 +1,107 @@
+"""A log of keyed records in memory, with one faulty connection for each daemon."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+from collections.abc import Sequence
+
+from auburnproxy.errors import AppendUncertainError, PlatformError
+from auburnproxy.store import (
+    Change,
+    ConflictError,
+    ExpiredError,
+    Newest,
+    Page,
+    Store,
+)
+from auburnproxy.telemetry.decisions import Decisions
+
+LATENCY_S = 0.004
+
+
+class FakeTopics:
+    """The records of every topic; the oldest may expire, the newest of a key stay."""
+
+    def __init__(self) -> None:
+        self.records_by_topic: dict[str, list[Change]] = {}
+        self.first_by_topic: dict[str, int] = {}
+        self.appended = asyncio.Event()
+
+    def records(self, topic: str) -> list[Change]:
+        return self.records_by_topic.setdefault(topic, [])
+
+    def take(self, topic: str, changes: Sequence[Change]) -> int:
+        records = self.records(topic)
+        for change in changes:
+            records.append(change._replace(offset=len(records)))
+        turn, self.appended = self.appended, asyncio.Event()
+        turn.set()
+        return len(records)
+
+    def expire(self, topic: str) -> None:
+        self.first_by_topic[topic] = len(self.records(topic))
+
+    def newest(self, topic: str) -> Newest:
+        by_key: dict[str, Change] = {}
+        for change in self.records(topic):
+            by_key[change.key] = change
+        found = tuple(change for change in by_key.values() if change.value)
+        return Newest(found, len(self.records(topic)))
+
+
+class StorePort(Store):
+    """One daemon's connection to the store."""
+
+    def __init__(self, topics: FakeTopics) -> None:
+        self.topics = topics
+        self.away = False
+        self.lose_answers = 0
+        self.calls = 0
+
+    async def newest(self, topic: str) -> Newest:
+        await self._travel()
+        return self.topics.newest(topic)
+
+    async def read(self, topic: str, offset: int, *, wait_s: float) -> Page:
+        await self._travel()
+        if offset < self.topics.first_by_topic.get(topic, 0):
+            raise ExpiredError(f"{topic} from {offset}")
+        try:
+            async with asyncio.timeout(wait_s):
+                while len(self.topics.records(topic)) <= offset:
+                    await self.topics.appended.wait()
+        except TimeoutError:
+            pass
+        if self.away:
+            raise PlatformError("away")
+        found = tuple(self.topics.records(topic)[offset:])
+        return Page(found, offset + len(found))
+
+    async def append(
+        self, topic: str, changes: Sequence[Change], *, at: int | None = None
+    ) -> int:
+        await self._travel()
+        end = len(self.topics.records(topic))
+        if at is not None and at != end:
+            raise ConflictError(end)
+        end = self.topics.take(topic, changes)
+        if self.lose_answers:
+            self.lose_answers -= 1
+            raise AppendUncertainError("the answer was lost")
+        return end
+
+    async def close(self) -> None:
+        pass
+
+    async def _travel(self) -> None:
+        self.calls += 1
+        await asyncio.sleep(LATENCY_S)
+        if self.away:
+            raise PlatformError("away")
+
+
+def quiet() -> Decisions:
+    """Return decisions that nobody reads."""
+    descriptor = os.open(os.devnull, os.O_WRONLY)
+    return Decisions("test", descriptor=descriptor)
--- /dev/null
+++ b/features/formation.feature
@@ -0,0 +1,99 @@
+Feature: Replicas formed from registered hosts
+
+  Scenario: Each fabric domain of a failure domain serves one model
+    Given 2 fabric domains of 10 hosts
+    Then the first is to have 2 large and 0 small replicas
+    And the second is to have 0 large and 4 small replicas
+
+  Scenario: Three fabric domains share two models
+    Given 3 fabric domains of 18 hosts
+    Then the first is to have 3 large and 0 small replicas
+    And the second is to have 2 large and 3 small replicas
+    And the third is to have 0 large and 7 small replicas
+
+  Scenario: Survivors of lost replicas complete each other (engines lost faster than weights load)
+    Given a fabric domain for the large model with 2 lost replicas of 3 survivors each
+    When it is planned while the system runs
+    Then 1 large replica is formed from hosts that hold the weights
+    And nothing is loaded
+
+  Scenario: Hosts without weights are loaded before they join while the system runs
+    Given a fabric domain for the large model with 3 staged and 2 empty hosts
+    When it is planned while the system runs
+    Then 0 large replicas are formed from hosts that hold the weights
+    And 2 hosts load the large model
+
+  Scenario: Hosts without weights join at once before the first request
+    Given a fabric domain for the large model with 0 staged and 10 empty hosts
+    When it is planned before the first request
+    Then 2 large replicas are formed
+
+  Scenario: Of two writers at the same time one is told to read first
+    Given two registers that have read the same records
+    When both record a replica with the same host
+    Then one of them is recorded
+    And the other writer is told that the log has grown
+
+  Scenario: No host is ever recorded in two replicas
+    When writers, lost answers and expired histories race at random
+    Then every recorded replica has its own hosts
+
+  Scenario: A fleet forms every replica before it is opened
+    Given a fleet of 20 hosts in 2 fabric domains
+    When 10 s pass
+    Then 2 large and 4 small replicas serve
+    And no order broke a rule
+
+  Scenario: A lost member is replaced by a spare
+    Given a fleet of 20 hosts in 2 fabric domains
+    And 30 s have passed with requests
+    When a member of a large replica is lost and its head falls silent to callers
+    And 6 s pass
+    Then 2 large and 4 small replicas serve
+    And no order broke a rule
+
+  Scenario: A lost head frees its members once their reports show that they left
+    Given a fleet of 20 hosts in 2 fabric domains
+    And 30 s have passed with requests
+    When the head of a large replica is lost and falls silent to callers
+    And 8 s pass
+    Then 2 large and 4 small replicas serve
+    And no order broke a rule
+
+  Scenario: A daemon that is cut off gives no replica up
+    Given a fleet of 20 hosts in 2 fabric domains
+    And 30 s have passed with requests
+    When every host is silent to this daemon and heads are suspected
+    And 20 s pass
+    Then every replica is still recorded
+
+  Scenario: Orders that are carried out late break nothing
+    Given a fleet of 20 hosts in 2 fabric domains
+    And 30 s have passed with requests
+    When every second order gets no answer and is carried out late
+    And a member of a large replica is lost and its head falls silent to callers
+    And 20 s pass
+    Then no order broke a rule
+    And 2 large and 4 small replicas serve
+
+  Scenario: A head that comes back after its replica was ended leaves it
+    Given a fleet of 20 hosts in 2 fabric domains
+    And 30 s have passed with requests
+    When the head of a large replica is cut off from this daemon for 12 s
+    And 10 s pass
+    Then no head serves a replica that is not recorded
+    And no order broke a rule
+
+  Scenario Outline: The duty moves when its holder cannot act
+    Given daemons a, b and c of which a is on duty
+    When <trouble>
+    And 8 s of watching pass
+    Then <holder> is on duty
+
+    Examples:
+      | trouble                           | holder     |
+      | nothing happens                   | a          |
+      | a falls silent                    | another    |
+      | the store turns a away            | another    |
+      | a gives the duty up               | another    |
+      | b hears nobody                    | a          |
--- /dev/null
+++ b/features/machines/register.py
@@ -0,0 +1,119 @@
+"""Writers race for hosts on a faulty store; an oracle folds the log by itself."""
+
+from __future__ import annotations
+
+import async_solipsism
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    invariant,
+    rule,
+)
+
+from auburnproxy.errors import PlatformError
+from auburnproxy.formation import Register
+from auburnproxy.formation.layout import Form
+from auburnproxy.formation.record import decode
+from auburnproxy.formation.register import REPLICA_PREFIX, TOPIC
+from auburnproxy.store import Follower
+from features.fakes.fleet import host
+from features.fakes.store import FakeTopics, StorePort, quiet
+
+HOSTS = 6
+WRITERS = 3
+
+
+class RegisterMachine(RuleBasedStateMachine):
+    """Three writers record and drop replicas of two hosts."""
+
+    @initialize()
+    def start(self) -> None:
+        self.loop = async_solipsism.EventLoop()
+        self.topics = FakeTopics()
+        self.ports = [StorePort(self.topics) for _ in range(WRITERS)]
+        self.registers = []
+        for port in self.ports:
+            follower = Follower(port, TOPIC, quiet())
+            self.registers.append(Register(port, quiet(), follower))
+
+    def teardown(self) -> None:
+        self.loop.close()
+
+    @rule(
+        writer=st.integers(0, WRITERS - 1),
+        first=st.integers(0, HOSTS - 1),
+        second=st.integers(0, HOSTS - 1),
+        drop=st.booleans(),
+    )
+    def change(self, writer: int, first: int, second: int, drop: bool) -> None:
+        if first == second:
+            return
+        register = self.registers[writer]
+        dropped = [*register.by_name.values()][:1] if drop else []
+        form = Form("small", "fd1/f0", (host(f"h{first}"), host(f"h{second}")))
+        self._try(register.change([form], dropped=dropped))
+
+    @rule(writer=st.integers(0, WRITERS - 1))
+    def read(self, writer: int) -> None:
+        self._try(self.registers[writer].follower.step(wait=False))
+
+    @rule(writer=st.integers(0, WRITERS - 1))
+    def lose_answer(self, writer: int) -> None:
+        self.ports[writer].lose_answers = 1
+
+    @rule(writer=st.integers(0, WRITERS - 1), away=st.booleans())
+    def cut(self, writer: int, away: bool) -> None:
+        self.ports[writer].away = away
+
+    @rule()
+    def expire(self) -> None:
+        self.topics.expire(TOPIC)
+
+    @rule(writer=st.integers(0, WRITERS - 1))
+    def restart(self, writer: int) -> None:
+        follower = Follower(self.ports[writer], TOPIC, quiet())
+        self.registers[writer] = Register(self.ports[writer], quiet(), follower)
+
+    @invariant()
+    def hosts_are_apart(self) -> None:
+        if not hasattr(self, "topics"):
+            return
+        hosts_by_name: dict[str, tuple[str, ...]] = {}
+        newest_epoch = -1
+        for change in self.topics.records(TOPIC):
+            name = change.key.removeprefix(REPLICA_PREFIX)
+            if not change.value:
+                hosts_by_name.pop(name, None)
+                continue
+            formed = decode(change.value)
+            assert formed.epoch == change.offset > newest_epoch, formed
+            newest_epoch = formed.epoch
+            hosts_by_name[name] = formed.ids
+            hosts = [h for ids in hosts_by_name.values() for h in ids]
+            assert len(hosts) == len(set(hosts)), hosts_by_name
+
+    @invariant()
+    def copies_agree_with_the_log(self) -> None:
+        if not hasattr(self, "topics"):
+            return
+        for register in self.registers:
+            follower = register.follower
+            if not follower.whole:
+                continue
+            expected: dict[str, int] = {}
+            for change in self.topics.records(TOPIC)[: follower.end]:
+                expected.pop(change.key, None)
+                if change.value:
+                    expected[change.key] = change.offset
+            held = {key: change.offset for key, change in follower.by_key.items()}
+            assert held == expected, (held, expected)
+
+    def _try(self, work) -> None:
+        try:
+            self.loop.run_until_complete(work)
+        except PlatformError:
+            return
+
+
+MACHINES = (RegisterMachine,)
--- /dev/null
+++ b/features/steps/formation.py
@@ -0,0 +1,386 @@
+"""Steps for replicas that are formed from registered hosts."""
+
+import asyncio
+from collections import Counter
+from types import SimpleNamespace
+
+import async_solipsism
+from behave import given, then, when
+
+from auburnproxy.errors import PlatformError
+from auburnproxy.formation import Conductor, Register
+from auburnproxy.formation.duty import Duty
+from auburnproxy.formation.layout import (
+    Domain,
+    Form,
+    fabric_domains,
+    plan,
+    targets_by_domain,
+)
+from auburnproxy.gateway.directory import Directory
+from auburnproxy.store import ConflictError, Follower
+from features.fakes.fleet import ENGINE, FakeFleet, configuration, host
+from features.fakes.store import FakeTopics, StorePort, quiet
+from features.machines.register import RegisterMachine
+from features.machines.search import search
+
+PLACES = {"first": 0, "second": 1, "third": 2}
+
+
+@given("{domains:d} fabric domains of {hosts:d} hosts")
+def lay_out(context, domains, hosts):
+    found = [
+        host(f"h{fabric}-{number}", fabric=f"f{fabric}")
+        for fabric in range(domains)
+        for number in range(hosts)
+    ]
+    context.domains = fabric_domains(found, {}, {})
+
+
+@then("the {place} is to have {large:d} large and {small:d} small replicas")
+def compare_targets(context, place, large, small):
+    name = context.domains[PLACES[place]].name
+    targets = targets_by_domain(context.domains, ENGINE)[name]
+    assert targets == {"large": large, "small": small}, targets
+
+
+@given("a fabric domain for the large model with 2 lost replicas of 3 survivors each")
+def lose_two(context):
+    survivors = [host(f"h{n}", staged=("large",), models=("large",)) for n in range(6)]
+    context.domain = Domain("fd1/f0", "fd1", tuple(survivors), {}, {}, 6)
+
+
+@given(
+    "a fabric domain for the large model with"
+    " {staged:d} staged and {empty:d} empty hosts"
+)
+def stage_some(context, staged, empty):
+    hosts = [host(f"s{n}", staged=("large",)) for n in range(staged)]
+    hosts += [host(f"e{n}") for n in range(empty)]
+    context.domain = Domain("fd1/f0", "fd1", tuple(hosts), {}, {}, len(hosts))
+
+
+@when("it is planned {when}")
+def make_plan(context, when):
+    starting = when == "before the first request"
+    targets = {"large": 2, "small": 0}
+    context.plan = plan(context.domain, ENGINE, targets, starting=starting)
+
+
+@then("{count:d} large replica is formed from hosts that hold the weights")
+@then("{count:d} large replicas are formed from hosts that hold the weights")
+def compare_staged_forms(context, count):
+    assert len(context.plan.forms) == count, context.plan
+    for form in context.plan.forms:
+        assert all("large" in each.staged for each in form.hosts), form
+
+
+@then("{count:d} large replicas are formed")
+def compare_forms(context, count):
+    forms = context.plan.forms
+    assert [form.model for form in forms] == ["large"] * count, forms
+    used = [each.id for form in forms for each in form.hosts]
+    assert len(used) == len(set(used)), used
+
+
+@then("nothing is loaded")
+def compare_no_loads(context):
+    loads = [s for s in context.plan.stages if "large" not in s.host.staged]
+    assert not loads, loads
+
+
+@then("{count:d} hosts load the large model")
+def compare_loads(context, count):
+    models = Counter(stage.model for stage in context.plan.stages)
+    assert models == {"large": count}, models
+
+
+def register_of(topics):
+    port = StorePort(topics)
+    follower = Follower(port, "replicas", quiet())
+    return Register(port, quiet(), follower)
+
+
+@given("two registers that have read the same records")
+def make_registers(context):
+    context.loop = async_solipsism.EventLoop()
+    context.add_cleanup(context.loop.close)
+    context.topics = FakeTopics()
+    context.registers = [register_of(context.topics) for _ in range(2)]
+    for register in context.registers:
+        context.loop.run_until_complete(register.follower.step(wait=False))
+
+
+@when("both record a replica with the same host")
+def race(context):
+    def form(other):
+        return Form("small", "fd1/f0", (host("shared"), host(other)))
+
+    async def both():
+        first, second = context.registers
+        return await asyncio.gather(
+            first.change([form("x")]),
+            second.change([form("y")]),
+            return_exceptions=True,
+        )
+
+    context.outcomes = context.loop.run_until_complete(both())
+
+
+@then("one of them is recorded")
+def compare_recorded(context):
+    context.loop.run_until_complete(context.registers[0].follower.step(wait=False))
+    assert len(context.registers[0].by_name) == 1, context.registers[0].by_name
+
+
+@then("the other writer is told that the log has grown")
+def compare_conflict(context):
+    failures = [o for o in context.outcomes if o is not None]
+    assert len(failures) == 1 and isinstance(failures[0], ConflictError), failures
+
+
+@when("writers, lost answers and expired histories race at random")
+def choose_machine(context):
+    context.search = (RegisterMachine, 40, 40)
+
+
+@then("every recorded replica has its own hosts")
+def run_machine(context):
+    machine, examples, steps = context.search
+    search(machine, examples=examples, steps=steps)
+
+
+class Site:
+    """A conductor on duty over a fleet, on a virtual clock."""
+
+    def __init__(self, hosts):
+        self.served = False
+        self.suspects = set()
+        self.directory = Directory(quiet())
+        self.directory.configure(configuration())
+        self.fleet = FakeFleet(self.directory)
+        self.fleet.add(*hosts)
+        self.register = register_of(FakeTopics())
+        self.directory.recorded = lambda: self.register.by_name
+        self.conductor = Conductor(
+            "a",
+            self.directory,
+            self.register,
+            self.fleet,
+            quiet(),
+            on_duty=lambda: True,
+            suspects=lambda: self.suspects,
+            starting=lambda: not self.served,
+        )
+
+    async def run(self, seconds):
+        if not self.register.follower.whole:
+            await self.register.follower.step(wait=False)
+        task = asyncio.create_task(self.conductor.run())
+        await asyncio.sleep(seconds)
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+
+
+def pass_time(context, seconds):
+    context.loop.run_until_complete(context.site.run(seconds))
+
+
+@given("a fleet of 20 hosts in 2 fabric domains")
+def make_fleet(context):
+    context.loop = async_solipsism.EventLoop()
+    context.add_cleanup(context.loop.close)
+
+    async def make():
+        return Site(
+            [
+                host(f"f{fabric}-{number}", fabric=f"f{fabric}")
+                for fabric in range(2)
+                for number in range(10)
+            ]
+        )
+
+    context.site = context.loop.run_until_complete(make())
+
+
+@given("{seconds:d} s have passed with requests")
+def pass_with_requests(context, seconds):
+    pass_time(context, seconds // 2)
+    context.site.served = True
+    pass_time(context, seconds - seconds // 2)
+    context.site.fleet.violations.clear()
+
+
+@when("{seconds:d} s pass")
+def pass_some(context, seconds):
+    pass_time(context, seconds)
+
+
+def large_replica(context):
+    by_name = context.site.register.by_name
+    return next(formed for formed in by_name.values() if formed.model == "large")
+
+
+@when("a member of a large replica is lost and its head falls silent to callers")
+def lose_member(context):
+    formed = large_replica(context)
+    context.site.fleet.stop(formed.members[1].id)
+    context.site.suspects.add(formed.head.id)
+
+
+@when("the head of a large replica is lost and falls silent to callers")
+def lose_head(context):
+    formed = large_replica(context)
+    context.site.fleet.stop(formed.head.id)
+    context.site.suspects.add(formed.head.id)
+
+
+@when("every host is silent to this daemon and heads are suspected")
+def cut_off(context):
+    context.before = set(context.site.register.by_name)
+    context.site.fleet.silent.update(context.site.fleet.hosts)
+    for formed in context.site.register.by_name.values():
+        context.site.suspects.add(formed.head.id)
+
+
+@when("every second order gets no answer and is carried out late")
+def lose_orders(context):
+    context.site.fleet.lose_orders = 8
+
+
+@when("the head of a large replica is cut off from this daemon for 12 s")
+def cut_head(context):
+    formed = large_replica(context)
+    fleet = context.site.fleet
+    fleet.silent.add(formed.head.id)
+    context.site.suspects.add(formed.head.id)
+    pass_time(context, 12)
+    fleet.silent.discard(formed.head.id)
+    context.site.suspects.clear()
+    context.site.directory.register(fleet.hosts[formed.head.id])
+
+
+@then("{large:d} large and {small:d} small replicas serve")
+def compare_serving(context, large, small):
+    recorded = context.site.register.by_name
+    heads = [h for h in context.site.fleet.open_heads() if h.part.replica in recorded]
+    models = Counter(recorded[head.part.replica].model for head in heads)
+    assert models == {"large": large, "small": small}, models
+
+
+@then("no order broke a rule")
+def compare_violations(context):
+    assert not context.site.fleet.violations, context.site.fleet.violations
+
+
+@then("every replica is still recorded")
+def compare_kept(context):
+    assert set(context.site.register.by_name) == context.before
+
+
+@then("no head serves a replica that is not recorded")
+def compare_strays(context):
+    recorded = context.site.register.by_name
+    strays = [
+        head.id
+        for head in context.site.fleet.open_heads()
+        if head.part.replica not in recorded
+    ]
+    assert not strays, strays
+
+
+@given("daemons a, b and c of which a is on duty")
+def make_duties(context):
+    context.loop = async_solipsism.EventLoop()
+    context.add_cleanup(context.loop.close)
+    context.silent = set()
+    context.deaf = set()
+    topics = FakeTopics()
+    context.daemons = {}
+    for name in "abc":
+        register = register_of(topics)
+        duty = Duty(
+            name,
+            register,
+            present=lambda name=name: present(context, name),
+            acting=lambda name=name: {
+                other
+                for other in present(context, name)
+                if context.daemons[other].duty.acting
+            },
+            known=lambda: set("abc"),
+            decisions=quiet(),
+        )
+        context.daemons[name] = SimpleNamespace(register=register, duty=duty)
+
+    async def begin():
+        for daemon in context.daemons.values():
+            await daemon.register.follower.step(wait=False)
+        await context.daemons["a"].register.take_duty("a")
+
+    context.loop.run_until_complete(begin())
+
+
+def present(context, name):
+    if name in context.deaf:
+        return set()
+    return set("abc") - {name} - context.silent
+
+
+@when("nothing happens")
+def leave_alone(context):
+    pass
+
+
+@when("a falls silent")
+def silence(context):
+    context.silent.add("a")
+
+
+@when("the store turns a away")
+def turn_away(context):
+    context.daemons["a"].register.follower._store.away = True
+
+
+@when("a gives the duty up")
+def give_up(context):
+    context.loop.run_until_complete(context.daemons["a"].duty.give_up())
+
+
+@when("b hears nobody")
+def deafen(context):
+    context.deaf.add("b")
+    context.until = 3.0
+
+
+async def follow(register):
+    while True:
+        try:
+            await register.follower.step(wait=False)
+        except PlatformError:
+            await asyncio.sleep(0.1)
+        await asyncio.sleep(0.1)
+
+
+@when("8 s of watching pass")
+def watch(context):
+    async def run():
+        tasks = []
+        for name, daemon in context.daemons.items():
+            tasks.append(asyncio.create_task(follow(daemon.register)))
+            if name not in context.silent:
+                tasks.append(asyncio.create_task(daemon.duty.run()))
+        await asyncio.sleep(getattr(context, "until", 8.0))
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    context.loop.run_until_complete(run())
+
+
+@then("{holder} is on duty")
+def compare_duty(context, holder):
+    register = context.daemons["c"].register
+    context.loop.run_until_complete(register.follower.step(wait=False))
+    assert (register.on_duty == "a") == (holder == "a"), register.on_duty
+    assert register.on_duty in "abc", register.on_duty
