Test the routed daemon on loopback against stand-ins of the platform

Cause found by the first test of unframed answers: a short answer without a length was given up as reset, since its connection had ended before anybody asked how. Each connection now notes its own end.

--- a/auburnproxy/daemon/routed.py
+++ b/auburnproxy/daemon/routed.py
@@ -59,12 +59,15 @@
     It is made on the event loop that it runs on.
 
     :param deployment: translates to the outside platform
+    :param decisions: takes the structured logs, standard output if left out
     """
 
-    def __init__(self, deployment: Deployment) -> None:
+    def __init__(
+        self, deployment: Deployment, *, decisions: Decisions | None = None
+    ) -> None:
         self.settings = settings = deployment.settings()
         self.drained = asyncio.Event()
-        self.decisions: Decisions = open_decisions(settings.name)
+        self.decisions = decisions or open_decisions(settings.name)
         self.telemetry = Telemetry()
         self._deployment = deployment
         self._tasks: list[asyncio.Task[None]] = []
@@ -235,6 +238,7 @@
         except TimeoutError:
             self.decisions.belief("requests_cut_off", count=self.face.in_flight)
         self.drained.set()
+        self.health.close()
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
--- a/auburnproxy/gateway/call.py
+++ b/auburnproxy/gateway/call.py
@@ -3,18 +3,20 @@
 from __future__ import annotations
 
 import asyncio
-from typing import NamedTuple
+from typing import NamedTuple, cast
 
-from aiohttp import ClientResponse, ClientSession, web
+from aiohttp import ClientSession, web
 from yarl import URL
 
 from ..errors import AuburnError, Ran, UpstreamError
-from ..upstreams.client import upstream_errors
+from ..upstreams.client import TrackedResponse, upstream_errors
 from .dialect import Ask, Dialect, Dispatch, Reply
 from .route import Route
 
 CONNECT_TIMEOUT_S = 0.25
 """Forty round trips between failure domains; what takes longer is dark or cut off."""
+SKIPPED_HEADERS = ("User-Agent", "Accept", "Accept-Encoding", "Content-Type")
+"""Headers that the library would add where the caller sent none."""
 
 
 class Call(NamedTuple):
@@ -60,7 +62,7 @@
 
 async def send(
     session: ClientSession, dialect: Dialect, call: Call, dispatch: Dispatch
-) -> ClientResponse:
+) -> TrackedResponse:
     """Send a request to an upstream and return the head of its answer.
 
     :raises TryError: if there is none
@@ -69,19 +71,15 @@
     url = URL(f"http://{dispatch.host.address}{call.http.raw_path}", encoded=True)
     try:
         with upstream_errors(dispatch.host.address):
-            return await session.request(
+            answer = await session.request(
                 call.http.method,
                 url,
                 headers=headers,
                 data=call.body or None,
                 allow_redirects=False,
-                skip_auto_headers=(
-                    "User-Agent",
-                    "Accept",
-                    "Accept-Encoding",
-                    "Content-Type",
-                ),
+                skip_auto_headers=SKIPPED_HEADERS,
             )
+        return cast(TrackedResponse, answer)
     except UpstreamError as error:
         if error.ran is Ran.NO:
             raise TryError("unreachable", ran=Ran.NO, sent=False) from error
@@ -101,27 +99,3 @@
         raise TryError("encoded_answer", ran=Ran.UNKNOWN)
     if not reply.signed:
         raise TryError("unsigned_answer", ran=Ran.UNKNOWN)
-
-
-class Ending:
-    """Tells whether an answer without a length ended cleanly or was reset.
-
-    :param answer: an answer whose body has not been read
-    """
-
-    def __init__(self, answer: ClientResponse) -> None:
-        headers = answer.headers
-        self._framed = "Content-Length" in headers or "Transfer-Encoding" in headers
-        connection = answer.connection
-        protocol = connection.protocol if connection else None
-        self._closed = protocol.closed if protocol else None
-
-    @property
-    def clean(self) -> bool:
-        """Return whether the body that was read is whole."""
-        if self._framed:
-            return True
-        closed = self._closed
-        if closed is None or not closed.done() or closed.cancelled():
-            return False
-        return closed.exception() is None
--- a/auburnproxy/gateway/directory.py
+++ b/auburnproxy/gateway/directory.py
@@ -1,4 +1,4 @@
-"""What this daemon believes: configuration in force, hosts, evacuated domains."""
+"""What this daemon believes: configuration in force, hosts, marked domains."""
 
 from __future__ import annotations
 
--- a/auburnproxy/gateway/health.py
+++ b/auburnproxy/gateway/health.py
@@ -218,6 +218,11 @@
             state.excluded_until = _now()
             self.failed(host, reason="no answer to a probe")
 
+    def close(self) -> None:
+        """Stop asking upstreams."""
+        for task in self._probes:
+            task.cancel()
+
     def forget(self, host: str) -> None:
         """Drop what is known of an upstream that is gone."""
         state = self._states.get(host)
--- a/auburnproxy/gateway/plain.py
+++ b/auburnproxy/gateway/plain.py
@@ -8,7 +8,7 @@
 
 from ..errors import Ran, RefusalError
 from ..telemetry.decisions import Decisions
-from .call import Call, Ending, TryError, check_head, send
+from .call import Call, TryError, check_head, send
 from .choice import Choice
 from .dialect import Dialect, Dispatch, passed_on
 from .health import Health
@@ -117,13 +117,12 @@
         answer = await send(self._session, self._dialect, call, dispatch)
         async with answer:
             self._health.heard(host.id)
-            ending = Ending(answer)
             check_head(call, self._dialect.read_reply(answer.status, answer.headers))
             try:
                 body = await answer.read()
             except (ClientError, OSError) as error:
                 raise TryError("broken", ran=Ran.UNKNOWN) from error
-            if not ending.clean:
+            if not answer.whole:
                 raise TryError("reset", ran=Ran.UNKNOWN)
         return web.Response(
             status=answer.status, headers=passed_on(answer.headers), body=body
--- a/auburnproxy/gateway/streams.py
+++ b/auburnproxy/gateway/streams.py
@@ -11,7 +11,8 @@
 from ..errors import Ran, RefusalError
 from ..telemetry import Measure, Telemetry
 from ..telemetry.decisions import Decisions
-from .call import Call, Ending, TryError, check_head, send
+from ..upstreams.client import TrackedResponse
+from .call import Call, TryError, check_head, send
 from .choice import Choice
 from .dialect import Dialect, Dispatch, passed_on
 from .events import EventReader, follows
@@ -241,13 +242,13 @@
         return self._response
 
     async def _pass_on(
-        self, answer: ClientResponse, replica: ServingReplica, limit: asyncio.Timeout
+        self, answer: TrackedResponse, replica: ServingReplica, limit: asyncio.Timeout
     ) -> None:
         """Pass the events of one try on until it ends.
 
         :raises TryError: if it ends early
         """
-        reader, ending, health = EventReader(), Ending(answer), self._parts.health
+        reader, health = EventReader(), self._parts.health
         head, bound_s = replica.head.id, self._pause_bound_s()
         while True:
             try:
@@ -274,7 +275,7 @@
                 self._time_event()
                 await self._write(answer, data)
                 limit.reschedule(self._limit_at(bound_s))
-        if reader.rest or not ending.clean:
+        if reader.rest or not answer.whole:
             raise TryError("truncated", ran=Ran.UNKNOWN)
 
     def _time_event(self) -> None:
--- a/auburnproxy/upstreams/client.py
+++ b/auburnproxy/upstreams/client.py
@@ -4,6 +4,8 @@
 
 from collections.abc import Iterator
 from contextlib import contextmanager
+from functools import partial
+from typing import cast
 
 from aiohttp import (
     ClientConnectorError,
@@ -19,6 +21,8 @@
     ServerDisconnectedError,
     TCPConnector,
 )
+from aiohttp.client_proto import ResponseHandler
+from aiohttp.connector import Connection
 
 from ..errors import Ran, UpstreamError
 
@@ -59,6 +63,52 @@
         raise UpstreamError(f"{place}: {error!r}", ran=Ran.UNKNOWN) from error
 
 
+class TrackedConnection(ResponseHandler):
+    """A connection that knows how it ended."""
+
+    reset: bool | None = None
+    """Whether it was reset; None while it is open."""
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Note the end of the connection; called by the library."""
+        self.reset = exc is not None
+        super().connection_lost(exc)
+
+
+class TrackedResponse(ClientResponse):
+    """An answer that knows how its connection ended.
+
+    An answer without a length ends with its connection, and is whole only if
+    that was closed and not reset.
+    """
+
+    _tracked: TrackedConnection | None = None
+
+    async def start(self, connection: Connection) -> ClientResponse:
+        """Read the head; called by the library."""
+        if isinstance(connection.protocol, TrackedConnection):
+            self._tracked = connection.protocol
+        return await super().start(connection)
+
+    @property
+    def whole(self) -> bool:
+        """Return whether the body, which has been read to its end, is whole."""
+        if "Content-Length" in self.headers or "Transfer-Encoding" in self.headers:
+            return True
+        return self._tracked is not None and self._tracked.reset is False
+
+
+class TrackedConnector(TCPConnector):
+    """Opens connections that know how they ended."""
+
+    def __init__(self, *, keep: bool) -> None:
+        super().__init__(limit=0, force_close=not keep)
+        # The library offers no public way to choose the connection's class.
+        self._factory = cast(
+            partial[ResponseHandler], partial(TrackedConnection, loop=self._loop)
+        )
+
+
 def open_session(
     *, keep: bool = True, timeout: ClientTimeout = UNBOUNDED
 ) -> ClientSession:
@@ -69,11 +119,12 @@
     :param timeout: bounds of every request that names none
     """
     return ClientSession(
-        connector=TCPConnector(limit=0, force_close=not keep),
+        connector=TrackedConnector(keep=keep),
         cookie_jar=DummyCookieJar(),
         middlewares=(_send_once,),
         auto_decompress=False,
         timeout=timeout,
+        response_class=TrackedResponse,
     )
 
 
--- /dev/null
+++ b/features/fakes/platform.py
@@ -0,0 +1,405 @@
+"""The users' platform on loopback: its store, its engines and its settings file."""
+
+from __future__ import annotations
+
+import asyncio
+import base64
+import contextlib
+import json
+import socket
+import struct
+import time
+from collections.abc import AsyncIterator, Callable
+from pathlib import Path
+
+import yaml
+from aiohttp import web
+
+from auburnproxy.daemon.routed import RoutedDaemon
+from auburnproxy.platform.adapter import PlatformAdapter
+from features.fakes.store import quiet
+from features.loopback import free_addresses
+
+STAMP = "3e1b.07.5a2"
+HOST = "works.example"
+STREAM_PATH, ONCE_PATH, SAFE_PATH, PUBLIC_PATH = "/s/", "/o/", "/i/", "/p/"
+KEY = "key-1"
+MODEL = "large"
+EVENTS = 6
+
+
+class PlatformStandIn:
+    """The store's calls that the adapter makes, over records in memory."""
+
+    def __init__(self) -> None:
+        self.records_by_topic: dict[str, list[bytes]] = {}
+        self.first = 0
+        self.refuse: Callable[[web.Request], bool] = lambda request: False
+        self._appended = asyncio.Event()
+
+    def app(self) -> web.Application:
+        app = web.Application(client_max_size=2**24)
+        app.router.add_get("/log-read", self._read)
+        app.router.add_get("/log-newest", self._newest)
+        app.router.add_post("/log-append", self._append)
+        return app
+
+    def put(self, topic: str, key: str, value: object) -> None:
+        text = b"" if value is None else json.dumps(value).encode()
+        self._take(topic, [bytes([len(key)]) + key.encode() + text])
+
+    def put_raw(self, topic: str, key: str, value: bytes) -> None:
+        self._take(topic, [bytes([len(key)]) + key.encode() + value])
+
+    def _take(self, topic: str, records: list[bytes]) -> int:
+        found = self.records_by_topic.setdefault(topic, [])
+        found += records
+        turn, self._appended = self._appended, asyncio.Event()
+        turn.set()
+        return len(found)
+
+    async def _read(self, request: web.Request) -> web.Response:
+        if self.refuse(request):
+            return web.Response(status=503)
+        start = int(request.query["from"])
+        if start < self.first:
+            return web.json_response({"first": self.first}, status=410)
+        topic = request.query["topic"]
+        wait_s = int(request.query.get("wait-ms", 0)) / 1000
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(wait_s):
+                while len(self.records_by_topic.get(topic, [])) <= start:
+                    await self._appended.wait()
+        if self.refuse(request):
+            return web.Response(status=503)
+        records = self.records_by_topic.get(topic, [])
+        body = len(records).to_bytes(8, "big") + self.first.to_bytes(8, "big")
+        body += b"".join(len(r).to_bytes(4, "big") + r for r in records[start:])
+        return web.Response(body=body)
+
+    async def _newest(self, request: web.Request) -> web.Response:
+        if self.refuse(request):
+            return web.Response(status=503)
+        records = self.records_by_topic.get(request.query["topic"], [])
+        newest: dict[str, tuple[bytes, int]] = {}
+        for offset, record in enumerate(records):
+            key = record[1 : 1 + record[0]].decode()
+            newest[key] = (record[1 + record[0] :], offset)
+        keys = sorted(k for k, (value, _) in newest.items() if value)
+        keys = [k for k in keys if k > request.query.get("after", "")]
+        items = [
+            {
+                "key": key,
+                "value": base64.b64encode(newest[key][0]).decode(),
+                "offset": newest[key][1],
+            }
+            for key in keys[:2]
+        ]
+        return web.json_response(
+            {"items": items, "has-more": len(keys) > 2, "end": len(records)}
+        )
+
+    async def _append(self, request: web.Request) -> web.Response:
+        if self.refuse(request):
+            return web.Response(status=503)
+        topic = request.query["topic"]
+        end = len(self.records_by_topic.get(topic, []))
+        if "at" in request.query and int(request.query["at"]) != end:
+            return web.json_response({"end": end}, status=412)
+        body, records = await request.read(), []
+        while body:
+            length = int.from_bytes(body[:4], "big")
+            records.append(body[4 : 4 + length])
+            body = body[4 + length :]
+        return web.json_response({"offset": end, "end": self._take(topic, records)})
+
+
+def reset(writer: asyncio.StreamWriter) -> None:
+    """Reset a connection, as an engine that crashes does."""
+    linger = struct.pack("ii", 1, 0)
+    connection = writer.get_extra_info("socket")
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+    writer.transport.abort()
+
+
+class EngineStandIn:
+    """One engine: raw bytes on a socket, so that it can misbehave as real ones do.
+
+    ``script`` names what it does with requests, in turn; the last one stays.
+    """
+
+    def __init__(self, name: str, address: str) -> None:
+        self.name = name
+        self.address = address
+        self.script = ["ok"]
+        self.requests: list[tuple[str, str, dict[str, str], bytes]] = []
+        self.cancelled = 0
+        self.part: dict[str, object] | None = None
+        self._server: asyncio.Server | None = None
+
+    async def start(self) -> None:
+        host, _, port = self.address.rpartition(":")
+        self._server = await asyncio.start_server(self._serve, host, int(port))
+
+    async def stop(self) -> None:
+        if self._server is not None:
+            self._server.close()
+            self._server = None
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
+            head = (await reader.readuntil(b"\r\n\r\n")).decode()
+            first, *lines = head.strip().split("\r\n")
+            headers = {k.lower(): v for k, v in (x.split(": ", 1) for x in lines)}
+            body = await reader.readexactly(int(headers.get("content-length", 0)))
+            method, path, _ = first.split(" ")
+            if path == "/report":
+                report = {"models": [], "staged": [], "born": 1}
+                self._plain(writer, headers, json.dumps(report).encode())
+            else:
+                self.requests.append((method, path, headers, body))
+                action = self.script.pop(0) if len(self.script) > 1 else self.script[0]
+                await self._act(action, reader, writer, path, headers)
+            await writer.drain()
+        writer.close()
+
+    def _plain(self, writer, headers, body, status="200 OK", more="") -> None:
+        stamp = f"Engine-Stamp: {STAMP}\r\n" if "unsigned" not in more else ""
+        request_id = "other" if "foreign" in more else headers.get("attempt-id", "")
+        length = "" if "unframed" in more else f"Content-Length: {len(body)}\r\n"
+        refused = "Not-Executed: 1\r\n" if "refused" in more else ""
+        head = f"HTTP/1.1 {status}\r\nAttempt-Id: {request_id}\r\n{stamp}{refused}"
+        head += f"{length}Connection: close\r\n\r\n"
+        writer.write(head.encode() + body)
+
+    async def _act(self, action, reader, writer, path, headers) -> None:
+        if path.startswith(STREAM_PATH) and action not in (
+            "shed",
+            "silent",
+            "reset",
+            "failed",
+        ):
+            await self._stream(action, reader, writer, headers)
+        elif action == "ok":
+            self._plain(writer, headers, b"the whole answer")
+        elif action == "failed":
+            self._plain(writer, headers, b"boom", "500 Internal Server Error")
+        elif action == "shed":
+            self._plain(writer, headers, b"", "503 Service Unavailable", "refused")
+        elif action == "reset":
+            reset(writer)
+        elif action == "silent":
+            await self._until_closed(reader)
+        elif action == "unframed reset":
+            self._plain(writer, headers, b"the whole ans", more="unframed")
+            await writer.drain()
+            await asyncio.sleep(0.05)
+            reset(writer)
+        else:
+            self._plain(writer, headers, b"the whole answer", more=action)
+
+    async def _stream(self, action, reader, writer, headers) -> None:
+        start = int(headers.get("last-event-id", 0))
+        head = f"HTTP/1.1 200 OK\r\nAttempt-Id: {headers['attempt-id']}\r\n"
+        head += f"Engine-Stamp: {STAMP}.{self.name}\r\nTransfer-Encoding: chunked\r\n"
+        head += "Content-Type: text/event-stream\r\nConnection: close\r\n\r\n"
+        writer.write(head.encode())
+        for number in range(start + 1, EVENTS + 1):
+            event = b"id: %d\ndata: token %d\n\n" % (number, number)
+            if action in ("stall", "break") and number == 4:
+                half = event[:9]
+                writer.write(b"%x\r\n%b\r\n" % (len(half), half))
+                await writer.drain()
+                if action == "stall":
+                    await self._until_closed(reader)
+                else:
+                    await asyncio.sleep(0.05)
+                    reset(writer)
+                return
+            writer.write(b"%x\r\n%b\r\n" % (len(event), event))
+            await writer.drain()
+            await asyncio.sleep(0.2 if action == "slow" else 0.01)
+            if reader.at_eof():
+                self.cancelled += 1
+                return
+        writer.write(b"0\r\n\r\n")
+
+    async def _until_closed(self, reader: asyncio.StreamReader) -> None:
+        await reader.read()
+        self.cancelled += 1
+
+
+def config(*, version: int = 1, keys: tuple[str, ...] = (KEY,), **more) -> dict:
+    """Return the operators' configuration as the platform writes it."""
+
+    def route(name, prefix, kind, service, **values):
+        return {
+            "name": name,
+            "host": HOST,
+            "path-prefix": prefix,
+            "kind": kind,
+            "timeout-ms": 3000,
+            "target-latency-ms": 400,
+            "priority": 1,
+            "service": service,
+            "max-attempts": 2,
+            "public": False,
+        } | values
+
+    engine = {
+        "slots": 9,
+        "models": [{"name": MODEL, "size": 1, "share": 1.0, "pace": 1.0}],
+        "step_ms": 8.0,
+        "per_seq_ms": 0.2,
+        "read_per_s": 45900.0,
+        "stride": 5,
+        "loads_at_once": 7,
+        "loads-per-s": 5.0,
+        "form-ms": 300.0,
+        "unknown-field": [1, 2],
+    }
+    stream = {"resumable": True, "gap-aim-ms": 300, "session-affinity": True}
+    return {
+        "version": version,
+        "routes": [
+            route("s", STREAM_PATH, "streaming", "engines", **stream),
+            route("o", ONCE_PATH, "non_idempotent", "plain", **{"max-attempts": 1}),
+            route("i", SAFE_PATH, "idempotent", "plain"),
+            route("p", PUBLIC_PATH, "idempotent", "plain", public=True),
+        ],
+        "services": [
+            {"name": "engines", "cold-start-s": 3.0, "cold-per-s": 36.0}
+            | {"engine": engine},
+            {"name": "plain", "cold-start-s": 0.0, "cold-per-s": 0.0},
+        ],
+        "limits": {"max-body-bytes": 100_000, "idle-timeout-ms": 15000},
+        "tenants": [{"name": "works", "api-keys": list(keys), "priority": 1}],
+    } | more
+
+
+class Site:
+    """A store, engines and routed daemons on loopback."""
+
+    def __init__(self, folder: Path) -> None:
+        self.folder = folder
+        self.store = PlatformStandIn()
+        self.store_address = free_addresses(1)[0]
+        self.engines: dict[str, EngineStandIn] = {}
+        self.daemons: list[RoutedDaemon] = []
+        self.addresses: list[str] = []
+        self._runners: list[web.AppRunner] = []
+
+    async def start(self) -> None:
+        await self._listen(self.store.app(), self.store_address)
+
+    async def add_engine(self, name: str, *, service="engines", zone="z1", **more):
+        engine = EngineStandIn(name, free_addresses(1)[0])
+        await engine.start()
+        self.engines[name] = engine
+        self.register(name, service=service, zone=zone, **more)
+        return engine
+
+    def register(self, name: str, *, service="engines", zone="z1", **more) -> None:
+        """Write an engine's registration, with a replica of its own if it forms any."""
+        entry = {
+            "service": service,
+            "address": self.engines[name].address,
+            "zone": zone,
+            "version": "v1",
+            "slots": 9,
+            "state": "ready",
+            "cold-remaining-ms": 0,
+            "sequence": 1,
+            "born": 1,
+        }
+        if service == "engines":
+            entry |= {
+                "domain": "d0",
+                "models": [{"name": MODEL, "version": 1}],
+                "staged": [MODEL],
+                "group": {"name": f"r-{name}", "epoch": 1, "rank": 0, "state": "open"},
+            }
+            member = {"id": name, "born": 1, "address": self.engines[name].address}
+            replica = [f"r-{name}", 1, MODEL, f"{zone}/d0", [list(member.values())]]
+            if not any(
+                f"replica/r-{name}".encode() in record
+                for record in self.store.records_by_topic.get("keyed.replicas", [])
+            ):
+                self.store.put("keyed.replicas", f"replica/r-{name}", replica)
+        self.store.put("keyed.servers", name, entry | more)
+
+    async def add_daemon(self, name: str = "d1", *, zone: str = "z1") -> RoutedDaemon:
+        callers, readiness, metrics, beats, internal = free_addresses(5)
+        settings = {
+            "node-name": name,
+            "ip": "127.0.0.1",
+            "zone": zone,
+            "listen": {"front": callers, "readiness": readiness},
+            "internal-ports": [int(beats[10:]), int(internal[10:])],
+            "platform": {"address": self.store_address},
+            "bounds": {
+                "retry-budget-ratio": 0.2,
+                "budget-slack": 103,
+                "budget-window-s": 10,
+                "grace-s": 8,
+            },
+            "a-new-field": {"to": "ignore"},
+        }
+        path = self.folder / f"{name}.yaml"
+        path.write_text(yaml.safe_dump(settings))
+        daemon = RoutedDaemon(PlatformAdapter(path), decisions=quiet())
+        self.daemons.append(daemon)
+        self.addresses.append(callers)
+        daemon.start()
+        await self._listen(daemon.callers_application(), callers)
+        await self._listen(daemon.readiness_application(), readiness)
+        await self._listen(daemon.relay.application(), internal)
+        return daemon
+
+    async def _listen(self, app: web.Application, address: str) -> None:
+        runner = web.AppRunner(
+            app, handler_cancellation=True, shutdown_timeout=0.1, access_log=None
+        )
+        await runner.setup()
+        host, _, port = address.rpartition(":")
+        await web.TCPSite(runner, host, int(port)).start()
+        self._runners.append(runner)
+
+    async def stop(self) -> None:
+        for daemon in self.daemons:
+            daemon.drained.set()
+            daemon.health.close()
+            for task in daemon._tasks:
+                task.cancel()
+            await asyncio.gather(*daemon._tasks, return_exceptions=True)
+            await daemon._session.close()
+            await daemon._store.close()
+            await daemon.orders.close_connections()
+        for engine in self.engines.values():
+            await engine.stop()
+        for runner in self._runners:
+            await runner.cleanup()
+
+
+@contextlib.asynccontextmanager
+async def running_site(folder: Path, *, engines: int = 2) -> AsyncIterator[Site]:
+    """Run a site with two of each kind of engine and a daemon that serves."""
+    site = Site(folder)
+    await site.start()
+    site.store.put("keyed.op", "config", config())
+    # The daemon of another site holds the duty, so that nothing is formed here.
+    site.store.put_raw("keyed.replicas", "duty", b"elsewhere")
+    for number in range(engines):
+        await site.add_engine(f"e{number}")
+        await site.add_engine(f"p{number}", service="plain")
+    daemon = await site.add_daemon()
+    until = time.monotonic() + 5
+    while not daemon.ready or len(daemon.directory.hosts) < 2 * engines:
+        assert time.monotonic() < until, "the daemon is not ready"
+        await asyncio.sleep(0.02)
+    try:
+        yield site
+    finally:
+        await site.stop()
--- /dev/null
+++ b/features/steps/routed.py
@@ -0,0 +1,446 @@
+"""Steps for requests that are routed on the users' platform, on loopback."""
+
+import asyncio
+import re
+import tempfile
+import time
+from pathlib import Path
+
+import uvloop
+from aiohttp import ClientPayloadError, ClientSession
+from behave import given, then, when
+from yarl import URL
+
+from auburnproxy.errors import PlatformError
+from features.fakes.platform import (
+    HOST,
+    KEY,
+    MODEL,
+    ONCE_PATH,
+    PUBLIC_PATH,
+    SAFE_PATH,
+    STREAM_PATH,
+    Site,
+    config,
+    running_site,
+)
+
+SETTLE_S = 0.9
+"""Two readings of the registrations."""
+PACKAGE = Path(__file__).parents[2] / "auburnproxy"
+
+
+def run(context, work):
+    return context.loop.run_until_complete(work)
+
+
+def open_site(context, **options):
+    context.loop = uvloop.new_event_loop()
+    asyncio.set_event_loop(context.loop)
+    context.folder = tempfile.TemporaryDirectory()
+    context.running = running_site(Path(context.folder.name), **options)
+    context.site = run(context, context.running.__aenter__())
+    context.add_cleanup(close_site, context)
+
+
+def close_site(context):
+    run(context, context.running.__aexit__(None, None, None))
+    context.loop.close()
+    context.folder.cleanup()
+
+
+@given("a routed site")
+def start_site(context):
+    open_site(context)
+
+
+@given("a routed site without a configuration")
+def start_bare(context):
+    context.loop = uvloop.new_event_loop()
+    asyncio.set_event_loop(context.loop)
+    context.folder = tempfile.TemporaryDirectory()
+    context.site = Site(Path(context.folder.name))
+
+    async def start():
+        await context.site.start()
+        await context.site.add_daemon()
+
+    run(context, start())
+
+    def close():
+        run(context, context.site.stop())
+        context.loop.close()
+        context.folder.cleanup()
+
+    context.add_cleanup(close)
+
+
+def engines(context, plain):
+    prefix = "p" if plain else "e"
+    return [e for name, e in context.site.engines.items() if name[0] == prefix]
+
+
+@given("the first {plain}engine asked will {action}")
+def script_first(context, plain, action):
+    """Whichever engine is asked first misbehaves; then all are well."""
+    found = engines(context, plain == "plain ")
+    scripts = [engine.script for engine in found]
+
+    class First(list):
+        def pop(self, index=0):
+            for each in found:
+                each.script = ["ok"]
+            return action
+
+        def __len__(self):
+            return 2
+
+    for engine, _ in zip(found, scripts, strict=True):
+        engine.script = First(["-"])
+
+
+@given("the first engine asked will {action}")
+def script_first_engine(context, action):
+    script_first(context, "", action)
+
+
+@given("every engine will {action}")
+def script_engines(context, action):
+    for engine in engines(context, False):
+        engine.script = [action]
+
+
+@given("every plain engine will {action}")
+def script_plain(context, action):
+    for engine in engines(context, True):
+        engine.script = [action]
+
+
+async def ask(context, method, path, *, daemon=0, body=b"", **headers):
+    given_headers = {
+        "Host": HOST,
+        "Attempt-Id": f"{time.monotonic_ns():016x}",
+        "Deadline-Ms": "4000",
+        "Api-Key": KEY,
+        "Tenant": "somebody-else",
+        "Expect-Instance": "somewhere-else",
+    }
+    given_headers |= {k.replace("_", "-"): v for k, v in headers.items()}
+    sent = {k: v for k, v in given_headers.items() if v}
+    url = URL(f"http://{context.site.addresses[daemon]}{path}", encoded=True)
+    began = time.monotonic()
+    async with (
+        ClientSession() as session,
+        session.request(method, url, headers=sent, data=body or None) as answer,
+    ):
+        blocks, broken = [], False
+        try:
+            while block := await answer.content.readany():
+                blocks.append(block)
+        except ClientPayloadError:
+            broken = True
+        context.status = answer.status
+        context.headers = answer.headers
+        context.body = b"".join(blocks)
+        context.broken = broken
+        context.took_s = time.monotonic() - began
+    return context.status
+
+
+def stream(context, **options):
+    return ask(
+        context,
+        "POST",
+        f"{STREAM_PATH}2f?x=%2f",
+        body=b"{}",
+        Model=MODEL,
+        Token_Usage="100,30",
+        **options,
+    )
+
+
+@when("a caller asks for a stream")
+def ask_stream(context):
+    run(context, stream(context))
+
+
+@when("a caller places an order")
+def ask_order(context):
+    run(context, ask(context, "POST", f"{ONCE_PATH}x", body=b"order"))
+
+
+@when("a caller looks something up")
+def look_up(context):
+    run(context, ask(context, "GET", f"{SAFE_PATH}x"))
+
+
+@when("a request comes {how}")
+def ask_how(context, how):
+    requests = {
+        "for an unknown path": ("GET", "/none/", {}),
+        "for an unknown host": ("GET", SAFE_PATH, {"Host": "other.example"}),
+        "with an unknown key": ("GET", SAFE_PATH, {"Api_Key": "nobody's"}),
+        "without a key": ("GET", SAFE_PATH, {"Api_Key": ""}),
+        "without a key for a public": ("GET", PUBLIC_PATH, {"Api_Key": ""}),
+        "with a body that is too long": ("POST", ONCE_PATH, {"body": b"x" * 5_000_000}),
+        "with its key": ("GET", SAFE_PATH, {}),
+        "to the second daemon with its key": ("GET", SAFE_PATH, {"daemon": 1}),
+    }
+    method, path, more = requests[how]
+    run(context, ask(context, method, path, **more))
+
+
+@then("it gets {count:d} events in order, complete")
+def compare_events(context, count):
+    assert context.status == 200 and not context.broken, context.body
+    expected = b"".join(
+        b"id: %d\ndata: token %d\n\n" % (n, n) for n in range(1, count + 1)
+    )
+    assert context.body == expected, context.body
+    assert context.headers["Engine-Stamp"].startswith("3e1b"), context.headers
+
+
+@then("its answer breaks off after event {count:d}")
+def compare_broken(context, count):
+    assert context.broken, context.body
+    assert context.body.count(b"id: ") == count, context.body
+
+
+def asked(context, plain):
+    return [
+        (engine.name, request)
+        for engine in engines(context, plain)
+        for request in engine.requests
+    ]
+
+
+@then("the engine got the account, the expected host and no key")
+def compare_request(context):
+    ((name, (method, path, headers, body)),) = asked(context, False)
+    assert (method, path, body) == ("POST", f"{STREAM_PATH}2f?x=%2f", b"{}")
+    assert headers["tenant"] == "works" and headers["expect-instance"] == name
+    assert headers["host"] == HOST and "api-key" not in headers, headers
+    assert int(headers["deadline-ms"]) <= 3000, headers
+
+
+@then("{count:d} engines were asked, the second after event {event:d}")
+def compare_resumed(context, count, event):
+    requests = asked(context, False)
+    assert len(requests) == count, requests
+    seen = sorted(int(r[2].get("last-event-id", 0)) for _, r in requests)
+    assert seen == [0, event], seen
+
+
+@then("{count:d} plain engine was asked")
+@then("{count:d} plain engines were asked")
+def compare_asked(context, count):
+    assert len(asked(context, True)) == count, asked(context, True)
+
+
+@then("the caller is answered {status:d}")
+def compare_status(context, status):
+    assert context.status == status, (context.status, context.body)
+
+
+@then("the caller is answered 503 with a time to come back")
+def compare_refusal(context):
+    assert context.status == 503, context.status
+    assert 0 < float(context.headers["Retry-After"]) < 2, context.headers
+
+
+@then("the caller is answered 502 or 504 within {seconds:g} s")
+def compare_timeout(context, seconds):
+    assert context.status in (502, 504), context.status
+    assert context.took_s < seconds, context.took_s
+
+
+@when("a caller asks for a stream and leaves after {seconds:g} s")
+def leave(context, seconds):
+    async def ask_and_leave():
+        task = asyncio.create_task(stream(context))
+        await asyncio.sleep(seconds)
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+
+    run(context, ask_and_leave())
+
+
+@then("the engine is told within {seconds:g} s")
+def compare_cancelled(context, seconds):
+    run(context, asyncio.sleep(seconds))
+    assert sum(engine.cancelled for engine in engines(context, False)) == 1
+
+
+@when("the host {name} says that it leaves")
+def say_leaving(context, name):
+    context.site.register(name, state="draining")
+    run(context, asyncio.sleep(SETTLE_S))
+
+
+@when("the hosts e0 and e1 say that they leave")
+def say_both_leaving(context):
+    for name in ("e0", "e1"):
+        say_leaving(context, name)
+
+
+@when("{count:d} streams are asked for")
+def ask_streams(context, count):
+    async def ask_all():
+        return [await stream(context) for _ in range(count)]
+
+    for engine in context.site.engines.values():
+        engine.requests.clear()
+    context.statuses = run(context, ask_all())
+
+
+@then("the host {name} has got none of them")
+def compare_none(context, name):
+    assert not context.site.engines[name].requests
+    assert set(context.statuses) == {200}, context.statuses
+
+
+@then("the host {name} has got {count:d} of them")
+def compare_some(context, name, count):
+    assert len(context.site.engines[name].requests) == count
+
+
+@then("all streams are answered")
+def compare_all(context):
+    assert set(context.statuses) == {200}, context.statuses
+
+
+@given("an engine {name} in the failure domain {domain}")
+def add_far_engine(context, name, domain):
+    run(context, context.site.add_engine(name, zone=domain))
+    run(context, asyncio.sleep(SETTLE_S))
+
+
+@when("the failure domain {domain} is taken {where}")
+def mark(context, domain, where):
+    value = {} if where == "out" else None
+    context.site.store.put("keyed.op", f"evacuate/{domain}", value)
+    run(context, asyncio.sleep(SETTLE_S))
+
+
+@when("version {version:d} without keys is put in force")
+def revoke_all(context, version):
+    context.site.store.put("keyed.op", "config", config(version=version, keys=()))
+    run(context, asyncio.sleep(0.3))
+
+
+@when("version {version:d} with the key is read again")
+def go_back(context, version):
+    context.site.store.put("keyed.op", "config", config(version=version))
+    run(context, asyncio.sleep(0.3))
+
+
+@when("an unreadable configuration is written")
+def write_unreadable(context):
+    context.site.store.put_raw("keyed.op", "config", b'{"version": 9, "routes": 3}')
+    run(context, asyncio.sleep(0.3))
+
+
+@when("a host registers with {record}")
+def register_bad(context, record):
+    entry = {"service": "engines", "address": "127.0.0.1:9", "zone": "z1", "slots": 9}
+    entry |= {"state": "ready", "born": 1}
+    values = {
+        "not JSON": b"\xff{",
+        "a missing field": {k: v for k, v in entry.items() if k != "address"},
+        "an unknown state": entry | {"state": "dreaming"},
+        "a wrong type": entry | {"slots": "many"},
+    }
+    value = values[record]
+    if isinstance(value, bytes):
+        context.site.store.put_raw("keyed.servers", "bad", value)
+    else:
+        context.site.store.put("keyed.servers", "bad", value)
+    run(context, asyncio.sleep(SETTLE_S))
+    assert "bad" not in context.site.daemons[0].directory.hosts
+
+
+@given("a second daemon")
+def add_daemon(context):
+    async def add():
+        daemon = await context.site.add_daemon("d2")
+        await asyncio.sleep(SETTLE_S)
+        assert daemon.ready and daemon.circle.present
+
+    run(context, add())
+
+
+@when("the store turns the second daemon away")
+def turn_away(context):
+    daemon = context.site.daemons[1]
+
+    async def refused(*args, **options):
+        raise PlatformError("turned away")
+
+    daemon._store._client.send = refused
+    run(context, asyncio.sleep(0.1))
+
+
+@when("the key is revoked")
+def revoke(context):
+    context.site.store.put("keyed.op", "config", config(version=7, keys=("other",)))
+
+
+@when("the store forgets its history while a key is revoked")
+def forget(context):
+    store = context.site.store
+    revoke(context)
+    for topic, records in store.records_by_topic.items():
+        store.put_raw(topic, "padding", b"{}") if not records else None
+    store.first = max(map(len, store.records_by_topic.values()))
+    run(context, asyncio.sleep(0.1))
+    store.first = 0
+
+
+@when("{seconds:g} s pass there")
+def pass_there(context, seconds):
+    run(context, asyncio.sleep(seconds))
+
+
+@when("a caller asks for a stream and the daemon is told to stop")
+def ask_and_stop(context):
+    async def both():
+        asking = asyncio.create_task(stream(context))
+        await asyncio.sleep(0.2)
+        stopping = asyncio.create_task(context.site.daemons[0].stop())
+        await asyncio.sleep(4.0)
+        late = asyncio.create_task(ask(SecondAnswer(context), "GET", f"{SAFE_PATH}x"))
+        context.late_status = await late
+        await asking
+        await stopping
+
+    run(context, both())
+
+
+class SecondAnswer:
+    """Keeps the answer of another request apart."""
+
+    def __init__(self, context):
+        self.site = context.site
+
+
+@then("a request 4 s into the shutdown is answered {status:d}")
+def compare_late(context, status):
+    assert context.late_status == status, context.late_status
+
+
+@then("no other source names a header, call or topic of the platform")
+def compare_names(context):
+    named = re.compile(
+        r"Attempt-Id|(?<!X-)Deadline-Ms|Api-Key|Engine-Stamp|Expect-Instance|Not-Executed"
+        r"|Token-Usage|Prompt-Prefix|Engine-Load|At-Server|Request-Urgency"
+        r"|Last-Event-Id|log-append|log-newest|keyed\.|/order\b.*operation"
+        r"|evacuate|api-keys|kv-capacity|cold-remaining"
+    )
+    own = {PACKAGE / "upstreams" / "http_engine.py"}
+    found = [
+        f"{path.relative_to(PACKAGE)}: {match.group()}"
+        for path in PACKAGE.rglob("*.py")
+        if "platform" not in path.relative_to(PACKAGE).parts and path not in own
+        for match in named.finditer(path.read_text())
+    ]
+    assert not found, found
