--- a/auburnproxy/formation/layout.py
+++ b/auburnproxy/formation/layout.py
@@ -2,8 +2,9 @@
 
 Answers engines that are lost faster than weights load: a lost host costs its
 replica, a load takes ten times as long as a join with weights that are staged.
-So a fabric domain serves one model where that can be had and keeps spares with its
-weights, and once the system runs replicas are formed from staged hosts alone.
+So a fabric domain serves one model where that can be had: survivors of a lost
+replica and hosts left over are spares for the next one, with its weights staged,
+and once the system runs replicas are formed from staged hosts alone.
 """
 
 from __future__ import annotations
@@ -15,9 +16,6 @@
 from ..gateway.host import Host
 from ..gateway.route import EngineSpec, ModelSpec
 
-SPARE_PART = 0.15
-"""Part of a fabric domain's hosts that are kept as spares."""
-
 
 class Form(NamedTuple):
     """A replica to form."""
@@ -100,12 +98,11 @@
     The model with the most hosts in a replica comes first, since the small ones
     fill what is left.
     """
-    left = usable = size - max(round(size * SPARE_PART), 1)
+    left = size
     wanted: dict[str, int] = {}
     for model in sorted(engine.models, key=lambda model: -model.hosts):
-        part = usable * shares[model.name]
-        count = min(round(part / model.hosts), left // model.hosts)
-        wanted[model.name] = max(count, 0)
+        part = min(size * shares[model.name], left)
+        wanted[model.name] = int(part // model.hosts)
         left -= wanted[model.name] * model.hosts
     return wanted
 
@@ -181,9 +178,8 @@
     def _next_to_form(self) -> ModelSpec | None:
         for model in sorted(self._models.values(), key=self._saturation):
             lacks = self._have[model.name] < self._targets[model.name]
-            spare = 0 if lacks else 1
             hosts = self._usable(model.name) if lacks else self._staged(model.name)
-            if len(hosts) >= model.hosts + spare:
+            if len(hosts) >= model.hosts:
                 return model
         return None
 
--- a/features/formation.feature
+++ b/features/formation.feature
@@ -3,13 +3,13 @@
   Scenario: Each fabric domain of a failure domain serves one model
     Given 2 fabric domains of 10 hosts
     Then the first is to have 2 large and 0 small replicas
-    And the second is to have 0 large and 4 small replicas
+    And the second is to have 0 large and 5 small replicas
 
   Scenario: Three fabric domains share two models
     Given 3 fabric domains of 18 hosts
-    Then the first is to have 3 large and 0 small replicas
-    And the second is to have 2 large and 3 small replicas
-    And the third is to have 0 large and 7 small replicas
+    Then the first is to have 4 large and 0 small replicas
+    And the second is to have 2 large and 5 small replicas
+    And the third is to have 0 large and 9 small replicas
 
   Scenario: Survivors of lost replicas complete each other (engines lost faster than weights load)
     Given a fabric domain for the large model with 2 lost replicas of 3 survivors each
@@ -41,7 +41,7 @@
   Scenario: A fleet forms every replica before it is opened
     Given a fleet of 20 hosts in 2 fabric domains
     When 10 s pass
-    Then 2 large and 4 small replicas serve
+    Then 2 large and 5 small replicas serve
     And no order broke a rule
 
   Scenario: A lost member is replaced by a spare
@@ -49,7 +49,7 @@
     And 30 s have passed with requests
     When a member of a large replica is lost and its head falls silent to callers
     And 6 s pass
-    Then 2 large and 4 small replicas serve
+    Then 2 large and 5 small replicas serve
     And no order broke a rule
 
   Scenario: A lost head frees its members once their reports show that they left
@@ -57,7 +57,7 @@
     And 30 s have passed with requests
     When the head of a large replica is lost and falls silent to callers
     And 8 s pass
-    Then 2 large and 4 small replicas serve
+    Then 2 large and 5 small replicas serve
     And no order broke a rule
 
   Scenario: A daemon that is cut off gives no replica up
@@ -74,7 +74,7 @@
     And a member of a large replica is lost and its head falls silent to callers
     And 20 s pass
     Then no order broke a rule
-    And 2 large and 4 small replicas serve
+    And 2 large and 5 small replicas serve
 
   Scenario: A head that comes back after its replica was ended leaves it
     Given a fleet of 20 hosts in 2 fabric domains
