--- a/auburnproxy/ctl/exits.py
+++ b/auburnproxy/ctl/exits.py
@@ -30,6 +30,8 @@
     """diff: the files differ from what is in force."""
     UNAUTHORIZED = 9
     """The daemon does not know the operator key."""
+    UNNAMED = 10
+    """explain: no line of the logs names the request."""
 
 
 EXIT_BY_VERDICT = {
--- a/auburnproxy/ctl/main.py
+++ b/auburnproxy/ctl/main.py
@@ -22,6 +22,7 @@
 from .difference import differences
 from .exits import EXIT_BY_VERDICT, Exit
 from .settings import read_settings, read_text
+from .story import read_lines, story
 
 SETTINGS = Path("auburnctl.yaml")
 WAIT_S = 8.0
@@ -277,6 +278,28 @@
     return Exit.DONE
 
 
+def explain(request_id: str, *files: Path, json: bool = False) -> Exit:
+    """Print what was decided on one request and what was believed meanwhile.
+
+    Exits with 0 if the logs name the request, 2 if a file cannot be read and 10 if
+    no line names it.
+
+    :param request_id: the caller's id of the request
+    :param files: logs of the daemons; standard input without any
+    :param json: print JSON
+    """
+    texts: list[str] = []
+    for path in files:
+        texts += read_text(path).splitlines()
+    reading = read_lines(texts if files else sys.stdin)
+    steps = story(reading.lines, request_id)
+    if json:
+        _print_json({"steps": steps, "unreadable": reading.unreadable})
+    else:
+        tables.print_story(steps, reading)
+    return Exit.DONE if steps else Exit.UNNAMED
+
+
 COMMANDS: list[Callable[..., Exit]] = [
     check,
     apply,
@@ -287,6 +310,7 @@
     status,
     report,
     digest,
+    explain,
 ]
 
 
--- a/auburnproxy/ctl/tables.py
+++ b/auburnproxy/ctl/tables.py
@@ -9,6 +9,7 @@
 from rich.table import Table
 
 from .difference import Difference
+from .story import Reading, Step, told
 
 
 def _table(title: str, columns: Iterable[str], rows: Iterable[Iterable[Any]]) -> Table:
@@ -148,3 +149,15 @@
         )
     if answer["verdict"] in ("pending", "unknown"):
         console.print(f"to learn more, safely: {retry}", soft_wrap=True, markup=False)
+
+
+def print_story(steps: Iterable[Step], reading: Reading) -> None:
+    """Print a request's decisions in order, each after what was believed."""
+    for step in steps:
+        decision = step["decision"]
+        for belief in step["beliefs"]:
+            age_s = decision["at"] - belief["at"]
+            print(f"    believed for {age_s:.3f} s: {told(belief)}")
+        print(f"{decision['at']:.3f} {decision['host']}: {told(decision)}")
+    if reading.unreadable:
+        print(f"{reading.unreadable} lines could not be read")
--- a/features/ctl.feature
+++ b/features/ctl.feature
@@ -36,3 +36,14 @@
   Scenario: A digest admits the key that it was made from
     When the digest of a key is made
     Then a plan with the digest is found by the key's digest alone
+
+  Scenario: A request's story is told from the logs of two daemons
+    Given logs of two daemons that both had request q1
+    When an operator runs auburnctl explain q1 on both
+    Then the decisions on it are told in order, each with what was believed
+    And the line that is no JSON is counted
+
+  Scenario: A request that no log names
+    Given logs of two daemons that both had request q1
+    When an operator runs auburnctl explain q7 on both
+    Then it ends with exit code 10
