Let two daemons of a failure domain read the store for the others

Ruled out: longer pauses, since an upstream that leaves must be known within two seconds. Change: the two first daemons in rank order that reach the store read the shared topics; the others fetch what has changed from one that is ahead. Heartbeats that change nothing but their number are not passed on. The daemon on duty reads for itself.

--- a/auburnproxy/beats/beat.py
+++ b/auburnproxy/beats/beat.py
@@ -16,6 +16,8 @@
     name: str
     on_duty: bool
     """Whether it forms replicas and is able to."""
+    reaches_store: bool
+    """Whether the store answered its last reading."""
     served: bool
     """Whether it has served a request since its start."""
     work_by_host: dict[str, Work]
--- a/auburnproxy/beats/circle.py
+++ b/auburnproxy/beats/circle.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from ..errors import PeerError
+from ..membership.rendezvous import rank_names
 from ..store import Change, Follower
 from ..telemetry.decisions import Decisions
 from .beat import Beat, pack, unpack
@@ -23,6 +24,10 @@
 """Most beats that a daemon sends to other failure domains in a second."""
 HEARD_S = 1.5
 """Age at which a beat no longer shows its daemon to be there; three far ones late."""
+READERS = 2
+"""Daemons of a failure domain that read the store: one more may be lost meanwhile."""
+RETRY_TURNS = 20
+"""Ticks between two tries of a daemon that the store has turned away."""
 LOAD_S = 1.0
 """Age at which a beat's requests in flight are no longer counted."""
 MS_PER_S = 1000
@@ -120,13 +125,42 @@
 
     @property
     def end_by_peer(self) -> Mapping[str, Mapping[str, int]]:
-        """Return how far the others have read each topic, by internal address."""
+        """Return how far others have read each topic, by internal address.
+
+        Those of the own failure domain are told of, if any is heard.
+        """
         now = _now()
-        return {
-            self._seats[name].internal: heard.beat.end_by_topic
+        heard = {
+            name: heard.beat.end_by_topic
             for name, heard in self._heard.items()
             if now - heard.at < LOAD_S and name in self._seats
         }
+        near = heard.keys() & self._near
+        return {
+            self._seats[name].internal: ends
+            for name, ends in heard.items()
+            if name in near or not near
+        }
+
+    def reads_store(self, *, reaches: bool) -> bool:
+        """Return whether this daemon is to read the store for its failure domain.
+
+        :param reaches: whether the store answered this daemon's last reading
+        """
+        able = {
+            name
+            for name in self.present & self._near
+            if self._heard[name].beat.reaches_store
+        }
+        if not reaches and len(able) >= READERS:
+            return self._turn % RETRY_TURNS == 0
+        order = rank_names("reader", {self._name, *able})
+        return order.index(self._name) < READERS
+
+    @property
+    def _near(self) -> set[str]:
+        own = self._seat.failure_domain
+        return {name for name, s in self._seats.items() if s.failure_domain == own}
 
     @property
     def lost(self) -> frozenset[str]:
--- a/auburnproxy/daemon/deployment.py
+++ b/auburnproxy/daemon/deployment.py
@@ -76,6 +76,10 @@
         :raises PlatformError: if it cannot be read
         """
 
+    @abstractmethod
+    def essence(self, registration: bytes) -> bytes:
+        """Return a registration without what changes each time that it is written."""
+
     @abstractmethod
     def read_upstream(self, change: Change, *, now: float) -> Host:
         """Return a host as it registered.
--- a/auburnproxy/daemon/routed.py
+++ b/auburnproxy/daemon/routed.py
@@ -88,12 +88,15 @@
             self._deployment.operator_topic,
             decisions,
             wait_s=WAIT_S,
+            reads=self._reads,
         )
         self._upstreams = Follower(
             self._store,
             self._deployment.upstream_topic,
             decisions,
             pause_s=self._registration_pause_s,
+            reads=self._reads,
+            essence=self._deployment.essence,
         )
         self._operators.on_change = self._take_operator
         self._upstreams.on_change = self._take_upstream
@@ -119,6 +122,7 @@
             REPLICAS_TOPIC,
             decisions,
             wait_s=WAIT_S,
+            reads=self._reads,
             pause_s=lambda: REPLICAS_PAUSE_S,
         )
         self.register = Register(self._store, decisions, replicas)
@@ -328,6 +332,12 @@
             return False
         return True
 
+    def _reads(self) -> bool:
+        """Return whether this daemon reads the shared topics from the store."""
+        if self.duty.held:
+            return True
+        return self.circle.reads_store(reaches=self._upstreams.up)
+
     def _registration_pause_s(self) -> float:
         if not self.duty.held:
             return OTHERS_PAUSE_S
@@ -343,6 +353,7 @@
         return Beat(
             self.settings.name,
             self.duty.acting,
+            self._upstreams.up,
             self.face.served > 0,
             self.health.work_by_host,
             self.relay.end_by_topic,
--- a/auburnproxy/formation/duty.py
+++ b/auburnproxy/formation/duty.py
@@ -89,7 +89,10 @@
             self._silent_since = now
         if now - self._silent_since >= self._wait_s(present):
             self._silent_since = None
-            await self._register.take_duty(self._name)
+            # Most daemons get the register from peers; this one has to be current.
+            await follower.step(wait=False)
+            if self._register.on_duty == holder:
+                await self._register.take_duty(self._name)
 
     async def give_up(self) -> None:
         """Let another daemon take the duty at once."""
--- a/auburnproxy/platform/adapter.py
+++ b/auburnproxy/platform/adapter.py
@@ -18,7 +18,7 @@
     EVACUATION_PREFIX,
     read_configuration,
 )
-from .registrations import read_registration
+from .registrations import COUNTER, read_registration
 from .settings import SETTINGS_VARIABLE, read_settings
 from .store import PlatformStore
 
@@ -66,6 +66,10 @@
             return read_configuration(change.value)
         return None
 
+    def essence(self, registration: bytes) -> bytes:
+        """Return a registration without what changes each time that it is written."""
+        return COUNTER.sub(b"", registration)
+
     def read_upstream(self, change: Change, *, now: float) -> Host:
         """Return a host as it registered.
 
--- a/auburnproxy/platform/registrations.py
+++ b/auburnproxy/platform/registrations.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 from typing import Any
 
 import msgspec
@@ -10,6 +11,8 @@
 from ..gateway.host import Host, Part, PartState
 
 MS_PER_S = 1000
+COUNTER = re.compile(rb'"sequence" *: *\d+')
+"""Number of the heartbeat; it grows with each one and tells nothing else."""
 
 
 class _Model(msgspec.Struct):
--- a/auburnproxy/store/follower.py
+++ b/auburnproxy/store/follower.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable, Mapping, Sequence
+from collections import deque
+from collections.abc import Callable, Mapping
 from types import MappingProxyType
+from typing import NamedTuple
 
 from ..errors import PlatformError
 from ..pulse import Pulse
@@ -15,6 +17,21 @@
 """Seconds between two tries while the service does not answer."""
 OVERDUE_S = 0.5
 """Seconds beyond the pause between two readings after which one is missed."""
+IDLE_S = 0.2
+"""Seconds between two looks at whether this daemon is to read the log itself."""
+RECENT_CHANGES = 2048
+"""Changes kept for peers; a configuration with its marks has a few, hosts hundreds."""
+
+
+class Shared(NamedTuple):
+    """A topic, or its newest changes, as one daemon tells another."""
+
+    changes: tuple[Change, ...]
+    end: int
+    whole: bool
+    """Whether these are all keys that have a value, and not the changes alone."""
+    away_s: float | None = None
+    """Seconds since the store last failed the teller, None if it never has."""
 
 
 class Follower:
@@ -25,6 +42,9 @@
     :param decisions: takes a line for each lost and regained connection
     :param wait_s: seconds that a reading waits for a record
     :param pause_s: returns the seconds between two readings
+    :param reads: whether this daemon reads the log itself; others get the records
+        from peers through :meth:`adopt`
+    :param essence: returns what of a value is news to anybody
     """
 
     def __init__(
@@ -35,6 +55,8 @@
         *,
         wait_s: float = 0.0,
         pause_s: Callable[[], float] = lambda: 0.0,
+        reads: Callable[[], bool] = lambda: True,
+        essence: Callable[[bytes], bytes] = bytes,
     ) -> None:
         self.end = 0
         """Offset of the next record to be read."""
@@ -51,6 +73,10 @@
         self._decisions = decisions
         self._wait_s = wait_s
         self._pause_s = pause_s
+        self._reads = reads
+        self._essence = essence
+        self._recent: deque[Change] = deque()
+        self._recent_from = 0
         self._by_key: dict[str, Change] = {}
         self._up = True
 
@@ -70,7 +96,7 @@
 
         A reading that waits for records returns with the first one.
         """
-        if self._wait_s or not self._up:
+        if self._wait_s or not self._up or not self._reads():
             return True
         age_s = asyncio.get_running_loop().time() - self.current_at
         return age_s > self._pause_s() + OVERDUE_S
@@ -78,6 +104,9 @@
     async def run(self) -> None:
         """Follow until cancelled."""
         while True:
+            if self.whole and not self._reads():
+                await asyncio.sleep(IDLE_S)
+                continue
             try:
                 await self.step()
             except PlatformError:
@@ -117,23 +146,42 @@
 
     async def _load(self) -> None:
         newest = await self._store.newest(self._topic)
-        self.adopt(newest.changes, newest.end)
+        self.adopt(Shared(newest.changes, newest.end, whole=True))
 
-    def adopt(self, changes: Sequence[Change], end: int) -> None:
-        """Take the newest record of each key, unless this copy is newer.
+    def since(self, offset: int) -> Shared:
+        """Return what has changed since an offset, or all that there is.
 
-        :param changes: every key that has a value
-        :param end: end of the topic at which no other key had one
+        :param offset: end of a peer's copy
         """
-        if self.whole and end < self.end:
+        now = asyncio.get_running_loop().time()
+        away_s = now - self.away_at if self.away_at >= 0 else None
+        if self._recent_from <= offset <= self.end:
+            changes = tuple(c for c in self._recent if c.offset >= offset)
+            return Shared(changes, self.end, whole=False, away_s=away_s)
+        return Shared(tuple(self._by_key.values()), self.end, whole=True, away_s=away_s)
+
+    def adopt(self, shared: Shared) -> None:
+        """Take what a peer or the store tells, unless this copy is newer.
+
+        :param shared: every key that has a value, or what changed since this end
+        """
+        if self.whole and shared.end < self.end:
             return
-        present = {change.key for change in changes}
-        for key, known in list(self._by_key.items()):
-            if key not in present and known.offset < end:
-                self._take(Change(key, b"", end))
-        for change in changes:
+        if shared.whole:
+            present = {change.key for change in shared.changes}
+            for key, known in list(self._by_key.items()):
+                if key not in present and known.offset < shared.end:
+                    self._take(Change(key, b"", shared.end))
+        for change in shared.changes:
             self._take(change)
-        self.end = max(self.end, end)
+        if shared.whole:
+            self._recent.clear()
+            self._recent_from = shared.end
+        now = asyncio.get_running_loop().time()
+        if shared.away_s is not None:
+            self.away_at = max(self.away_at, now - shared.away_s)
+        self.end = max(self.end, shared.end)
+        self.current_at = now
         self.whole = True
         self.changed.send()
 
@@ -141,6 +189,8 @@
         known = self._by_key.get(change.key)
         if known is not None and known.offset >= change.offset:
             return
+        if known is None or self._essence(known.value) != self._essence(change.value):
+            self._keep(change)
         if change.value:
             self._by_key[change.key] = change
         elif known is None:
@@ -149,6 +199,12 @@
             del self._by_key[change.key]
         self.on_change(change)
 
+    def _keep(self, change: Change) -> None:
+        """Keep a change for peers that are a little behind."""
+        if len(self._recent) >= RECENT_CHANGES:
+            self._recent_from = self._recent.popleft().offset + 1
+        self._recent.append(change)
+
     def _note(self, *, up: bool, error: Exception | None = None) -> None:
         if not up:
             self.away_at = asyncio.get_running_loop().time()
--- a/auburnproxy/store/relay.py
+++ b/auburnproxy/store/relay.py
@@ -1,14 +1,15 @@
-"""Records that a daemon gets from its peers while it cannot read them itself.
+"""Records that a daemon gets from its peers in place of the store.
 
-Answers a store that turns some daemons away and serves the others: each beat
-tells how far its daemon has read, and who is behind fetches from who is ahead.
+Answers a store whose calls are dear and which may turn some daemons away: a few
+daemons of a failure domain read it, each beat tells how far its daemon has read,
+and who is behind fetches the changes from who is ahead.
 """
 
 from __future__ import annotations
 
 import asyncio
 from collections.abc import Mapping
-from typing import NamedTuple
+from random import Random
 
 import msgspec
 from aiohttp import ClientSession, ClientTimeout, web
@@ -16,8 +17,7 @@
 from ..errors import UpstreamError
 from ..telemetry.decisions import Decisions
 from ..upstreams.client import upstream_errors
-from .follower import Follower
-from .store import Change
+from .follower import Follower, Shared
 
 PATH = "/records/"
 BEHIND_S = 0.15
@@ -25,13 +25,7 @@
 FETCH_TIMEOUT_S = 0.8
 """A whole configuration of a hundred kilobytes over the slowest link."""
 RETRY_S = 0.3
-
-
-class Shared(NamedTuple):
-    """A topic as one daemon knows it."""
-
-    changes: tuple[Change, ...]
-    end: int
+"""Seconds between two fetches of a topic; hosts register several times a second."""
 
 
 _decoder = msgspec.msgpack.Decoder(Shared)
@@ -56,6 +50,7 @@
         self._decisions = decisions
         self._behind_since: dict[str, float] = {}
         self._fetch_at: dict[str, float] = {}
+        self._random = Random()
 
     @property
     def end_by_topic(self) -> dict[str, int]:
@@ -76,10 +71,11 @@
         now = asyncio.get_running_loop().time()
         for topic, follower in self._followers.items():
             ahead = [
-                (ends.get(topic, 0), address) for address, ends in end_by_peer.items()
+                address
+                for address, ends in end_by_peer.items()
+                if ends.get(topic, 0) > follower.end
             ]
-            end, address = max(ahead, default=(0, ""))
-            if end <= follower.end:
+            if not ahead:
                 self._behind_since.pop(topic, None)
                 continue
             since = self._behind_since.setdefault(topic, now)
@@ -87,10 +83,10 @@
                 continue
             if now >= self._fetch_at.get(topic, 0.0):
                 self._fetch_at[topic] = now + RETRY_S
-                await self._fetch(topic, follower, address)
+                await self._fetch(topic, follower, self._random.choice(ahead))
 
     async def _fetch(self, topic: str, follower: Follower, address: str) -> None:
-        url = f"http://{address}{PATH}{topic}"
+        url = f"http://{address}{PATH}{topic}?from={follower.end}"
         timeout = ClientTimeout(total=FETCH_TIMEOUT_S)
         try:
             with upstream_errors(address):
@@ -103,14 +99,16 @@
             )
             return
         before = follower.end
-        follower.adopt(shared.changes, shared.end)
-        self._decisions.belief(
-            "relayed", topic=topic, peer=address, before=before, end=follower.end
-        )
+        follower.adopt(shared)
+        if shared.changes:
+            self._decisions.belief(
+                "relayed", topic=topic, peer=address, before=before, end=follower.end
+            )
 
     async def _serve(self, http: web.Request) -> web.Response:
         follower = self._followers.get(http.match_info["topic"])
         if follower is None or not follower.whole:
             return web.Response(status=404)
-        shared = Shared(tuple(follower.by_key.values()), follower.end)
+        start = http.query.get("from", "")
+        shared = follower.since(int(start) if start.isdigit() else -1)
         return web.Response(body=msgspec.msgpack.encode(shared))
--- a/features/fakes/platform.py
+++ b/features/fakes/platform.py
@@ -158,6 +158,8 @@
             if path == "/report":
                 report = {"models": [], "staged": [], "born": 1}
                 self._plain(writer, headers, json.dumps(report).encode())
+            elif path == "/order":
+                self._plain(writer, headers, b"", "202 Accepted")
             else:
                 self.requests.append((method, path, headers, body))
                 action = self.script.pop(0) if len(self.script) > 1 else self.script[0]
--- /dev/null
+++ b/features/steps/readers.py
@@ -0,0 +1,155 @@
+"""Steps for daemons that read the store for their whole failure domain."""
+
+import asyncio
+
+import async_solipsism
+from behave import given, then, when
+
+from auburnproxy.beats import Beat, Circle
+from auburnproxy.beats.circle import Heard, Seat
+from auburnproxy.store import Change, Follower
+from features.fakes.store import FakeTopics, StorePort, quiet
+
+TOPIC = "op"
+KEY = "config"
+
+
+class ReadingDaemon:
+    """A follower and a circle, without sockets: beats and fetches are calls."""
+
+    def __init__(self, site, name):
+        self.site = site
+        self.name = name
+        self.lost = False
+        self.deaf = False
+        self.port = StorePort(site.topics)
+        self.follower = Follower(
+            self.port, TOPIC, quiet(), pause_s=lambda: 0.4, reads=self.reads
+        )
+        seats = Follower(self.port, "daemons", quiet())
+        self.circle = Circle(name, Seat(name, "fd", name), seats, self.say, quiet())
+        self.circle._seats = {n: Seat(n, "fd", n) for n in site.names}
+
+    def reads(self):
+        return self.circle.reads_store(reaches=self.follower.up)
+
+    def say(self):
+        ends = {TOPIC: self.follower.end}
+        return Beat(self.name, False, self.follower.up, True, {}, ends, [], [])
+
+    async def run(self):
+        following = asyncio.create_task(self.follower.run())
+        try:
+            while True:
+                self.hear()
+                self.fetch()
+                await asyncio.sleep(0.1)
+        finally:
+            following.cancel()
+
+    def hear(self):
+        self.circle._turn += 1
+        now = asyncio.get_running_loop().time()
+        for other in self.site.daemons:
+            if other is not self and not other.lost and not self.deaf:
+                self.circle._heard[other.name] = Heard(other.say(), now)
+
+    def fetch(self):
+        for other in self.site.daemons:
+            if other.lost or self.deaf or other.follower.end <= self.follower.end:
+                continue
+            self.follower.adopt(other.follower.since(self.follower.end))
+
+
+class ReadingSite:
+    def __init__(self, count):
+        self.topics = FakeTopics()
+        self.names = [f"d{number}" for number in range(count)]
+        self.daemons = []
+        self.version = 0
+
+    async def run(self, seconds, *, write):
+        tasks = [asyncio.create_task(d.run()) for d in self.daemons if not d.lost]
+        for _ in range(seconds):
+            if write:
+                self.version += 1
+                value = str(self.version).encode()
+                self.topics.take(TOPIC, [Change(KEY, value)])
+            await asyncio.sleep(1)
+        await asyncio.sleep(1)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+
+@given("{count:d} daemons of one failure domain that follow a topic")
+def make_readers(context, count):
+    context.loop = async_solipsism.EventLoop()
+    context.add_cleanup(context.loop.close)
+
+    async def make():
+        site = ReadingSite(count)
+        site.daemons = [ReadingDaemon(site, name) for name in site.names]
+        return site
+
+    context.readers = context.loop.run_until_complete(make())
+
+
+@when("{seconds:d} s pass while a record is written each second")
+def write_records(context, seconds):
+    for daemon in context.readers.daemons:
+        daemon.port.calls = 0
+    context.loop.run_until_complete(context.readers.run(seconds, write=True))
+
+
+@when("the key is dropped")
+def drop_key(context):
+    context.readers.topics.take(TOPIC, [Change(KEY, b"")])
+    context.loop.run_until_complete(context.readers.run(3, write=False))
+
+
+def readers(context):
+    async def find():
+        return [d for d in context.readers.daemons if not d.lost and d.reads()]
+
+    return context.loop.run_until_complete(find())
+
+
+@when("a reader is lost")
+def lose_reader(context):
+    readers(context)[0].lost = True
+
+
+@when("the store turns a reader away")
+def turn_reader_away(context):
+    readers(context)[0].port.away = True
+
+
+@when("a daemon that does not read hears nobody any more")
+def deafen_one(context):
+    reading = readers(context)
+    deaf = next(d for d in context.readers.daemons if d not in reading)
+    deaf.deaf = True
+    deaf.circle._heard.clear()
+
+
+@then("each daemon holds the newest record")
+def compare_newest(context):
+    wanted = str(context.readers.version).encode()
+    for daemon in context.readers.daemons:
+        if not daemon.lost:
+            held = daemon.follower.by_key[KEY].value
+            assert held == wanted, (daemon.name, held, wanted)
+
+
+@then("{count:d} daemons have read the store for most of that time")
+def compare_readers(context, count):
+    calls = sorted(d.port.calls for d in context.readers.daemons)
+    assert sum(c > 8 for c in calls) == count, calls
+    assert sum(calls[:-count]) <= 3 * (len(calls) - count), calls
+
+
+@then("no daemon holds the key")
+def compare_dropped(context):
+    for daemon in context.readers.daemons:
+        assert KEY not in daemon.follower.by_key, daemon.name
