--- a/auburnproxy/beats/circle.py
+++ b/auburnproxy/beats/circle.py
@@ -9,7 +9,7 @@
 import msgspec
 
 from ..errors import PeerError
-from ..membership.rendezvous import rank_names
+from ..rendezvous import rank_names
 from ..store import Change, Follower
 from ..telemetry.decisions import Decisions
 from .beat import Beat, pack, unpack
--- a/auburnproxy/daemon/routed.py
+++ b/auburnproxy/daemon/routed.py
@@ -32,6 +32,8 @@
 DAEMONS_TOPIC = "daemons"
 LONG_WAIT_S = 20.0
 """Seconds that a reading of the daemons' records waits for a new one."""
+SEATS_PAUSE_S = 1.0
+"""Pause between two such readings; at the start every daemon writes a record."""
 WAIT_S = 2.5
 """The same for operators' and replicas' records; a connection that has gone silent
 is noticed within that time and the store's longest answer."""
@@ -110,7 +112,12 @@
             heard_elsewhere=lambda host: self.circle.heard_at(host),
         )
         self._seats = Follower(
-            self._store, DAEMONS_TOPIC, decisions, wait_s=LONG_WAIT_S
+            self._store,
+            DAEMONS_TOPIC,
+            decisions,
+            wait_s=LONG_WAIT_S,
+            pause_s=lambda: SEATS_PAUSE_S,
+            reads=self._reads,
         )
         seat = Seat(settings.beats, settings.failure_domain, settings.internal)
         self.circle = Circle(settings.name, seat, self._seats, self._beat, decisions)
@@ -130,6 +137,7 @@
             self._deployment.operator_topic: self._operators,
             self._deployment.upstream_topic: self._upstreams,
             REPLICAS_TOPIC: replicas,
+            DAEMONS_TOPIC: self._seats,
         }
         self.relay = Relay(topics, self._session, decisions)
         self.duty = Duty(
--- a/auburnproxy/formation/duty.py
+++ b/auburnproxy/formation/duty.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable, Collection
 
 from ..errors import PlatformError
-from ..membership.rendezvous import rank_names
+from ..rendezvous import rank_names
 from ..telemetry.decisions import Decisions
 from .register import Register
 
--- a/auburnproxy/gateway/route.py
+++ b/auburnproxy/gateway/route.py
@@ -6,7 +6,7 @@
 from enum import StrEnum
 from typing import NamedTuple
 
-from ..membership.rendezvous import rank_names
+from ..rendezvous import rank_names
 
 DEFAULT_ATTEMPTS = 1
 
--- a/auburnproxy/membership/rendezvous.py
+++ b/auburnproxy/membership/rendezvous.py
@@ -1,26 +1,15 @@
-"""Rendezvous hashing: an order of candidates that all processes agree on."""
+"""Rendezvous hashing of members."""
 
 from __future__ import annotations
 
-from collections.abc import Iterable
 from functools import lru_cache
 
-from xxhash import xxh3_64_intdigest
-
+from ..rendezvous import rank_names
 from .member import Member
 
 RANKS_CACHED = 8192
 
 
-def rank_names(key: str, names: Iterable[str]) -> list[str]:
-    """Return names by rank for a key, the first to be chosen first.
-
-    :param key: what is ranked for
-    :param names: the candidates
-    """
-    return sorted(names, key=lambda name: xxh3_64_intdigest(f"{key}\0{name}".encode()))
-
-
 @lru_cache(maxsize=RANKS_CACHED)
 def rank(key: str, members: tuple[Member, ...]) -> tuple[Member, ...]:
     """Return members by rank for a key.
--- a/auburnproxy/quotas/share.py
+++ b/auburnproxy/quotas/share.py
@@ -15,7 +15,8 @@
 
 from ..membership.epoch import Division, Epoch, Weight, Window
 from ..membership.member import Member
-from ..membership.rendezvous import RANKS_CACHED, rank, rank_names
+from ..membership.rendezvous import RANKS_CACHED, rank
+from ..rendezvous import rank_names
 
 PLAN_PREFIX = "plan/"
 UPSTREAM_PREFIX = "upstream/"
--- a/features/steps/routed.py
+++ b/features/steps/routed.py
@@ -25,6 +25,8 @@
     running_site,
 )
 
+ACQUAINTANCE_S = 2.0
+"""A reading of the daemons' records, at most a second late, and some beats."""
 SETTLE_S = 0.9
 """Two readings of the registrations."""
 PACKAGE = Path(__file__).parents[2] / "auburnproxy"
@@ -363,7 +365,7 @@
 def add_daemon(context):
     async def add():
         daemon = await context.site.add_daemon("d2")
-        await asyncio.sleep(SETTLE_S)
+        await asyncio.sleep(ACQUAINTANCE_S)
         assert daemon.ready and daemon.circle.present
 
     run(context, add())
