Let a begun stream try any head before it is given up, and log what refusals rest on

Change: begun streams go on until their caller is about to leave, and may try a head that is left out; an aborted stream is counted as such; a refusal for want of a slot tells how many upstreams were known, answered, and how loaded they were.

--- a/auburnproxy/errors.py
+++ b/auburnproxy/errors.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
 from enum import StrEnum
 from typing import TYPE_CHECKING
 
@@ -116,6 +117,8 @@
         self.status = status
         self.ran = ran
         self.retry_after_s = retry_after_s
+        self.inputs: Mapping[str, object] = {}
+        """What decided it, for the logs."""
 
 
 class PeerError(AuburnError):
--- a/auburnproxy/gateway/choice.py
+++ b/auburnproxy/gateway/choice.py
@@ -4,8 +4,7 @@
 
 import asyncio
 from collections import deque
-from collections.abc import Callable, Collection
-from itertools import count
+from collections.abc import Callable, Collection, Sequence
 from random import Random
 
 from ..errors import RefusalError
@@ -72,48 +71,35 @@
         self._lost = lost
         self._daemons = daemons
         self._random = random or Random()
-        self._turn = count()
         self._sent_by_cold_host: dict[str, deque[float]] = {}
 
-    def replica(self, model: str, *, exclude: Collection[str] = ()) -> ServingReplica:
+    def replica(
+        self, model: str, *, exclude: Collection[str] = (), any_head: bool = False
+    ) -> ServingReplica:
         """Return the replica that suits a request best.
 
         :param model: the model that the caller asks for
         :param exclude: heads that the request has failed on
+        :param any_head: whether a head that is left out will do if no other is there
         :raises RefusalError: if none can take it now
         """
         recorded = self._directory.recorded()
-        found = [
-            replica
+        by_head = {
+            replica.head.id: replica
             for replica in self._directory.replicas()
             if replica.model.name == model
             and replica.name in recorded
             and not replica.leaving
             and self._directory.may_use(replica.head)
-        ]
+        }
+        missing = {head for head, replica in by_head.items() if replica.missing}
+        heads = [replica.head for replica in by_head.values()]
         lost = self._lost()
-        fit = [
-            replica
-            for replica in found
-            if replica.head.id not in exclude
-            and replica.head.id not in lost
-            and not self._health.excluded(replica.head.id)
-        ]
-        if not fit:
-            message = f"No replica of {model} serves now."
-            raise RefusalError(
-                "no_replica", message, retry_after_s=self._later(NONE_RETRY_S)
-            )
-        free = [r for r in fit if self._has_room(r.head) and self._bears(r.head)]
-        if not free:
-            message = f"Every replica of {model} is full."
-            raise RefusalError(
-                "no_slot", message, retry_after_s=self._later(FULL_RETRY_S)
-            )
-        turn = next(self._turn)
-        chosen = min(free, key=lambda r: (self._score(r), hash((r.head.id, turn))))
-        self._note_sent(chosen.head)
-        return chosen
+        excluded = {head for head in by_head if head in exclude or head in lost}
+        chosen = self._pick(
+            heads, "no_replica", exclude=excluded, missing=missing, any_host=any_head
+        )
+        return by_head[chosen.id]
 
     def plain(self, service: str, *, exclude: Collection[str] = ()) -> Host:
         """Return the host of a plain service that suits a request best.
@@ -122,37 +108,66 @@
         :param exclude: hosts that the request has failed on
         :raises RefusalError: if none can take it now
         """
-        found = list(self._directory.plain_hosts(service))
+        hosts = list(self._directory.plain_hosts(service))
+        return self._pick(hosts, "no_service", exclude=exclude)
+
+    def _pick(
+        self,
+        hosts: Sequence[Host],
+        code: str,
+        *,
+        exclude: Collection[str],
+        missing: Collection[str] = (),
+        any_host: bool = False,
+    ) -> Host:
+        """Return the least loaded host.
+
+        :param code: code of the refusal if none of them answers
+        :param missing: heads of replicas that may have lost a member
+        :param any_host: whether a host that is left out will do
+        :raises RefusalError: if none can take a request now
+        """
         fit = [
             host
-            for host in found
+            for host in hosts
             if host.id not in exclude and not self._health.excluded(host.id)
         ]
+        if not fit and any_host:
+            fit = [host for host in hosts if host.id not in exclude]
         if not fit:
-            message = f"No host of {service} answers now."
-            raise RefusalError(
-                "no_service", message, retry_after_s=self._later(NONE_RETRY_S)
-            )
+            raise self._refusal(code, NONE_RETRY_S, hosts, fit)
         free = [host for host in fit if self._has_room(host) and self._bears(host)]
         if not free:
-            message = f"Every host of {service} is full."
-            raise RefusalError(
-                "no_slot", message, retry_after_s=self._later(FULL_RETRY_S)
-            )
-        turn = next(self._turn)
-        chosen = min(free, key=lambda h: (self._host_score(h), hash((h.id, turn))))
+            raise self._refusal("no_slot", FULL_RETRY_S, hosts, fit)
+
+        def score(host: Host) -> tuple[float, float]:
+            load = self._score(host) + (MISSING_LOAD if host.id in missing else 0.0)
+            return load, self._random.random()
+
+        chosen = min(free, key=score)
         self._note_sent(chosen)
         return chosen
 
+    def _refusal(
+        self, code: str, wait_s: float, hosts: Sequence[Host], fit: Sequence[Host]
+    ) -> RefusalError:
+        refusal = RefusalError(
+            code,
+            f"{len(fit)} of {len(hosts)} upstreams answer, none has a free slot.",
+            retry_after_s=wait_s * (1 + JITTER * (self._random.random() - 0.5)),
+        )
+        refusal.inputs = {
+            "known": len(hosts),
+            "answering": len(fit),
+            "loads": [self.load(host) for host in fit],
+        }
+        return refusal
+
     def load(self, host: Host) -> int:
         """Return the requests at an upstream, as far as they are known."""
         return self._health.in_flight(host.id) + self._elsewhere(host.id)[0]
 
-    def _score(self, replica: ServingReplica) -> float:
-        missing = MISSING_LOAD if replica.missing else 0.0
-        return self._host_score(replica.head) + missing
-
-    def _host_score(self, host: Host) -> float:
+    def _score(self, host: Host) -> float:
         in_flight, waiting = self._elsewhere(host.id)
         in_flight += self._health.in_flight(host.id)
         waiting += self._health.waiting(host.id)
@@ -186,9 +201,6 @@
         if self._directory.cold_s(host) > 0:
             self._sent_by_cold_host.setdefault(host.id, deque()).append(_now())
 
-    def _later(self, seconds: float) -> float:
-        return seconds * (1 + JITTER * (self._random.random() - 0.5))
-
 
 def _now() -> float:
     return asyncio.get_running_loop().time()
--- a/auburnproxy/gateway/face.py
+++ b/auburnproxy/gateway/face.py
@@ -17,7 +17,7 @@
 from .plain import Plain
 from .resends import Allowance, Resends
 from .route import RouteKind
-from .streams import Streams
+from .streams import StreamAbortedError, Streams
 
 RETURN_PART = 0.25
 """Greatest part of a caller's time that it is asked to wait; it needs the rest."""
@@ -97,6 +97,9 @@
                 response = await self._answered(http, ask, arrived)
             except RefusalError as refusal:
                 response = self._refused(ask, refusal, arrived)
+            except StreamAbortedError as aborted:
+                self._telemetry.count(Counter.UNKNOWN, "", "", aborted.reason)
+                return aborted.response
             except (asyncio.CancelledError, ConnectionError):
                 self._decisions.request(
                     "caller_left", ask.request_id, after_s=_since(arrived)
@@ -189,6 +192,7 @@
             retry_after_s=refusal.retry_after_s,
             configuration=self._directory.configuration.version,
             after_s=_since(arrived),
+            **refusal.inputs,
         )
         counter = Counter.REFUSED if refusal.ran is Ran.NO else Counter.UNKNOWN
         self._telemetry.count(counter, "", "", refusal.code)
--- a/auburnproxy/gateway/plain.py
+++ b/auburnproxy/gateway/plain.py
@@ -21,6 +21,8 @@
 """Shortest wait for an answer; hosts take a quarter of that on average."""
 MOST_UNSENT = 3
 """Hosts that cannot be reached before a request is refused."""
+UNSENT_RETRY_S = 0.2
+"""Wait of a caller whose request no upstream took, though some had a free slot."""
 SERVER_ERROR = 500
 
 
@@ -63,7 +65,9 @@
             except RefusalError as refusal:
                 if failure is not None:
                     return failure
-                raise _given_up(refusal.code, ran, refusal.retry_after_s) from refusal
+                if ran is Ran.NO:
+                    raise
+                raise _given_up(refusal.code, ran) from refusal
             exclude.add(host.id)
             last = sent + 1 >= call.route.attempts or not call.route.repeatable
             try:
@@ -82,15 +86,15 @@
             if not error.sent:
                 if unsent < MOST_UNSENT:
                     continue
-                raise _given_up(error.code, ran, None)
+                raise _given_up(error.code, ran)
             if sent >= call.route.attempts or (
                 ran is Ran.UNKNOWN and not call.route.repeatable
             ):
                 if failure is not None:
                     return failure
-                raise _given_up(error.code, ran, None)
+                raise _given_up(error.code, ran)
             if failure is None and not resends.spend():
-                raise _given_up(error.code, ran, None)
+                raise _given_up(error.code, ran)
 
     async def _try(self, call: Call, host: Host, *, last: bool) -> web.Response:
         remaining_s = call.remaining_s
@@ -139,10 +143,10 @@
         )
 
 
-def _given_up(code: str, ran: Ran, retry_after_s: float | None) -> RefusalError:
+def _given_up(code: str, ran: Ran) -> RefusalError:
     if ran is Ran.NO:
         message = "No upstream took the request."
-        return RefusalError(code, message, retry_after_s=retry_after_s or 0.2)
+        return RefusalError(code, message, retry_after_s=UNSENT_RETRY_S)
     message = "An upstream may have run the request and gave no whole answer."
     return RefusalError(code, message, status=502, ran=ran)
 
--- a/auburnproxy/gateway/streams.py
+++ b/auburnproxy/gateway/streams.py
@@ -3,12 +3,13 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterator, Mapping
 from contextlib import contextmanager
+from typing import NoReturn
 
 from aiohttp import ClientError, ClientResponse, ClientSession, web
 
-from ..errors import Ran, RefusalError
+from ..errors import AuburnError, Ran, RefusalError
 from ..telemetry import Measure, Telemetry
 from ..telemetry.decisions import Decisions
 from ..upstreams.client import TrackedResponse
@@ -34,12 +35,29 @@
 CHECK_SLACK_S = 0.005
 LONGEST_PAUSE_S = 1.8
 """Pause of a stream that has begun after which its caller is about to leave."""
-REPLICA_WAIT_S = 0.05
+REPLICA_WAIT_S = 0.1
+UNSENT_RETRY_S = 0.2
+"""Wait of a caller whose request no upstream took, though some had a free slot."""
 MOST_UNSENT = 3
 """Heads that cannot be reached before a request is refused."""
 OK = 200
 
 
+class StreamAbortedError(AuburnError):
+    """A stream that had begun was given up; its connection is closed.
+
+    :param reason: code of what kept it from going on
+    :param response: the response, which never looks complete
+    """
+
+    code = "stream_aborted"
+
+    def __init__(self, reason: str, response: web.StreamResponse) -> None:
+        super().__init__(reason)
+        self.reason = reason
+        self.response = response
+
+
 class Streams:
     """Sends requests of streamed routes.
 
@@ -102,13 +120,15 @@
         while True:
             try:
                 replica = self._parts.choice.replica(
-                    self._call.ask.model, exclude=self._exclude
+                    self._call.ask.model,
+                    exclude=self._exclude,
+                    any_head=self._response is not None,
                 )
             except RefusalError as refusal:
                 if self._waits_for_replica():
                     await asyncio.sleep(REPLICA_WAIT_S)
                     continue
-                return self._give_up(refusal.code, refusal.retry_after_s)
+                self._give_up(refusal.code, refusal.retry_after_s, refusal.inputs)
             self._tries += 1
             try:
                 response = await self._try(replica)
@@ -117,7 +137,7 @@
             except TryError as error:
                 self._log(replica, error)
                 if not self._may_go_on(replica, error):
-                    return self._give_up(error.code, None)
+                    self._give_up(error.code, None, {})
 
     def _waits_for_replica(self) -> bool:
         """Return whether a stream that has begun may still go on at a replica.
@@ -139,7 +159,7 @@
             return False
         if not error.sent:
             self._unsent += 1
-            return self._unsent < MOST_UNSENT
+            return self._unsent < MOST_UNSENT or self._waits_for_replica()
         if not self._parts.health.excluded(replica.head.id):
             # A head that is lost does not count against the route's attempts.
             self._counted += 1
@@ -149,15 +169,32 @@
             return False
         return self._resends.spend()
 
-    def _give_up(self, code: str, retry_after_s: float | None) -> web.StreamResponse:
+    def _give_up(
+        self,
+        code: str,
+        retry_after_s: float | None,
+        inputs: Mapping[str, object],
+    ) -> NoReturn:
         if self._response is not None:
-            self._parts.decisions.request("stream_aborted", self._call.id, code=code)
+            now = asyncio.get_running_loop().time()
+            self._parts.decisions.request(
+                "stream_aborted",
+                self._call.id,
+                code=code,
+                last_event=self._last_id,
+                silent_s=round(now - self._event_at, 3),
+                remaining_s=round(self._call.remaining_s, 3),
+            )
             if self._call.http.transport is not None:
                 self._call.http.transport.close()
-            return self._response
+            raise StreamAbortedError(code, self._response)
         if self._ran is Ran.NO:
             message = "No replica took the request."
-            raise RefusalError(code, message, retry_after_s=retry_after_s or 0.2)
+            refusal = RefusalError(
+                code, message, retry_after_s=retry_after_s or UNSENT_RETRY_S
+            )
+            refusal.inputs = inputs
+            raise refusal
         status = 504 if self._call.remaining_s <= 0 else 502
         message = "A replica may have run the request and gave no whole answer."
         raise RefusalError(code, message, status=status, ran=Ran.UNKNOWN)
--- /dev/null
+++ b/features/choice.feature
@@ -0,0 +1,62 @@
+Feature: Where requests go, who is refused and when callers return
+
+  Scenario: Requests spread over replicas, near ones first (uneven load)
+    Given 3 near and 3 far replicas of 9 slots
+    When 36 requests come one after the other and stay
+    Then no replica has more than 8 of them
+    And the near ones have at least half of them
+
+  Scenario: A request goes past a replica that reads a prompt (prompts hold streams up)
+    Given 2 near and 1 far replicas of 9 slots
+    And one near replica has a request without its first event
+    When 1 request comes
+    Then it goes to the other near replica
+
+  Scenario: What other daemons run counts (blind spreading fills one replica)
+    Given 2 near and 0 far replicas of 9 slots
+    And other daemons have 8 requests at the first replica
+    When 7 requests come one after the other and stay
+    Then the first replica has none of them
+
+  Scenario: A full model is refused at once, with different times to come back (herds)
+    Given 2 near and 0 far replicas of 9 slots
+    When 40 requests come one after the other and stay
+    Then 18 to 22 are taken and the others are refused with no_slot
+    And the times to come back differ and are within 0.5 and 2 s
+
+  Scenario: A silent head gets nothing, then one request at a time (a dead group looks alive)
+    Given 1 near and 0 far replicas of 9 slots
+    When its head falls silent towards all streams
+    Then requests are refused with no_replica
+    When its pause ends and a probe is answered
+    Then one request is taken, and another only after its first event
+
+  Scenario: A head whose process does not answer stays out
+    Given 1 near and 0 far replicas of 9 slots
+    When its head falls silent towards all streams
+    And its pause ends and no probe is answered
+    Then requests are refused with no_replica
+
+  Scenario: A head that others hear is not taken for silent
+    Given 1 near and 0 far replicas of 9 slots
+    And another daemon has just heard its head
+    When one of its streams gets nothing for 0.3 s
+    Then requests are taken
+
+  Scenario: A cold upstream's bound is divided between the daemons (cold return)
+    Given 1 near and 0 far replicas of 99 slots that are cold
+    And 6 daemons share the bound of 36 requests a second
+    When 20 requests come in one second
+    Then 6 of them are taken
+
+  Scenario: Resends stay within this daemon's part of the bound (retry storms)
+    Given a bound of 0.2 resends a request and 100 beside for 10 daemons
+    When 100 requests are sent in 5 s and as many resends are asked for
+    Then 24 resends are made
+    And none are left until the window has passed
+
+  Scenario: Hosts that lapse around an outage of the store are kept for a while
+    Given a directory with a host while the store is away
+    When the host's registration lapses
+    Then the host is kept for 2 s after the store is back
+    And it is gone 3 s after the store is back
--- a/features/routed.feature
+++ b/features/routed.feature
@@ -166,3 +166,9 @@
 
   Scenario: Nothing outside the adapter knows the platform's names
     Then no other source names a header, call or topic of the platform
+
+  Scenario: A stream that has begun waits for a head that cannot be reached for a while
+    Given a routed site with one engine
+    And the only engine will break off and be away for 0.4 s
+    When a caller asks for a stream
+    Then it gets 6 events in order, complete
--- /dev/null
+++ b/features/steps/choice.py
@@ -0,0 +1,291 @@
+"""Steps for the choice of upstreams, without a network."""
+
+import asyncio
+from contextlib import ExitStack
+from random import Random
+
+import async_solipsism
+from behave import given, then, when
+
+from auburnproxy.errors import RefusalError
+from auburnproxy.gateway.choice import Choice
+from auburnproxy.gateway.directory import Directory
+from auburnproxy.gateway.health import Health
+from auburnproxy.gateway.host import Part, PartState
+from auburnproxy.gateway.resends import Allowance, Resends
+from features.fakes.fleet import configuration, host
+from features.fakes.store import quiet
+
+
+class Chooser:
+    """A choice over replicas of one host each, and the requests that stay."""
+
+    def __init__(self, near, far, slots, cold_s=0.0):
+        self.elsewhere = {}
+        self.heard = {}
+        self.answers = True
+        self.daemons = 1
+        self.directory = Directory(quiet())
+        self.directory.configure(configuration())
+        self.heads = [f"n{n}" for n in range(near)] + [f"f{n}" for n in range(far)]
+        for name in self.heads:
+            part = Part(f"r-{name}", 1, 0, PartState.OPEN)
+            domain = "fd1" if name[0] == "n" else "fd2"
+            head = host(
+                name,
+                failure_domain=domain,
+                models=("small",),
+                part=part,
+                slots=slots,
+                cold_s=cold_s,
+                seen_at=asyncio.get_running_loop().time(),
+            )
+            self.directory.register(head)
+        self.directory.recorded = lambda: {f"r-{name}" for name in self.heads}
+        self.health = Health(
+            quiet(), probe=self.probe, heard_elsewhere=lambda h: self.heard.get(h, -1.0)
+        )
+        self.choice = Choice(
+            self.directory,
+            self.health,
+            failure_domain="fd1",
+            elsewhere=lambda h: self.elsewhere.get(h, (0, 0)),
+            daemons=lambda: self.daemons,
+            random=Random(1),
+        )
+        self.stack = ExitStack()
+        self.taken = []
+        self.refusals = []
+
+    async def probe(self, name):
+        return self.answers
+
+    def ask(self, *, begun=True):
+        try:
+            head = self.choice.replica("small").head.id
+        except RefusalError as refusal:
+            self.refusals.append(refusal)
+            return None
+        begin = self.stack.enter_context(self.health.request(head, lambda: None))
+        if begun:
+            begin()
+            self.health.heard(head)
+        self.taken.append(head)
+        return head
+
+
+def run(context, call):
+    async def wrapped():
+        result = call()
+        return await result if asyncio.iscoroutine(result) else result
+
+    return context.loop.run_until_complete(wrapped())
+
+
+def make(context, *args, **options):
+    context.loop = async_solipsism.EventLoop()
+
+    def close():
+        context.loop.run_until_complete(asyncio.sleep(20))
+        context.loop.close()
+
+    context.add_cleanup(close)
+    context.chooser = run(context, lambda: Chooser(*args, **options))
+
+
+@given("{near:d} near and {far:d} far replicas of {slots:d} slots")
+def make_chooser(context, near, far, slots):
+    make(context, near, far, slots)
+
+
+@given("1 near and 0 far replicas of {slots:d} slots that are cold")
+def make_cold(context, slots):
+    make(context, 1, 0, slots, cold_s=3.0)
+
+
+@given("one near replica has a request without its first event")
+def read_prompt(context):
+    context.reading = run(context, lambda: context.chooser.ask(begun=False))
+
+
+@given("other daemons have {count:d} requests at the first replica")
+def load_elsewhere(context, count):
+    context.chooser.elsewhere["n0"] = (count, 0)
+
+
+@when("{count:d} requests come one after the other and stay")
+@when("{count:d} request comes")
+@when("{count:d} requests come in one second")
+def come(context, count):
+    for _ in range(count):
+        run(context, context.chooser.ask)
+
+
+@then("no replica has more than {most:d} of them")
+def compare_most(context, most):
+    taken = context.chooser.taken
+    assert max(map(taken.count, taken)) <= most, taken
+
+
+@then("the near ones have at least half of them")
+def compare_near(context):
+    near = [head for head in context.chooser.taken if head[0] == "n"]
+    assert len(near) * 2 >= len(context.chooser.taken), context.chooser.taken
+
+
+@then("it goes to the other near replica")
+def compare_other(context):
+    chosen = context.chooser.taken[-1]
+    assert chosen[0] == "n" and chosen != context.reading, chosen
+
+
+@then("the first replica has none of them")
+def compare_first(context):
+    assert "n0" not in context.chooser.taken, context.chooser.taken
+
+
+@then("{least:d} to {most:d} are taken and the others are refused with {code}")
+def compare_taken(context, least, most, code):
+    chooser = context.chooser
+    assert least <= len(chooser.taken) <= most, len(chooser.taken)
+    assert {refusal.code for refusal in chooser.refusals} == {code}
+
+
+@then("the times to come back differ and are within {least:g} and {most:g} s")
+def compare_returns(context, least, most):
+    times = [refusal.retry_after_s for refusal in context.chooser.refusals]
+    assert least <= min(times) and max(times) <= most, times
+    assert len({round(t, 2) for t in times}) > len(times) / 3, times
+
+
+@when("its head falls silent towards all streams")
+def fall_silent(context):
+    health = context.chooser.health
+    run(context, lambda: asyncio.sleep(0.4))
+    run(context, lambda: health.stalled("n0", silence_s=0.3, reason="no event"))
+
+
+@then("requests are refused with {code}")
+def compare_refused(context, code):
+    context.chooser.refusals.clear()
+    assert run(context, context.chooser.ask) is None
+    assert context.chooser.refusals[-1].code == code
+
+
+@when("its pause ends and a probe is answered")
+def end_pause(context):
+    run(context, lambda: asyncio.sleep(0.6))
+
+
+@when("its pause ends and no probe is answered")
+def end_pause_unanswered(context):
+    context.chooser.answers = False
+    run(context, lambda: asyncio.sleep(0.6))
+
+
+@then("one request is taken, and another only after its first event")
+def compare_half_open(context):
+    chooser = context.chooser
+    assert run(context, lambda: chooser.ask(begun=False)) == "n0"
+    assert run(context, chooser.ask) is None
+    run(context, lambda: chooser.health.heard("n0"))
+    assert run(context, chooser.ask) == "n0"
+
+
+@given("another daemon has just heard its head")
+def hear_elsewhere(context):
+    now = run(context, lambda: asyncio.get_running_loop().time())
+    context.chooser.heard["n0"] = now + 0.3
+
+
+@when("one of its streams gets nothing for 0.3 s")
+def stall_one(context):
+    fall_silent(context)
+
+
+@then("requests are taken")
+def compare_one_taken(context):
+    assert run(context, context.chooser.ask) == "n0"
+
+
+@given("{count:d} daemons share the bound of 36 requests a second")
+def share_bound(context, count):
+    context.chooser.daemons = count
+
+
+@then("{count:d} of them are taken")
+def compare_count(context, count):
+    assert len(context.chooser.taken) == count, len(context.chooser.taken)
+
+
+@given("a bound of 0.2 resends a request and 100 beside for 10 daemons")
+def make_resends(context):
+    context.loop = async_solipsism.EventLoop()
+    context.add_cleanup(context.loop.close)
+    context.resends = Resends(Allowance(0.2, 100, 10.0), lambda: 10)
+
+
+@when("{count:d} requests are sent in 5 s and as many resends are asked for")
+def send_and_resend(context, count):
+    async def send():
+        for _ in range(count):
+            context.resends.request()
+            await asyncio.sleep(5 / count)
+        return sum(context.resends.spend() for _ in range(count))
+
+    context.made = context.loop.run_until_complete(send())
+
+
+@then("{count:d} resends are made")
+def compare_resends(context, count):
+    assert context.made == count, context.made
+
+
+@then("none are left until the window has passed")
+def compare_left(context):
+    async def wait():
+        now = context.resends.left
+        await asyncio.sleep(10.1)
+        return now, context.resends.left
+
+    now, later = context.loop.run_until_complete(wait())
+    assert now <= 0 < later, (now, later)
+
+
+@given("a directory with a host while the store is away")
+def make_directory(context):
+    context.loop = async_solipsism.EventLoop()
+    context.add_cleanup(context.loop.close)
+
+    async def start():
+        context.away_at = asyncio.get_running_loop().time()
+        context.directory = Directory(quiet(), store_away_at=lambda: context.away_at)
+        context.directory.register(host("h"))
+
+    context.loop.run_until_complete(start())
+
+
+@when("the host's registration lapses")
+def lapse(context):
+    run(context, lambda: context.directory.unregister("h"))
+
+
+@then("the host is kept for 2 s after the store is back")
+def compare_kept(context):
+    async def wait():
+        context.away_at = asyncio.get_running_loop().time()
+        await asyncio.sleep(2)
+        context.directory.expire()
+
+    context.loop.run_until_complete(wait())
+    assert "h" in context.directory.hosts
+
+
+@then("it is gone 3 s after the store is back")
+def compare_gone(context):
+    async def wait():
+        await asyncio.sleep(1)
+        context.directory.expire()
+
+    context.loop.run_until_complete(wait())
+    assert "h" not in context.directory.hosts
--- a/features/steps/routed.py
+++ b/features/steps/routed.py
@@ -446,3 +446,28 @@
         for match in named.finditer(path.read_text())
     ]
     assert not found, found
+
+
+@given("a routed site with one engine")
+def start_small(context):
+    open_site(context, engines=1)
+
+
+@given("the only engine will break off and be away for {seconds:g} s")
+def break_off(context, seconds):
+    (engine,) = engines(context, False)
+    engine.script = ["break", "ok"]
+    broke = engine._stream
+
+    async def break_and_leave(action, reader, writer, headers):
+        if action == "break":
+            asyncio.get_running_loop().create_task(be_away())
+        await broke(action, reader, writer, headers)
+
+    async def be_away():
+        await asyncio.sleep(0.05)
+        await engine.stop()
+        await asyncio.sleep(seconds)
+        await engine.start()
+
+    engine._stream = break_and_leave
