--- /dev/null
+++ b/auburnproxy/formation/census.py
@@ -0,0 +1,66 @@
+"""How the replicas of each model stand, as one line a second."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import Counter
+from collections.abc import Iterable, Mapping
+
+from ..gateway.directory import Directory
+from ..gateway.route import EngineSpec
+from ..telemetry.decisions import Decisions
+from .register import Register
+from .standing import Standing
+
+INTERVAL_S = 1.0
+"""Seconds between two lines."""
+
+
+class Census:
+    """Logs how many replicas serve and what the spares hold.
+
+    :param directory: the registered hosts
+    :param register: the recorded replicas
+    :param decisions: takes the lines
+    """
+
+    def __init__(
+        self, directory: Directory, register: Register, decisions: Decisions
+    ) -> None:
+        self._directory = directory
+        self._register = register
+        self._decisions = decisions
+        self._due = 0.0
+
+    def take(
+        self,
+        spec: EngineSpec,
+        standings: Mapping[str, Standing],
+        loading: Iterable[str],
+    ) -> None:
+        """Log a line for each model, if that is due.
+
+        :param standings: how each replica stands, by name
+        :param loading: the model of each load that is under way
+        """
+        now = asyncio.get_running_loop().time()
+        if now < self._due:
+            return
+        self._due = now + INTERVAL_S
+        by_host = self._register.by_host
+        idle = [h for h in self._directory.hosts.values() if h.id not in by_host]
+        loads = Counter(loading)
+        for model in spec.models:
+            states = Counter(
+                standings[name]
+                for name, formed in self._register.by_name.items()
+                if formed.model == model.name
+            )
+            self._decisions.belief(
+                "census",
+                model=model.name,
+                hosts=model.hosts,
+                replicas=states,
+                spares=sum(model.name in host.staged for host in idle),
+                loading=loads[model.name],
+            )
--- a/auburnproxy/formation/conductor.py
+++ b/auburnproxy/formation/conductor.py
@@ -3,20 +3,21 @@
 from __future__ import annotations
 
 import asyncio
-from collections import Counter
 from collections.abc import Callable, Collection, Coroutine, Mapping
 from functools import partial
 from itertools import zip_longest
-from typing import Any, NamedTuple, TypeVar
+from typing import Any, NamedTuple
 
-from ..errors import AuburnError, PlatformError
+from ..errors import PlatformError
 from ..gateway.directory import Directory
 from ..gateway.host import Host
 from ..gateway.route import EngineSpec, ModelSpec
 from ..telemetry.decisions import Decisions
+from .census import Census
 from .layout import Form, Stage, fabric_domains, plan, targets_by_domain
 from .loads import Loads
 from .orders import Answer, Orders
+from .probes import Probes
 from .record import Formed, Member
 from .register import Register
 from .retirement import Retirement
@@ -28,16 +29,6 @@
 """Seconds until an order whose effect is not reported is repeated."""
 SILENT_REPEAT_S = 0.5
 """Seconds until an order that got no answer is repeated; a repeat does no harm."""
-CENSUS_S = 1.0
-"""Seconds between two lines that tell how the replicas stand."""
-PROBES = 2
-"""Probes without an answer that show a member of a stalled replica to be lost."""
-CONTROLS = 3
-"""Other hosts of a failure domain that are asked before a silent one is given up."""
-SUSPECT_S = 5.0
-"""Seconds for which a probed host that answered is not probed again."""
-DEAD_KEPT_S = 30.0
-"""Seconds for which a lost process is remembered; its registration lapses sooner."""
 START_STEP_S = 0.1
 """Seconds between two looks until the first request, as long as loads are short."""
 START_OVERLAP = 2.0
@@ -48,8 +39,6 @@
 LOAD_SLACK = 1.5
 """Times the configured time of a load after which it is not waited for any more."""
 
-K = TypeVar("K")
-
 
 class _Sent(NamedTuple):
     at: float
@@ -97,18 +86,12 @@
         self._retirement = Retirement(orders, decisions)
         self._sent_by_host: dict[str, _Sent] = {}
         self._staging_by_host: dict[str, tuple[str, float]] = {}
-        self._dead_until: dict[tuple[str, int], float] = {}
-        self._probed_until: dict[str, float] = {}
+        self._probes = Probes(directory, orders, decisions)
         self._tasks: set[asyncio.Task[None]] = set()
-        self._census_at = 0.0
+        self._census = Census(directory, register, decisions)
         self._hosts_seen = (0, 0.0)
         """Hosts that were registered, and the loop's time at which that changed."""
 
-    @property
-    def starting(self) -> bool:
-        """Return whether loads are still short because nothing has been served."""
-        return self._starting()
-
     @property
     def retiring_heads(self) -> tuple[str, ...]:
         """Return the heads of the replicas that this daemon is ending."""
@@ -135,6 +118,7 @@
             for task in self._tasks:
                 task.cancel()
             self._retirement.cancel()
+            self._probes.cancel()
 
     async def step(self) -> None:
         """Look once at the replicas and do what is due.
@@ -148,41 +132,17 @@
         self._expire()
         self._probe_suspects()
         standings = {
-            formed.name: standing(
-                formed, self._directory.hosts, dead=self._dead_until.keys()
-            )
+            formed.name: standing(formed, self._directory.hosts, dead=self._probes.lost)
             for formed in self._register.by_name.values()
         }
         self._retire(standings)
-        self._take_census(spec, standings)
+        loading = (model for model, _ in self._staging_by_host.values())
+        self._census.take(spec, standings, loading)
         if self._register.follower.up and self._settled():
             await self._record(service, spec, standings)
             self._leave_strays()
         self._order(spec, standings)
 
-    def _take_census(self, spec: EngineSpec, standings: Mapping[str, Standing]) -> None:
-        """Log once a second how many replicas serve and what the spares hold."""
-        now = _now()
-        if now < self._census_at:
-            return
-        self._census_at = now + CENSUS_S
-        by_host = self._register.by_host
-        idle = [h for h in self._directory.hosts.values() if h.id not in by_host]
-        for model in spec.models:
-            states = Counter(
-                standings[name]
-                for name, formed in self._register.by_name.items()
-                if formed.model == model.name
-            )
-            self._decisions.belief(
-                "census",
-                model=model.name,
-                hosts=model.hosts,
-                replicas=states,
-                spares=sum(model.name in host.staged for host in idle),
-                loading=sum(m == model.name for m, _ in self._staging_by_host.values()),
-            )
-
     def _settled(self) -> bool:
         """Return whether the hosts of a started system have all registered."""
         if not self._starting():
@@ -194,8 +154,7 @@
 
     def _expire(self) -> None:
         now = _now()
-        self._dead_until = _after(now, self._dead_until)
-        self._probed_until = _after(now, self._probed_until)
+        self._probes.expire()
         hosts = self._directory.hosts
         for host_id, (model, until) in list(self._staging_by_host.items()):
             host = hosts.get(host_id)
@@ -213,67 +172,7 @@
             formed = by_head.get(head)
             if formed is not None:
                 for member in formed.members:
-                    self._probe(member, "stalled")
-
-    def _probe(self, member: Member, reason: str) -> None:
-        host = self._directory.hosts.get(member.id)
-        if (
-            member.id in self._probed_until
-            or (member.id, member.born) in self._dead_until
-        ):
-            return
-        if host is None:
-            domain = self._domain_of(member)
-            host = Host(
-                member.id, "", member.address, domain, 0, False, 0.0, member.born
-            )
-        self._probed_until[member.id] = _now() + SUSPECT_S
-        self._spawn(self._check(member, host, reason))
-
-    def _domain_of(self, member: Member) -> str:
-        """Return the failure domain of a member that is not registered any more."""
-        formed = self._register.by_host.get(member.id)
-        return formed.fabric_domain.partition("/")[0] if formed else ""
-
-    async def _check(self, member: Member, host: Host, reason: str) -> None:
-        error: AuburnError | None = None
-        for _ in range(PROBES):
-            try:
-                seen = await self._orders.report(host)
-            except AuburnError as failure:
-                error = failure
-                continue
-            if seen.born == member.born:
-                return
-            error = None
-            break
-        if error is not None and not await self._reaches(host):
-            self._decisions.belief("host_unreachable", upstream=member.id)
-            return
-        self._dead_until[member.id, member.born] = _now() + DEAD_KEPT_S
-        self._decisions.belief(
-            "host_lost", upstream=member.id, reason=reason, error=repr(error)
-        )
-
-    async def _reaches(self, silent: Host) -> bool:
-        """Return whether another host near a silent one answers this daemon.
-
-        If none does, this daemon is more likely cut off than they are all lost.
-        """
-        others = [
-            host
-            for host in self._directory.hosts.values()
-            if host.failure_domain == silent.failure_domain
-            and host.fabric_domain != silent.fabric_domain
-            and host.life not in self._dead_until
-        ]
-        for host in sorted(others, key=lambda host: -host.seen_at)[:CONTROLS]:
-            try:
-                await self._orders.report(host)
-            except AuburnError:
-                continue
-            return True
-        return False
+                    self._probes.ask(member, formed.failure_domain, "stalled")
 
     def _retire(self, standings: dict[str, Standing]) -> None:
         for formed in self._register.by_name.values():
@@ -281,7 +180,8 @@
             if state is Standing.MISSING:
                 for member in formed.members:
                     if member.id not in self._directory.hosts:
-                        self._probe(member, "unregistered")
+                        domain = formed.failure_domain
+                        self._probes.ask(member, domain, "unregistered")
             elif state in (Standing.LOST, Standing.LEAVING):
                 lost = not any(map(self._may_live, formed.members))
                 self._retirement.begin(
@@ -297,7 +197,7 @@
         return [member for member in formed.members[1:] if self._may_live(member)]
 
     def _may_live(self, member: Member) -> bool:
-        dead = (member.id, member.born) in self._dead_until
+        dead = (member.id, member.born) in self._probes.lost
         return not dead and not self._restarted(member)
 
     def _restarted(self, member: Member) -> bool:
@@ -344,7 +244,7 @@
             if host.service == service
             and not host.leaving
             and host.fabric_domain
-            and host.life not in self._dead_until
+            and host.life not in self._probes.lost
             and not self._stray(host)
         ]
         staging = {host: model for host, (model, _) in self._staging_by_host.items()}
@@ -484,9 +384,5 @@
             self._decisions.belief("order_failed", error=repr(error))
 
 
-def _after(now: float, until_by_key: Mapping[K, float]) -> dict[K, float]:
-    return {key: until for key, until in until_by_key.items() if until > now}
-
-
 def _now() -> float:
     return asyncio.get_running_loop().time()
--- a/auburnproxy/formation/record.py
+++ b/auburnproxy/formation/record.py
@@ -27,6 +27,7 @@
     """Offset of the record; a later replica always has a higher one."""
     model: str
     fabric_domain: str
+    """Failure domain and fabric domain, separated by a slash."""
     members: tuple[Member, ...]
     """By rank; the first is the head."""
 
@@ -35,6 +36,11 @@
         """Return the member that takes requests."""
         return self.members[0]
 
+    @property
+    def failure_domain(self) -> str:
+        """Return the failure domain of its hosts."""
+        return self.fabric_domain.partition("/")[0]
+
     @property
     def ids(self) -> tuple[str, ...]:
         """Return the ids of the members by rank."""
--- a/auburnproxy/gateway/streams.py
+++ b/auburnproxy/gateway/streams.py
@@ -274,7 +274,7 @@
         if self._response is None:
             await self._start(answer)
         assert self._response is not None
-        limit.reschedule(None)
+        limit.reschedule(self._call.deadline)
         await self._response.write_eof()
         return self._response
 
@@ -302,7 +302,7 @@
             if events:
                 self._heard = True
                 self._begin()
-                limit.reschedule(None)
+                limit.reschedule(self._call.deadline)
                 data = b""
                 for event in events:
                     if not follows(event.id, self._last_id):
