--- a/features/choice.feature
+++ b/features/choice.feature
@@ -7,8 +7,9 @@
     And the near ones have at least half of them
 
   Scenario: A request goes past a replica that reads a prompt (prompts hold streams up)
-    Given 2 near and 1 far replicas of 9 slots
+    Given 2 near and 0 far replicas of 9 slots
     And one near replica has a request without its first event
+    And the other near replica has 2 streams that have begun
     When 1 request comes
     Then it goes to the other near replica
 
--- a/features/fakes/fleet.py
+++ b/features/fakes/fleet.py
@@ -117,7 +117,10 @@
             if part != Part(formed.name, formed.epoch, 0, PartState.READY):
                 return
             for member in formed.members:
-                if not self._has(member.id, formed):
+                taken = self.hosts[member.id].part
+                gone = member.id in self.stopped
+                ready = taken is not None and taken.state is PartState.READY
+                if not gone and not (ready and self._has(member.id, formed)):
                     self.violations.append(f"{formed.name} opened without {member.id}")
             await asyncio.sleep(ENGINE.form_s)
             if self.hosts[formed.head.id].part == part:
--- a/features/fakes/platform.py
+++ b/features/fakes/platform.py
@@ -267,7 +267,7 @@
         "version": version,
         "routes": [
             route("s", STREAM_PATH, "streaming", "engines", **stream),
-            route("o", ONCE_PATH, "non_idempotent", "plain", **{"max-attempts": 1}),
+            route("o", ONCE_PATH, "non_idempotent", "plain"),
             route("i", SAFE_PATH, "idempotent", "plain"),
             route("p", PUBLIC_PATH, "idempotent", "plain", public=True),
         ],
--- a/features/readers.feature
+++ b/features/readers.feature
@@ -13,10 +13,10 @@
     And 6 s pass while a record is written each second
     Then each daemon holds the newest record
 
-  Scenario: Another daemon reads when the store turns a reader away
+  Scenario: Other daemons read when the store turns both readers away
     Given 5 daemons of one failure domain that follow a topic
     When 3 s pass while a record is written each second
-    And the store turns a reader away
+    And the store turns both readers away
     And 6 s pass while a record is written each second
     Then each daemon holds the newest record
 
--- a/features/routed.feature
+++ b/features/routed.feature
@@ -43,7 +43,13 @@
       | unframed reset | 502    |
       | unframed       | 200    |
       | failed         | 500    |
-      | shed           | 503    |
+
+  Scenario: What was not run is sent to another host, also if it may run once
+    Given a routed site
+    And the first plain engine asked will shed
+    When a caller places an order
+    Then the caller is answered 200
+    And 2 plain engines were asked
 
   Scenario Outline: A lookup is repeated at another host
     Given a routed site
@@ -140,6 +146,7 @@
     Given a routed site
     And a second daemon
     When the store turns the second daemon away
+    And 2.8 s pass there
     And the key is revoked
     And 1.5 s pass there
     And a request comes to the second daemon with its key
--- a/features/steps/choice.py
+++ b/features/steps/choice.py
@@ -108,6 +108,20 @@
     context.reading = run(context, lambda: context.chooser.ask(begun=False))
 
 
+@given("the other near replica has {count:d} streams that have begun")
+def begin_streams(context, count):
+    (other,) = {"n0", "n1"} - {context.reading}
+    health = context.chooser.health
+
+    def begin():
+        request = health.request(other, lambda: None)
+        context.chooser.stack.enter_context(request)()
+        health.heard(other)
+
+    for _ in range(count):
+        run(context, begin)
+
+
 @given("other daemons have {count:d} requests at the first replica")
 def load_elsewhere(context, count):
     context.chooser.elsewhere["n0"] = (count, 0)
--- a/features/steps/readers.py
+++ b/features/steps/readers.py
@@ -120,9 +120,10 @@
     readers(context)[0].lost = True
 
 
-@when("the store turns a reader away")
-def turn_reader_away(context):
-    readers(context)[0].port.away = True
+@when("the store turns both readers away")
+def turn_readers_away(context):
+    first, second = readers(context)
+    first.port.away = second.port.away = True
 
 
 @when("a daemon that does not read hears nobody any more")
