Count tries of a stream by live heads, and add a soak of real daemons

Engines that hang a part of their requests were left out as silent, and a head that is left out did not count against the route's attempts. Ruled out: resends after refusals, which run nowhere. Change: a try counts unless its head is known to be gone (not registered, being ended, or silent to a probe); a begun stream waits for that to show, others end at once. Test: 'No more live heads are tried than the route allows' failed before.

--- a/auburnproxy/gateway/choice.py
+++ b/auburnproxy/gateway/choice.py
@@ -163,6 +163,12 @@
         }
         return refusal
 
+    def gone(self, host_id: str) -> bool:
+        """Return whether an upstream has ended or is cut off from this daemon."""
+        if host_id not in self._directory.hosts or host_id in self._lost():
+            return True
+        return self._health.unanswered(host_id)
+
     def load(self, host: Host) -> int:
         """Return the requests at an upstream, as far as they are known."""
         return self._health.in_flight(host.id) + self._elsewhere(host.id)[0]
--- a/auburnproxy/gateway/streams.py
+++ b/auburnproxy/gateway/streams.py
@@ -109,7 +109,7 @@
         self._begin: Callable[[], None] = _nothing
         self._ran = Ran.NO
         self._exclude: set[str] = set()
-        self._counted = 0
+        self._failed: list[str] = []
         self._unsent = 0
         self._tries = 0
         self._first_at = 0.0
@@ -136,7 +136,7 @@
                 return response
             except TryError as error:
                 self._log(replica, error)
-                if not self._may_go_on(replica, error):
+                if not await self._may_go_on(replica, error):
                     self._give_up(error.code, None, {})
 
     def _waits_for_replica(self) -> bool:
@@ -150,7 +150,7 @@
         self._exclude.clear()
         return self._call.remaining_s > REPLICA_WAIT_S
 
-    def _may_go_on(self, replica: ServingReplica, error: TryError) -> bool:
+    async def _may_go_on(self, replica: ServingReplica, error: TryError) -> bool:
         """Count a failed try; return whether another one is allowed."""
         self._exclude.add(replica.head.id)
         if error.ran is Ran.UNKNOWN:
@@ -160,15 +160,23 @@
         if not error.sent:
             self._unsent += 1
             return self._unsent < MOST_UNSENT or self._waits_for_replica()
-        if not self._parts.health.excluded(replica.head.id):
-            # A head that is lost does not count against the route's attempts.
-            self._counted += 1
-        if self._counted >= self._call.route.attempts:
-            return False
+        self._failed.append(replica.head.id)
         if self._ran is Ran.UNKNOWN and not self._call.route.repeatable:
             return False
+        while not self._has_attempts_left():
+            if not self._waits_for_replica():
+                return False
+            await asyncio.sleep(REPLICA_WAIT_S)
         return self._resends.spend()
 
+    def _has_attempts_left(self) -> bool:
+        """Return whether fewer live heads were tried than the route allows.
+
+        Whether a silent head is gone shows only some time after its try.
+        """
+        live = [head for head in self._failed if not self._parts.choice.gone(head)]
+        return len(live) < self._call.route.attempts
+
     def _give_up(
         self,
         code: str,
--- a/features/routed.feature
+++ b/features/routed.feature
@@ -179,3 +179,10 @@
     And the only engine will break off and be away for 0.4 s
     When a caller asks for a stream
     Then it gets 6 events in order, complete
+
+  Scenario: No more live heads are tried than the route allows
+    Given a routed site with three engines
+    And every engine will stall
+    When a caller asks for a stream
+    Then its answer breaks off after event 3
+    And 2 engines have got the request
--- a/features/steps/routed.py
+++ b/features/steps/routed.py
@@ -471,3 +471,14 @@
         await engine.start()
 
     engine._stream = break_and_leave
+
+
+@given("a routed site with three engines")
+def start_three(context):
+    open_site(context, engines=3)
+
+
+@then("{count:d} engines have got the request")
+def compare_tried(context, count):
+    tried = {name for name, _ in asked(context, False)}
+    assert len(tried) == count, tried
--- /dev/null
+++ b/soak/__init__.py
@@ -0,0 +1,1 @@
+"""A randomized soak of real daemons on loopback, with faults from outside."""
--- /dev/null
+++ b/soak/main.py
@@ -0,0 +1,198 @@
+"""The command behind ``bin/soak``."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+import sys
+import tempfile
+import time
+from pathlib import Path
+from random import Random
+
+import defopt
+from aiohttp import ClientSession
+
+from features.fakes.platform import ONCE_PATH, SAFE_PATH, STREAM_PATH, config
+
+from .callers import Callers
+from .proxy import Mode
+from .site import SoakSite
+
+CALLERS = 12
+WARM_S = 4.0
+"""Time in which the daemons start and find each other."""
+CALM_S = 6.0
+"""Time without faults after which everything has to be served again."""
+LAST_CALLS = 30
+LEAST_SERVED = 27
+
+
+class Faults:
+    """Faults in series and overlapping, all chosen by a seed.
+
+    :param site: what they hit
+    :param seed: chooses them
+    """
+
+    def __init__(self, site: SoakSite, seed: int) -> None:
+        self.done: list[str] = []
+        self._site = site
+        self._random = Random(seed)
+        self._version = 1
+        self._began = time.monotonic()
+
+    async def run(self, seconds: float) -> None:
+        """Play faults for a while, and end them all."""
+        tasks = []
+        until = time.monotonic() + seconds
+        kinds = (
+            self._kill,
+            self._pause,
+            self._terminate,
+            self._hang_up,
+            self._store,
+            self._engine_crash,
+            self._engine_leaves,
+            self._configure,
+            self._mark,
+        )
+        while time.monotonic() < until:
+            fault = self._random.choice(kinds)
+            tasks.append(asyncio.create_task(fault()))
+            await asyncio.sleep(self._random.uniform(0.1, 1.5))
+        await asyncio.gather(*tasks)
+
+    def _note(self, text: str) -> None:
+        self.done.append(f"{time.monotonic() - self._began:.2f} {text}")
+
+    async def _kill(self) -> None:
+        daemon = self._random.choice(self._site.daemons)
+        self._note(f"kill {daemon.name}")
+        daemon.send(signal.SIGKILL)
+        await daemon.ended()
+        await asyncio.sleep(self._random.uniform(0.0, 1.0))
+        await daemon.start()
+
+    async def _pause(self) -> None:
+        daemon = self._random.choice(self._site.daemons)
+        seconds = self._random.uniform(0.2, 3.0)
+        self._note(f"pause {daemon.name} {seconds:.1f} s")
+        daemon.send(signal.SIGSTOP)
+        await asyncio.sleep(seconds)
+        daemon.send(signal.SIGCONT)
+
+    async def _terminate(self) -> None:
+        daemon = self._random.choice(self._site.daemons)
+        self._note(f"terminate {daemon.name}")
+        daemon.send(signal.SIGTERM)
+        await daemon.ended()
+        await daemon.start()
+
+    async def _hang_up(self) -> None:
+        daemon = self._random.choice(self._site.daemons)
+        self._note(f"hang up {daemon.name}")
+        daemon.send(signal.SIGHUP)
+
+    async def _store(self) -> None:
+        proxy = self._random.choice(self._site.proxies)
+        mode = self._random.choice([mode for mode in Mode if mode is not Mode.PASS])
+        self._note(f"store {mode} at {self._site.proxies.index(proxy)}")
+        proxy.set(mode, delay_s=self._random.uniform(0.1, 1.0))
+        await asyncio.sleep(self._random.uniform(0.5, 4.0))
+        proxy.set(Mode.PASS)
+
+    async def _engine_crash(self) -> None:
+        name = self._random.choice(sorted(self._site.engines))
+        engine = self._site.engines[name]
+        self._note(f"engine {name} is away")
+        await engine.stop()
+        engine.script = ["reset"]
+        await asyncio.sleep(self._random.uniform(0.2, 2.0))
+        engine.script = ["ok"]
+        await engine.start()
+
+    async def _engine_leaves(self) -> None:
+        name = self._random.choice(sorted(self._site.engines))
+        zone = f"z{int(name[1:]) % 2}"
+        service = "engines" if name[0] == "e" else "plain"
+        self._note(f"engine {name} leaves and comes back")
+        register = self._site.platform.register
+        register(name, service=service, zone=zone, state="draining")
+        await asyncio.sleep(self._random.uniform(0.5, 3.0))
+        register(name, service=service, zone=zone)
+
+    async def _configure(self) -> None:
+        self._version += 1
+        self._note(f"configuration {self._version}")
+        store = self._site.platform.store
+        store.put("keyed.op", "config", config(version=self._version))
+
+    async def _mark(self) -> None:
+        zone = self._random.choice(("z0", "z1"))
+        self._note(f"{zone} is out")
+        store = self._site.platform.store
+        store.put("keyed.op", f"evacuate/{zone}", {})
+        await asyncio.sleep(self._random.uniform(0.5, 2.0))
+        store.put("keyed.op", f"evacuate/{zone}", None)
+
+
+async def _recovers(callers: Callers, site: SoakSite) -> None:
+    """Check that every daemon serves again once all faults have ended."""
+    await asyncio.sleep(CALM_S)
+    served = 0
+    async with ClientSession() as session:
+        for number in range(LAST_CALLS):
+            daemon = site.daemons[number % len(site.daemons)]
+            path = (STREAM_PATH, ONCE_PATH, SAFE_PATH)[number % 3]
+            served += await callers.call(session, daemon.callers, path) == "200"
+    if served < LEAST_SERVED:
+        callers.broken.append(f"{served} of {LAST_CALLS} served after the faults")
+
+
+async def play(seed: int, seconds: float, daemons: int, folder: Path) -> list[str]:
+    """Play one seed and return the promises that were broken."""
+    site = SoakSite(folder, daemons=daemons)
+    callers, faults = Callers(site, seed), Faults(site, seed)
+    try:
+        await site.start(config())
+        await asyncio.sleep(WARM_S)
+        calling = [asyncio.create_task(callers.run(n)) for n in range(CALLERS)]
+        await faults.run(seconds)
+        for task in calling:
+            task.cancel()
+        await asyncio.gather(*calling, return_exceptions=True)
+        await _recovers(callers, site)
+        callers.check_engines()
+    finally:
+        await site.stop()
+    outcomes = ", ".join(f"{k}: {n}" for k, n in sorted(callers.outcomes.items()))
+    print(f"seed {seed}: {len(faults.done)} faults; {outcomes}")
+    for broken in callers.broken:
+        print(f"  broken: {broken}")
+    if callers.broken:
+        print("  faults: " + "; ".join(faults.done))
+        print(f"  logs: {folder}")
+    return callers.broken
+
+
+def soak(
+    *, seed: int = 1, seeds: int = 1, seconds: float = 20.0, daemons: int = 4
+) -> int:
+    """Play seeds one after the other; exits with 1 if a promise was broken.
+
+    :param seed: the first seed
+    :param seeds: how many
+    :param seconds: how long faults are played in each
+    :param daemons: daemons in processes of their own
+    """
+    failed = 0
+    for number in range(seed, seed + seeds):
+        folder = Path(tempfile.mkdtemp(prefix=f"soak-{number}-"))
+        failed += bool(asyncio.run(play(number, seconds, daemons, folder)))
+    print(f"{seeds - failed} passed, {failed} failed")
+    return 1 if failed else 0
+
+
+if __name__ == "__main__":
+    sys.exit(defopt.run(soak))
--- /dev/null
+++ b/soak/site.py
@@ -0,0 +1,144 @@
+"""Daemons as processes, and engines and a store that they meet."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import signal
+import sys
+from pathlib import Path
+
+import yaml
+
+from features.fakes.platform import EngineStandIn, Site
+from features.loopback import free_addresses
+
+from .proxy import Proxy
+
+GRACE_S = 8.0
+FIRST_HOST = 2
+"""Last number of the first daemon's loopback address; the metrics port is shared."""
+
+
+class DaemonProcess:
+    """One daemon in a process of its own, which only this soak started.
+
+    :param number: its place among the daemons
+    :param store: address of the store's proxy
+    :param folder: for its settings and log
+    """
+
+    def __init__(self, number: int, zone: str, store: str, folder: Path) -> None:
+        self.name = f"d{number}"
+        self.callers = _address(number)
+        self._ip = self.callers.rpartition(":")[0]
+        self._settings = folder / f"{self.name}.yaml"
+        self._log = (folder / f"{self.name}.log").open("ab")
+        beats, internal, readiness = (_address(number) for _ in range(3))
+        settings = {
+            "node-name": self.name,
+            "ip": self._ip,
+            "zone": zone,
+            "listen": {"front": self.callers, "readiness": readiness},
+            "internal-ports": [_port(beats), _port(internal)],
+            "platform": {"address": store},
+            "bounds": {
+                "retry-budget-ratio": 0.2,
+                "budget-slack": 103,
+                "budget-window-s": 10,
+                "grace-s": GRACE_S,
+            },
+        }
+        self._settings.write_text(yaml.safe_dump(settings))
+        self._process: asyncio.subprocess.Process | None = None
+
+    @property
+    def runs(self) -> bool:
+        """Return whether the process is there."""
+        return self._process is not None and self._process.returncode is None
+
+    async def start(self) -> None:
+        """Start the process, unless it runs."""
+        if self.runs:
+            return
+        self._process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-m",
+            "auburnproxy.daemon",
+            "--deployment",
+            "auburnproxy.platform",
+            env={**os.environ, "AUBURNPROXY_CONFIG": str(self._settings)},
+            stdout=self._log,
+            stderr=self._log,
+        )
+
+    def send(self, number: signal.Signals) -> None:
+        """Send a signal to the process, if it runs."""
+        if self._process is not None and self.runs:
+            self._process.send_signal(number)
+
+    async def ended(self) -> None:
+        """Wait until the process has ended."""
+        if self._process is not None:
+            await self._process.wait()
+
+    async def stop(self) -> None:
+        """End the process at once."""
+        self.send(signal.SIGCONT)
+        self.send(signal.SIGKILL)
+        await self.ended()
+        self._log.close()
+
+
+class SoakSite:
+    """The store, engines of both kinds in two failure domains, and the daemons.
+
+    :param folder: for settings and logs
+    :param daemons: number of daemons
+    """
+
+    def __init__(self, folder: Path, *, daemons: int) -> None:
+        self.platform = Site(folder)
+        self.daemons: list[DaemonProcess] = []
+        self.proxies: list[Proxy] = []
+        self._folder = folder
+        self._count = daemons
+
+    @property
+    def engines(self) -> dict[str, EngineStandIn]:
+        """Return the engines by name."""
+        return self.platform.engines
+
+    async def start(self, configuration: dict[str, object]) -> None:
+        """Start everything and wait until the daemons have read their configuration."""
+        await self.platform.start()
+        self.platform.store.put("keyed.op", "config", configuration)
+        for number in range(4):
+            zone = f"z{number % 2}"
+            await self.platform.add_engine(f"e{number}", zone=zone)
+            await self.platform.add_engine(f"p{number}", service="plain", zone=zone)
+        for number in range(self._count):
+            proxy = Proxy(free_addresses(1)[0], self.platform.store_address)
+            await proxy.start()
+            self.proxies.append(proxy)
+            zone = f"z{number % 2}"
+            daemon = DaemonProcess(number, zone, proxy.address, self._folder)
+            await daemon.start()
+            self.daemons.append(daemon)
+
+    async def stop(self) -> None:
+        """End every process that was started, and close every connection."""
+        for daemon in self.daemons:
+            await daemon.stop()
+        for proxy in self.proxies:
+            await proxy.stop()
+        await self.platform.stop()
+
+
+def _address(number: int) -> str:
+    port = _port(free_addresses(1)[0])
+    return f"127.0.0.{FIRST_HOST + number}:{port}"
+
+
+def _port(address: str) -> int:
+    return int(address.rpartition(":")[2])
