--- a/features/fakes/platform.py
+++ b/features/fakes/platform.py
@@ -135,6 +135,8 @@
         self.requests: list[tuple[str, str, dict[str, str], bytes]] = []
         self.cancelled = 0
         self.part: dict[str, object] | None = None
+        """What it reports of its part in a replica."""
+        self.on_order: Callable[[dict], None] = lambda order: None
         self._server: asyncio.Server | None = None
 
     async def start(self) -> None:
@@ -156,9 +158,10 @@
             body = await reader.readexactly(int(headers.get("content-length", 0)))
             method, path, _ = first.split(" ")
             if path == "/report":
-                report = {"models": [], "staged": [], "born": 1}
+                report = {"models": [], "staged": [], "born": 1, "group": self.part}
                 self._plain(writer, headers, json.dumps(report).encode())
             elif path == "/order":
+                self.on_order(json.loads(body))
                 self._plain(writer, headers, b"", "202 Accepted")
             else:
                 self.requests.append((method, path, headers, body))
@@ -292,6 +295,7 @@
         self.daemons: list[RoutedDaemon] = []
         self.addresses: list[str] = []
         self._runners: list[web.AppRunner] = []
+        self._more: dict[str, dict[str, object]] = {}
 
     async def start(self) -> None:
         await self._listen(self.store.app(), self.store_address)
@@ -300,11 +304,32 @@
         engine = EngineStandIn(name, free_addresses(1)[0])
         await engine.start()
         self.engines[name] = engine
+        if service == "engines":
+            group = {"name": f"r-{name}", "epoch": 1, "rank": 0, "state": "open"}
+            engine.part = group
+            engine.on_order = lambda order: self._obey(name, zone, order)
         self.register(name, service=service, zone=zone, **more)
         return engine
 
+    def _obey(self, name: str, zone: str, order: dict) -> None:
+        """Take an order's effect at once; a replica here has one host."""
+        engine = self.engines[name]
+        operation = order["operation"]
+        named = {"name": order.get("group"), "epoch": order.get("epoch"), "rank": 0}
+        same = engine.part is not None and engine.part["name"] == named["name"]
+        if operation == "join":
+            engine.part = named | {"state": "ready"}
+        elif operation == "open" and same:
+            engine.part = named | {"state": "open"}
+        elif operation == "close" and same:
+            engine.part = named | {"state": "ready"}
+        elif operation == "leave" and same:
+            engine.part = None
+        self.register(name, zone=zone, **self._more.get(name, {}))
+
     def register(self, name: str, *, service="engines", zone="z1", **more) -> None:
         """Write an engine's registration, with a replica of its own if it forms any."""
+        self._more[name] = more
         entry = {
             "service": service,
             "address": self.engines[name].address,
@@ -321,10 +346,10 @@
                 "domain": "d0",
                 "models": [{"name": MODEL, "version": 1}],
                 "staged": [MODEL],
-                "group": {"name": f"r-{name}", "epoch": 1, "rank": 0, "state": "open"},
+                "group": self.engines[name].part,
             }
-            member = {"id": name, "born": 1, "address": self.engines[name].address}
-            replica = [f"r-{name}", 1, MODEL, f"{zone}/d0", [list(member.values())]]
+            member = [name, 1, self.engines[name].address]
+            replica = [f"r-{name}", 1, MODEL, f"{zone}/d0", [member]]
             if not any(
                 f"replica/r-{name}".encode() in record
                 for record in self.store.records_by_topic.get("keyed.replicas", [])
