Leave reading to others while the store is late to answer a reader

Cause: a daemon counted as one that reaches the store until a reading failed. One whose reading hung (a wait of 2.5 s and 3.0 s for the answer) stayed a reader for up to 5.5 s, and the daemons of its failure domain waited for it.

Ruled out: readings that fail at once, which readers.feature covers.

A follower now tells whether its reading is later than its wait and 0.6 s, and a daemon reaches the store if operators', hosts' and replicas' records all are read in time. Before: the new scenario fails (nobody has the newest record 2 s after both readers fell silent); after: it passes.

--- a/auburnproxy/beats/circle.py
+++ b/auburnproxy/beats/circle.py
@@ -71,7 +71,6 @@
     ) -> None:
         self._name = name
         self._seat = seat
-        self._follower = follower
         self._say = say
         self._decisions = decisions
         self._seats: dict[str, Seat] = {}
@@ -94,18 +93,13 @@
     @property
     def present(self) -> frozenset[str]:
         """Return the other daemons that were heard of late."""
-        now = _now()
-        return frozenset(n for n, h in self._heard.items() if now - h.at < HEARD_S)
+        return frozenset(heard.beat.name for heard in self._fresh(HEARD_S))
 
     @property
     def acting(self) -> frozenset[str]:
         """Return the other daemons that lately said to be on duty."""
-        now = _now()
-        return frozenset(
-            name
-            for name, heard in self._heard.items()
-            if heard.beat.on_duty and now - heard.at < HEARD_S
-        )
+        fresh = self._fresh(HEARD_S)
+        return frozenset(heard.beat.name for heard in fresh if heard.beat.on_duty)
 
     @property
     def served(self) -> bool:
@@ -115,13 +109,8 @@
     @property
     def suspects(self) -> frozenset[str]:
         """Return the upstreams that others leave out."""
-        now = _now()
-        return frozenset(
-            host
-            for heard in self._heard.values()
-            if now - heard.at < LOAD_S
-            for host in heard.beat.suspects
-        )
+        fresh = self._fresh(LOAD_S)
+        return frozenset(host for heard in fresh for host in heard.beat.suspects)
 
     @property
     def end_by_peer(self) -> Mapping[str, Mapping[str, int]]:
@@ -129,11 +118,10 @@
 
         Those of the own failure domain are told of, if any is heard.
         """
-        now = _now()
         heard = {
-            name: heard.beat.end_by_topic
-            for name, heard in self._heard.items()
-            if now - heard.at < LOAD_S and name in self._seats
+            heard.beat.name: heard.beat.end_by_topic
+            for heard in self._fresh(LOAD_S)
+            if heard.beat.name in self._seats
         }
         near = heard.keys() & self._near
         return {
@@ -157,6 +145,11 @@
         order = rank_names("reader", {self._name, *able})
         return order.index(self._name) < READERS
 
+    def _fresh(self, age_s: float) -> list[Heard]:
+        """Return the newest beats that are younger than an age in seconds."""
+        since = _now() - age_s
+        return [heard for heard in self._heard.values() if heard.at > since]
+
     @property
     def _near(self) -> set[str]:
         own = self._seat.failure_domain
@@ -165,20 +158,14 @@
     @property
     def lost(self) -> frozenset[str]:
         """Return the heads of the replicas that the daemon on duty is ending."""
-        now = _now()
-        return frozenset(
-            host
-            for heard in self._heard.values()
-            if now - heard.at < LOAD_S
-            for host in heard.beat.lost
-        )
+        fresh = self._fresh(LOAD_S)
+        return frozenset(host for heard in fresh for host in heard.beat.lost)
 
     def work(self, host: str) -> tuple[int, int]:
         """Return the requests of the others at an upstream, and those that wait."""
-        now, in_flight, waiting = _now(), 0, 0
-        for heard in self._heard.values():
-            work = heard.beat.work_by_host.get(host)
-            if work is not None and now - heard.at < LOAD_S:
+        in_flight = waiting = 0
+        for heard in self._fresh(LOAD_S):
+            if work := heard.beat.work_by_host.get(host):
                 in_flight += work.in_flight
                 waiting += work.waiting
         return in_flight, waiting
--- a/auburnproxy/daemon/routed.py
+++ b/auburnproxy/daemon/routed.py
@@ -7,6 +7,7 @@
 
 from aiohttp import ClientTimeout, web
 
+from .. import __version__
 from ..beats import Beat, Circle
 from ..beats.circle import Seat
 from ..errors import AuburnError, DocumentError, PlatformError
@@ -201,7 +202,7 @@
     def start(self) -> None:
         """Start the tasks of all slices."""
         self.decisions.belief(
-            "started", failure_domain=self.settings.failure_domain, version="0.1.0"
+            "started", failure_domain=self.settings.failure_domain, version=__version__
         )
         for name, work in (
             ("operators", self._operators.run()),
@@ -331,7 +332,11 @@
         """Return whether this daemon reads the shared topics from the store."""
         if self.duty.held:
             return True
-        return self.circle.reads_store(reaches=self._upstreams.up)
+        return self.circle.reads_store(reaches=self._reaches_store())
+
+    def _reaches_store(self) -> bool:
+        shared = (self._operators, self._upstreams, self.register.follower)
+        return all(follower.reaches for follower in shared)
 
     def _registration_pause_s(self) -> float:
         if not self.duty.held:
@@ -348,7 +353,7 @@
         return Beat(
             self.settings.name,
             self.duty.acting,
-            self._upstreams.up,
+            self._reaches_store(),
             self.face.served > 0,
             self.health.work_by_host,
             self.relay.end_by_topic,
--- a/auburnproxy/gateway/choice.py
+++ b/auburnproxy/gateway/choice.py
@@ -140,8 +140,14 @@
         if not free:
             raise self._refusal("no_slot", FULL_RETRY_S, hosts, fit)
 
+        suspected = self._suspected()
+
         def score(host: Host) -> tuple[float, float]:
-            load = self._score(host) + (MISSING_LOAD if host.id in missing else 0.0)
+            load = self._score(host)
+            if host.id in missing:
+                load += MISSING_LOAD
+            if host.id in suspected:
+                load += SUSPECT_LOAD
             return load, self._random.random()
 
         chosen = min(free, key=score)
@@ -180,8 +186,6 @@
         score = (in_flight + WAITING_WEIGHT * waiting) / max(host.slots, 1)
         if host.failure_domain != self._failure_domain:
             score += FAR_LOAD
-        if host.id in self._suspected():
-            score += SUSPECT_LOAD
         if self._health.quiet_s(host.id) > QUIET_S:
             score += QUIET_LOAD
         return score
--- a/auburnproxy/gateway/host.py
+++ b/auburnproxy/gateway/host.py
@@ -49,7 +49,6 @@
     busy: bool = False
     """Whether it is carrying out an order."""
     part: Part | None = None
-    weight_version: int = 0
     seen_at: float = 0.0
     """The loop's time in seconds at which this registration was read."""
 
--- a/auburnproxy/platform/registrations.py
+++ b/auburnproxy/platform/registrations.py
@@ -78,7 +78,6 @@
         staged=tuple(server.staged),
         busy=server.busy,
         part=_part(server.group),
-        weight_version=server.models[0].version if server.models else 0,
         seen_at=now,
     )
 
--- a/auburnproxy/store/follower.py
+++ b/auburnproxy/store/follower.py
@@ -17,6 +17,9 @@
 """Seconds between two tries while the service does not answer."""
 OVERDUE_S = 0.5
 """Seconds beyond the pause between two readings after which one is missed."""
+LATE_S = 0.6
+"""Seconds beyond its wait after which a reading that is still under way counts as
+unanswered; the answers of a slow store take a third of that."""
 IDLE_S = 0.2
 """Seconds between two looks at whether this daemon is to read the log itself."""
 RECENT_CHANGES = 2048
@@ -79,6 +82,7 @@
         self._recent_from = 0
         self._by_key: dict[str, Change] = {}
         self._up = True
+        self._asked_at: float | None = None
 
     @property
     def by_key(self) -> Mapping[str, Change]:
@@ -90,6 +94,14 @@
         """Return whether the service answered the last time."""
         return self.whole and self._up
 
+    @property
+    def reaches(self) -> bool:
+        """Return whether the service has answered, and is not late to answer again."""
+        if not self.up or self._asked_at is None:
+            return self.up
+        age_s = asyncio.get_running_loop().time() - self._asked_at
+        return age_s <= self._wait_s + LATE_S
+
     @property
     def overdue(self) -> bool:
         """Return whether a record that is there should have been read by now.
@@ -107,11 +119,14 @@
             if self.whole and not self._reads():
                 await asyncio.sleep(IDLE_S)
                 continue
+            self._asked_at = asyncio.get_running_loop().time()
             try:
                 await self.step()
             except PlatformError:
                 await asyncio.sleep(RETRY_S)
                 continue
+            finally:
+                self._asked_at = None
             await asyncio.sleep(self._pause_s())
 
     async def step(self, *, wait: bool = True) -> None:
--- a/features/fakes/store.py
+++ b/features/fakes/store.py
@@ -18,6 +18,8 @@
 from auburnproxy.telemetry.decisions import Decisions
 
 LATENCY_S = 0.004
+SILENCE_S = 5.5
+"""Seconds after which a caller gives up an answer that does not come."""
 
 
 class FakeTopics:
@@ -56,6 +58,7 @@
     def __init__(self, topics: FakeTopics) -> None:
         self.topics = topics
         self.away = False
+        self.silent = False
         self.lose_answers = 0
         self.calls = 0
 
@@ -96,8 +99,8 @@
 
     async def _travel(self) -> None:
         self.calls += 1
-        await asyncio.sleep(LATENCY_S)
-        if self.away:
+        await asyncio.sleep(SILENCE_S if self.silent else LATENCY_S)
+        if self.away or self.silent:
             raise PlatformError("away")
 
 
--- a/features/readers.feature
+++ b/features/readers.feature
@@ -20,6 +20,13 @@
     And 6 s pass while a record is written each second
     Then each daemon holds the newest record
 
+  Scenario: Other daemons read when the store falls silent towards both readers
+    Given 5 daemons of one failure domain that follow a topic
+    When 3 s pass while a record is written each second
+    And the store falls silent towards both readers
+    And 2 s pass while a record is written each second
+    Then each daemon holds the newest record
+
   Scenario: A daemon that hears nobody reads for itself
     Given 5 daemons of one failure domain that follow a topic
     When 3 s pass while a record is written each second
--- a/features/steps/readers.py
+++ b/features/steps/readers.py
@@ -31,11 +31,11 @@
         self.circle._seats = {n: Seat(n, "fd", n) for n in site.names}
 
     def reads(self):
-        return self.circle.reads_store(reaches=self.follower.up)
+        return self.circle.reads_store(reaches=self.follower.reaches)
 
     def say(self):
         ends = {TOPIC: self.follower.end}
-        return Beat(self.name, False, self.follower.up, True, {}, ends, [], [])
+        return Beat(self.name, False, self.follower.reaches, True, {}, ends, [], [])
 
     async def run(self):
         following = asyncio.create_task(self.follower.run())
@@ -126,6 +126,12 @@
     first.port.away = second.port.away = True
 
 
+@when("the store falls silent towards both readers")
+def silence_readers(context):
+    first, second = readers(context)
+    first.port.silent = second.port.silent = True
+
+
 @when("a daemon that does not read hears nobody any more")
 def deafen_one(context):
     reading = readers(context)
