Send peers the newest value of a key alone, packed, topics beside each other

Fetches ran into their 0.8 s, were thrown away and begun anew; one topic's fetch held up the next, so an order ledger that left was known 2.2 s late.

Peers now send the newest value of each key, compressed; topics are fetched beside each other, from a peer that is not being asked already.

--- a/auburnproxy/daemon/routed.py
+++ b/auburnproxy/daemon/routed.py
@@ -22,7 +22,7 @@
 from ..gateway.plain import Plain
 from ..gateway.route import Configuration
 from ..gateway.streams import Streams
-from ..store import Change, Follower, Relay
+from ..store import Change, Follower, HttpPeers, Relay
 from ..telemetry import Telemetry
 from ..telemetry.decisions import Decisions, open_decisions
 from ..upstreams.client import open_session
@@ -139,7 +139,7 @@
             REPLICAS_TOPIC: replicas,
             DAEMONS_TOPIC: self._seats,
         }
-        self.relay = Relay(topics, self._session, decisions)
+        self.relay = Relay(topics, HttpPeers(self._session), decisions)
         self.duty = Duty(
             settings.name,
             self.register,
@@ -253,6 +253,7 @@
             self.decisions.belief("requests_cut_off", count=self.face.requests.count)
         self.drained.set()
         self.health.close()
+        self.relay.close()
         self._seat_taking.cancel()
         await self.tasks.cancel()
         if not self.face.requests.count:
@@ -305,7 +306,7 @@
 
     async def _relay_records(self) -> None:
         while True:
-            await self.relay.step(self.circle.end_by_peer)
+            self.relay.step(self.circle.end_by_peer)
             await asyncio.sleep(RELAY_S)
 
     async def _expire(self) -> None:
--- a/auburnproxy/store/__init__.py
+++ b/auburnproxy/store/__init__.py
@@ -1,7 +1,7 @@
 """Shared state in a log of keyed records whose newest values are kept."""
 
 from .follower import Follower
-from .relay import Relay
+from .relay import HttpPeers, Peers, Relay
 from .store import Change, ConflictError, ExpiredError, Newest, Page, Store
 
 __all__ = [
@@ -9,8 +9,10 @@
     "ConflictError",
     "ExpiredError",
     "Follower",
+    "HttpPeers",
     "Newest",
     "Page",
+    "Peers",
     "Relay",
     "Store",
 ]
--- a/auburnproxy/store/follower.py
+++ b/auburnproxy/store/follower.py
@@ -164,15 +164,16 @@
         self.adopt(Shared(newest.changes, newest.end, whole=True))
 
     def since(self, offset: int) -> Shared:
-        """Return what has changed since an offset, or all that there is.
+        """Return the keys that have changed since an offset, or all that there are.
 
         :param offset: end of a peer's copy
         """
         now = asyncio.get_running_loop().time()
         away_s = now - self.away_at if self.away_at >= 0 else None
         if self._recent_from <= offset <= self.end:
-            changes = tuple(c for c in self._recent if c.offset >= offset)
-            return Shared(changes, self.end, whole=False, away_s=away_s)
+            newest = {c.key: c for c in self._recent if c.offset >= offset}
+            changes = sorted(newest.values(), key=lambda change: change.offset)
+            return Shared(tuple(changes), self.end, whole=False, away_s=away_s)
         return Shared(tuple(self._by_key.values()), self.end, whole=True, away_s=away_s)
 
     def adopt(self, shared: Shared) -> None:
--- a/auburnproxy/store/relay.py
+++ b/auburnproxy/store/relay.py
@@ -2,19 +2,24 @@
 
 Answers a store whose calls are dear and which may turn some daemons away: a few
 daemons of a failure domain read it, each beat tells how far its daemon has read,
-and who is behind fetches the changes from who is ahead.
+and who is behind fetches the changes from who is ahead. Links may be slow and
+configurations long and many, so a peer sends the newest value of each key alone,
+compressed, and a topic that is slow to come holds up no other.
 """
 
 from __future__ import annotations
 
 import asyncio
+import zlib
+from abc import ABC, abstractmethod
 from collections.abc import Mapping
 from random import Random
+from typing import NamedTuple
 
 import msgspec
 from aiohttp import ClientSession, ClientTimeout, web
 
-from ..errors import UpstreamError
+from ..errors import AuburnError, PeerError
 from ..telemetry.decisions import Decisions
 from ..upstreams.client import upstream_errors
 from .follower import Follower, Shared
@@ -22,34 +27,99 @@
 PATH = "/records/"
 BEHIND_S = 0.15
 """Seconds for which a peer must be ahead; the own reading mostly comes sooner."""
-FETCH_TIMEOUT_S = 0.8
-"""A whole configuration of a hundred kilobytes over the slowest link."""
-RETRY_S = 0.3
+FETCH_TIMEOUT_S = 2.0
+"""Longest fetch; the bound in which a configuration must be in force."""
+RETRY_S = 0.4
 """Seconds between two fetches of a topic; hosts register several times a second."""
-
+MOST_FETCHES = 3
+"""Fetches of a topic under way at once: a peer that is silent holds up one."""
+PACKED_S = 0.5
+"""Age at which packed records are packed anew: they tell when the store failed."""
+COMPRESSION = 1
+"""Level of zlib: fastest, and a configuration still shrinks to a tenth."""
 
 _decoder = msgspec.msgpack.Decoder(Shared)
 
 
+def pack(shared: Shared) -> bytes:
+    """Return the bytes of what a daemon tells another of a topic."""
+    return zlib.compress(msgspec.msgpack.encode(shared), COMPRESSION)
+
+
+def unpack(data: bytes) -> Shared:
+    """Return what a daemon tells of a topic.
+
+    :raises PeerError: if it is malformed
+    """
+    try:
+        return _decoder.decode(zlib.decompress(data))
+    except (msgspec.MsgspecError, zlib.error) as error:
+        raise PeerError(f"malformed records of {len(data)} bytes") from error
+
+
+class Peers(ABC):
+    """Other daemons, asked for records."""
+
+    @abstractmethod
+    async def fetch(self, address: str, topic: str, start: int) -> Shared:
+        """Return the changes of a topic from an offset on.
+
+        :param address: internal address of the peer
+        :raises AuburnError: if it gives no answer that can be read
+        """
+
+
+class HttpPeers(Peers):
+    """Daemons that serve :meth:`Relay.application`.
+
+    :param session: connections to them
+    """
+
+    def __init__(self, session: ClientSession) -> None:
+        self._session = session
+
+    async def fetch(self, address: str, topic: str, start: int) -> Shared:
+        """Return the changes of a topic from an offset on.
+
+        :param address: internal address of the peer
+        :raises AuburnError: if it gives no answer that can be read
+        """
+        url = f"http://{address}{PATH}{topic}?from={start}"
+        timeout = ClientTimeout(total=FETCH_TIMEOUT_S)
+        with upstream_errors(address):
+            async with self._session.get(url, timeout=timeout) as response:
+                return unpack(await response.read())
+
+
+class _Packed(NamedTuple):
+    """The bytes sent last; peers that are as far behind get the same."""
+
+    start: int
+    end: int
+    at: float
+    """The loop's time in seconds."""
+    data: bytes
+
+
 class Relay:
     """Serves the followed topics to peers, and fetches from those that are ahead.
 
     :param followers: the shared topics by name
-    :param session: connections to peers
+    :param peers: the other daemons
     :param decisions: takes a line for each fetch
     """
 
     def __init__(
-        self,
-        followers: Mapping[str, Follower],
-        session: ClientSession,
-        decisions: Decisions,
+        self, followers: Mapping[str, Follower], peers: Peers, decisions: Decisions
     ) -> None:
         self._followers = followers
-        self._session = session
+        self._peers = peers
         self._decisions = decisions
         self._behind_since: dict[str, float] = {}
         self._fetch_at: dict[str, float] = {}
+        self._asked_by_topic: dict[str, set[str]] = {}
+        self._fetches: set[asyncio.Task[None]] = set()
+        self._packed_by_topic: dict[str, _Packed] = {}
         self._random = Random()
 
     @property
@@ -63,8 +133,8 @@
         application.router.add_get(PATH + "{topic}", self._serve)
         return application
 
-    async def step(self, end_by_peer: Mapping[str, Mapping[str, int]]) -> None:
-        """Fetch the topics that a peer has read further for a while.
+    def step(self, end_by_peer: Mapping[str, Mapping[str, int]]) -> None:
+        """Begin to fetch the topics that a peer has read further for a while.
 
         :param end_by_peer: what each peer's beat told, by its internal address
         """
@@ -81,34 +151,62 @@
             since = self._behind_since.setdefault(topic, now)
             if now - since < BEHIND_S or not follower.overdue:
                 continue
+            asked = self._asked_by_topic.setdefault(topic, set())
+            others = [address for address in ahead if address not in asked]
+            if not others or len(asked) >= MOST_FETCHES:
+                continue
             if now >= self._fetch_at.get(topic, 0.0):
                 self._fetch_at[topic] = now + RETRY_S
-                await self._fetch(topic, follower, self._random.choice(ahead))
+                self._begin(topic, follower, self._random.choice(others), asked)
+
+    def close(self) -> None:
+        """End every fetch."""
+        for task in self._fetches:
+            task.cancel()
+
+    def _begin(
+        self, topic: str, follower: Follower, address: str, asked: set[str]
+    ) -> None:
+        asked.add(address)
+        task = asyncio.create_task(self._fetch(topic, follower, address))
+        self._fetches.add(task)
+
+        def end(task: asyncio.Task[None]) -> None:
+            self._fetches.discard(task)
+            asked.discard(address)
+
+        task.add_done_callback(end)
 
     async def _fetch(self, topic: str, follower: Follower, address: str) -> None:
-        url = f"http://{address}{PATH}{topic}?from={follower.end}"
-        timeout = ClientTimeout(total=FETCH_TIMEOUT_S)
         try:
-            with upstream_errors(address):
-                async with self._session.get(url, timeout=timeout) as response:
-                    body = await response.read()
-            shared = _decoder.decode(body)
-        except (UpstreamError, msgspec.MsgspecError) as error:
+            shared = await self._peers.fetch(address, topic, follower.end)
+        except AuburnError as error:
             self._decisions.belief(
                 "relay_failed", topic=topic, peer=address, reason=repr(error)
             )
             return
         before = follower.end
         follower.adopt(shared)
-        if shared.changes:
+        if follower.end > before:
             self._decisions.belief(
                 "relayed", topic=topic, peer=address, before=before, end=follower.end
             )
 
     async def _serve(self, http: web.Request) -> web.Response:
-        follower = self._followers.get(http.match_info["topic"])
+        topic = http.match_info["topic"]
+        follower = self._followers.get(topic)
         if follower is None or not follower.whole:
             return web.Response(status=404)
         start = http.query.get("from", "")
-        shared = follower.since(int(start) if start.isdigit() else -1)
-        return web.Response(body=msgspec.msgpack.encode(shared))
+        offset = int(start) if start.isdigit() else -1
+        return web.Response(body=self._packed(topic, follower, offset))
+
+    def _packed(self, topic: str, follower: Follower, start: int) -> bytes:
+        now = asyncio.get_running_loop().time()
+        known = self._packed_by_topic.get(topic)
+        fits = known and (known.start, known.end) == (start, follower.end)
+        if known is None or not fits or now - known.at > PACKED_S:
+            data = pack(follower.since(start))
+            known = _Packed(start, follower.end, now, data)
+            self._packed_by_topic[topic] = known
+        return known.data
--- a/features/readers.feature
+++ b/features/readers.feature
@@ -39,3 +39,24 @@
     When 3 s pass while a record is written each second
     And the key is dropped
     Then no daemon holds the key
+
+  Scenario: A storm of long configurations costs a peer one of them
+    Given a daemon that has read 10 versions of a configuration of 100 kB
+    When a peer that knows none of them asks for the changes
+    Then it gets the newest version alone in less than 20 kB
+
+  Scenario: A topic that is slow to come holds up no other
+    Given 1 daemon that is behind a peer in 2 topics
+    And the peer takes 1.5 s to send the first topic
+    When each relays for 0.5 s
+    Then each has the newest record of the second topic only
+
+  Scenario: A peer that does not answer is not waited for
+    Given 20 daemons that are behind 3 peers of which 2 never answer
+    When each relays for 1.5 s
+    Then each has the newest record of the first topic
+
+  Scenario: A peer whose records cannot be read is not the last to be asked
+    Given 20 daemons that are behind 3 peers of which 2 send nonsense
+    When each relays for 15.0 s
+    Then each has the newest record of the first topic
--- a/features/steps/readers.py
+++ b/features/steps/readers.py
@@ -3,11 +3,13 @@
 import asyncio
 
 import async_solipsism
+import msgspec
 from behave import given, then, when
 
 from auburnproxy.beats import Beat, Circle
 from auburnproxy.beats.circle import Heard, Seat
-from auburnproxy.store import Change, Follower
+from auburnproxy.store import Change, Follower, Peers, Relay
+from auburnproxy.store.relay import pack, unpack
 from features.fakes.store import FakeTopics, StorePort, quiet
 
 TOPIC = "op"
@@ -160,3 +162,151 @@
 def compare_dropped(context):
     for daemon in context.readers.daemons:
         assert KEY not in daemon.follower.by_key, daemon.name
+
+
+def configuration(version, size):
+    """Return a configuration as an operator might write it, of about a size."""
+    routes = []
+    while len(routes) * 100 < size:
+        number = len(routes)
+        routes.append({"name": f"route{number}", "host": f"h{number % 24}.example"})
+        routes[-1] |= {"path": f"/p{number * 7919 % 9973}/", "timeout": 1500 + number}
+    return msgspec.json.encode({"version": version, "routes": routes})
+
+
+async def followed(topics, topic):
+    follower = Follower(StorePort(topics), topic, quiet(), reads=lambda: False)
+    await follower.step(wait=False)
+    return follower
+
+
+@given("a daemon that has read {count:d} versions of a configuration of {size:d} kB")
+def read_versions(context, count, size):
+    context.loop = async_solipsism.EventLoop()
+    context.add_cleanup(context.loop.close)
+
+    async def read():
+        topics = FakeTopics()
+        follower = await followed(topics, TOPIC)
+        for version in range(count):
+            value = configuration(version, size * 1000)
+            topics.take(TOPIC, [Change(KEY, value)])
+            await follower.step(wait=False)
+        return follower
+
+    context.follower = context.loop.run_until_complete(read())
+
+
+@when("a peer that knows none of them asks for the changes")
+def ask_changes(context):
+    async def ask():
+        return pack(context.follower.since(0))
+
+    context.sent = context.loop.run_until_complete(ask())
+
+
+@then("it gets the newest version alone in less than {size:d} kB")
+def compare_sent(context, size):
+    shared = unpack(context.sent)
+    assert shared.changes == tuple(context.follower.by_key.values())
+    assert len(context.sent) < size * 1000, len(context.sent)
+
+
+class FakePeers(Peers):
+    """Peers that answer by address, after some time, or with what a fault gives."""
+
+    def __init__(self, follower_by_topic):
+        self.follower_by_topic = follower_by_topic
+        self.delay_by_topic = {}
+        self.fault_by_address = {}
+
+    async def fetch(self, address, topic, start):
+        fault = self.fault_by_address.get(address)
+        if fault == "silent":
+            await asyncio.sleep(60)
+        if fault == "nonsense":
+            return unpack(b"nonsense")
+        await asyncio.sleep(self.delay_by_topic.get(topic, 0.01))
+        return self.follower_by_topic[topic].since(start)
+
+
+class Behind:
+    """A daemon that has read nothing yet, and peers that have."""
+
+    def __init__(self, own, peers, addresses):
+        self.own = own
+        self.peers = peers
+        self.relay = Relay(own, peers, quiet())
+        ends = {name: f.end for name, f in peers.follower_by_topic.items()}
+        self.ends = dict.fromkeys(addresses, ends)
+
+    async def run(self, seconds):
+        loop = asyncio.get_running_loop()
+        until = loop.time() + seconds
+        while loop.time() < until:
+            self.relay.step(self.ends)
+            await asyncio.sleep(0.1)
+        self.relay.close()
+
+
+async def make_one_behind(addresses):
+    topics = FakeTopics()
+    names = (TOPIC, "second")
+    own = {name: await followed(topics, name) for name in names}
+    for name in names:
+        topics.take(name, [Change(KEY, b"newest")])
+    ahead = {name: await followed(topics, name) for name in names}
+    return Behind(own, FakePeers(ahead), addresses)
+
+
+def make_behind(context, count, addresses):
+    context.loop = async_solipsism.EventLoop()
+    context.add_cleanup(context.loop.close)
+
+    async def make():
+        context.behind = [await make_one_behind(addresses) for _ in range(count)]
+
+    context.loop.run_until_complete(make())
+
+
+@given("{count:d} daemon that is behind a peer in 2 topics")
+def make_behind_one(context, count):
+    make_behind(context, count, ["a"])
+
+
+FAULT_BY_WORDS = {"never answer": "silent", "send nonsense": "nonsense"}
+
+
+@given("{count:d} daemons that are behind 3 peers of which 2 {words}")
+def make_behind_faulty(context, count, words):
+    make_behind(context, count, ["a", "b", "c"])
+    for daemon in context.behind:
+        daemon.peers.fault_by_address = dict.fromkeys("ab", FAULT_BY_WORDS[words])
+
+
+@given("the peer takes {seconds:g} s to send the first topic")
+def slow_topic(context, seconds):
+    for daemon in context.behind:
+        daemon.peers.delay_by_topic[TOPIC] = seconds
+
+
+@when("each relays for {seconds:g} s")
+def relay_for(context, seconds):
+    async def relay():
+        await asyncio.gather(*(daemon.run(seconds) for daemon in context.behind))
+
+    context.loop.run_until_complete(relay())
+
+
+@then("each has the newest record of the {which} topic only")
+def compare_one(context, which):
+    wanted = {TOPIC if which == "first" else "second"}
+    for daemon in context.behind:
+        held = {name for name, follower in daemon.own.items() if follower.by_key}
+        assert held == wanted, held
+
+
+@then("each has the newest record of the first topic")
+def compare_first(context):
+    for daemon in context.behind:
+        assert daemon.own[TOPIC].by_key[KEY].value == b"newest"
