Count a daemon as heard for as long as its beats take at that size

Cause: a far daemon's turn comes every 1.1 s among 65, and a beat counted for 1.5 s (its load for 1.0 s).

Ages are now multiples of the turns that the published rates give. The sum of the others' requests is made once for a choice and not for each upstream. Before: the new scenarios for 65 daemons fail; after: they pass.

--- a/auburnproxy/beats/circle.py
+++ b/auburnproxy/beats/circle.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections import Counter
 from collections.abc import Callable, Mapping
 from typing import NamedTuple, cast
 
@@ -23,13 +24,20 @@
 FAR_BEATS_PER_S = 40
 """Most beats that a daemon sends to other failure domains in a second."""
 HEARD_S = 1.5
-"""Age at which a beat no longer shows its daemon to be there; three far ones late."""
+"""Least age at which a beat no longer shows its daemon to be there."""
+HEARD_BEATS = 3
+"""Beats that are late before a daemon counts as gone; single datagrams are lost."""
 READERS = 2
 """Daemons of a failure domain that read the store: one more may be lost meanwhile."""
 RETRY_TURNS = 20
 """Ticks between two tries of a daemon that the store has turned away."""
 LOAD_S = 1.0
-"""Age at which a beat's requests in flight are no longer counted."""
+"""Least age at which a beat's requests in flight are no longer counted."""
+LOAD_BEATS = 1.5
+"""Beats that are late before that; older requests in flight have mostly ended."""
+WORK_S = 0.02
+"""Age at which the others' requests are added up anew; beats come less often, and a
+choice asks for each upstream."""
 MS_PER_S = 1000
 
 
@@ -74,7 +82,10 @@
         self._say = say
         self._decisions = decisions
         self._seats: dict[str, Seat] = {}
+        self._count_by_domain: Counter[str] = Counter()
         self._heard: dict[str, Heard] = {}
+        self._work_by_host: dict[str, tuple[int, int]] = {}
+        self._work_at = -1.0
         self._present: frozenset[str] = frozenset()
         self._transport: asyncio.DatagramTransport | None = None
         self._turn = 0
@@ -93,13 +104,13 @@
     @property
     def present(self) -> frozenset[str]:
         """Return the other daemons that were heard of late."""
-        return frozenset(heard.beat.name for heard in self._fresh(HEARD_S))
+        return frozenset(heard.beat.name for heard in self._present_beats())
 
     @property
     def acting(self) -> frozenset[str]:
         """Return the other daemons that lately said to be on duty."""
-        fresh = self._fresh(HEARD_S)
-        return frozenset(heard.beat.name for heard in fresh if heard.beat.on_duty)
+        present = self._present_beats()
+        return frozenset(heard.beat.name for heard in present if heard.beat.on_duty)
 
     @property
     def served(self) -> bool:
@@ -109,7 +120,7 @@
     @property
     def suspects(self) -> frozenset[str]:
         """Return the upstreams that others leave out."""
-        fresh = self._fresh(LOAD_S)
+        fresh = self._load_beats()
         return frozenset(host for heard in fresh for host in heard.beat.suspects)
 
     @property
@@ -120,7 +131,7 @@
         """
         heard = {
             heard.beat.name: heard.beat.end_by_topic
-            for heard in self._fresh(LOAD_S)
+            for heard in self._load_beats()
             if heard.beat.name in self._seats
         }
         near = heard.keys() & self._near
@@ -145,30 +156,69 @@
         order = rank_names("reader", {self._name, *able})
         return order.index(self._name) < READERS
 
-    def _fresh(self, age_s: float) -> list[Heard]:
-        """Return the newest beats that are younger than an age in seconds."""
-        since = _now() - age_s
-        return [heard for heard in self._heard.values() if heard.at > since]
+    def _present_beats(self) -> list[Heard]:
+        return self._fresh(least_s=HEARD_S, beats=HEARD_BEATS)
+
+    def _load_beats(self) -> list[Heard]:
+        return self._fresh(least_s=LOAD_S, beats=LOAD_BEATS)
+
+    def _fresh(self, *, least_s: float, beats: float) -> list[Heard]:
+        """Return the newest beats of the daemons that are not late.
+
+        :param least_s: age that a beat may have at any size of the deployment
+        :param beats: beats that a daemon may be late where that is more
+        """
+        now = _now()
+        age_s_by_domain = {
+            domain: max(least_s, beats * self._interval_s(domain))
+            for domain in self._count_by_domain
+        }
+        return [
+            heard
+            for name, heard in self._heard.items()
+            if now - heard.at < age_s_by_domain.get(self._domain(name), least_s)
+        ]
+
+    def _domain(self, name: str) -> str:
+        seat = self._seats.get(name)
+        return seat.failure_domain if seat else ""
+
+    def _interval_s(self, domain: str) -> float:
+        """Return the seconds between two beats of a failure domain's daemon to here."""
+        near = self._count_by_domain[domain]
+        if domain == self._seat.failure_domain:
+            return TICK_S * max(1.0, (near - 1) / (NEAR_BEATS_PER_S * TICK_S))
+        far = self._count_by_domain.total() - near
+        return max(FAR_TICKS * TICK_S, far / FAR_BEATS_PER_S)
 
     @property
     def _near(self) -> set[str]:
         own = self._seat.failure_domain
         return {name for name, s in self._seats.items() if s.failure_domain == own}
 
+    def _count_domains(self) -> None:
+        self._count_by_domain = Counter(s.failure_domain for s in self._seats.values())
+
     @property
     def lost(self) -> frozenset[str]:
         """Return the heads of the replicas that the daemon on duty is ending."""
-        fresh = self._fresh(LOAD_S)
+        fresh = self._load_beats()
         return frozenset(host for heard in fresh for host in heard.beat.lost)
 
     def work(self, host: str) -> tuple[int, int]:
         """Return the requests of the others at an upstream, and those that wait."""
-        in_flight = waiting = 0
-        for heard in self._fresh(LOAD_S):
-            if work := heard.beat.work_by_host.get(host):
-                in_flight += work.in_flight
-                waiting += work.waiting
-        return in_flight, waiting
+        if _now() - self._work_at >= WORK_S:
+            self._work_at = _now()
+            self._work_by_host = self._sum_work()
+        return self._work_by_host.get(host, (0, 0))
+
+    def _sum_work(self) -> dict[str, tuple[int, int]]:
+        sums: dict[str, tuple[int, int]] = {}
+        for heard in self._load_beats():
+            for host, work in heard.beat.work_by_host.items():
+                in_flight, waiting = sums.get(host, (0, 0))
+                sums[host] = in_flight + work.in_flight, waiting + work.waiting
+        return sums
 
     def heard_at(self, host: str) -> float:
         """Return the loop's time at which one of the others last heard an upstream."""
@@ -245,6 +295,7 @@
     def _take_seat(self, change: Change) -> None:
         if not change.value:
             self._seats.pop(change.key, None)
+            self._count_domains()
             return
         try:
             self._seats[change.key] = msgspec.json.decode(change.value, type=Seat)
@@ -252,6 +303,7 @@
             self._decisions.belief(
                 "record_unreadable", key=change.key, reason=str(error)
             )
+        self._count_domains()
 
 
 def _now() -> float:
--- a/features/readers.feature
+++ b/features/readers.feature
@@ -60,3 +60,21 @@
     Given 20 daemons that are behind 3 peers of which 2 send nonsense
     When each relays for 15.0 s
     Then each has the newest record of the first topic
+
+  Scenario Outline: A daemon is heard of for as long as its beats take at that size
+    Given a daemon among <daemons> daemons in 3 failure domains
+    When it hears each of the others as often as they send for 8 s, a tenth is lost
+    Then it never counts more than 1 of them as gone at once
+    And after 5 s without beats it counts all of them as gone
+
+    Examples:
+      | daemons |
+      | 6       |
+      | 65      |
+
+  Scenario: Requests of daemons far away count until their next beat
+    Given a daemon among 65 daemons in 3 failure domains
+    When each of the others tells once of 2 requests at an upstream
+    Then 0.9 s later it counts 128 requests there
+    And 0.5 s later it counts the 86 of other failure domains
+    And 1.0 s later it counts none
--- a/features/steps/readers.py
+++ b/features/steps/readers.py
@@ -1,13 +1,16 @@
 """Steps for daemons that read the store for their whole failure domain."""
 
 import asyncio
+import random
 
 import async_solipsism
 import msgspec
 from behave import given, then, when
 
 from auburnproxy.beats import Beat, Circle
+from auburnproxy.beats.beat import pack as pack_beat
 from auburnproxy.beats.circle import Heard, Seat
+from auburnproxy.gateway.health import Work
 from auburnproxy.store import Change, Follower, Peers, Relay
 from auburnproxy.store.relay import pack, unpack
 from features.fakes.store import FakeTopics, StorePort, quiet
@@ -310,3 +313,97 @@
 def compare_first(context):
     for daemon in context.behind:
         assert daemon.own[TOPIC].by_key[KEY].value == b"newest"
+
+
+def beat_of(name, work=None):
+    return pack_beat(Beat(name, False, True, True, work or {}, {}, [], []))
+
+
+@given("a daemon among {count:d} daemons in 3 failure domains")
+def make_circle(context, count):
+    context.loop = async_solipsism.EventLoop()
+    context.add_cleanup(context.loop.close)
+    seats = {f"d{i}": Seat(f"d{i}", f"fd{i % 3}", f"d{i}") for i in range(count)}
+    context.others = {name: seat for name, seat in seats.items() if name != "d0"}
+
+    async def make():
+        follower = Follower(StorePort(FakeTopics()), "daemons", quiet())
+        context.circle = Circle("d0", seats["d0"], follower, lambda: None, quiet())
+        for name, seat in seats.items():
+            value = msgspec.json.encode(seat)
+            follower.on_change(Change(name, value))
+
+    context.loop.run_until_complete(make())
+
+
+def seconds_between_beats(context, seat):
+    """Return how often a daemon's turn comes, by the published rates."""
+    near = sum(s.failure_domain == "fd0" for s in context.others.values())
+    if seat.failure_domain == "fd0":
+        return max(0.1, near / 120)
+    return max(0.3, (len(context.others) - near) / 40)
+
+
+@when("it hears each of the others as often as they send for 8 s, a tenth is lost")
+def hear_beats(context):
+    chance = random.Random(1)
+    context.most_gone = 0
+
+    async def tell(name, seat):
+        loop = asyncio.get_running_loop()
+        while True:
+            if chance.random() > 0.1:
+                context.circle.datagram_received(beat_of(name), ("", 0))
+            context.last_at = loop.time()
+            await asyncio.sleep(seconds_between_beats(context, seat))
+
+    async def watch():
+        telling = [asyncio.create_task(tell(*each)) for each in context.others.items()]
+        await asyncio.sleep(4)
+        for _ in range(80):
+            gone = len(context.others) - len(context.circle.present)
+            context.most_gone = max(context.most_gone, gone)
+            await asyncio.sleep(0.1)
+        for task in telling:
+            task.cancel()
+
+    context.loop.run_until_complete(watch())
+
+
+@then("it never counts more than {count:d} of them as gone at once")
+def compare_gone(context, count):
+    assert context.most_gone <= count, context.most_gone
+
+
+@then("after {seconds:d} s without beats it counts all of them as gone")
+def compare_all_gone(context, seconds):
+    async def wait():
+        await asyncio.sleep(seconds)
+        return context.circle.present
+
+    assert not context.loop.run_until_complete(wait())
+
+
+@when("each of the others tells once of 2 requests at an upstream")
+def tell_requests(context):
+    async def tell():
+        for name in context.others:
+            beat = beat_of(name, {"h": Work(2, 0, 0)})
+            context.circle.datagram_received(beat, ("", 0))
+
+    context.loop.run_until_complete(tell())
+
+
+@then("{seconds:g} s later it counts {count:d} requests there")
+@then("{seconds:g} s later it counts the {count:d} of other failure domains")
+def compare_far_work(context, seconds, count):
+    async def wait():
+        await asyncio.sleep(seconds)
+        return context.circle.work("h")
+
+    assert context.loop.run_until_complete(wait())[0] == count
+
+
+@then("{seconds:g} s later it counts none")
+def compare_no_work(context, seconds):
+    compare_far_work(context, seconds, 0)
