--- a/auburnproxy/daemon/routed.py
+++ b/auburnproxy/daemon/routed.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import signal
+from collections.abc import Iterator
 
 from aiohttp import ClientTimeout, web
 
@@ -22,8 +23,8 @@
 from ..gateway.plain import Plain
 from ..gateway.route import Configuration
 from ..gateway.streams import Streams
-from ..store import Change, Follower, HttpPeers, Relay
-from ..telemetry import Telemetry
+from ..store import Change, CountedStore, Follower, HttpPeers, Relay
+from ..telemetry import Gauge, Reading, Telemetry
 from ..telemetry.decisions import Decisions, open_decisions
 from ..upstreams.client import open_session
 from .deployment import Deployment, DomainMark
@@ -75,13 +76,18 @@
         self.telemetry = Telemetry()
         self._deployment = deployment
         self.tasks = Tasks(self._note_end)
-        self._store = deployment.store(settings)
+        self._store = CountedStore(deployment.store(settings), self.telemetry)
         self._session = open_session(
             keep=False, timeout=ClientTimeout(sock_connect=CONNECT_TIMEOUT_S)
         )
         self._join_beliefs()
         self._join_formation()
         self._join_serving()
+        self.telemetry.gauges += [
+            self._readings,
+            self.face.readings,
+            self.conductor.census.readings,
+        ]
 
     def _join_beliefs(self) -> None:
         settings, decisions = self.settings, self.decisions
@@ -193,6 +199,14 @@
             telemetry=self.telemetry,
         )
 
+    def _readings(self) -> Iterator[Reading]:
+        yield Reading(Gauge.DAEMONS, len(self.circle.present))
+        now = asyncio.get_running_loop().time()
+        for topic, follower in self.relay.followers.items():
+            if follower.whole:
+                age_s = now - follower.current_at
+                yield Reading(Gauge.RECORDS_AGE, round(age_s, 3), topic)
+
     @property
     def ready(self) -> bool:
         """Return whether callers are to be sent here."""
--- a/auburnproxy/formation/census.py
+++ b/auburnproxy/formation/census.py
@@ -4,13 +4,14 @@
 
 import asyncio
 from collections import Counter
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable, Iterator, Mapping
 
 from ..gateway.directory import Directory
 from ..gateway.route import EngineSpec
+from ..telemetry import Gauge, Reading
 from ..telemetry.decisions import Decisions
 from .register import Register
-from .standing import Standing
+from .standing import Standing, standing
 
 INTERVAL_S = 1.0
 """Seconds between two lines."""
@@ -47,8 +48,7 @@
         if now < self._due:
             return
         self._due = now + INTERVAL_S
-        by_host = self._register.by_host
-        idle = [h for h in self._directory.hosts.values() if h.id not in by_host]
+        spares = self._spares()
         loads = Counter(loading)
         for model in spec.models:
             states = Counter(
@@ -61,6 +61,28 @@
                 model=model.name,
                 hosts=model.hosts,
                 replicas=states,
-                spares=sum(model.name in host.staged for host in idle),
+                spares=spares[model.name],
                 loading=loads[model.name],
             )
+
+    def readings(self) -> Iterator[Reading]:
+        """Yield what the gauges of this slice show."""
+        hosts = self._directory.hosts
+        states = Counter(
+            (formed.model, standing(formed, hosts))
+            for formed in self._register.by_name.values()
+        )
+        for (model, state), count in states.items():
+            yield Reading(Gauge.REPLICAS, count, model, state)
+        for model, count in self._spares().items():
+            yield Reading(Gauge.SPARES, count, model)
+
+    def _spares(self) -> Counter[str]:
+        """Return how many hosts of no replica hold the weights of each model."""
+        by_host = self._register.by_host
+        return Counter(
+            model
+            for host in self._directory.hosts.values()
+            if host.id not in by_host
+            for model in host.staged
+        )
--- a/auburnproxy/formation/conductor.py
+++ b/auburnproxy/formation/conductor.py
@@ -88,7 +88,7 @@
         self._staging_by_host: dict[str, tuple[str, float]] = {}
         self._probes = Probes(directory, orders, decisions)
         self._tasks: set[asyncio.Task[None]] = set()
-        self._census = Census(directory, register, decisions)
+        self.census = Census(directory, register, decisions)
         self._hosts_seen = (0, 0.0)
         """Hosts that were registered, and the loop's time at which that changed."""
 
@@ -137,7 +137,7 @@
         }
         self._retire(standings)
         loading = (model for model, _ in self._staging_by_host.values())
-        self._census.take(spec, standings, loading)
+        self.census.take(spec, standings, loading)
         if self._register.follower.up and self._settled():
             await self._record(service, spec, standings)
             self._leave_strays()
--- a/auburnproxy/gateway/face.py
+++ b/auburnproxy/gateway/face.py
@@ -3,13 +3,15 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
+from collections import Counter as Counts
+from collections.abc import Callable, Iterator
+from functools import partial
 
 from aiohttp import web
 
 from ..errors import Ran, RefusalError
 from ..in_flight import InFlight
-from ..telemetry import Counter, Measure, Telemetry
+from ..telemetry import Counter, Gauge, Measure, Reading, Telemetry
 from ..telemetry.decisions import Decisions
 from .call import Call
 from .dialect import Ask, Dialect
@@ -197,10 +199,29 @@
     def _resends(self, service: str) -> Resends:
         found = self._resends_by_service.get(service)
         if found is None:
-            found = Resends(self._allowance, self._daemons)
+            note = partial(self._note_resend, service)
+            found = Resends(self._allowance, self._daemons, note=note)
             self._resends_by_service[service] = found
         return found
 
+    def _note_resend(self, service: str, reason: str, allowed: bool) -> None:
+        counter = Counter.RETRIED if allowed else Counter.RETRY_DENIED
+        self._telemetry.count(counter, "", service, reason)
+
+    def readings(self) -> Iterator[Reading]:
+        """Yield what the gauges of this slice show."""
+        configuration = self._directory.configuration
+        yield Reading(Gauge.CONFIGURATION_VERSION, configuration.version)
+        if configuration.version >= 0:
+            age_s = _since(self._directory.configured_at)
+            yield Reading(Gauge.CONFIGURATION_AGE, age_s)
+        services = Counts(host.service for host in self._directory.hosts.values())
+        for service, count in services.items():
+            yield Reading(Gauge.HOSTS, count, service)
+        yield Reading(Gauge.IN_FLIGHT, self.requests.count)
+        for service, resends in self._resends_by_service.items():
+            yield Reading(Gauge.RETRIES_LEFT, resends.left, service)
+
 
 def _since(arrived: float) -> float:
     return round(asyncio.get_running_loop().time() - arrived, 4)
--- a/auburnproxy/gateway/plain.py
+++ b/auburnproxy/gateway/plain.py
@@ -72,10 +72,12 @@
             last = sent + 1 >= call.route.attempts or not call.route.repeatable
             try:
                 response = await self._try(call, host, last=last)
-                if response.status < SERVER_ERROR or last or not resends.spend():
+                if response.status < SERVER_ERROR or last:
                     return response
-                failure = response
                 error = TryError(f"answered_{response.status}", ran=Ran.UNKNOWN)
+                if not resends.spend(error.code):
+                    return response
+                failure = response
             except TryError as caught:
                 error = caught
             self._log(call, host, error)
@@ -93,7 +95,7 @@
                 if failure is not None:
                     return failure
                 raise _given_up(error.code, ran)
-            if failure is None and not resends.spend():
+            if failure is None and not resends.spend(error.code):
                 raise _given_up(error.code, ran)
 
     async def _try(self, call: Call, host: Host, *, last: bool) -> web.Response:
--- a/auburnproxy/gateway/resends.py
+++ b/auburnproxy/gateway/resends.py
@@ -30,11 +30,20 @@
 
     :param allowance: the bound for all daemons together
     :param daemons: returns how many daemons share it
+    :param note: takes each resend, by the failure that it follows and whether it
+        was allowed
     """
 
-    def __init__(self, allowance: Allowance, daemons: Callable[[], int]) -> None:
+    def __init__(
+        self,
+        allowance: Allowance,
+        daemons: Callable[[], int],
+        *,
+        note: Callable[[str, bool], None] = lambda reason, allowed: None,
+    ) -> None:
         self._allowance = allowance
         self._daemons = daemons
+        self._note = note
         self._requests: deque[float] = deque()
         self._resends: deque[float] = deque()
 
@@ -53,12 +62,16 @@
         own = self._allowance.slack / max(self._daemons(), 1)
         return int(MARGIN * (earned + own)) - len(self._resends)
 
-    def spend(self) -> bool:
-        """Take a resend if one is left."""
-        if self.left < 1:
-            return False
-        self._resends.append(_now())
-        return True
+    def spend(self, reason: str) -> bool:
+        """Take a resend if one is left.
+
+        :param reason: code of the failure that it follows
+        """
+        allowed = self.left >= 1
+        if allowed:
+            self._resends.append(_now())
+        self._note(reason, allowed)
+        return allowed
 
 
 def _now() -> float:
--- a/auburnproxy/gateway/streams.py
+++ b/auburnproxy/gateway/streams.py
@@ -10,7 +10,7 @@
 from aiohttp import ClientError, ClientResponse, ClientSession, web
 
 from ..errors import AuburnError, Ran, RefusalError
-from ..telemetry import Measure, Telemetry
+from ..telemetry import Counter, Measure, Telemetry
 from ..telemetry.decisions import Decisions
 from ..upstreams.client import TrackedResponse
 from .call import Call, TryError, check_head, send
@@ -115,6 +115,9 @@
         self._first_at = 0.0
         self._event_at = 0.0
         self._longest_pause_s = 0.0
+        self._record_pause = parts.telemetry.recorder(
+            Measure.BETWEEN_CHUNKS, call.account, call.service
+        )
 
     async def run(self) -> web.StreamResponse:
         while True:
@@ -129,7 +132,7 @@
                     await asyncio.sleep(REPLICA_WAIT_S)
                     continue
                 self._give_up(refusal.code, refusal.retry_after_s, refusal.inputs)
-            self._tries += 1
+            self._note_try()
             try:
                 response = await self._try(replica)
                 self._log_end(replica)
@@ -139,6 +142,15 @@
                 if not await self._may_go_on(replica, error):
                     self._give_up(error.code, None, {})
 
+    def _note_try(self) -> None:
+        call, telemetry = self._call, self._parts.telemetry
+        if not self._tries:
+            waited_s = asyncio.get_running_loop().time() - call.arrived
+            telemetry.observe(Measure.QUEUE_WAIT, call.account, call.service, waited_s)
+        elif self._response is not None:
+            telemetry.count(Counter.RESUMED, call.account, call.service)
+        self._tries += 1
+
     def _waits_for_replica(self) -> bool:
         """Return whether a stream that has begun may still go on at a replica.
 
@@ -167,7 +179,7 @@
             if not self._waits_for_replica():
                 return False
             await asyncio.sleep(REPLICA_WAIT_S)
-        return self._resends.spend()
+        return self._resends.spend(error.code)
 
     def _has_attempts_left(self) -> bool:
         """Return whether fewer live heads were tried than the route allows.
@@ -328,7 +340,9 @@
         if not self._first_at:
             self._first_at = now
         else:
-            self._longest_pause_s = max(self._longest_pause_s, now - self._event_at)
+            pause_s = now - self._event_at
+            self._record_pause(pause_s)
+            self._longest_pause_s = max(self._longest_pause_s, pause_s)
         self._event_at = now
 
     async def _write(self, answer: ClientResponse, data: bytes) -> None:
--- a/auburnproxy/store/relay.py
+++ b/auburnproxy/store/relay.py
@@ -112,7 +112,7 @@
     def __init__(
         self, followers: Mapping[str, Follower], peers: Peers, decisions: Decisions
     ) -> None:
-        self._followers = followers
+        self.followers = followers
         self._peers = peers
         self._decisions = decisions
         self._behind_since: dict[str, float] = {}
@@ -125,7 +125,7 @@
     @property
     def end_by_topic(self) -> dict[str, int]:
         """Return how far this daemon has read each topic."""
-        return {name: f.end for name, f in self._followers.items() if f.whole}
+        return {name: f.end for name, f in self.followers.items() if f.whole}
 
     def application(self) -> web.Application:
         """Return what the listener for peers serves."""
@@ -139,7 +139,7 @@
         :param end_by_peer: what each peer's beat told, by its internal address
         """
         now = asyncio.get_running_loop().time()
-        for topic, follower in self._followers.items():
+        for topic, follower in self.followers.items():
             ahead = [
                 address
                 for address, ends in end_by_peer.items()
@@ -194,7 +194,7 @@
 
     async def _serve(self, http: web.Request) -> web.Response:
         topic = http.match_info["topic"]
-        follower = self._followers.get(topic)
+        follower = self.followers.get(topic)
         if follower is None or not follower.whole:
             return web.Response(status=404)
         start = http.query.get("from", "")
--- a/auburnproxy/telemetry/__init__.py
+++ b/auburnproxy/telemetry/__init__.py
@@ -1,7 +1,15 @@
 """Histograms for each plan and target, counters and logs."""
 
 from .logs import configure_logs, part
-from .measure import Counter, Measure
-from .telemetry import Telemetry
+from .measure import Counter, Gauge, Measure
+from .telemetry import Reading, Telemetry
 
-__all__ = ["Counter", "Measure", "Telemetry", "configure_logs", "part"]
+__all__ = [
+    "Counter",
+    "Gauge",
+    "Measure",
+    "Reading",
+    "Telemetry",
+    "configure_logs",
+    "part",
+]
--- a/auburnproxy/telemetry/exposition.py
+++ b/auburnproxy/telemetry/exposition.py
@@ -13,7 +13,7 @@
 from prometheus_client.metrics_core import Metric
 from prometheus_client.registry import Collector
 
-from .measure import Counter, Measure
+from .measure import Counter, Gauge, Measure
 from .telemetry import PERCENTILES, US_PER_S, Telemetry
 
 PREFIX = "auburnproxy"
@@ -27,6 +27,7 @@
         """Yield a summary for each measure and a counter for each kind."""
         yield from self._summaries()
         yield from self._counters()
+        yield from self._gauges()
 
     def _summaries(self) -> Iterator[Metric]:
         for measure in Measure:
@@ -58,6 +59,17 @@
                     family.add_metric([key.plan, key.target, key.code], count)
             yield family
 
+    def _gauges(self) -> Iterator[Metric]:
+        readings = list(self._telemetry.readings())
+        for gauge in Gauge:
+            family = GaugeMetricFamily(
+                f"{PREFIX}_{gauge}", gauge, labels=["target", "state"]
+            )
+            for reading in readings:
+                if reading.gauge is gauge:
+                    family.add_metric([reading.target, reading.state], reading.value)
+            yield family
+
 
 def exposition(telemetry: Telemetry) -> bytes:
     """Return the measures in the Prometheus text format.
--- a/auburnproxy/telemetry/telemetry.py
+++ b/auburnproxy/telemetry/telemetry.py
@@ -2,12 +2,12 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from typing import NamedTuple, Protocol, TypedDict
 
 from hdrh.histogram import HdrHistogram
 
-from .measure import Counter, Measure
+from .measure import Counter, Gauge, Measure
 
 LOWEST_US = 1
 HIGHEST_US = 3_600_000_000
@@ -44,6 +44,16 @@
     code: str
 
 
+class Reading(NamedTuple):
+    """The present value of a gauge."""
+
+    gauge: Gauge
+    value: float
+    target: str = ""
+    """What it is about: a service, model or topic."""
+    state: str = ""
+
+
 class SeriesSummary(TypedDict):
     """One histogram in a report; durations in seconds."""
 
@@ -88,6 +98,8 @@
     def __init__(self, *, max_series: int = MAX_SERIES) -> None:
         self.histogram_by_key: dict[SeriesKey, HdrHistogram] = {}
         self.count_by_key: dict[CountKey, int] = {}
+        self.gauges: list[Callable[[], Iterable[Reading]]] = []
+        """Return the readings of a slice."""
         self._max_series = max_series
 
     def observe(self, measure: Measure, plan: str, target: str, seconds: float) -> None:
@@ -136,6 +148,11 @@
             key = CountKey(counter, OTHER, OTHER, code)
         self.count_by_key[key] = self.count_by_key.get(key, 0) + 1
 
+    def readings(self) -> Iterable[Reading]:
+        """Yield the present value of every gauge."""
+        for read in self.gauges:
+            yield from read()
+
     def report(self) -> TelemetryReport:
         """Return everything measured, ready to be merged with other daemons'."""
         histograms = [
--- a/features/fakes/platform.py
+++ b/features/fakes/platform.py
@@ -398,6 +398,7 @@
         for daemon in self.daemons:
             daemon.drained.set()
             daemon.health.close()
+            daemon.relay.close()
             daemon._seat_taking.cancel()
             await daemon.tasks.cancel()
             await daemon._session.close()
--- a/features/steps/choice.py
+++ b/features/steps/choice.py
@@ -245,7 +245,7 @@
         for _ in range(count):
             context.resends.request()
             await asyncio.sleep(5 / count)
-        return sum(context.resends.spend() for _ in range(count))
+        return sum(context.resends.spend("busy") for _ in range(count))
 
     context.made = context.loop.run_until_complete(send())
 
--- a/features/steps/decisions.py
+++ b/features/steps/decisions.py
@@ -11,6 +11,7 @@
 
 from auburnproxy.ctl.main import run as run_ctl
 from auburnproxy.telemetry.decisions import Decisions
+from auburnproxy.telemetry.exposition import exposition
 from features.fakes.platform import KEY, MODEL, STREAM_PATH, running_site
 from features.steps.routed import ask, run, script_first, stream
 
@@ -140,6 +141,34 @@
     assert {"load", "report_age_s", "remaining_s"} <= failed.keys(), failed
 
 
+@then("its metrics hold these lines")
+def compare_metrics(context):
+
+    async def expose():
+        return exposition(context.site.daemons[0].telemetry).decode()
+
+    context.metrics = run(context, expose())
+    lines = context.metrics.splitlines()
+    for wanted in (context.table.headings[0], *(row[0] for row in context.table.rows)):
+        close = [line for line in lines if line.startswith(wanted.split("{")[0])]
+        assert wanted in lines, (wanted, close)
+
+
+@then("its metrics count readings of the store by topic and outcome")
+def compare_store_calls(context):
+    for topic, kind in (("op", "newest"), ("servers", "newest"), ("servers", "read")):
+        labels = f'code="{kind}_answered",plan="",target="{topic}"'
+        wanted = f"store_call_total{{{labels}}}"
+        assert wanted in context.metrics, wanted
+
+
+@then("its metrics tell the age of each topic's records")
+def compare_ages(context):
+    for topic in ("op", "servers", "replicas"):
+        wanted = f'records_age_seconds{{state="",target="{topic}"}}'
+        assert wanted in context.metrics, wanted
+
+
 LOGS = (
     """{"at": 1.0, "host": "a", "kind": "configuration_in_force", "version": 4}
 {"at": 2.0, "host": "a", "kind": "upstream_back", "upstream": "u1"}
