Tell an author no outcome that a state taken over may have forgotten

Cause of JournalMachine 9011 (KNOWN-RED): an author that had not followed the log took over a state in which its record's acceptance was past the window and forgotten; a copy that landed later was rejected there as expired, and the author was told that. It is now told that the outcome is unknown.

Ruled out: the hash seed (1 to 3 pass) and the number of starts.

--- a/auburnproxy/journal/journal.py
+++ b/auburnproxy/journal/journal.py
@@ -17,7 +17,7 @@
 from ._recovery import Recovery, same_history
 from ._relay import Relay
 from ._writer import Writer
-from .fold import WINDOW, Fold, Hole, Snapshot
+from .fold import EXPIRED, WINDOW, Fold, Hole, Snapshot
 from .record import Entry, Outcome, Record
 from .reducer import Reducer
 from .restoration import Restorations, Sighting, bare, sighting_of
@@ -88,6 +88,9 @@
             self._access, self._fold, author=author, rank=rank, period_s=checkpoint_s
         )
         self._outcome_by_proposal: dict[str, Outcome | None] = {}
+        self._doubtful: set[str] = set()
+        """Proposals during which a state was taken over; it may have forgotten that
+        an earlier copy was accepted."""
         self._turn = asyncio.Event()
         self._up = False
         self._ready = False
@@ -225,7 +228,14 @@
         """Note the first outcome of a proposal; a later copy may have another."""
         if record_id in self._outcome_by_proposal:
             known = self._outcome_by_proposal[record_id]
-            self._outcome_by_proposal[record_id] = known or self.outcome(record_id)
+            self._outcome_by_proposal[record_id] = known or self._first(record_id)
+
+    def _first(self, record_id: str) -> Outcome | None:
+        """Return the outcome of a proposal's first copy, None if it is not known."""
+        outcome = self.outcome(record_id)
+        if outcome is not None and outcome.reason == EXPIRED:
+            return None if record_id in self._doubtful else outcome
+        return outcome
 
     def _see(self, sighting: Sighting) -> bool:
         """Take a claim or part, and return whether the fold may go on."""
@@ -288,6 +298,7 @@
             raise OutcomeUnknownError(chosen) from None
         finally:
             self._outcome_by_proposal.pop(chosen, None)
+            self._doubtful.discard(chosen)
 
     async def _following(self) -> None:
         """Wait for a state that follows the log; records could not be read back."""
@@ -320,7 +331,7 @@
     async def _folded(self, record_id: str) -> Outcome:
         while True:
             outcome = self._outcome_by_proposal.get(record_id)
-            outcome = outcome or self.outcome(record_id)
+            outcome = outcome or self._first(record_id)
             if outcome is not None:
                 return outcome
             await self._turn.wait()
@@ -373,5 +384,6 @@
 
     def _restore(self, snapshot: Snapshot) -> None:
         self._fold.restore(snapshot)
+        self._doubtful |= self._outcome_by_proposal.keys()
         self._ready = True
         self._notify()
--- a/features/journal.feature
+++ b/features/journal.feature
@@ -26,6 +26,16 @@
       | seed |
       | 9002 |
 
+    Examples: an author that was told of a late copy
+      | seed |
+      | 9011 |
+
+  Scenario: An author that did not follow is not told the outcome of a late copy
+    Given four processes of the journal machine
+    When 2 records are accepted, read by some, not by their author, and expire
+    And a copy of the first lands more than a window later
+    Then in the next 60 s the author is told the first outcome or none
+
   Scenario: A copy that lands after its id was forgotten is rejected
     Given two processes on one log
     When a copy of an accepted record lands more than a window later
--- a/features/steps/journal.py
+++ b/features/steps/journal.py
@@ -361,6 +361,31 @@
     assert not within(context, other.journal.adopt, process.journal.checkpoint())
 
 
+@given("four processes of the journal machine")
+def start_machine(context):
+    context.machine = JournalMachine()
+    context.add_cleanup(context.machine.teardown)
+    context.machine.start()
+    context.machine.wait(12)
+
+
+@when("2 records are accepted, read by some, not by their author, and expire")
+def lose_records(context):
+    context.machine.lose_tail(records=2, read=(0, 3, 2, 1), cut_off=None)
+
+
+@when("a copy of the first lands more than a window later")
+def land_again(context):
+    context.machine.arrive_again(back=2, blanks=41)
+
+
+@then("in the next {seconds:d} s the author is told the first outcome or none")
+def compare_told(context, seconds):
+    context.machine.wait(seconds)
+    context.machine.authors_are_told_what_was_folded()
+    context.machine.states_are_the_list_folded_in_order()
+
+
 @when("the journal machine is searched")
 def search_machine(context):
     search(JournalMachine, examples=EXAMPLES, steps=STEPS)
