Let the soak's engines form replicas of two hosts

They obey join, open, close and leave, break when a member is gone, and note orders that must never come: other members under the same name, a head opened before all take part, a host that joins another replica while its own head is open.

--- a/features/fakes/platform.py
+++ b/features/fakes/platform.py
@@ -136,6 +136,8 @@
         self.cancelled = 0
         self.part: dict[str, object] | None = None
         """What it reports of its part in a replica."""
+        self.born = 1
+        self.staged: list[str] = []
         self.on_order: Callable[[dict], None] = lambda order: None
         self._server: asyncio.Server | None = None
 
@@ -158,7 +160,8 @@
             body = await reader.readexactly(int(headers.get("content-length", 0)))
             method, path, _ = first.split(" ")
             if path == "/report":
-                report = {"models": [], "staged": [], "born": 1, "group": self.part}
+                report = {"models": [], "staged": self.staged}
+                report |= {"born": self.born, "group": self.part}
                 self._plain(writer, headers, json.dumps(report).encode())
             elif path == "/order":
                 self.on_order(json.loads(body))
--- a/soak/main.py
+++ b/soak/main.py
@@ -3,20 +3,29 @@
 from __future__ import annotations
 
 import asyncio
+import shutil
 import signal
 import sys
 import tempfile
 import time
+from functools import partial
 from pathlib import Path
 from random import Random
 
 import defopt
 from aiohttp import ClientSession
 
-from features.fakes.platform import ONCE_PATH, SAFE_PATH, STREAM_PATH, config
+from features.fakes.platform import (
+    MODEL,
+    ONCE_PATH,
+    SAFE_PATH,
+    STREAM_PATH,
+    config,
+)
 
 from .callers import Callers
 from .proxy import Mode
+from .replicas import SIZE
 from .site import SoakSite
 
 CALLERS = 12
@@ -28,6 +37,14 @@
 LEAST_SERVED = 27
 
 
+def replica_config(version: int) -> dict[str, object]:
+    """Return the configuration of replicas of two hosts."""
+    found = config(version=version)
+    (service,) = (s for s in found["services"] if "engine" in s)
+    service["engine"]["models"] = [{"name": MODEL, "size": SIZE, "share": 1.0}]
+    return found
+
+
 class Faults:
     """Faults in series and overlapping, all chosen by a seed.
 
@@ -40,6 +57,7 @@
         self._site = site
         self._random = Random(seed)
         self._version = 1
+        self._away: set[str] = set()
         self._began = time.monotonic()
 
     async def run(self, seconds: float) -> None:
@@ -103,30 +121,33 @@
         proxy.set(Mode.PASS)
 
     async def _engine_crash(self) -> None:
-        name = self._random.choice(sorted(self._site.engines))
-        engine = self._site.engines[name]
+        name = self._random.choice(sorted(self._site.engines.keys() - self._away))
         self._note(f"engine {name} is away")
-        await engine.stop()
-        engine.script = ["reset"]
+        self._away.add(name)
+        engine, replicas = self._site.engines[name], self._site.replicas
+        formed = name[0] == "e"
+        await (replicas.crash(name) if formed else engine.stop())
         await asyncio.sleep(self._random.uniform(0.2, 2.0))
-        engine.script = ["ok"]
-        await engine.start()
+        await (replicas.restart(name) if formed else engine.start())
+        self._away.discard(name)
 
     async def _engine_leaves(self) -> None:
         name = self._random.choice(sorted(self._site.engines))
         zone = f"z{int(name[1:]) % 2}"
-        service = "engines" if name[0] == "e" else "plain"
         self._note(f"engine {name} leaves and comes back")
-        register = self._site.platform.register
-        register(name, service=service, zone=zone, state="draining")
+        if name[0] == "e":
+            register = self._site.replicas.register
+        else:
+            register = partial(self._site.platform.register, service="plain", zone=zone)
+        register(name, state="draining")
         await asyncio.sleep(self._random.uniform(0.5, 3.0))
-        register(name, service=service, zone=zone)
+        register(name, state="ready")
 
     async def _configure(self) -> None:
         self._version += 1
         self._note(f"configuration {self._version}")
         store = self._site.platform.store
-        store.put("keyed.op", "config", config(version=self._version))
+        store.put("keyed.op", "config", replica_config(self._version))
 
     async def _mark(self) -> None:
         zone = self._random.choice(("z0", "z1"))
@@ -155,7 +176,7 @@
     site = SoakSite(folder, daemons=daemons)
     callers, faults = Callers(site, seed), Faults(site, seed)
     try:
-        await site.start(config())
+        await site.start(replica_config(1))
         await asyncio.sleep(WARM_S)
         calling = [asyncio.create_task(callers.run(n)) for n in range(CALLERS)]
         await faults.run(seconds)
@@ -164,6 +185,7 @@
         await asyncio.gather(*calling, return_exceptions=True)
         await _recovers(callers, site)
         callers.check_engines()
+        callers.broken += site.replicas.broken
     finally:
         await site.stop()
     outcomes = ", ".join(f"{k}: {n}" for k, n in sorted(callers.outcomes.items()))
@@ -189,7 +211,10 @@
     failed = 0
     for number in range(seed, seed + seeds):
         folder = Path(tempfile.mkdtemp(prefix=f"soak-{number}-"))
-        failed += bool(asyncio.run(play(number, seconds, daemons, folder)))
+        if asyncio.run(play(number, seconds, daemons, folder)):
+            failed += 1
+        else:
+            shutil.rmtree(folder)
     print(f"{seeds - failed} passed, {failed} failed")
     return 1 if failed else 0
 
--- a/soak/site.py
+++ b/soak/site.py
@@ -14,8 +14,12 @@
 from features.loopback import free_addresses
 
 from .proxy import Proxy
+from .replicas import ReplicaEngines
 
 GRACE_S = 8.0
+REPLICA_ENGINES = 10
+"""Two replicas of two in each of two failure domains, and a spare."""
+PLAIN_ENGINES = 4
 FIRST_HOST = 2
 """Last number of the first daemon's loopback address; the metrics port is shared."""
 
@@ -99,6 +103,7 @@
 
     def __init__(self, folder: Path, *, daemons: int) -> None:
         self.platform = Site(folder)
+        self.replicas = ReplicaEngines(self.platform)
         self.daemons: list[DaemonProcess] = []
         self.proxies: list[Proxy] = []
         self._folder = folder
@@ -113,9 +118,10 @@
         """Start everything and wait until the daemons have read their configuration."""
         await self.platform.start()
         self.platform.store.put("keyed.op", "config", configuration)
-        for number in range(4):
+        for number in range(REPLICA_ENGINES):
+            await self.replicas.add(f"e{number}", f"z{number % 2}")
+        for number in range(PLAIN_ENGINES):
             zone = f"z{number % 2}"
-            await self.platform.add_engine(f"e{number}", zone=zone)
             await self.platform.add_engine(f"p{number}", service="plain", zone=zone)
         for number in range(self._count):
             proxy = Proxy(free_addresses(1)[0], self.platform.store_address)
