--- a/auburnproxy/daemon/__init__.py
+++ b/auburnproxy/daemon/__init__.py
@@ -1,5 +1,1 @@
 """The daemon ``auburnproxyd``."""
-
-from .main import main
-
-__all__ = ["main"]
--- a/features/processes.feature
+++ b/features/processes.feature
@@ -18,3 +18,8 @@
     Given two daemons before engines that give a token every 20 ms
     When one gets SIGSTOP for four seconds while it serves its share and its peer is full
     Then its peer answers meanwhile, its streams are whole, and no engine fell over
+
+  Scenario: A signal to reload that comes before a routed daemon has started ends nothing
+    Given a routed daemon in a process that has just begun
+    When it gets SIGHUP before it has started
+    Then it starts all the same
--- a/features/steps/processes.py
+++ b/features/steps/processes.py
@@ -2,11 +2,14 @@
 
 import asyncio
 import signal
+import tempfile
+from pathlib import Path
 
 import msgspec
 from behave import given, then, when
 
 from features import loopback
+from soak.site import DaemonProcess
 from standins.callers import Caller, Result, Timing, call_model, call_order
 from standins.deployment import ModelShape, PlanShape, Shape
 from standins.load import PlanLoad, fetch_runs
@@ -227,3 +230,64 @@
     assert after.result is Result.WHOLE, after
     assert meanwhile
     assert all(each.result is Result.WHOLE for each in meanwhile), meanwhile
+
+
+START_TIMEOUT_S = 20.0
+HANGUP_BIT = 1 << (signal.SIGHUP - 1)
+
+
+class Starting:
+    """A routed daemon that finds no store; only its start matters."""
+
+    def __init__(self, folder):
+        self.log = Path(folder) / "d0.log"
+        (address,) = loopback.free_addresses(1)
+        self.process = DaemonProcess(0, "z0", address, Path(folder))
+
+    def started(self):
+        return '"kind":"started"' in self.log.read_text()
+
+    def ignores_hangup(self):
+        """Return whether the kernel would drop SIGHUP; the process may have ended."""
+        status = Path(f"/proc/{self.process._process.pid}/status").read_text()
+        (mask,) = [x.split()[1] for x in status.splitlines() if x.startswith("SigIgn")]
+        return bool(int(mask, 16) & HANGUP_BIT)
+
+    async def until(self, condition):
+        async with asyncio.timeout(START_TIMEOUT_S):
+            while not condition():
+                assert self.process.runs, self.log.read_text()
+                await asyncio.sleep(0.002)
+
+
+@given("a routed daemon in a process that has just begun")
+def begin_process(context):
+    context.folder = tempfile.TemporaryDirectory()
+    context.add_cleanup(context.folder.cleanup)
+    context.starting = Starting(context.folder.name)
+
+
+@when("it gets SIGHUP before it has started")
+def hang_up_early(context):
+    async def play():
+        starting = context.starting
+        await starting.process.start()
+        try:
+            await starting.until(
+                lambda: starting.started() or starting.ignores_hangup()
+            )
+            context.early = not starting.started()
+            starting.process.send(signal.SIGHUP)
+            await starting.until(starting.started)
+            await asyncio.sleep(0.2)
+            context.runs = starting.process.runs
+        finally:
+            await starting.process.stop()
+
+    asyncio.run(play())
+
+
+@then("it starts all the same")
+def compare_started(context):
+    assert context.early, "it could have been ended until it had started"
+    assert context.runs
