--- a/soak/site.py
+++ b/soak/site.py
@@ -55,6 +55,7 @@
         }
         self._settings.write_text(yaml.safe_dump(settings))
         self._process: asyncio.subprocess.Process | None = None
+        self._starting = asyncio.Lock()
 
     @property
     def runs(self) -> bool:
@@ -62,10 +63,13 @@
         return self._process is not None and self._process.returncode is None
 
     async def start(self) -> None:
-        """Start the process, unless it runs."""
-        if self.runs:
-            return
-        self._process = await asyncio.create_subprocess_exec(
+        """Start the process, unless it runs; two faults may end together."""
+        async with self._starting:
+            if not self.runs:
+                self._process = await self._begin()
+
+    async def _begin(self) -> asyncio.subprocess.Process:
+        return await asyncio.create_subprocess_exec(
             sys.executable,
             "-m",
             "auburnproxy.daemon",
