Give a reading up that the store got while it was silent

Ruled out: records from peers, whose readings hang alike.

A reading of operators' records waits 0.8 s, an answer of which nothing comes for 1.0 s beyond its wait is given up, and the next reading follows at once. Before: the new scenario fails (200 with the revoked key 2.0 s after the return); after: it passes.

A step reached through the store that now counts calls; it does so again.

--- a/auburnproxy/daemon/routed.py
+++ b/auburnproxy/daemon/routed.py
@@ -35,9 +35,11 @@
 """Seconds that a reading of the daemons' records waits for a new one."""
 SEATS_PAUSE_S = 1.0
 """Pause between two such readings; at the start every daemon writes a record."""
-WAIT_S = 2.5
-"""The same for operators' and replicas' records; a connection that has gone silent
-is noticed within that time and the store's longest answer."""
+OPERATORS_WAIT_S = 0.8
+"""The same for operators' records. A reading that the store got while it was silent is
+given up within this and a second, and a configuration must be in force within two."""
+REPLICAS_WAIT_S = 2.5
+"""The same for replicas' records, which hosts' registrations show as well."""
 RELAY_S = 0.1
 QUICK_PAUSE_S = 0.25
 """Pause between two readings of the registrations while replicas are formed."""
@@ -95,7 +97,7 @@
             self._store,
             self._deployment.operator_topic,
             decisions,
-            wait_s=WAIT_S,
+            wait_s=OPERATORS_WAIT_S,
             reads=self._reads,
         )
         self._upstreams = Follower(
@@ -134,7 +136,7 @@
             self._store,
             REPLICAS_TOPIC,
             decisions,
-            wait_s=WAIT_S,
+            wait_s=REPLICAS_WAIT_S,
             reads=self._reads,
             pause_s=lambda: REPLICAS_PAUSE_S,
         )
--- a/auburnproxy/external/client.py
+++ b/auburnproxy/external/client.py
@@ -39,9 +39,13 @@
     """Requests to one platform service; the session opens with the first one.
 
     :param base_url: root of the service, ``http://127.0.0.1:9000``
+    :param silence_s: seconds beyond the wait of a request in which not a byte of its
+        answer comes, after which it is given up; only the whole answer is bounded if
+        left out
     """
 
-    def __init__(self, base_url: str) -> None:
+    def __init__(self, base_url: str, *, silence_s: float | None = None) -> None:
+        self._silence_s = silence_s
         self._base_url = base_url.rstrip("/")
         self._session: ClientSession | None = None
 
@@ -92,8 +96,11 @@
         :raises LostAnswerError: if the request may have taken effect
         :raises PlatformError: if it surely has not
         """
+        silence_s = self._silence_s
         timeout = ClientTimeout(
-            total=ANSWER_TIMEOUT_S + wait_s, sock_connect=CONNECT_TIMEOUT_S
+            total=ANSWER_TIMEOUT_S + wait_s,
+            sock_connect=CONNECT_TIMEOUT_S,
+            sock_read=None if silence_s is None else silence_s + wait_s,
         )
         url = self._base_url + path
         try:
--- a/auburnproxy/platform/store.py
+++ b/auburnproxy/platform/store.py
@@ -15,6 +15,8 @@
 KEYED = "keyed."
 """Prefix of the topics that keep the newest record of each key."""
 MS_PER_S = 1000
+SILENCE_S = 1.0
+"""Five times an answer of a slow store; what it got while silent it never answers."""
 LENGTH_BYTES = 4
 OFFSETS_BYTES = 16
 """Two offsets of eight bytes before the records: the end and the first retained."""
@@ -45,7 +47,7 @@
     """
 
     def __init__(self, address: str) -> None:
-        self._client = Client(f"http://{address}")
+        self._client = Client(f"http://{address}", silence_s=SILENCE_S)
 
     async def newest(self, topic: str) -> Newest:
         """Return the newest record of each key of a topic.
--- a/auburnproxy/store/follower.py
+++ b/auburnproxy/store/follower.py
@@ -123,7 +123,8 @@
             try:
                 await self.step()
             except PlatformError:
-                await asyncio.sleep(RETRY_S)
+                took_s = asyncio.get_running_loop().time() - self._asked_at
+                await asyncio.sleep(max(RETRY_S - took_s, 0.0))
                 continue
             finally:
                 self._asked_at = None
--- a/features/fakes/platform.py
+++ b/features/fakes/platform.py
@@ -35,6 +35,8 @@
         self.records_by_topic: dict[str, list[bytes]] = {}
         self.first = 0
         self.refuse: Callable[[web.Request], bool] = lambda request: False
+        self.silent = False
+        """Whether what is asked, or would be answered now, never is."""
         self._appended = asyncio.Event()
 
     def app(self) -> web.Application:
@@ -58,7 +60,12 @@
         turn.set()
         return len(found)
 
+    async def _unless_silent(self) -> None:
+        if self.silent:
+            await asyncio.Event().wait()
+
     async def _read(self, request: web.Request) -> web.Response:
+        await self._unless_silent()
         if self.refuse(request):
             return web.Response(status=503)
         start = int(request.query["from"])
@@ -70,6 +77,7 @@
             async with asyncio.timeout(wait_s):
                 while len(self.records_by_topic.get(topic, [])) <= start:
                     await self._appended.wait()
+        await self._unless_silent()
         if self.refuse(request):
             return web.Response(status=503)
         records = self.records_by_topic.get(topic, [])
--- a/features/routed.feature
+++ b/features/routed.feature
@@ -152,6 +152,14 @@
     And a request comes to the second daemon with its key
     Then the caller is answered 401
 
+  Scenario: A key that is revoked as the store comes back from silence is refused in time
+    Given a routed site
+    When an operator writes a record and the store falls silent for 2.6 s
+    And the key is revoked
+    And 2.0 s pass there
+    And a request comes with its key
+    Then the caller is answered 401
+
   Scenario: Lost history is read again from the newest records
     Given a routed site
     When the store forgets its history while a key is revoked
--- a/features/steps/routed.py
+++ b/features/steps/routed.py
@@ -378,10 +378,24 @@
     async def refused(*args, **options):
         raise PlatformError("turned away")
 
-    daemon._store._client.send = refused
+    daemon._store._store._client.send = refused
     run(context, asyncio.sleep(0.1))
 
 
+@when("an operator writes a record and the store falls silent for {seconds:g} s")
+def silence(context, seconds):
+    store = context.site.store
+
+    async def play():
+        store.put("keyed.op", "config", config(version=2))
+        await asyncio.sleep(0.1)
+        store.silent = True
+        await asyncio.sleep(seconds)
+        store.silent = False
+
+    run(context, play())
+
+
 @when("the key is revoked")
 def revoke(context):
     context.site.store.put("keyed.op", "config", config(version=7, keys=("other",)))
