Tell the loop's time in one place

Twelve modules defined the same private function, eight of them new with the routed daemon, and others of its slices spelled the call out. All of these use clock.loop_time now; slices that were not touched keep theirs. No behaviour changes.

--- a/auburnproxy/beats/circle.py
+++ b/auburnproxy/beats/circle.py
@@ -9,6 +9,7 @@
 
 import msgspec
 
+from ..clock import loop_time
 from ..errors import PeerError
 from ..rendezvous import rank_names
 from ..store import Change, Follower
@@ -168,7 +169,7 @@
         :param least_s: age that a beat may have at any size of the deployment
         :param beats: beats that a daemon may be late where that is more
         """
-        now = _now()
+        now = loop_time()
         age_s_by_domain = {
             domain: max(least_s, beats * self._interval_s(domain))
             for domain in self._count_by_domain
@@ -207,8 +208,8 @@
 
     def work(self, host: str) -> tuple[int, int]:
         """Return the requests of the others at an upstream, and those that wait."""
-        if _now() - self._work_at >= WORK_S:
-            self._work_at = _now()
+        if loop_time() - self._work_at >= WORK_S:
+            self._work_at = loop_time()
             self._work_by_host = self._sum_work()
         return self._work_by_host.get(host, (0, 0))
 
@@ -259,7 +260,7 @@
             self._decisions.belief("beat_unreadable", peer=addr[0], reason=str(error))
             return
         if beat.name != self._name:
-            self._heard[beat.name] = Heard(beat, _now())
+            self._heard[beat.name] = Heard(beat, loop_time())
 
     def error_received(self, exc: Exception) -> None:
         """Log a datagram that the network gave back."""
@@ -304,7 +305,3 @@
                 "record_unreadable", key=change.key, reason=str(error)
             )
         self._count_domains()
-
-
-def _now() -> float:
-    return asyncio.get_running_loop().time()
--- a/auburnproxy/daemon/routed.py
+++ b/auburnproxy/daemon/routed.py
@@ -11,6 +11,7 @@
 from .. import __version__
 from ..beats import Beat, Circle
 from ..beats.circle import Seat
+from ..clock import loop_time
 from ..errors import AuburnError, DocumentError, PlatformError
 from ..formation import Conductor, Register
 from ..formation.duty import Duty
@@ -203,7 +204,7 @@
 
     def _readings(self) -> Iterator[Reading]:
         yield Reading(Gauge.DAEMONS, len(self.circle.present))
-        now = asyncio.get_running_loop().time()
+        now = loop_time()
         for topic, follower in self.relay.followers.items():
             if follower.whole:
                 age_s = now - follower.current_at
@@ -255,7 +256,7 @@
 
     async def stop(self) -> None:
         """Let the balancer turn away, finish what is in flight and end every task."""
-        began = asyncio.get_running_loop().time()
+        began = loop_time()
         self.face.draining = True
         self.decisions.belief("stopping", in_flight=self.face.requests.count)
         await self.duty.give_up()
@@ -396,7 +397,7 @@
             self.directory.unregister(change.key)
             self.health.forget(change.key)
             return
-        now = asyncio.get_running_loop().time()
+        now = loop_time()
         try:
             host = self._deployment.read_upstream(change, now=now)
         except PlatformError as error:
--- a/auburnproxy/formation/census.py
+++ b/auburnproxy/formation/census.py
@@ -2,10 +2,10 @@
 
 from __future__ import annotations
 
-import asyncio
 from collections import Counter
 from collections.abc import Iterable, Iterator, Mapping
 
+from ..clock import loop_time
 from ..gateway.directory import Directory
 from ..gateway.route import EngineSpec
 from ..telemetry import Gauge, Reading
@@ -44,7 +44,7 @@
         :param standings: how each replica stands, by name
         :param loading: the model of each load that is under way
         """
-        now = asyncio.get_running_loop().time()
+        now = loop_time()
         if now < self._due:
             return
         self._due = now + INTERVAL_S
--- a/auburnproxy/formation/conductor.py
+++ b/auburnproxy/formation/conductor.py
@@ -8,6 +8,7 @@
 from itertools import zip_longest
 from typing import Any, NamedTuple
 
+from ..clock import loop_time
 from ..errors import PlatformError
 from ..gateway.directory import Directory
 from ..gateway.host import Host
@@ -102,7 +103,7 @@
     @property
     def busy(self) -> bool:
         """Return whether changes are under way that reports will show soon."""
-        now = _now()
+        now = loop_time()
         return any(now - sent.at < REPEAT_S for sent in self._sent_by_host.values())
 
     async def run(self) -> None:
@@ -147,13 +148,13 @@
         """Return whether the hosts of a started system have all registered."""
         if not self._starting():
             return True
-        count, now = len(self._directory.hosts), _now()
+        count, now = len(self._directory.hosts), loop_time()
         if count != self._hosts_seen[0]:
             self._hosts_seen = (count, now)
         return now - self._hosts_seen[1] >= START_SETTLE_S
 
     def _expire(self) -> None:
-        now = _now()
+        now = loop_time()
         self._probes.expire()
         hosts = self._directory.hosts
         for host_id, (model, until) in list(self._staging_by_host.items()):
@@ -302,7 +303,7 @@
         staged = host is not None and formed.model in host.staged
         if not staged and not again and not self._begin_load(member.id, model, spec):
             return
-        self._sent_by_host[member.id] = _Sent(_now(), order)
+        self._sent_by_host[member.id] = _Sent(loop_time(), order)
         self._spawn(self._send_join(member, formed))
 
     def _begin_load(
@@ -317,7 +318,7 @@
             at_once=at_once or int(overlap * spec.loads_at_once),
         )
         if started:
-            until = _now() + LOAD_SLACK * model.load_s
+            until = loop_time() + LOAD_SLACK * model.load_s
             self._staging_by_host[host] = (model.name, until)
         return started
 
@@ -333,10 +334,14 @@
 
     def _due(self, host: str, order: str, *, mark: bool = True) -> bool:
         sent = self._sent_by_host.get(host)
-        if sent is not None and sent.order == order and _now() - sent.at < REPEAT_S:
+        if (
+            sent is not None
+            and sent.order == order
+            and loop_time() - sent.at < REPEAT_S
+        ):
             return False
         if mark:
-            self._sent_by_host[host] = _Sent(_now(), order)
+            self._sent_by_host[host] = _Sent(loop_time(), order)
         return True
 
     async def _send_join(self, member: Member, formed: Formed) -> None:
@@ -353,7 +358,7 @@
         """Let an order that got no answer be repeated sooner."""
         sent = self._sent_by_host.get(host)
         if answer is Answer.SILENT and sent is not None:
-            at = _now() - REPEAT_S + SILENT_REPEAT_S
+            at = loop_time() - REPEAT_S + SILENT_REPEAT_S
             self._sent_by_host[host] = sent._replace(at=at)
 
     async def _send_leave(self, member: Member, formed: Formed) -> None:
@@ -382,7 +387,3 @@
         self._tasks.discard(task)
         if not task.cancelled() and (error := task.exception()):
             self._decisions.belief("order_failed", error=repr(error))
-
-
-def _now() -> float:
-    return asyncio.get_running_loop().time()
--- a/auburnproxy/formation/duty.py
+++ b/auburnproxy/formation/duty.py
@@ -5,6 +5,7 @@
 import asyncio
 from collections.abc import Callable, Collection
 
+from ..clock import loop_time
 from ..errors import PlatformError
 from ..rendezvous import rank_names
 from ..telemetry.decisions import Decisions
@@ -84,7 +85,7 @@
         if holder == self._name or (holder and holder in self._acting()):
             self._silent_since = None
             return
-        now = asyncio.get_running_loop().time()
+        now = loop_time()
         if self._silent_since is None:
             self._silent_since = now
         if now - self._silent_since >= self._wait_s(present):
--- a/auburnproxy/formation/loads.py
+++ b/auburnproxy/formation/loads.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-import asyncio
+from ..clock import loop_time
 
 RATE_PART = 0.8
 """Part of the weight store's rate that is used; a successor may have begun some."""
@@ -23,7 +23,7 @@
         :param per_s: loads that the weight store starts in a second
         :param at_once: loads that do not slow each other down
         """
-        now = asyncio.get_running_loop().time()
+        now = loop_time()
         self._forget(now)
         if len(self._until_by_host) >= at_once:
             return False
--- a/auburnproxy/formation/probes.py
+++ b/auburnproxy/formation/probes.py
@@ -6,6 +6,7 @@
 from collections.abc import Collection, Mapping
 from typing import TypeVar
 
+from ..clock import loop_time
 from ..errors import AuburnError
 from ..gateway.directory import Directory
 from ..gateway.host import Host
@@ -49,7 +50,7 @@
 
     def expire(self) -> None:
         """Forget old verdicts."""
-        now = _now()
+        now = loop_time()
         self._lost_until = _after(now, self._lost_until)
         self._asked_until = _after(now, self._asked_until)
 
@@ -73,7 +74,7 @@
             cold_s=0.0,
             born=member.born,
         )
-        self._asked_until[member.id] = _now() + KEPT_S
+        self._asked_until[member.id] = loop_time() + KEPT_S
         task = asyncio.create_task(self._judge(member, host, reason))
         self._tasks.add(task)
         task.add_done_callback(self._ended)
@@ -103,7 +104,7 @@
         if error is not None and not await self._reaches_neighbours(host):
             self._decisions.belief("host_unreachable", upstream=member.id)
             return
-        self._lost_until[member.id, member.born] = _now() + LOST_KEPT_S
+        self._lost_until[member.id, member.born] = loop_time() + LOST_KEPT_S
         self._decisions.belief(
             "host_lost", upstream=member.id, reason=reason, error=repr(error)
         )
@@ -134,7 +135,3 @@
 
 def _after(now: float, until_by_key: Mapping[K, float]) -> dict[K, float]:
     return {key: until for key, until in until_by_key.items() if until > now}
-
-
-def _now() -> float:
-    return asyncio.get_running_loop().time()
--- a/auburnproxy/formation/retirement.py
+++ b/auburnproxy/formation/retirement.py
@@ -10,6 +10,7 @@
 import asyncio
 from collections.abc import Callable, Collection, Sequence
 
+from ..clock import loop_time
 from ..errors import AuburnError
 from ..gateway.host import Host, PartState
 from ..telemetry.decisions import Decisions
@@ -116,8 +117,8 @@
     async def _drain(self, formed: Formed) -> None:
         """Let the head finish what it has."""
         await self._orders.close(formed)
-        until = _now() + DRAIN_S
-        while _now() < until:
+        until = loop_time() + DRAIN_S
+        while loop_time() < until:
             state = await self._state(formed, formed.head)
             if state not in (PartState.OPEN, PartState.CLOSING):
                 return
@@ -153,7 +154,3 @@
             return None
         ours = (part.replica, part.epoch) == (formed.name, formed.epoch)
         return part.state if ours else None
-
-
-def _now() -> float:
-    return asyncio.get_running_loop().time()
--- a/auburnproxy/gateway/call.py
+++ b/auburnproxy/gateway/call.py
@@ -2,12 +2,12 @@
 
 from __future__ import annotations
 
-import asyncio
 from typing import NamedTuple, cast
 
 from aiohttp import ClientSession, web
 from yarl import URL
 
+from ..clock import loop_time
 from ..errors import AuburnError, Ran, UpstreamError
 from ..upstreams.client import TrackedResponse, upstream_errors
 from .dialect import Ask, Dialect, Dispatch, Reply
@@ -42,7 +42,7 @@
     @property
     def remaining_s(self) -> float:
         """Return the seconds until the deadline."""
-        return self.deadline - asyncio.get_running_loop().time()
+        return self.deadline - loop_time()
 
 
 class TryError(AuburnError):
--- a/auburnproxy/gateway/choice.py
+++ b/auburnproxy/gateway/choice.py
@@ -2,11 +2,11 @@
 
 from __future__ import annotations
 
-import asyncio
 from collections import deque
 from collections.abc import Callable, Collection, Sequence
 from random import Random
 
+from ..clock import loop_time
 from ..errors import RefusalError
 from .directory import Directory
 from .health import Health
@@ -202,15 +202,11 @@
         if service is None or not service.cold_per_s:
             return True
         sent = self._sent_by_cold_host.get(host.id, deque())
-        since = _now() - COLD_WINDOW_S
+        since = loop_time() - COLD_WINDOW_S
         while sent and sent[0] <= since:
             sent.popleft()
         return len(sent) < max(service.cold_per_s / max(self._daemons(), 1), 1)
 
     def _note_sent(self, host: Host) -> None:
         if self._directory.cold_s(host) > 0:
-            self._sent_by_cold_host.setdefault(host.id, deque()).append(_now())
-
-
-def _now() -> float:
-    return asyncio.get_running_loop().time()
+            self._sent_by_cold_host.setdefault(host.id, deque()).append(loop_time())
--- a/auburnproxy/gateway/directory.py
+++ b/auburnproxy/gateway/directory.py
@@ -2,10 +2,10 @@
 
 from __future__ import annotations
 
-import asyncio
 from collections.abc import Callable, Collection, Iterable, Mapping
 from types import MappingProxyType
 
+from ..clock import loop_time
 from ..pulse import Pulse
 from ..telemetry.decisions import Decisions
 from .host import Host, PartState
@@ -65,7 +65,7 @@
         if configuration.version <= before:
             return
         self.configuration = configuration
-        self.configured_at = _now()
+        self.configured_at = loop_time()
         self._replicas = None
         self._decisions.belief(
             "configuration_in_force", version=configuration.version, before=before
@@ -110,14 +110,14 @@
         if host_id not in self._hosts:
             return
         if self._near_outage():
-            self._lapsed_at_by_id.setdefault(host_id, _now())
+            self._lapsed_at_by_id.setdefault(host_id, loop_time())
             self._decisions.belief("host_lapsed", upstream=host_id)
             return
         self._drop(host_id)
 
     def expire(self) -> None:
         """Drop the hosts that lapsed and did not come back."""
-        now = _now()
+        now = loop_time()
         away_at = self._store_away_at()
         for host_id, at in list(self._lapsed_at_by_id.items()):
             if now - max(at, away_at) >= LAPSE_GRACE_S:
@@ -150,11 +150,11 @@
 
     def cold_s(self, host: Host) -> float:
         """Return the seconds for which a host is still cold."""
-        return max(host.cold_s - (_now() - host.seen_at), 0.0)
+        return max(host.cold_s - (loop_time() - host.seen_at), 0.0)
 
     def _near_outage(self) -> bool:
         away_at = self._store_away_at()
-        return away_at >= 0 and _now() - away_at < LAPSE_GRACE_S
+        return away_at >= 0 and loop_time() - away_at < LAPSE_GRACE_S
 
     def _drop(self, host_id: str) -> None:
         del self._hosts[host_id]
@@ -181,7 +181,3 @@
                 replica=host.part.replica,
                 epoch=host.part.epoch,
             )
-
-
-def _now() -> float:
-    return asyncio.get_running_loop().time()
--- a/auburnproxy/gateway/face.py
+++ b/auburnproxy/gateway/face.py
@@ -9,6 +9,7 @@
 
 from aiohttp import web
 
+from ..clock import loop_time
 from ..errors import Ran, RefusalError
 from ..in_flight import InFlight
 from ..telemetry import Counter, Gauge, Measure, Reading, Telemetry
@@ -81,7 +82,7 @@
 
     async def handle(self, http: web.Request) -> web.StreamResponse:
         """Answer one request."""
-        arrived = asyncio.get_running_loop().time()
+        arrived = loop_time()
         ask = self._dialect.read_ask(http.headers)
         with self.requests.counted():
             try:
@@ -224,4 +225,4 @@
 
 
 def _since(arrived: float) -> float:
-    return round(asyncio.get_running_loop().time() - arrived, 4)
+    return round(loop_time() - arrived, 4)
--- a/auburnproxy/gateway/health.py
+++ b/auburnproxy/gateway/health.py
@@ -13,6 +13,7 @@
 from contextlib import contextmanager
 from typing import NamedTuple
 
+from ..clock import loop_time
 from ..telemetry.decisions import Decisions
 
 FIRST_PAUSE_S = 0.5
@@ -84,7 +85,7 @@
     @property
     def work_by_host(self) -> dict[str, Work]:
         """Return this daemon's requests at each upstream that has any."""
-        now = _now()
+        now = loop_time()
         return {
             host: Work(state.in_flight, state.waiting, _age_ms(now, state.heard_at))
             for host, state in self._states.items()
@@ -99,7 +100,7 @@
         state = self._states.get(host)
         if state is None or state.in_flight <= state.waiting:
             return 0.0
-        return _now() - state.heard_at
+        return loop_time() - state.heard_at
 
     def heard_at(self, host: str) -> float:
         """Return the loop's time at which any daemon last heard from an upstream."""
@@ -110,7 +111,7 @@
     @property
     def suspects(self) -> tuple[str, ...]:
         """Return the upstreams that are excluded now."""
-        now = _now()
+        now = loop_time()
         return tuple(h for h, s in self._states.items() if s.excluded_until > now)
 
     def unanswered(self, host: str) -> bool:
@@ -127,7 +128,7 @@
         state = self._states.get(host)
         if state is None or not state.pause_s:
             return False
-        return state.excluded_until > _now() or state.probing
+        return state.excluded_until > loop_time() or state.probing
 
     @contextmanager
     def request(
@@ -164,7 +165,7 @@
     def heard(self, host: str) -> None:
         """Note that an upstream has sent something."""
         state = self._states.setdefault(host, _State())
-        state.heard_at = _now()
+        state.heard_at = loop_time()
         state.unanswered = False
         if state.pause_s:
             state.pause_s = 0.0
@@ -179,7 +180,7 @@
         :param reason: what its request saw
         """
         state = self._states.setdefault(host, _State())
-        if _now() - self.heard_at(host) < silence_s:
+        if loop_time() - self.heard_at(host) < silence_s:
             return
         self.failed(host, reason=reason)
         for on_lost in tuple(state.watches):
@@ -191,7 +192,7 @@
         :param reason: what was seen of it
         """
         state = self._states.setdefault(host, _State())
-        now = _now()
+        now = loop_time()
         if state.excluded_until > now:
             return
         calm = now - state.excluded_until > FORGET_S
@@ -223,7 +224,7 @@
             return
         if not await self._probe(host) and self._states.get(host) is state:
             state.unanswered = True
-            state.excluded_until = _now()
+            state.excluded_until = loop_time()
             self.failed(host, reason="no answer to a probe")
 
     def close(self) -> None:
@@ -240,7 +241,3 @@
 
 def _age_ms(now: float, at: float) -> int:
     return min(round((now - at) * MS_PER_S), LONGEST_AGE_MS)
-
-
-def _now() -> float:
-    return asyncio.get_running_loop().time()
--- a/auburnproxy/gateway/resends.py
+++ b/auburnproxy/gateway/resends.py
@@ -6,11 +6,12 @@
 
 from __future__ import annotations
 
-import asyncio
 from collections import deque
 from collections.abc import Callable
 from typing import NamedTuple
 
+from ..clock import loop_time
+
 MARGIN = 0.8
 """Part of the bound that is used: windows of daemons and callers are not aligned."""
 
@@ -49,12 +50,12 @@
 
     def request(self) -> None:
         """Count a request."""
-        self._requests.append(_now())
+        self._requests.append(loop_time())
 
     @property
     def left(self) -> int:
         """Return how many resends may be made now."""
-        since = _now() - self._allowance.window_s
+        since = loop_time() - self._allowance.window_s
         for times in (self._requests, self._resends):
             while times and times[0] <= since:
                 times.popleft()
@@ -69,10 +70,6 @@
         """
         allowed = self.left >= 1
         if allowed:
-            self._resends.append(_now())
+            self._resends.append(loop_time())
         self._note(reason, allowed)
         return allowed
-
-
-def _now() -> float:
-    return asyncio.get_running_loop().time()
--- a/auburnproxy/gateway/streams.py
+++ b/auburnproxy/gateway/streams.py
@@ -9,6 +9,7 @@
 
 from aiohttp import ClientError, ClientResponse, ClientSession, web
 
+from ..clock import loop_time
 from ..errors import AuburnError, Ran, RefusalError
 from ..telemetry import Counter, Measure, Telemetry
 from ..telemetry.decisions import Decisions
@@ -145,7 +146,7 @@
     def _note_try(self) -> None:
         call, telemetry = self._call, self._parts.telemetry
         if not self._tries:
-            waited_s = asyncio.get_running_loop().time() - call.arrived
+            waited_s = loop_time() - call.arrived
             telemetry.observe(Measure.QUEUE_WAIT, call.account, call.service, waited_s)
         elif self._response is not None:
             telemetry.count(Counter.RESUMED, call.account, call.service)
@@ -156,7 +157,7 @@
 
         Its caller waits for the next event; heads that were left may answer again.
         """
-        now = asyncio.get_running_loop().time()
+        now = loop_time()
         if self._response is None or now - self._event_at > LONGEST_PAUSE_S:
             return False
         self._exclude.clear()
@@ -196,7 +197,7 @@
         inputs: Mapping[str, object],
     ) -> NoReturn:
         if self._response is not None:
-            now = asyncio.get_running_loop().time()
+            now = loop_time()
             self._parts.decisions.request(
                 "stream_aborted",
                 self._call.id,
@@ -221,7 +222,7 @@
 
     async def _try(self, replica: ServingReplica) -> web.StreamResponse:
         head, health = replica.head, self._parts.health
-        now = asyncio.get_running_loop().time()
+        now = loop_time()
         remaining_s = self._call.deadline - now
         if remaining_s <= 0:
             raise TryError("deadline", ran=Ran.NO, sent=False)
@@ -235,7 +236,7 @@
 
                 def lost() -> None:
                     if not limit.expired():
-                        limit.reschedule(asyncio.get_running_loop().time())
+                        limit.reschedule(loop_time())
 
                 with (
                     self._watch(head.id, bound_s, limit),
@@ -336,7 +337,7 @@
             raise TryError("truncated", ran=Ran.UNKNOWN)
 
     def _time_event(self) -> None:
-        now = asyncio.get_running_loop().time()
+        now = loop_time()
         if not self._first_at:
             self._first_at = now
         else:
@@ -356,7 +357,7 @@
         self._response = web.StreamResponse(
             status=answer.status, headers=passed_on(answer.headers)
         )
-        took_s = asyncio.get_running_loop().time() - call.arrived
+        took_s = loop_time() - call.arrived
         self._parts.telemetry.observe(
             Measure.FIRST_CHUNK, call.account, call.service, took_s
         )
@@ -391,7 +392,7 @@
         return max(PAUSE_PART * self._call.route.pause_objective_s, LEAST_PAUSE_S)
 
     def _limit_at(self, bound_s: float) -> float:
-        return min(asyncio.get_running_loop().time() + bound_s, self._call.deadline)
+        return min(loop_time() + bound_s, self._call.deadline)
 
     def _log_end(self, replica: ServingReplica) -> None:
         self._parts.decisions.request(
@@ -414,9 +415,7 @@
             ran=error.ran,
             last_event=self._last_id,
             load=self._parts.choice.load(replica.head),
-            report_age_s=round(
-                asyncio.get_running_loop().time() - replica.head.seen_at, 3
-            ),
+            report_age_s=round(loop_time() - replica.head.seen_at, 3),
             remaining_s=round(self._call.remaining_s, 3),
         )
 
--- a/auburnproxy/platform/engine_orders.py
+++ b/auburnproxy/platform/engine_orders.py
@@ -2,12 +2,12 @@
 
 from __future__ import annotations
 
-import asyncio
 from typing import Any
 
 import msgspec
 from aiohttp import ClientTimeout
 
+from ..clock import loop_time
 from ..errors import UpstreamError
 from ..formation.orders import Answer, Orders
 from ..formation.record import Formed, Member
@@ -67,7 +67,7 @@
                 body = await response.read()
                 if response.status != DONE:
                     raise UpstreamError(f"{host.id}: report has {response.status}")
-        return read_report(host, body, now=asyncio.get_running_loop().time())
+        return read_report(host, body, now=loop_time())
 
     async def close_connections(self) -> None:
         """Close every connection."""
--- a/auburnproxy/replicas/custodian.py
+++ b/auburnproxy/replicas/custodian.py
@@ -8,6 +8,7 @@
 
 from loguru import logger
 
+from ..clock import loop_time
 from ..errors import AuburnError, PlatformError
 from ..external import WeightStore
 from ..upstreams import Watcher
@@ -91,7 +92,7 @@
 
     def step(self) -> None:
         """Start the orders that are due; each runs in a task of its own."""
-        self._budget.set_rate(self._store_share(self._loads_per_minute), _now())
+        self._budget.set_rate(self._store_share(self._loads_per_minute), loop_time())
         self._repairs.adopt(self._watcher, self._in_custody)
         for host, part in self._due():
             report = self._watcher.report(host)
@@ -146,7 +147,7 @@
 
     def _is_repeat(self, host: str, part: Assignment | None) -> bool:
         last, repeat_at = self._repeat_at_by_host.get(host, (None, 0.0))
-        return last is not None and last.assignment == part and _now() < repeat_at
+        return last is not None and last.assignment == part and loop_time() < repeat_at
 
     def _next_fence(self, epoch: int, seen: Fence) -> Fence:
         counter = 0 if epoch > self._fence.epoch else self._fence.counter + 1
@@ -158,10 +159,12 @@
     def _may_load(self, part: Assignment | None, report: EngineReport) -> bool:
         if part is None or part.model in report.weights:
             return True
-        return self._budget.try_spend(self._cost_by_model.get(part.model, 1), _now())
+        return self._budget.try_spend(
+            self._cost_by_model.get(part.model, 1), loop_time()
+        )
 
     def _start(self, host: str, order: Order) -> None:
-        self._repeat_at_by_host[host] = (order, _now() + REPEAT_S)
+        self._repeat_at_by_host[host] = (order, loop_time() + REPEAT_S)
         task = asyncio.create_task(self._send(host, order))
         self._orders_by_host[host] = task
         task.add_done_callback(lambda _: self._orders_by_host.pop(host, None))
@@ -179,7 +182,7 @@
             log.warning("Order to {} not taken: {!r}.", host, error)
 
     async def _read_rate(self) -> None:
-        if _now() - self._read_rate_at < RATE_INTERVAL_S:
+        if loop_time() - self._read_rate_at < RATE_INTERVAL_S:
             return
         try:
             models = await self._weights.models()
@@ -189,14 +192,10 @@
             return
         self._cost_by_model = {model.name: model.load_cost for model in models}
         self._loads_per_minute = rate
-        self._read_rate_at = _now()
+        self._read_rate_at = loop_time()
 
 
 def _urgency(part: Assignment | None, left: Mapping[str, int]) -> tuple[int, str, int]:
     if part is None:
         return 0, "", 0
     return left[part.replica], part.replica, part.rank
-
-
-def _now() -> float:
-    return asyncio.get_running_loop().time()
--- a/auburnproxy/serving/spill.py
+++ b/auburnproxy/serving/spill.py
@@ -2,10 +2,10 @@
 
 from __future__ import annotations
 
-import asyncio
 from collections.abc import Collection, Iterable
 from itertools import count
 
+from ..clock import loop_time
 from ..membership import Member
 from ._protocols import Peers
 
@@ -98,7 +98,7 @@
         :param target: kind and name of the target
         """
         key = (member.failure_domain, plan, target)
-        self._paused_until[key] = _now() + PROBE_PAUSE_S
+        self._paused_until[key] = loop_time() + PROBE_PAUSE_S
 
     def _near(self, plan: str, target: str, exclude: Collection[str]) -> Member | None:
         plan_free = self._peers.free_slots(f"plan/{plan}")
@@ -112,7 +112,7 @@
         return near[min(found)[1]] if found else None
 
     def _probe(self, plan: str, target: str) -> Member | None:
-        now = _now()
+        now = loop_time()
         self._paused_until = {k: t for k, t in self._paused_until.items() if t > now}
         members_by_domain = {
             domain: members
@@ -130,7 +130,3 @@
 def _allowed(members: Iterable[Member], exclude: Collection[str]) -> list[Member]:
     """Return the members that have not refused to let the call wait."""
     return [member for member in members if waiting_at(member) not in exclude]
-
-
-def _now() -> float:
-    return asyncio.get_running_loop().time()
--- a/auburnproxy/store/follower.py
+++ b/auburnproxy/store/follower.py
@@ -8,6 +8,7 @@
 from types import MappingProxyType
 from typing import NamedTuple
 
+from ..clock import loop_time
 from ..errors import PlatformError
 from ..pulse import Pulse
 from ..telemetry.decisions import Decisions
@@ -99,7 +100,7 @@
         """Return whether the service has answered, and is not late to answer again."""
         if not self.up or self._asked_at is None:
             return self.up
-        age_s = asyncio.get_running_loop().time() - self._asked_at
+        age_s = loop_time() - self._asked_at
         return age_s <= self._wait_s + LATE_S
 
     @property
@@ -110,7 +111,7 @@
         """
         if self._wait_s or not self._up or not self._reads():
             return True
-        age_s = asyncio.get_running_loop().time() - self.current_at
+        age_s = loop_time() - self.current_at
         return age_s > self._pause_s() + OVERDUE_S
 
     async def run(self) -> None:
@@ -119,11 +120,11 @@
             if self.whole and not self._reads():
                 await asyncio.sleep(IDLE_S)
                 continue
-            self._asked_at = asyncio.get_running_loop().time()
+            self._asked_at = loop_time()
             try:
                 await self.step()
             except PlatformError:
-                took_s = asyncio.get_running_loop().time() - self._asked_at
+                took_s = loop_time() - self._asked_at
                 await asyncio.sleep(max(RETRY_S - took_s, 0.0))
                 continue
             finally:
@@ -136,7 +137,7 @@
         :param wait: whether to wait for a record if there is none yet
         :raises PlatformError: if the service does not answer
         """
-        sent_at = asyncio.get_running_loop().time()
+        sent_at = loop_time()
         try:
             if not self.whole:
                 await self._load()
@@ -169,7 +170,7 @@
 
         :param offset: end of a peer's copy
         """
-        now = asyncio.get_running_loop().time()
+        now = loop_time()
         away_s = now - self.away_at if self.away_at >= 0 else None
         if self._recent_from <= offset <= self.end:
             newest = {c.key: c for c in self._recent if c.offset >= offset}
@@ -194,7 +195,7 @@
         if shared.whole:
             self._recent.clear()
             self._recent_from = shared.end
-        now = asyncio.get_running_loop().time()
+        now = loop_time()
         if shared.away_s is not None:
             self.away_at = max(self.away_at, now - shared.away_s)
         self.end = max(self.end, shared.end)
@@ -224,7 +225,7 @@
 
     def _note(self, *, up: bool, error: Exception | None = None) -> None:
         if not up:
-            self.away_at = asyncio.get_running_loop().time()
+            self.away_at = loop_time()
         if up == self._up:
             return
         self._up = up
--- a/auburnproxy/store/relay.py
+++ b/auburnproxy/store/relay.py
@@ -19,6 +19,7 @@
 import msgspec
 from aiohttp import ClientSession, ClientTimeout, web
 
+from ..clock import loop_time
 from ..errors import AuburnError, PeerError
 from ..telemetry.decisions import Decisions
 from ..upstreams.client import upstream_errors
@@ -138,7 +139,7 @@
 
         :param end_by_peer: what each peer's beat told, by its internal address
         """
-        now = asyncio.get_running_loop().time()
+        now = loop_time()
         for topic, follower in self.followers.items():
             ahead = [
                 address
@@ -202,7 +203,7 @@
         return web.Response(body=self._packed(topic, follower, offset))
 
     def _packed(self, topic: str, follower: Follower, start: int) -> bytes:
-        now = asyncio.get_running_loop().time()
+        now = loop_time()
         known = self._packed_by_topic.get(topic)
         fits = known and (known.start, known.end) == (start, follower.end)
         if known is None or not fits or now - known.at > PACKED_S:
--- a/auburnproxy/upstreams/sharing.py
+++ b/auburnproxy/upstreams/sharing.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable, Iterable
 from typing import NamedTuple
 
+from ..clock import loop_time
 from ..membership import Member, Reports
 from ._prefixes import PrefixNews, merged, shortened
 from ._ranking import Ranking
@@ -110,7 +111,7 @@
             if member == self._peers.me:
                 break
             cover = covers.get(member.id)
-            if cover is None or _now() - cover.at > covered_s:
+            if cover is None or loop_time() - cover.at > covered_s:
                 continue
             if cover.answered:
                 return False
@@ -121,7 +122,7 @@
         own = self._own_by_host.get(host)
         if own is None or own.report is not None:
             return True
-        return _now() - own.at > SILENT_RETRY_S
+        return loop_time() - own.at > SILENT_RETRY_S
 
     async def run(self) -> None:
         """Share after a round of polls, each time that it is due; until cancelled."""
@@ -131,8 +132,8 @@
                 await self._watcher.rounds.wait(REPORT_INTERVAL_S)
             await asyncio.sleep(SETTLE_S)
             self._renew()
-            if _now() >= due:
-                due = _now() + self._interval_s - TICK_S / 2
+            if loop_time() >= due:
+                due = loop_time() + self._interval_s - TICK_S / 2
                 self._tell_round()
 
     def take(self, peer: Member, reports: Reports) -> None:
@@ -177,7 +178,7 @@
             report = with_load(report, polled.in_flight, polled.queued)
             self._watcher.adopt(report, age_s=age_s)
         covers = self._covers_by_host.setdefault(host, {})
-        covers[peer.id] = _Cover(_now() - age_s, answered)
+        covers[peer.id] = _Cover(loop_time() - age_s, answered)
         return False
 
     def _take_prefixes(self, prefixes: Prefixes) -> None:
@@ -237,14 +238,14 @@
                 del covers[peer_id]
 
     def _is_recent(self, own: _Own) -> bool:
-        return _now() - own.at < self._interval_s + COVERED_S
+        return loop_time() - own.at < self._interval_s + COVERED_S
 
     def _bundle(self, hosts: Iterable[str], *, whole: bool = False) -> Bundle:
         """Return this daemon's newest polls of hosts.
 
         :param whole: whether to add the whole reports, of the first hosts only
         """
-        now = _now()
+        now = loop_time()
         told = [
             (host, own)
             for host in hosts
@@ -271,7 +272,7 @@
     def _send_data(self, peer: Member, data: bytes) -> None:
         transit = self._transit_by_id.get(peer.id)
         least_s = transit.least_s(self._clock()) if transit else None
-        self._peers.send(peer, Reports(_now(), least_s, data))
+        self._peers.send(peer, Reports(loop_time(), least_s, data))
 
 
 def _polled(host: str, own: _Own, now: float, *, news: bool = False) -> Polled:
@@ -285,7 +286,3 @@
         own.report.in_flight if own.report else 0,
         own.report.queued if isinstance(own.report, EngineReport) else 0,
     )
-
-
-def _now() -> float:
-    return asyncio.get_running_loop().time()
--- a/auburnproxy/upstreams/watcher.py
+++ b/auburnproxy/upstreams/watcher.py
@@ -8,6 +8,7 @@
 
 from loguru import logger
 
+from ..clock import loop_time
 from ..errors import PlatformError, UpstreamError
 from ..external import HostEntry, HostKind, HostList, Presence
 from ..pulse import Pulse
@@ -113,7 +114,7 @@
     @property
     def ejected(self) -> frozenset[str]:
         """Return the hosts that are much slower than their peers."""
-        now = _now()
+        now = loop_time()
         if now - self._compared_at >= EJECTION_INTERVAL_S:
             groups = {host: self._group(host) for host in self.entries_by_host}
             self._ejected = self._stragglers.ejected(groups, now)
@@ -167,7 +168,7 @@
         warmth = self._warmth_by_host.get(host)
         if warmth is None:
             return
-        warmth.see_call(observation, _now())
+        warmth.see_call(observation, loop_time())
         if observation.result is Result.CLOSED:
             self._distrust(host)
         if observation.first_token_s is not None:
@@ -180,11 +181,11 @@
         :param age_s: seconds since the peer asked for it, transit included
         """
         if self._takes(report.host):
-            self._see(report, _now() - age_s)
+            self._see(report, loop_time() - age_s)
 
     def own_reports(self) -> Mapping[str, tuple[Report, float]]:
         """Return the fresh reports of the hosts polled here, with ages in seconds."""
-        now = _now()
+        now = loop_time()
         return {
             host: (sighting.report, now - sighting.asked_at)
             for host, sighting in self._sightings_by_host.items()
@@ -198,7 +199,7 @@
         :param age_s: least seconds since then; later reports lift the bar
         """
         known = self._sightings_by_host.get(host)
-        closed_at = _now() - age_s
+        closed_at = loop_time() - age_s
         if host in self.entries_by_host and (not known or known.asked_at <= closed_at):
             self._close(host, closed_at)
 
@@ -221,7 +222,7 @@
     async def _pace(self) -> None:
         """Give each host that this daemon polls its turn once in an interval."""
         while True:
-            started = _now()
+            started = loop_time()
             due = [host for host in self.entries_by_host if self._is_due(host)]
             for host in due:
                 if host in self._turns_by_host:
@@ -230,11 +231,11 @@
                 await asyncio.sleep(min(GAP_S, TICK_S / 2 / len(due)))
             if due:
                 self.rounds.send()
-            await asyncio.sleep(max(0.0, started + TICK_S - _now()))
+            await asyncio.sleep(max(0.0, started + TICK_S - loop_time()))
 
     def _is_due(self, host: str) -> bool:
         # Half a tick early is on time: the ticks are no exact parts of an interval.
-        due = self._due_by_host.get(host, 0.0) - TICK_S / 2 <= _now()
+        due = self._due_by_host.get(host, 0.0) - TICK_S / 2 <= loop_time()
         return due and (self._polls(host) or not self._is_relayed(host))
 
     def _is_relayed(self, host: str) -> bool:
@@ -307,7 +308,7 @@
             self.polled(await self._poll(host, upstream))
 
     async def _poll(self, host: str, upstream: Engine | PlainService) -> Poll:
-        asked_at = _now()
+        asked_at = loop_time()
         try:
             async with asyncio.timeout(REPORT_TIMEOUT_S):
                 report = await ask(upstream)
@@ -315,7 +316,7 @@
             return Poll(host, asked_at, None)
         except UpstreamError:
             self._distrust(host)
-            return Poll(host, _now(), None, closed=True)
+            return Poll(host, loop_time(), None, closed=True)
         except Exception as error:
             log.opt(exception=error).error("Poll of {} failed.", host)
             return Poll(host, asked_at, None)
@@ -332,7 +333,7 @@
 
     def _seen_within(self, host: str, age_s: float) -> bool:
         sighting = self._sightings_by_host.get(host)
-        return sighting is not None and _now() - sighting.asked_at < age_s
+        return sighting is not None and loop_time() - sighting.asked_at < age_s
 
     def _see(self, report: Report, asked_at: float) -> None:
         host = report.host
@@ -358,7 +359,7 @@
 
     def _distrust(self, host: str) -> None:
         self._distrusted.add(host)
-        self._close(host, _now())
+        self._close(host, loop_time())
 
     def _close(self, host: str, closed_at: float) -> None:
         barred = self._barred_until_by_host.get(host, closed_at)
@@ -366,7 +367,3 @@
         if self._sightings_by_host.pop(host, None) is not None:
             log.info("Host {} does not answer.", host)
             self.changes.send()
-
-
-def _now() -> float:
-    return asyncio.get_running_loop().time()
