Keep what the routed slices repeat in one piece each

- Relay kept four dicts by topic; one object holds what is under way for a topic.
- Two places built a host from a replica's member to ask for a report; Member.as_host does.
- Plain and streamed requests each had their own copy of the bound on unreachable upstreams and of the wait after it; call.py has them.
- Client repeated send's signature in a second request method.
- Circle counted failure domains at two ends of one method; the soak's join worked out a state twice.

--- a/auburnproxy/beats/circle.py
+++ b/auburnproxy/beats/circle.py
@@ -197,9 +197,6 @@
         own = self._seat.failure_domain
         return {name for name, s in self._seats.items() if s.failure_domain == own}
 
-    def _count_domains(self) -> None:
-        self._count_by_domain = Counter(s.failure_domain for s in self._seats.values())
-
     @property
     def lost(self) -> frozenset[str]:
         """Return the heads of the replicas that the daemon on duty is ending."""
@@ -294,9 +291,12 @@
         self._present = present
 
     def _take_seat(self, change: Change) -> None:
+        self._keep_seat(change)
+        self._count_by_domain = Counter(s.failure_domain for s in self._seats.values())
+
+    def _keep_seat(self, change: Change) -> None:
         if not change.value:
             self._seats.pop(change.key, None)
-            self._count_domains()
             return
         try:
             self._seats[change.key] = msgspec.json.decode(change.value, type=Seat)
@@ -304,4 +304,3 @@
             self._decisions.belief(
                 "record_unreadable", key=change.key, reason=str(error)
             )
-        self._count_domains()
--- a/auburnproxy/external/client.py
+++ b/auburnproxy/external/client.py
@@ -68,7 +68,8 @@
         :param wait_s: seconds that the service may take before it answers
         :raises PlatformError: if the service does not answer
         """
-        return await self._request("GET", path, wait_s=wait_s, params=params)
+        answer = await self.send("GET", path, params=params, wait_s=wait_s)
+        return self._body(path, answer)
 
     async def post(self, path: str, body: bytes) -> bytes:
         """Return the answer to a write.
@@ -78,7 +79,7 @@
         :raises LostAnswerError: if the write may have taken effect
         :raises PlatformError: if it surely has not
         """
-        return await self._request("POST", path, body=body)
+        return self._body(path, await self.send("POST", path, body=body))
 
     async def send(
         self,
@@ -118,16 +119,7 @@
         except (TimeoutError, ClientError, OSError) as error:
             raise LostAnswerError(f"{url}: {error!r}") from error
 
-    async def _request(
-        self,
-        method: str,
-        path: str,
-        *,
-        params: Mapping[str, str | int] | None = None,
-        body: bytes | None = None,
-        wait_s: float = 0.0,
-    ) -> bytes:
-        answer = await self.send(method, path, params=params, body=body, wait_s=wait_s)
+    def _body(self, path: str, answer: Answer) -> bytes:
         if answer.status == UNAVAILABLE_STATUS:
             raise PlatformError(f"{self._base_url}{path}: unavailable")
         if answer.status >= ERROR_STATUS:
--- a/auburnproxy/formation/probes.py
+++ b/auburnproxy/formation/probes.py
@@ -64,16 +64,8 @@
         known = (member.id, member.born) in self._lost_until
         if known or member.id in self._asked_until:
             return
-        host = self._directory.hosts.get(member.id) or Host(
-            id=member.id,
-            service="",
-            address=member.address,
-            failure_domain=failure_domain,
-            slots=0,
-            leaving=False,
-            cold_s=0.0,
-            born=member.born,
-        )
+        known_host = self._directory.hosts.get(member.id)
+        host = known_host or member.as_host(failure_domain)
         self._asked_until[member.id] = loop_time() + KEPT_S
         task = asyncio.create_task(self._judge(member, host, reason))
         self._tasks.add(task)
--- a/auburnproxy/formation/record.py
+++ b/auburnproxy/formation/record.py
@@ -18,6 +18,19 @@
     """Start of its process in Unix milliseconds."""
     address: str
 
+    def as_host(self, failure_domain: str = "") -> Host:
+        """Return a host to ask for a report; only its place and process are known."""
+        return Host(
+            id=self.id,
+            service="",
+            address=self.address,
+            failure_domain=failure_domain,
+            slots=0,
+            leaving=False,
+            cold_s=0.0,
+            born=self.born,
+        )
+
 
 class Formed(NamedTuple):
     """A replica that exists from its record on, until the record is dropped."""
--- a/auburnproxy/formation/retirement.py
+++ b/auburnproxy/formation/retirement.py
@@ -12,7 +12,7 @@
 
 from ..clock import loop_time
 from ..errors import AuburnError
-from ..gateway.host import Host, PartState
+from ..gateway.host import PartState
 from ..telemetry.decisions import Decisions
 from .orders import Answer, Orders
 from .record import Formed, Member
@@ -143,9 +143,8 @@
 
     async def _state(self, formed: Formed, member: Member) -> PartState | None:
         """Return the state of a member's part, ``BROKEN`` while it does not answer."""
-        host = Host(member.id, "", member.address, "", 0, False, 0.0, member.born)
         try:
-            seen = await self._orders.report(host)
+            seen = await self._orders.report(member.as_host())
         except AuburnError as error:
             self._decisions.belief("host_silent", upstream=member.id, error=repr(error))
             return PartState.BROKEN
--- a/auburnproxy/gateway/call.py
+++ b/auburnproxy/gateway/call.py
@@ -15,6 +15,10 @@
 
 CONNECT_TIMEOUT_S = 0.25
 """Forty round trips between failure domains; what takes longer is dark or cut off."""
+MOST_UNSENT = 3
+"""Upstreams that cannot be reached before a request is refused."""
+UNSENT_RETRY_S = 0.2
+"""Wait of a caller whose request no upstream took, though some had a free slot."""
 SKIPPED_HEADERS = ("User-Agent", "Accept", "Accept-Encoding", "Content-Type")
 """Headers that the library would add where the caller sent none."""
 
--- a/auburnproxy/gateway/plain.py
+++ b/auburnproxy/gateway/plain.py
@@ -8,7 +8,7 @@
 
 from ..errors import Ran, RefusalError
 from ..telemetry.decisions import Decisions
-from .call import Call, TryError, check_head, send
+from .call import MOST_UNSENT, UNSENT_RETRY_S, Call, TryError, check_head, send
 from .choice import Choice
 from .dialect import Dialect, Dispatch, passed_on
 from .health import Health
@@ -19,10 +19,6 @@
 """Part of the time left after which a silent host is given up for another one."""
 LEAST_PATIENCE_S = 0.2
 """Shortest wait for an answer; hosts take a quarter of that on average."""
-MOST_UNSENT = 3
-"""Hosts that cannot be reached before a request is refused."""
-UNSENT_RETRY_S = 0.2
-"""Wait of a caller whose request no upstream took, though some had a free slot."""
 SERVER_ERROR = 500
 
 
--- a/auburnproxy/gateway/streams.py
+++ b/auburnproxy/gateway/streams.py
@@ -14,7 +14,7 @@
 from ..telemetry import Counter, Measure, Telemetry
 from ..telemetry.decisions import Decisions
 from ..upstreams.client import TrackedResponse
-from .call import Call, TryError, check_head, send
+from .call import MOST_UNSENT, UNSENT_RETRY_S, Call, TryError, check_head, send
 from .choice import Choice
 from .dialect import Dialect, Dispatch, passed_on
 from .events import EventReader, follows
@@ -37,10 +37,6 @@
 LONGEST_PAUSE_S = 1.8
 """Pause of a stream that has begun after which its caller is about to leave."""
 REPLICA_WAIT_S = 0.1
-UNSENT_RETRY_S = 0.2
-"""Wait of a caller whose request no upstream took, though some had a free slot."""
-MOST_UNSENT = 3
-"""Heads that cannot be reached before a request is refused."""
 OK = 200
 
 
--- a/auburnproxy/store/relay.py
+++ b/auburnproxy/store/relay.py
@@ -102,6 +102,18 @@
     data: bytes
 
 
+class _Topic:
+    """What is under way for one topic."""
+
+    def __init__(self, follower: Follower) -> None:
+        self.follower = follower
+        self.behind_since: float | None = None
+        self.fetch_at = 0.0
+        self.asked: set[str] = set()
+        """Addresses of the peers that are being asked."""
+        self.packed: _Packed | None = None
+
+
 class Relay:
     """Serves the followed topics to peers, and fetches from those that are ahead.
 
@@ -116,11 +128,8 @@
         self.followers = followers
         self._peers = peers
         self._decisions = decisions
-        self._behind_since: dict[str, float] = {}
-        self._fetch_at: dict[str, float] = {}
-        self._asked_by_topic: dict[str, set[str]] = {}
+        self._topics = {name: _Topic(f) for name, f in followers.items()}
         self._fetches: set[asyncio.Task[None]] = set()
-        self._packed_by_topic: dict[str, _Packed] = {}
         self._random = Random()
 
     @property
@@ -140,41 +149,39 @@
         :param end_by_peer: what each peer's beat told, by its internal address
         """
         now = loop_time()
-        for topic, follower in self.followers.items():
+        for name, topic in self._topics.items():
             ahead = [
                 address
                 for address, ends in end_by_peer.items()
-                if ends.get(topic, 0) > follower.end
+                if ends.get(name, 0) > topic.follower.end
             ]
             if not ahead:
-                self._behind_since.pop(topic, None)
+                topic.behind_since = None
                 continue
-            since = self._behind_since.setdefault(topic, now)
-            if now - since < BEHIND_S or not follower.overdue:
+            if topic.behind_since is None:
+                topic.behind_since = now
+            if now - topic.behind_since < BEHIND_S or not topic.follower.overdue:
                 continue
-            asked = self._asked_by_topic.setdefault(topic, set())
-            others = [address for address in ahead if address not in asked]
-            if not others or len(asked) >= MOST_FETCHES:
+            others = [address for address in ahead if address not in topic.asked]
+            if not others or len(topic.asked) >= MOST_FETCHES:
                 continue
-            if now >= self._fetch_at.get(topic, 0.0):
-                self._fetch_at[topic] = now + RETRY_S
-                self._begin(topic, follower, self._random.choice(others), asked)
+            if now >= topic.fetch_at:
+                topic.fetch_at = now + RETRY_S
+                self._begin(name, topic, self._random.choice(others))
 
     def close(self) -> None:
         """End every fetch."""
         for task in self._fetches:
             task.cancel()
 
-    def _begin(
-        self, topic: str, follower: Follower, address: str, asked: set[str]
-    ) -> None:
-        asked.add(address)
-        task = asyncio.create_task(self._fetch(topic, follower, address))
+    def _begin(self, name: str, topic: _Topic, address: str) -> None:
+        topic.asked.add(address)
+        task = asyncio.create_task(self._fetch(name, topic.follower, address))
         self._fetches.add(task)
 
         def end(task: asyncio.Task[None]) -> None:
             self._fetches.discard(task)
-            asked.discard(address)
+            topic.asked.discard(address)
 
         task.add_done_callback(end)
 
@@ -194,20 +201,19 @@
             )
 
     async def _serve(self, http: web.Request) -> web.Response:
-        topic = http.match_info["topic"]
-        follower = self.followers.get(topic)
-        if follower is None or not follower.whole:
+        topic = self._topics.get(http.match_info["topic"])
+        if topic is None or not topic.follower.whole:
             return web.Response(status=404)
         start = http.query.get("from", "")
         offset = int(start) if start.isdigit() else -1
-        return web.Response(body=self._packed(topic, follower, offset))
+        return web.Response(body=_packed(topic, offset))
 
-    def _packed(self, topic: str, follower: Follower, start: int) -> bytes:
-        now = loop_time()
-        known = self._packed_by_topic.get(topic)
-        fits = known and (known.start, known.end) == (start, follower.end)
-        if known is None or not fits or now - known.at > PACKED_S:
-            data = pack(follower.since(start))
-            known = _Packed(start, follower.end, now, data)
-            self._packed_by_topic[topic] = known
-        return known.data
+
+def _packed(topic: _Topic, start: int) -> bytes:
+    """Return what has changed since an offset, packed anew if that is due."""
+    now, known, end = loop_time(), topic.packed, topic.follower.end
+    fits = known and (known.start, known.end) == (start, end)
+    if known is None or not fits or now - known.at > PACKED_S:
+        known = _Packed(start, end, now, pack(topic.follower.since(start)))
+        topic.packed = known
+    return known.data
--- a/soak/replicas.py
+++ b/soak/replicas.py
@@ -110,12 +110,12 @@
         known = self._members.setdefault(group, members)
         if known != members or len(members) != SIZE:
             self.broken.append(f"{group} has members {members} and {known}")
-        if engine.part is not None and engine.part["name"] != group:
+        part = engine.part
+        again = part is not None and part["name"] == group
+        if part is not None and not again:
             self._check_apart(engine, group)
         rank = members.index(engine.name)
-        state = engine.part["state"] if engine.part else "ready"
-        if engine.part is None or engine.part["name"] != group:
-            state = "ready"
+        state = part["state"] if again else "ready"
         engine.part = {"name": group, "epoch": epoch, "rank": rank, "state": state}
 
     def _check_apart(self, engine: EngineStandIn, group: str) -> None:
