Heed upstreams that leave or want rest, and cut answers that never end

Cause: nothing read the mark of a leaving engine in its answers, nor the time that an engine names with a 503; bodies without a length, failures' bodies, pages of the store and records of peers were read to their end, whatever that was.

Change: every request goes out through one sender, which tells the directory of an upstream that leaves (for the rest of that process's life, other daemons by the next beat) and keeps rests by process: no request, probe or order until their end, and callers are told when the last one ends. Bodies are read up to a bound: an answer's is a part of the host's memory, a page's and a report's come from the protocol. An event's bytes are searched once, not again for each block.

Ruled out: passing plain bodies on as they come, since a broken one could then no longer be repeated elsewhere.

--- a/auburnproxy/beats/beat.py
+++ b/auburnproxy/beats/beat.py
@@ -8,6 +8,7 @@
 
 from ..errors import PeerError
 from ..gateway.health import Work
+from ..gateway.host import Life
 
 
 class Beat(NamedTuple):
@@ -28,6 +29,8 @@
     """Upstreams that it leaves out since they fell silent."""
     lost: list[str]
     """Heads of replicas that it is ending, if it is on duty."""
+    leaving: list[Life] = []
+    """Upstreams that told it in an answer that they leave."""
 
 
 _decoder = msgspec.msgpack.Decoder(Beat)
--- a/auburnproxy/beats/circle.py
+++ b/auburnproxy/beats/circle.py
@@ -11,6 +11,7 @@
 
 from ..clock import loop_time
 from ..errors import PeerError
+from ..gateway.host import Life
 from ..rendezvous import rank_names
 from ..store import Change, Follower
 from ..telemetry.decisions import Decisions
@@ -90,6 +91,8 @@
         self._present: frozenset[str] = frozenset()
         self._transport: asyncio.DatagramTransport | None = None
         self._turn = 0
+        self.on_leaving: Callable[[Life], None] = lambda life: None
+        """Called with each upstream that a beat says to be leaving."""
         follower.on_change = self._take_seat
 
     @property
@@ -256,8 +259,11 @@
         except PeerError as error:
             self._decisions.belief("beat_unreadable", peer=addr[0], reason=str(error))
             return
-        if beat.name != self._name:
-            self._heard[beat.name] = Heard(beat, loop_time())
+        if beat.name == self._name:
+            return
+        self._heard[beat.name] = Heard(beat, loop_time())
+        for life in beat.leaving:
+            self.on_leaving(life)
 
     def error_received(self, exc: Exception) -> None:
         """Log a datagram that the network gave back."""
--- a/auburnproxy/daemon/deployment.py
+++ b/auburnproxy/daemon/deployment.py
@@ -33,6 +33,8 @@
     allowance: Allowance
     grace_s: float
     """Time from the signal to stop until the process is killed."""
+    answer_bytes: int
+    """Longest body of an upstream's answer that is taken into memory."""
 
 
 class DomainMark(NamedTuple):
--- a/auburnproxy/daemon/routed.py
+++ b/auburnproxy/daemon/routed.py
@@ -5,6 +5,7 @@
 import asyncio
 import signal
 from collections.abc import Iterator
+from functools import partial
 
 from aiohttp import ClientTimeout, web
 
@@ -15,6 +16,7 @@
 from ..errors import AuburnError, DocumentError, PlatformError
 from ..formation import Conductor, Register
 from ..formation.duty import Duty
+from ..formation.orders import RestError, RestingOrders
 from ..formation.register import TOPIC as REPLICAS_TOPIC
 from ..gateway.call import CONNECT_TIMEOUT_S
 from ..gateway.choice import Choice
@@ -22,7 +24,9 @@
 from ..gateway.face import RoutedFace
 from ..gateway.health import Health
 from ..gateway.plain import Plain
+from ..gateway.rests import Rests
 from ..gateway.route import Configuration
+from ..gateway.sender import Sender
 from ..gateway.streams import Streams
 from ..store import Change, CountedStore, Follower, HttpPeers, Relay
 from ..telemetry import Gauge, Reading, Telemetry
@@ -114,7 +118,10 @@
         self.directory = Directory(
             decisions, store_away_at=lambda: self._upstreams.away_at
         )
-        self.orders = self._deployment.orders()
+        self.rests = Rests(decisions)
+        orders = self._deployment.orders()
+        orders.on_leaving = partial(self.directory.note_leaving, told_by="engine")
+        self.orders = RestingOrders(orders, self.rests)
         self.health = Health(
             decisions,
             probe=self._answers,
@@ -130,6 +137,7 @@
         )
         seat = Seat(settings.beats, settings.failure_domain, settings.internal)
         self.circle = Circle(settings.name, seat, self._seats, self._beat, decisions)
+        self.circle.on_leaving = partial(self.directory.note_leaving, told_by="daemon")
 
     def _join_formation(self) -> None:
         settings, decisions = self.settings, self.decisions
@@ -175,21 +183,29 @@
         choice = Choice(
             self.directory,
             self.health,
+            self.rests,
             failure_domain=settings.failure_domain,
             elsewhere=lambda host: self.circle.work(host),
             suspected=lambda: self.circle.suspects,
             lost=lambda: self.circle.lost,
             daemons=lambda: self.circle.size,
         )
-        plain = Plain(self._session, dialect, choice, self.health, self.decisions)
+        sender = Sender(self._session, dialect, self.directory, self.rests)
+        plain = Plain(
+            sender,
+            choice,
+            self.health,
+            self.decisions,
+            answer_bytes=settings.answer_bytes,
+        )
         streams = Streams(
-            self._session,
-            dialect,
+            sender,
             choice,
             self.health,
             lambda: (self.directory.engine or (None, None))[1],
             self.decisions,
             self.telemetry,
+            answer_bytes=settings.answer_bytes,
         )
         self.face = RoutedFace(
             self.directory,
@@ -341,6 +357,8 @@
             return True
         try:
             await self.orders.report(host)
+        except RestError:
+            return True
         except AuburnError as error:
             self.decisions.belief("host_silent", upstream=host_id, error=repr(error))
             return False
@@ -377,6 +395,7 @@
             self.relay.end_by_topic,
             list(self.health.suspects),
             list(self.conductor.retiring_heads),
+            list(self.directory.told_leaving),
         )
 
     def _take_operator(self, change: Change) -> None:
--- a/auburnproxy/external/client.py
+++ b/auburnproxy/external/client.py
@@ -14,12 +14,15 @@
     TCPConnector,
 )
 
+from ..bounded_body import read_body
 from ..errors import PlatformError
 
 CONNECT_TIMEOUT_S = 1.0
 ANSWER_TIMEOUT_S = 3.0
 UNAVAILABLE_STATUS = 503
 ERROR_STATUS = 400
+MOST_BYTES = 67_108_864
+"""Longest answer that is taken unless a service names another bound."""
 
 
 class Answer(NamedTuple):
@@ -42,10 +45,18 @@
     :param silence_s: seconds beyond the wait of a request in which not a byte of its
         answer comes, after which it is given up; only the whole answer is bounded if
         left out
+    :param most_bytes: longest answer that is taken; a longer one counts as lost
     """
 
-    def __init__(self, base_url: str, *, silence_s: float | None = None) -> None:
+    def __init__(
+        self,
+        base_url: str,
+        *,
+        silence_s: float | None = None,
+        most_bytes: int = MOST_BYTES,
+    ) -> None:
         self._silence_s = silence_s
+        self._most_bytes = most_bytes
         self._base_url = base_url.rstrip("/")
         self._session: ClientSession | None = None
 
@@ -113,7 +124,8 @@
                 params=params,
                 data=body,
             ) as response:
-                return Answer(response.status, await response.read())
+                body = await read_body(response, most_bytes=self._most_bytes)
+                return Answer(response.status, body)
         except (ClientConnectorError, ConnectionTimeoutError) as error:
             raise PlatformError(f"{url}: {error}") from error
         except (TimeoutError, ClientError, OSError) as error:
--- a/auburnproxy/formation/probes.py
+++ b/auburnproxy/formation/probes.py
@@ -11,7 +11,7 @@
 from ..gateway.directory import Directory
 from ..gateway.host import Host
 from ..telemetry.decisions import Decisions
-from .orders import Orders
+from .orders import Orders, RestError
 from .record import Member
 
 PROBES = 2
@@ -86,6 +86,8 @@
         for _ in range(PROBES):
             try:
                 seen = await self._orders.report(host)
+            except RestError:
+                return
             except AuburnError as failure:
                 error = failure
                 continue
--- a/auburnproxy/formation/record.py
+++ b/auburnproxy/formation/record.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from ..errors import PlatformError
-from ..gateway.host import Host
+from ..gateway.host import Host, Life
 
 
 class Member(NamedTuple):
@@ -18,6 +18,11 @@
     """Start of its process in Unix milliseconds."""
     address: str
 
+    @property
+    def life(self) -> Life:
+        """Return what names the process that was recorded."""
+        return self.id, self.born
+
     def as_host(self, failure_domain: str = "") -> Host:
         """Return a host to ask for a report; only its place and process are known."""
         return Host(
--- a/auburnproxy/gateway/call.py
+++ b/auburnproxy/gateway/call.py
@@ -2,15 +2,13 @@
 
 from __future__ import annotations
 
-from typing import NamedTuple, cast
+from typing import NamedTuple
 
-from aiohttp import ClientSession, web
-from yarl import URL
+from aiohttp import web
 
 from ..clock import loop_time
-from ..errors import AuburnError, Ran, UpstreamError
-from ..upstreams.client import TrackedResponse, upstream_errors
-from .dialect import Ask, Dialect, Dispatch, Reply
+from ..errors import AuburnError, Ran
+from .dialect import Ask
 from .route import Route
 
 CONNECT_TIMEOUT_S = 0.25
@@ -19,8 +17,6 @@
 """Upstreams that cannot be reached before a request is refused."""
 UNSENT_RETRY_S = 0.2
 """Wait of a caller whose request no upstream took, though some had a free slot."""
-SKIPPED_HEADERS = ("User-Agent", "Accept", "Accept-Encoding", "Content-Type")
-"""Headers that the library would add where the caller sent none."""
 
 
 class Call(NamedTuple):
@@ -62,44 +58,3 @@
         self.code = code
         self.ran = ran
         self.sent = sent
-
-
-async def send(
-    session: ClientSession, dialect: Dialect, call: Call, dispatch: Dispatch
-) -> TrackedResponse:
-    """Send a request to an upstream and return the head of its answer.
-
-    :raises TryError: if there is none
-    """
-    headers = dialect.forwarded(call.http.headers, dispatch)
-    url = URL(f"http://{dispatch.host.address}{call.http.raw_path}", encoded=True)
-    try:
-        with upstream_errors(dispatch.host.address):
-            answer = await session.request(
-                call.http.method,
-                url,
-                headers=headers,
-                data=call.body or None,
-                allow_redirects=False,
-                skip_auto_headers=SKIPPED_HEADERS,
-            )
-        return cast(TrackedResponse, answer)
-    except UpstreamError as error:
-        if error.ran is Ran.NO:
-            raise TryError("unreachable", ran=Ran.NO, sent=False) from error
-        raise TryError("broken", ran=Ran.UNKNOWN) from error
-
-
-def check_head(call: Call, reply: Reply) -> None:
-    """Raise an error unless a head belongs to an answer of this request.
-
-    :raises TryError: if the request was not run, or the answer is another's
-    """
-    if reply.not_run:
-        raise TryError(f"rejected_{reply.status}", ran=Ran.NO)
-    if reply.request_id != call.id:
-        raise TryError("foreign_answer", ran=Ran.UNKNOWN)
-    if reply.encoded:
-        raise TryError("encoded_answer", ran=Ran.UNKNOWN)
-    if not reply.signed:
-        raise TryError("unsigned_answer", ran=Ran.UNKNOWN)
--- a/auburnproxy/gateway/choice.py
+++ b/auburnproxy/gateway/choice.py
@@ -11,6 +11,7 @@
 from .directory import Directory
 from .health import Health
 from .host import Host
+from .rests import Rests
 from .serving_replica import ServingReplica
 
 FAR_LOAD = 0.1
@@ -43,6 +44,7 @@
 
     :param directory: the registered hosts
     :param health: what this daemon's requests showed of them
+    :param rests: the ones that are to get nothing for a while
     :param failure_domain: where this daemon runs
     :param elsewhere: returns the requests of other daemons at an upstream, and of
         those the ones without an answer
@@ -55,6 +57,7 @@
         self,
         directory: Directory,
         health: Health,
+        rests: Rests,
         *,
         failure_domain: str,
         elsewhere: Callable[[str], tuple[int, int]] = lambda host: (0, 0),
@@ -65,6 +68,7 @@
     ) -> None:
         self._directory = directory
         self._health = health
+        self._rests = rests
         self._failure_domain = failure_domain
         self._elsewhere = elsewhere
         self._suspected = suspected
@@ -127,15 +131,18 @@
         :param any_host: whether a host that is left out will do
         :raises RefusalError: if none can take a request now
         """
-        fit = [
+        rests_s = [self._rests.left_s(host.life) for host in hosts]
+        left = [
             host
-            for host in hosts
-            if host.id not in exclude and not self._health.excluded(host.id)
+            for host, rest_s in zip(hosts, rests_s, strict=True)
+            if not rest_s and host.id not in exclude
         ]
+        fit = [host for host in left if not self._health.excluded(host.id)]
         if not fit and any_host:
-            fit = [host for host in hosts if host.id not in exclude]
+            fit = left
         if not fit:
-            raise self._refusal(code, NONE_RETRY_S, hosts, fit)
+            wait_s = max(NONE_RETRY_S, min(rests_s, default=0.0))
+            raise self._refusal(code, wait_s, hosts, fit)
         free = [host for host in fit if self._has_room(host) and self._bears(host)]
         if not free:
             raise self._refusal("no_slot", FULL_RETRY_S, hosts, fit)
--- a/auburnproxy/gateway/dialect.py
+++ b/auburnproxy/gateway/dialect.py
@@ -80,6 +80,10 @@
     load: Load | None
     at_fault: str
     """Id of the host that made the upstream refuse, empty if it names none."""
+    leaving: bool
+    """Whether the upstream says that it leaves."""
+    retry_after: str
+    """Time for which the upstream wants nothing, as it was written."""
 
 
 class Dialect(ABC):
--- a/auburnproxy/gateway/directory.py
+++ b/auburnproxy/gateway/directory.py
@@ -8,12 +8,16 @@
 from ..clock import loop_time
 from ..pulse import Pulse
 from ..telemetry.decisions import Decisions
-from .host import Host, PartState
+from .host import Host, Life, PartState
 from .route import NOTHING, Configuration, EngineSpec
 from .serving_replica import ServingReplica, serving_replicas
 
 LAPSE_GRACE_S = 2.5
 """Seconds after an outage of the store in which a live host registers again."""
+LEAVING_TOLD_S = 5.0
+"""Seconds for which other daemons are told of an upstream that leaves."""
+LEAVING_KEPT_S = 60.0
+"""Seconds for which a process is known to leave though it is not registered."""
 
 
 class Directory:
@@ -39,6 +43,7 @@
         self._store_away_at = store_away_at
         self._hosts: dict[str, Host] = {}
         self._lapsed_at_by_id: dict[str, float] = {}
+        self._left_at_by_life: dict[Life, float] = {}
         self._replicas: tuple[ServingReplica, ...] | None = None
         self.recorded: Callable[[], Collection[str]] = tuple
         """Returns the names of the replicas that have not been ended."""
@@ -93,12 +98,34 @@
         """
         known = self._hosts.get(host.id)
         self._lapsed_at_by_id.pop(host.id, None)
+        if host.life in self._left_at_by_life:
+            host = host._replace(leaving=True)
         self._hosts[host.id] = host
         if known is None or known._replace(seen_at=host.seen_at) != host:
             self._replicas = None
             self._log_host(known, host)
             self.changed.send()
 
+    def note_leaving(self, life: Life, *, told_by: str) -> None:
+        """Believe for the rest of a process's life that it leaves.
+
+        :param life: the process
+        :param told_by: where that was learned, for the log
+        """
+        if life in self._left_at_by_life:
+            return
+        self._left_at_by_life[life] = loop_time()
+        self._decisions.belief("leaving_told", upstream=life[0], by=told_by)
+        host = self._hosts.get(life[0])
+        if host is not None and self._lives(life):
+            self.register(host)
+
+    @property
+    def told_leaving(self) -> tuple[Life, ...]:
+        """Return the processes that lately said in answers that they leave."""
+        since = loop_time() - LEAVING_TOLD_S
+        return tuple(life for life, at in self._left_at_by_life.items() if at > since)
+
     def unregister(self, host_id: str) -> None:
         """Take the removal of a host's registration.
 
@@ -118,6 +145,11 @@
     def expire(self) -> None:
         """Drop the hosts that lapsed and did not come back."""
         now = loop_time()
+        self._left_at_by_life = {
+            life: at
+            for life, at in self._left_at_by_life.items()
+            if now - at < LEAVING_KEPT_S or self._lives(life)
+        }
         away_at = self._store_away_at()
         for host_id, at in list(self._lapsed_at_by_id.items()):
             if now - max(at, away_at) >= LAPSE_GRACE_S:
@@ -152,6 +184,10 @@
         """Return the seconds for which a host is still cold."""
         return max(host.cold_s - (loop_time() - host.seen_at), 0.0)
 
+    def _lives(self, life: Life) -> bool:
+        host = self._hosts.get(life[0])
+        return host is not None and host.life == life
+
     def _near_outage(self) -> bool:
         away_at = self._store_away_at()
         return away_at >= 0 and loop_time() - away_at < LAPSE_GRACE_S
--- a/auburnproxy/gateway/events.py
+++ b/auburnproxy/gateway/events.py
@@ -6,6 +6,7 @@
 from typing import NamedTuple
 
 SEPARATOR = re.compile(rb"\r?\n\r?\n")
+SEPARATOR_BYTES = 4
 LONGEST_EVENT_BYTES = 1_048_576
 _ID = re.compile(rb"(?:^|\n)id:[ ]?([^\r\n]*)")
 
@@ -23,12 +24,12 @@
     """Splits the bytes of a stream into whole events."""
 
     def __init__(self) -> None:
-        self._rest = b""
+        self._rest = bytearray()
 
     @property
     def rest(self) -> bytes:
         """Return the bytes of an event that is not whole yet."""
-        return self._rest
+        return bytes(self._rest)
 
     def feed(self, block: bytes) -> list[Event]:
         """Return the events that a block completes.
@@ -36,10 +37,12 @@
         :param block: bytes as they arrived
         :raises ValueError: for an event that is too long
         """
-        data, start = self._rest + block, 0
+        data, start = self._rest, 0
+        search_from = max(len(data) - SEPARATOR_BYTES + 1, 0)
+        data += block
         events = []
-        for match in SEPARATOR.finditer(data):
-            event = data[start : match.end()]
+        for match in SEPARATOR.finditer(data, search_from):
+            event = bytes(data[start : match.end()])
             start = match.end()
             events.append(Event(event, _event_id(event)))
         self._rest = data[start:]
--- a/auburnproxy/gateway/host.py
+++ b/auburnproxy/gateway/host.py
@@ -18,6 +18,10 @@
     """The head has noticed that a member is lost."""
 
 
+Life = tuple[str, int]
+"""Names one start of a process: its id, and its start in Unix milliseconds."""
+
+
 class Part(NamedTuple):
     """The part of a replica that a host plays."""
 
@@ -53,6 +57,6 @@
     """The loop's time in seconds at which this registration was read."""
 
     @property
-    def life(self) -> tuple[str, int]:
+    def life(self) -> Life:
         """Return what names this start of the process."""
         return self.id, self.born
--- a/auburnproxy/gateway/plain.py
+++ b/auburnproxy/gateway/plain.py
@@ -4,16 +4,18 @@
 
 import asyncio
 
-from aiohttp import ClientError, ClientSession, web
+from aiohttp import ClientError, web
 
+from ..bounded_body import read_body
 from ..errors import Ran, RefusalError
 from ..telemetry.decisions import Decisions
-from .call import MOST_UNSENT, UNSENT_RETRY_S, Call, TryError, check_head, send
+from .call import MOST_UNSENT, UNSENT_RETRY_S, Call, TryError
 from .choice import Choice
-from .dialect import Dialect, Dispatch, passed_on
+from .dialect import Dispatch, passed_on
 from .health import Health
 from .host import Host
 from .resends import Resends
+from .sender import Sender, check_head
 
 PATIENCE = 0.45
 """Part of the time left after which a silent host is given up for another one."""
@@ -25,23 +27,24 @@
 class Plain:
     """Sends requests of plain routes.
 
-    :param session: connections to upstreams
-    :param dialect: reads and writes headers
+    :param sender: sends each try
     :param choice: chooses hosts
     :param health: learns from each try
     :param decisions: takes a line for each try
+    :param answer_bytes: longest body that is passed on
     """
 
     def __init__(
         self,
-        session: ClientSession,
-        dialect: Dialect,
+        sender: Sender,
         choice: Choice,
         health: Health,
         decisions: Decisions,
+        *,
+        answer_bytes: int,
     ) -> None:
-        self._session = session
-        self._dialect = dialect
+        self._sender = sender
+        self._answer_bytes = answer_bytes
         self._choice = choice
         self._health = health
         self._decisions = decisions
@@ -116,12 +119,12 @@
 
     async def _exchange(self, call: Call, dispatch: Dispatch) -> web.Response:
         host = dispatch.host
-        answer = await send(self._session, self._dialect, call, dispatch)
+        answer, reply = await self._sender.send(call, dispatch)
         async with answer:
             self._health.heard(host.id)
-            check_head(call, self._dialect.read_reply(answer.status, answer.headers))
+            check_head(call, reply)
             try:
-                body = await answer.read()
+                body = await read_body(answer, most_bytes=self._answer_bytes)
             except (ClientError, OSError) as error:
                 raise TryError("broken", ran=Ran.UNKNOWN) from error
             if not answer.whole:
--- a/auburnproxy/gateway/streams.py
+++ b/auburnproxy/gateway/streams.py
@@ -7,20 +7,22 @@
 from contextlib import contextmanager
 from typing import NoReturn
 
-from aiohttp import ClientError, ClientResponse, ClientSession, web
+from aiohttp import ClientError, ClientResponse, web
 
+from ..bounded_body import read_body
 from ..clock import loop_time
 from ..errors import AuburnError, Ran, RefusalError
 from ..telemetry import Counter, Measure, Telemetry
 from ..telemetry.decisions import Decisions
 from ..upstreams.client import TrackedResponse
-from .call import MOST_UNSENT, UNSENT_RETRY_S, Call, TryError, check_head, send
+from .call import MOST_UNSENT, UNSENT_RETRY_S, Call, TryError
 from .choice import Choice
-from .dialect import Dialect, Dispatch, passed_on
+from .dialect import Dispatch, passed_on
 from .events import EventReader, follows
 from .health import Health
 from .resends import Resends
 from .route import EngineSpec
+from .sender import Sender, check_head
 from .serving_replica import ServingReplica
 
 FIRST_PART = 0.7
@@ -58,27 +60,28 @@
 class Streams:
     """Sends requests of streamed routes.
 
-    :param session: connections to upstreams
-    :param dialect: reads and writes headers
+    :param sender: sends each try
     :param choice: chooses replicas
     :param health: learns from each event
     :param engine: returns how the engines batch, None while unknown
     :param decisions: takes a line for each try
     :param telemetry: histograms
+    :param answer_bytes: longest body of a failure that is passed on
     """
 
     def __init__(
         self,
-        session: ClientSession,
-        dialect: Dialect,
+        sender: Sender,
         choice: Choice,
         health: Health,
         engine: Callable[[], EngineSpec | None],
         decisions: Decisions,
         telemetry: Telemetry,
+        *,
+        answer_bytes: int,
     ) -> None:
-        self.session = session
-        self.dialect = dialect
+        self.sender = sender
+        self.answer_bytes = answer_bytes
         self.choice = choice
         self.health = health
         self.engine = engine
@@ -281,9 +284,8 @@
         self, dispatch: Dispatch, replica: ServingReplica, limit: asyncio.Timeout
     ) -> web.StreamResponse:
         parts = self._parts
-        answer = await send(parts.session, parts.dialect, self._call, dispatch)
+        answer, reply = await parts.sender.send(self._call, dispatch)
         async with answer:
-            reply = parts.dialect.read_reply(answer.status, answer.headers)
             check_head(self._call, reply)
             if reply.status != OK:
                 return await self._failure(answer)
@@ -366,7 +368,7 @@
         if self._response is not None:
             raise TryError(f"answered_{answer.status}", ran=Ran.UNKNOWN)
         try:
-            body = await answer.read()
+            body = await read_body(answer, most_bytes=self._parts.answer_bytes)
         except (ClientError, OSError) as error:
             raise TryError("broken", ran=Ran.UNKNOWN) from error
         return web.Response(
--- a/auburnproxy/platform/engine_orders.py
+++ b/auburnproxy/platform/engine_orders.py
@@ -5,21 +5,24 @@
 from typing import Any
 
 import msgspec
-from aiohttp import ClientTimeout
+from aiohttp import ClientResponse, ClientTimeout
 
+from ..bounded_body import read_body
 from ..clock import loop_time
 from ..errors import UpstreamError
 from ..formation.orders import Answer, Orders
 from ..formation.record import Formed, Member
-from ..gateway.host import Host
+from ..gateway.host import Host, Life
 from ..upstreams.client import open_session, upstream_errors
-from .headers import HOST_ID
+from .headers import HOST_ID, leaving
 from .registrations import read_report
 
 ORDER_TIMEOUT_S = 0.6
 """Two round trips between failure domains, and a lost packet that is sent again."""
 REPORT_TIMEOUT_S = 0.3
 """As above without the second packet; a report that is late is asked for anew."""
+REPORT_BYTES = 65_536
+"""A report names a few models and one part; no more of an answer is read."""
 DONE, BEGUN, MISDIRECTED = 200, 202, 421
 CLOSE_AFTER_QUEUE = "queue"
 
@@ -64,15 +67,22 @@
             async with self._session.get(
                 url, headers={HOST_ID: host.id}, timeout=timeout
             ) as response:
-                body = await response.read()
+                body = await self._read(response, host.life)
                 if response.status != DONE:
                     raise UpstreamError(f"{host.id}: report has {response.status}")
-        return read_report(host, body, now=loop_time())
+        seen = read_report(host, body, now=loop_time())
+        return seen._replace(leaving=host.leaving or leaving(response.headers))
 
     async def close_connections(self) -> None:
         """Close every connection."""
         await self._session.close()
 
+    async def _read(self, response: ClientResponse, life: Life) -> bytes:
+        """Return the body of an answer, and tell if its engine leaves."""
+        if leaving(response.headers):
+            self.on_leaving(life)
+        return await read_body(response, most_bytes=REPORT_BYTES)
+
     async def _order(
         self, member: Member, operation: str, formed: Formed, **more: Any
     ) -> Answer:
@@ -91,7 +101,7 @@
                     headers=headers,
                     timeout=timeout,
                 ) as response:
-                    await response.read()
+                    await self._read(response, member.life)
                     status = response.status
         except UpstreamError:
             # A refused connection proves nothing: some partitions refuse.
--- a/auburnproxy/platform/headers.py
+++ b/auburnproxy/platform/headers.py
@@ -24,6 +24,9 @@
 LOAD = "Engine-Load"
 """Requests running, requests waiting, and slots, separated by commas."""
 AT_FAULT = "At-Server"
+LEAVING = "Server-Leaving"
+LEAVING_MARK = "1"
+RETRY_AFTER = "Retry-After"
 OWN = (KEY, ACCOUNT, HOST_ID, URGENCY, WEIGHT_VERSION, DEADLINE_MS, RESUME_AFTER)
 """Headers that the system sets for itself, whatever the caller sent."""
 MS_PER_S = 1000
@@ -74,6 +77,8 @@
             encoded="Content-Encoding" in headers,
             load=_load(headers.get(LOAD, "")),
             at_fault=headers.get(AT_FAULT, ""),
+            leaving=leaving(headers),
+            retry_after=headers.get(RETRY_AFTER, ""),
         )
 
     def answer_headers(self, request_id: str) -> dict[str, str]:
@@ -81,6 +86,11 @@
         return {REQUEST_ID: request_id} if request_id else {}
 
 
+def leaving(headers: Mapping[str, str]) -> bool:
+    """Return whether an engine's answer of any kind says that it leaves."""
+    return headers.get(LEAVING, "").strip() == LEAVING_MARK
+
+
 def _number(text: str) -> float | None:
     text = text.strip()
     return float(text) if text.isascii() and text.isdigit() else None
--- a/auburnproxy/platform/settings.py
+++ b/auburnproxy/platform/settings.py
@@ -13,6 +13,10 @@
 SETTINGS_VARIABLE = "AUBURNPROXY_CONFIG"
 METRICS_PORT = 9464
 """Port of the metrics, as the deploy file names it."""
+BYTES_PER_MB = 1_000_000
+DEFAULT_MEMORY_MB = 200
+ANSWER_PART = 1 / 64
+"""Part of a host's memory that the body of one answer may take."""
 
 _TEXT = {"type": "string", "minLength": 1}
 _ADDRESS = {"type": "string", "pattern": r"^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$"}
@@ -49,6 +53,7 @@
             },
             required=False,
         ),
+        "limits": _object({"memory-mb": _NUMBER}, required=False),
     },
 }
 
@@ -65,6 +70,7 @@
         raise DocumentError([Finding(str(path), 1, "", "file", str(error))]) from error
     value = check(parse(text, file=str(path)), SCHEMA)
     bounds = value.get("bounds", {})
+    memory_mb = value.get("limits", {}).get("memory-mb", DEFAULT_MEMORY_MB)
     beats_port, last_port = value["internal-ports"][:2]
     return RoutedSettings(
         name=value["node-name"],
@@ -82,4 +88,5 @@
             window_s=bounds.get("budget-window-s", 10.0),
         ),
         grace_s=bounds.get("grace-s", 8.0),
+        answer_bytes=int(memory_mb * BYTES_PER_MB * ANSWER_PART),
     )
--- a/auburnproxy/platform/store.py
+++ b/auburnproxy/platform/store.py
@@ -17,6 +17,8 @@
 MS_PER_S = 1000
 SILENCE_S = 1.0
 """Five times an answer of a slow store; what it got while silent it never answers."""
+PAGE_BYTES = 4_194_304
+"""Longest page: 1 MB of records, a third more in base64, and the last one whole."""
 LENGTH_BYTES = 4
 OFFSETS_BYTES = 16
 """Two offsets of eight bytes before the records: the end and the first retained."""
@@ -47,7 +49,9 @@
     """
 
     def __init__(self, address: str) -> None:
-        self._client = Client(f"http://{address}", silence_s=SILENCE_S)
+        self._client = Client(
+            f"http://{address}", silence_s=SILENCE_S, most_bytes=PAGE_BYTES
+        )
 
     async def newest(self, topic: str) -> Newest:
         """Return the newest record of each key of a topic.
--- a/auburnproxy/store/relay.py
+++ b/auburnproxy/store/relay.py
@@ -19,6 +19,7 @@
 import msgspec
 from aiohttp import ClientSession, ClientTimeout, web
 
+from ..bounded_body import read_body
 from ..clock import loop_time
 from ..errors import AuburnError, PeerError
 from ..telemetry.decisions import Decisions
@@ -36,6 +37,10 @@
 """Fetches of a topic under way at once: a peer that is silent holds up one."""
 PACKED_S = 0.5
 """Age at which packed records are packed anew: they tell when the store failed."""
+PACKED_BYTES = 4_194_304
+"""Longest answer of a peer that is read."""
+UNPACKED_BYTES = 33_554_432
+"""Longest records in it; a topic of 1,600 hosts and a configuration takes a tenth."""
 COMPRESSION = 1
 """Level of zlib: fastest, and a configuration still shrinks to a tenth."""
 
@@ -52,8 +57,12 @@
 
     :raises PeerError: if it is malformed
     """
+    inflater = zlib.decompressobj()
     try:
-        return _decoder.decode(zlib.decompress(data))
+        text = inflater.decompress(data, UNPACKED_BYTES)
+        if not inflater.eof:
+            raise PeerError(f"records of {len(data)} bytes are cut off or too long")
+        return _decoder.decode(text)
     except (msgspec.MsgspecError, zlib.error) as error:
         raise PeerError(f"malformed records of {len(data)} bytes") from error
 
@@ -89,7 +98,7 @@
         timeout = ClientTimeout(total=FETCH_TIMEOUT_S)
         with upstream_errors(address):
             async with self._session.get(url, timeout=timeout) as response:
-                return unpack(await response.read())
+                return unpack(await read_body(response, most_bytes=PACKED_BYTES))
 
 
 class _Packed(NamedTuple):
--- a/auburnproxy/upstreams/client.py
+++ b/auburnproxy/upstreams/client.py
@@ -12,6 +12,7 @@
     ClientError,
     ClientHandlerType,
     ClientOSError,
+    ClientPayloadError,
     ClientRequest,
     ClientResponse,
     ClientSession,
@@ -19,15 +20,21 @@
     ConnectionTimeoutError,
     DummyCookieJar,
     ServerDisconnectedError,
+    StreamReader,
     TCPConnector,
 )
 from aiohttp.client_proto import ResponseHandler
 from aiohttp.connector import Connection
+from aiohttp.http_parser import RawResponseMessage
 
 from ..errors import Ran, UpstreamError
 
 CONNECT_TIMEOUT_S = 1.0
 CONTROL_TIMEOUT_S = 2.0
+MOST_BYTES = 4_194_304
+"""Longest whole answer that is taken; a caller's own body may be as long."""
+MOST_HEADS = 8
+"""Interim answers, and the final one, that are queued before they are taken."""
 CONTROL = ClientTimeout(total=CONTROL_TIMEOUT_S, sock_connect=CONNECT_TIMEOUT_S)
 UNBOUNDED = ClientTimeout(total=None)
 STREAM = ClientTimeout(sock_connect=CONNECT_TIMEOUT_S)
@@ -68,6 +75,20 @@
 
     reset: bool | None = None
     """Whether it was reset; None while it is open."""
+    heads = 0
+    """Heads that came since the last answer was taken, interim ones included."""
+
+    def feed_data(
+        self, data: tuple[RawResponseMessage, StreamReader], size: int = 0
+    ) -> None:
+        """Queue a head; called by the library, which would queue them without end."""
+        self.heads += 1
+        if self.heads <= MOST_HEADS:
+            super().feed_data(data, size)
+        elif self.exception() is None:
+            self.set_exception(ClientPayloadError("too many interim answers"))
+            if self.transport is not None:
+                self.transport.abort()
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """Note the end of the connection; called by the library."""
@@ -88,7 +109,10 @@
         """Read the head; called by the library."""
         if isinstance(connection.protocol, TrackedConnection):
             self._tracked = connection.protocol
-        return await super().start(connection)
+        started = await super().start(connection)
+        if self._tracked is not None:
+            self._tracked.heads = 0
+        return started
 
     @property
     def whole(self) -> bool:
--- a/auburnproxy/upstreams/http_engine.py
+++ b/auburnproxy/upstreams/http_engine.py
@@ -7,9 +7,10 @@
 import msgspec
 from aiohttp import ClientResponse
 
+from ..bounded_body import read_body
 from ..errors import Ran, StaleFenceError, UpstreamError
 from ..external import HostEntry
-from .client import CONTROL, STREAM, Connections, upstream_errors
+from .client import CONTROL, MOST_BYTES, STREAM, Connections, upstream_errors
 from .engine import Chunk, Engine, EngineReport, ModelCall, Order
 from .events import split
 
@@ -55,7 +56,7 @@
             async with self._connections.open().request(
                 method, url, data=body, timeout=CONTROL
             ) as response:
-                return response.status, await response.read()
+                return response.status, await read_body(response, most_bytes=MOST_BYTES)
 
     async def report(self) -> EngineReport:
         """Return the engine's newest report.
--- a/auburnproxy/upstreams/http_service.py
+++ b/auburnproxy/upstreams/http_service.py
@@ -5,9 +5,16 @@
 import msgspec
 from aiohttp import ClientTimeout
 
+from ..bounded_body import read_body
 from ..errors import UpstreamError
 from ..external import HostEntry
-from .client import CONNECT_TIMEOUT_S, CONTROL, Connections, upstream_errors
+from .client import (
+    CONNECT_TIMEOUT_S,
+    CONTROL,
+    MOST_BYTES,
+    Connections,
+    upstream_errors,
+)
 from .service import PlainAnswer, PlainCall, PlainService, ServiceReport
 
 OK = 200
@@ -33,7 +40,10 @@
         url = f"http://{self._address}/report"
         with upstream_errors(self._address):
             async with self._connections.open().get(url, timeout=CONTROL) as response:
-                status, body = response.status, await response.read()
+                status, body = (
+                    response.status,
+                    await read_body(response, most_bytes=MOST_BYTES),
+                )
         if status != OK:
             raise UpstreamError(f"{self._address}: report has status {status}")
         try:
@@ -63,7 +73,7 @@
                 timeout=timeout,
                 allow_redirects=False,
             ) as response:
-                body = await response.read()
+                body = await read_body(response, most_bytes=MOST_BYTES)
         content_type = response.headers.get("Content-Type", DEFAULT_CONTENT_TYPE)
         return PlainAnswer(response.status, content_type, body)
 
--- a/features/fakes/platform.py
+++ b/features/fakes/platform.py
@@ -17,6 +17,7 @@
 
 from auburnproxy.daemon.routed import RoutedDaemon
 from auburnproxy.platform.adapter import PlatformAdapter
+from features.fakes.endless import play
 from features.fakes.store import quiet
 from features.loopback import free_addresses
 
@@ -147,6 +148,13 @@
         self.born = 1
         self.staged: list[str] = []
         self.on_order: Callable[[dict], None] = lambda order: None
+        self.asked_at: list[float] = []
+        """Times at which anything reached it, a probe or an order as well."""
+        self.leaving_reports = False
+        self.rest_s = "1.0"
+        self.endless = ""
+        """What it sends without end in place of an answer."""
+        self.open_connections = 0
         self._server: asyncio.Server | None = None
 
     async def start(self) -> None:
@@ -160,6 +168,15 @@
 
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self.open_connections += 1
+        try:
+            await self._serve_one(reader, writer)
+        finally:
+            self.open_connections -= 1
+
+    async def _serve_one(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
             head = (await reader.readuntil(b"\r\n\r\n")).decode()
@@ -167,15 +184,20 @@
             headers = {k.lower(): v for k, v in (x.split(": ", 1) for x in lines)}
             body = await reader.readexactly(int(headers.get("content-length", 0)))
             method, path, _ = first.split(" ")
+            self.asked_at.append(time.monotonic())
             if path == "/report":
                 report = {"models": [], "staged": self.staged}
                 report |= {"born": self.born, "group": self.part}
-                self._plain(writer, headers, json.dumps(report).encode())
+                more = "leaving" if self.leaving_reports else ""
+                self._plain(writer, headers, json.dumps(report).encode(), more=more)
             elif path == "/order":
                 self.on_order(json.loads(body))
                 self._plain(writer, headers, b"", "202 Accepted")
             else:
                 self.requests.append((method, path, headers, body))
+                if self.endless:
+                    await play(self.endless, writer, headers.get("attempt-id", ""))
+                    return
                 action = self.script.pop(0) if len(self.script) > 1 else self.script[0]
                 await self._act(action, reader, writer, path, headers)
             await writer.drain()
@@ -186,16 +208,23 @@
         request_id = "other" if "foreign" in more else headers.get("attempt-id", "")
         length = "" if "unframed" in more else f"Content-Length: {len(body)}\r\n"
         refused = "Not-Executed: 1\r\n" if "refused" in more else ""
+        if "leaving" in more:
+            refused += "Server-Leaving: 1\r\n"
+        if "rest" in more.split():
+            refused += f"Retry-After: {self.rest_s}\r\n"
         head = f"HTTP/1.1 {status}\r\nAttempt-Id: {request_id}\r\n{stamp}{refused}"
         head += f"{length}Connection: close\r\n\r\n"
         writer.write(head.encode() + body)
 
     async def _act(self, action, reader, writer, path, headers) -> None:
-        if path.startswith(STREAM_PATH) and action not in (
+        if action == "endless event":
+            await play("an event", writer, headers["attempt-id"])
+        elif path.startswith(STREAM_PATH) and action not in (
             "shed",
             "silent",
             "reset",
             "failed",
+            "rest",
         ):
             await self._stream(action, reader, writer, headers)
         elif action == "ok":
@@ -204,6 +233,17 @@
             self._plain(writer, headers, b"boom", "500 Internal Server Error")
         elif action == "shed":
             self._plain(writer, headers, b"", "503 Service Unavailable", "refused")
+        elif action == "rest":
+            status = "503 Service Unavailable"
+            self._plain(writer, headers, b"", status, "refused rest")
+        elif action == "leaving success":
+            self._plain(writer, headers, b"the whole answer", more="leaving")
+        elif action == "leaving failure":
+            status = "500 Internal Server Error"
+            self._plain(writer, headers, b"boom", status, "leaving")
+        elif action == "leaving refusal":
+            status = "503 Service Unavailable"
+            self._plain(writer, headers, b"", status, "refused leaving")
         elif action == "reset":
             reset(writer)
         elif action == "silent":
@@ -220,6 +260,8 @@
         start = int(headers.get("last-event-id", 0))
         head = f"HTTP/1.1 200 OK\r\nAttempt-Id: {headers['attempt-id']}\r\n"
         head += f"Engine-Stamp: {STAMP}.{self.name}\r\nTransfer-Encoding: chunked\r\n"
+        if action == "leaving":
+            head += "Server-Leaving: 1\r\n"
         head += "Content-Type: text/event-stream\r\nConnection: close\r\n\r\n"
         writer.write(head.encode())
         for number in range(start + 1, EVENTS + 1):
--- a/features/steps/choice.py
+++ b/features/steps/choice.py
@@ -13,6 +13,7 @@
 from auburnproxy.gateway.health import Health
 from auburnproxy.gateway.host import Part, PartState
 from auburnproxy.gateway.resends import Allowance, Resends
+from auburnproxy.gateway.rests import Rests
 from features.fakes.fleet import configuration, host
 from features.fakes.store import quiet
 
@@ -45,9 +46,11 @@
         self.health = Health(
             quiet(), probe=self.probe, heard_elsewhere=lambda h: self.heard.get(h, -1.0)
         )
+        self.rests = Rests(quiet())
         self.choice = Choice(
             self.directory,
             self.health,
+            self.rests,
             failure_domain="fd1",
             elsewhere=lambda h: self.elsewhere.get(h, (0, 0)),
             daemons=lambda: self.daemons,
