Give up lost hosts where most of a failure domain is dark

Cause: a silent host counted as lost only if a host of another fabric domain of its failure domain answered.

Ruled out: taking silence alone for loss, since a failure domain that is cut off would lose its replicas (a scenario shows that it keeps them).

Change: any other host of the failure domain that answers will do, the same fabric domain's included; a host that the store has dropped is lost if it is silent and within 1.6 s the store lists another one anew or a daemon there is heard. A host is asked again at once when its registration lapses. A verdict frees nothing by itself: the retirement still shows that the head serves no more. Members of a replica that is not recorded any more are told to leave only after their head.

--- a/auburnproxy/beats/circle.py
+++ b/auburnproxy/beats/circle.py
@@ -110,6 +110,17 @@
         """Return the other daemons that were heard of late."""
         return frozenset(heard.beat.name for heard in self._present_beats())
 
+    def domain_heard_at(self, failure_domain: str) -> float:
+        """Return the loop's time at which a daemon of a failure domain was heard."""
+        if failure_domain == self._seat.failure_domain:
+            return loop_time()
+        times = (
+            heard.at
+            for name, heard in self._heard.items()
+            if self._domain(name) == failure_domain
+        )
+        return max(times, default=-1.0)
+
     @property
     def acting(self) -> frozenset[str]:
         """Return the other daemons that lately said to be on duty."""
--- a/auburnproxy/daemon/routed.py
+++ b/auburnproxy/daemon/routed.py
@@ -174,6 +174,8 @@
             decisions,
             on_duty=lambda: self.duty.held,
             suspects=lambda: {*self.health.suspects, *self.circle.suspects},
+            heard_at=lambda domain: self.circle.domain_heard_at(domain),
+            lists=lambda: self._upstreams.reaches,
             starting=self._starting,
         )
 
--- a/auburnproxy/formation/conductor.py
+++ b/auburnproxy/formation/conductor.py
@@ -60,6 +60,9 @@
     :param decisions: takes a line for each order and change
     :param on_duty: whether this daemon is to act, asked at each step
     :param suspects: returns the ids of heads whose streams have stalled
+    :param heard_at: returns the loop's time at which a daemon of a failure domain
+        was last heard
+    :param lists: returns whether the store's list of hosts is current
     :param starting: whether no request has been served yet
     """
 
@@ -73,6 +76,8 @@
         *,
         on_duty: Callable[[], bool],
         suspects: Callable[[], Collection[str]] = tuple,
+        heard_at: Callable[[str], float] = lambda domain: -1.0,
+        lists: Callable[[], bool] = lambda: True,
         starting: Callable[[], bool] = lambda: False,
     ) -> None:
         self._name = name
@@ -87,7 +92,9 @@
         self._retirement = Retirement(orders, decisions)
         self._sent_by_host: dict[str, _Sent] = {}
         self._staging_by_host: dict[str, tuple[str, float]] = {}
-        self._probes = Probes(directory, orders, decisions)
+        self._probes = Probes(
+            directory, orders, decisions, heard_at=heard_at, lists=lists
+        )
         self._tasks: set[asyncio.Task[None]] = set()
         self.census = Census(directory, register, decisions)
         self._hosts_seen = (0, 0.0)
@@ -269,10 +276,18 @@
 
     def _leave_strays(self) -> None:
         """Free the hosts that a late order or a healed cut has left in a part."""
+        heads = {
+            (host.part.replica, host.part.epoch)
+            for host in self._directory.hosts.values()
+            if host.part is not None and host.part.rank == 0
+        }
         for host in self._directory.hosts.values():
             part = host.part
             if part is None or not self._stray(host):
                 continue
+            if part.rank > 0 and (part.replica, part.epoch) in heads:
+                # Its head may still serve: it leaves first.
+                continue
             if self._due(host.id, f"leave {part.replica}"):
                 member = Member(host.id, host.born, host.address)
                 formed = Formed(part.replica, part.epoch, "", "", (member,))
--- a/auburnproxy/formation/probes.py
+++ b/auburnproxy/formation/probes.py
@@ -1,9 +1,17 @@
-"""Which hosts of replicas are lost, by asking them and their neighbours."""
+"""Which hosts of replicas are lost, by what several vantage points see of them.
+
+Answers a failure domain of which most is dark at once: then no neighbour answers
+either, and a verdict that needs one would never come. A host that the store has
+dropped, while it lists others beside it, is lost if it does not answer here.
+
+A verdict is no proof that a process has ended. Hosts of a lost replica are given
+other parts only once :mod:`.retirement` has shown that its head serves no more.
+"""
 
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Collection, Mapping
+from collections.abc import Callable, Collection, Mapping, Sequence
 from typing import TypeVar
 
 from ..clock import loop_time
@@ -16,8 +24,12 @@
 
 PROBES = 2
 """Probes without an answer that show a host to be lost; one may be a lost packet."""
-CONTROLS = 3
-"""Other hosts of a failure domain that are asked before a silent one is given up."""
+CONTROLS = 2
+"""Hosts of other fabric domains, and of the same one, that are asked before a silent
+host is given up."""
+NEWS_S = 1.6
+"""Seconds in which a failure domain that is not cut off shows itself: its hosts
+register anew every 1.2 s."""
 KEPT_S = 5.0
 """Seconds for which a host that was asked is not asked again."""
 LOST_KEPT_S = 30.0
@@ -31,16 +43,27 @@
     :param directory: the registered hosts
     :param orders: asks for reports
     :param decisions: takes a line for each verdict
+    :param heard_at: returns the loop's time at which a daemon of a failure domain
+        was last heard
+    :param lists: returns whether the store answers, so that its list is current
     """
 
     def __init__(
-        self, directory: Directory, orders: Orders, decisions: Decisions
+        self,
+        directory: Directory,
+        orders: Orders,
+        decisions: Decisions,
+        *,
+        heard_at: Callable[[str], float],
+        lists: Callable[[], bool],
     ) -> None:
+        self._heard_at = heard_at
+        self._lists = lists
         self._directory = directory
         self._orders = orders
         self._decisions = decisions
         self._lost_until: dict[tuple[str, int], float] = {}
-        self._asked_until: dict[str, float] = {}
+        self._asked_until: dict[tuple[str, int, str], float] = {}
         self._tasks: set[asyncio.Task[None]] = set()
 
     @property
@@ -61,12 +84,12 @@
         :param failure_domain: where it is
         :param reason: why it is asked
         """
-        known = (member.id, member.born) in self._lost_until
-        if known or member.id in self._asked_until:
+        asked = (*member.life, reason)
+        if member.life in self._lost_until or asked in self._asked_until:
             return
         known_host = self._directory.hosts.get(member.id)
         host = known_host or member.as_host(failure_domain)
-        self._asked_until[member.id] = loop_time() + KEPT_S
+        self._asked_until[asked] = loop_time() + KEPT_S
         task = asyncio.create_task(self._judge(member, host, reason))
         self._tasks.add(task)
         task.add_done_callback(self._ended)
@@ -95,36 +118,59 @@
                 return
             error = None
             break
-        if error is not None and not await self._reaches_neighbours(host):
+        vantage = "restarted" if error is None else await self._vantage(host)
+        if not vantage:
             self._decisions.belief("host_unreachable", upstream=member.id)
             return
-        self._lost_until[member.id, member.born] = loop_time() + LOST_KEPT_S
+        self._lost_until[member.life] = loop_time() + LOST_KEPT_S
         self._decisions.belief(
-            "host_lost", upstream=member.id, reason=reason, error=repr(error)
+            "host_lost",
+            upstream=member.id,
+            reason=reason,
+            vantage=vantage,
+            error=repr(error),
         )
 
-    async def _reaches_neighbours(self, silent: Host) -> bool:
-        """Return whether another host near a silent one answers this daemon.
+    async def _vantage(self, silent: Host) -> str:
+        """Return what shows that a silent host is lost and this daemon not cut off.
 
-        If none does, this daemon is more likely cut off than they are all lost.
+        :return: empty if nothing does
         """
         others = [
             host
             for host in self._directory.hosts.values()
             if host.failure_domain == silent.failure_domain
-            and host.fabric_domain != silent.fabric_domain
+            and host.id != silent.id
+            and host.fabric_domain
             and host.life not in self._lost_until
         ]
-        for host in sorted(others, key=lambda host: -host.seen_at)[:CONTROLS]:
-            try:
-                await self._orders.report(host)
-            except AuburnError as error:
-                self._decisions.belief(
-                    "host_silent", upstream=host.id, error=repr(error)
-                )
-                continue
-            return True
-        return False
+        if await self._any_answers(silent, others):
+            return "neighbour answers"
+        asked_at = loop_time()
+        await asyncio.sleep(NEWS_S)
+        if silent.id in self._directory.hosts or not self._lists():
+            return ""
+        known = (self._directory.hosts.get(host.id) for host in others)
+        if any(host is not None and host.seen_at > asked_at for host in known):
+            return "store lists others"
+        heard_at = self._heard_at(silent.failure_domain)
+        return "daemon heard" if heard_at > asked_at else ""
+
+    async def _any_answers(self, silent: Host, others: Sequence[Host]) -> bool:
+        """Return whether a host of another fabric domain, or of the same, answers."""
+        newest = sorted(others, key=lambda host: -host.seen_at)
+        near = [h for h in newest if h.fabric_domain == silent.fabric_domain]
+        far = [h for h in newest if h.fabric_domain != silent.fabric_domain]
+        asked = (self._answers(host) for host in far[:CONTROLS] + near[:CONTROLS])
+        return any(await asyncio.gather(*asked))
+
+    async def _answers(self, host: Host) -> bool:
+        try:
+            await self._orders.report(host)
+        except AuburnError as error:
+            self._decisions.belief("host_silent", upstream=host.id, error=repr(error))
+            return False
+        return True
 
 
 def _after(now: float, until_by_key: Mapping[K, float]) -> dict[K, float]:
--- a/features/fakes/fleet.py
+++ b/features/fakes/fleet.py
@@ -22,6 +22,7 @@
 SMALL = ModelSpec("small", 2, 0.5, 0.6, 12.0, 1.1)
 ENGINE = EngineSpec(9, (LARGE, SMALL), 0.008, 0.0002, 45_900, 5, 5.0, 7, 0.3, 900, 150)
 REJOIN_S = 0.2
+HEARTBEAT_S = 1.2
 
 
 def configuration(version: int = 1) -> Configuration:
@@ -77,6 +78,15 @@
             self.hosts[each.id] = each
             self.directory.register(each)
 
+    async def beat(self) -> None:
+        """Register every host that runs anew, until cancelled."""
+        while True:
+            now = asyncio.get_running_loop().time()
+            for each in list(self.hosts.values()):
+                if each.id not in self.silent:
+                    self.directory.register(each._replace(seen_at=now))
+            await asyncio.sleep(HEARTBEAT_S)
+
     def stop(self, name: str) -> None:
         """End an engine's process; its registration lapses later."""
         self.stopped.add(name)
@@ -160,7 +170,7 @@
     async def _ordered(self, kind, member, subject, work) -> Answer:
         self.sent.append((kind, member.id, subject))
         await asyncio.sleep(0.005)
-        if member.id in self.silent:
+        if member.id in self.silent or member.id not in self.hosts:
             work.close()
             await asyncio.sleep(0.5)
             return Answer.SILENT
--- a/features/formation.feature
+++ b/features/formation.feature
@@ -97,3 +97,38 @@
       | the store turns a away            | another    |
       | a gives the duty up               | another    |
       | b hears nobody                    | a          |
+
+  Scenario: Most of a failure domain is lost at once, and no neighbour answers
+    Given a fleet of 14 hosts in 1 fabric domain
+    And 30 s have passed with requests
+    When 11 hosts are lost and their registrations lapse after 4 s
+    And 16 s pass
+    Then every recorded replica serves
+    And the hosts that are left and fit serve a replica
+    And no order broke a rule
+
+  Scenario: A failure domain that is cut off keeps its replicas
+    Given a fleet of 14 hosts in 1 fabric domain
+    And 30 s have passed with requests
+    When every host is silent to this daemon and all registrations lapse
+    And 20 s pass
+    Then every replica is still recorded
+
+  Scenario: Replicas of which nothing is left are ended after a restart of everything
+    Given a fleet of 14 hosts in 1 fabric domain
+    And 30 s have passed with requests
+    When another daemon starts after every host was replaced by a new one
+    And 40 s pass
+    Then every recorded replica serves
+    And no order broke a rule
+
+  Scenario: A stray's members leave after its head (a healed cut)
+    Given a fleet of 14 hosts in 1 fabric domain
+    And 30 s have passed with requests
+    When a replica is dropped whose hosts still play it, and its head is silent
+    And 4 s pass
+    Then no member of it was told to leave
+    When its head answers again
+    And 10 s pass
+    Then the head and its members have left
+    And no order broke a rule
--- a/features/steps/formation.py
+++ b/features/steps/formation.py
@@ -153,14 +153,15 @@
 class Site:
     """A conductor on duty over a fleet, on a virtual clock."""
 
-    def __init__(self, hosts):
-        self.served = False
+    def __init__(self, hosts, *, topics=None, served=False):
+        self.served = served
+        self.topics = topics or FakeTopics()
         self.suspects = set()
         self.directory = Directory(quiet())
         self.directory.configure(configuration())
         self.fleet = FakeFleet(self.directory)
         self.fleet.add(*hosts)
-        self.register = register_of(FakeTopics())
+        self.register = register_of(self.topics)
         self.directory.recorded = lambda: self.register.by_name
         self.conductor = Conductor(
             "a",
@@ -176,18 +177,19 @@
     async def run(self, seconds):
         if not self.register.follower.whole:
             await self.register.follower.step(wait=False)
-        task = asyncio.create_task(self.conductor.run())
+        tasks = [asyncio.create_task(self.conductor.run())]
+        tasks.append(asyncio.create_task(self.fleet.beat()))
         await asyncio.sleep(seconds)
-        task.cancel()
-        await asyncio.gather(task, return_exceptions=True)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
 
 
 def pass_time(context, seconds):
     context.loop.run_until_complete(context.site.run(seconds))
 
 
-@given("a fleet of 20 hosts in 2 fabric domains")
-def make_fleet(context):
+def make_fleet(context, hosts, fabrics):
     context.loop = async_solipsism.EventLoop()
     context.add_cleanup(context.loop.close)
 
@@ -195,14 +197,24 @@
         return Site(
             [
                 host(f"f{fabric}-{number}", fabric=f"f{fabric}")
-                for fabric in range(2)
-                for number in range(10)
+                for fabric in range(fabrics)
+                for number in range(hosts // fabrics)
             ]
         )
 
     context.site = context.loop.run_until_complete(make())
 
 
+@given("a fleet of {hosts:d} hosts in {fabrics:d} fabric domains")
+def make_fleet_of(context, hosts, fabrics):
+    make_fleet(context, hosts, fabrics)
+
+
+@given("a fleet of {hosts:d} hosts in 1 fabric domain")
+def make_fleet_of_one(context, hosts):
+    make_fleet(context, hosts, 1)
+
+
 @given("{seconds:d} s have passed with requests")
 def pass_with_requests(context, seconds):
     pass_time(context, seconds // 2)
@@ -289,6 +301,87 @@
     assert not strays, strays
 
 
+@when("{count:d} hosts are lost and their registrations lapse after {seconds:d} s")
+def lose_most(context, count, seconds):
+    fleet = context.site.fleet
+    lost = sorted(fleet.hosts)[:count]
+    for name in lost:
+        fleet.stop(name)
+    by_host = context.site.register.by_host
+    context.site.suspects |= {by_host[n].head.id for n in lost if n in by_host}
+    pass_time(context, seconds)
+    for name in lost:
+        fleet.unregister(name)
+
+
+@when("every host is silent to this daemon and all registrations lapse")
+def lapse_all(context):
+    cut_off(context)
+    for name in list(context.site.fleet.hosts):
+        context.site.fleet.unregister(name)
+
+
+@when("another daemon starts after every host was replaced by a new one")
+def replace_all(context):
+    site = context.site
+    for name in list(site.fleet.hosts):
+        site.fleet.stop(name)
+
+    async def start():
+        return Site(
+            [host(f"new-{number}") for number in range(14)],
+            topics=site.topics,
+            served=True,
+        )
+
+    context.site = context.loop.run_until_complete(start())
+
+
+@when("a replica is dropped whose hosts still play it, and its head is silent")
+def drop_played(context):
+    formed = large_replica(context)
+    context.dropped = formed
+    context.site.fleet.sent.clear()
+    context.site.fleet.silent.add(formed.head.id)
+    register = context.site.register
+    context.loop.run_until_complete(register.change([], dropped=[formed]))
+
+
+@then("no member of it was told to leave")
+def compare_members(context):
+    left = {host for kind, host, _ in context.site.fleet.sent if kind == "leave"}
+    assert left == {context.dropped.head.id}, left
+
+
+@when("its head answers again")
+def answer_again(context):
+    context.site.fleet.silent.discard(context.dropped.head.id)
+
+
+@then("the head and its members have left")
+def compare_leaves(context):
+    name = context.dropped.name
+    hosts = context.site.fleet.hosts.values()
+    playing = [each.id for each in hosts if each.part and each.part.replica == name]
+    assert not playing, playing
+
+
+@then("every recorded replica serves")
+def compare_all_serve(context):
+    open_names = {head.part.replica for head in context.site.fleet.open_heads()}
+    recorded = set(context.site.register.by_name)
+    assert recorded, "nothing is recorded"
+    assert recorded <= open_names, recorded - open_names
+
+
+@then("the hosts that are left and fit serve a replica")
+def compare_left(context):
+    by_name = context.site.register.by_name
+    dead = context.site.fleet.stopped
+    for formed in by_name.values():
+        assert not dead & set(formed.ids), (formed, dead)
+
+
 @given("daemons a, b and c of which a is on duty")
 def make_duties(context):
     context.loop = async_solipsism.EventLoop()
