Sum up beats as they come, and keep the roll of daemons in order

Cause: at each choice, tick and beat a daemon went over the beats of all others: 1,076 us for the sums alone among 195 daemons, up to 50 times a second.

Change: a tally adds what a new beat changes and takes off what the one before said; rolls hold the daemons in the order in which they were heard, so that the late ones come first; who reads the store is ranked when that changes. What a daemon sends to is listed when a seat changes.

Steps of features/readers.feature tick the circle, since what is late is now noticed at a tick and not at each question; their bounds are as before.

--- a/auburnproxy/beats/circle.py
+++ b/auburnproxy/beats/circle.py
@@ -4,7 +4,7 @@
 
 import asyncio
 from collections import Counter
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Mapping, Set
 from typing import NamedTuple, cast
 
 import msgspec
@@ -16,6 +16,8 @@
 from ..store import Change, Follower
 from ..telemetry.decisions import Decisions
 from .beat import Beat, pack, unpack
+from .roll import Roll
+from .tally import Tally
 
 TICK_S = 0.1
 """Seconds between two beats to daemons of the own failure domain."""
@@ -37,10 +39,8 @@
 """Least age at which a beat's requests in flight are no longer counted."""
 LOAD_BEATS = 1.5
 """Beats that are late before that; older requests in flight have mostly ended."""
-WORK_S = 0.02
-"""Age at which the others' requests are added up anew; beats come less often, and a
-choice asks for each upstream."""
-MS_PER_S = 1000
+FORGET_TURNS = 50
+"""Ticks between two looks for upstreams that nobody hears any more."""
 
 
 class Seat(NamedTuple):
@@ -53,14 +53,6 @@
     """IP number and port of its listener for peers."""
 
 
-class Heard(NamedTuple):
-    """The newest beat of a daemon."""
-
-    beat: Beat
-    at: float
-    """The loop's time in seconds at which it came."""
-
-
 class Circle(asyncio.DatagramProtocol):
     """Sends beats to the recorded daemons and keeps theirs.
 
@@ -79,20 +71,32 @@
         say: Callable[[], Beat],
         decisions: Decisions,
     ) -> None:
+        self.served = False
+        """Whether one of the others has served a request."""
+        self.on_leaving: Callable[[Life], None] = lambda life: None
+        """Called with each upstream that a beat says to be leaving."""
+        self.tally = Tally()
+        """What the beats of the daemons that are not late tell of upstreams."""
         self._name = name
         self._seat = seat
         self._say = say
         self._decisions = decisions
         self._seats: dict[str, Seat] = {}
-        self._count_by_domain: Counter[str] = Counter()
-        self._heard: dict[str, Heard] = {}
-        self._work_by_host: dict[str, tuple[int, int]] = {}
-        self._work_at = -1.0
-        self._present: frozenset[str] = frozenset()
+        self._near: dict[str, Seat] = {}
+        self._far: dict[str, Seat] = {}
+        self._beat_by_name: dict[str, Beat] = {}
+        self._present = {near: Roll() for near in (True, False)}
+        self._counted = {near: Roll() for near in (True, False)}
+        self._domain_heard_at: dict[str, float] = {}
+        self._acting: set[str] = set()
+        self._readers: list[str] | None = None
+        """Daemons near here that can read the store, the first to do so first."""
+        self.near_interval_s = TICK_S
+        """Seconds between two beats of a daemon of this failure domain."""
+        self.far_interval_s = FAR_TICKS * TICK_S
+        """Seconds between two beats of a daemon of another one."""
         self._transport: asyncio.DatagramTransport | None = None
         self._turn = 0
-        self.on_leaving: Callable[[Life], None] = lambda life: None
-        """Called with each upstream that a beat says to be leaving."""
         follower.on_change = self._take_seat
 
     @property
@@ -103,40 +107,23 @@
     @property
     def size(self) -> int:
         """Return how many daemons there may be."""
-        return max(len(self._seats), len(self._present) + 1)
+        return max(len(self._seats), len(self._beat_by_name) + 1)
 
     @property
-    def present(self) -> frozenset[str]:
+    def present(self) -> Set[str]:
         """Return the other daemons that were heard of late."""
-        return frozenset(heard.beat.name for heard in self._present_beats())
+        return self._beat_by_name.keys()
 
     def domain_heard_at(self, failure_domain: str) -> float:
         """Return the loop's time at which a daemon of a failure domain was heard."""
         if failure_domain == self._seat.failure_domain:
             return loop_time()
-        times = (
-            heard.at
-            for name, heard in self._heard.items()
-            if self._domain(name) == failure_domain
-        )
-        return max(times, default=-1.0)
+        return self._domain_heard_at.get(failure_domain, -1.0)
 
     @property
-    def acting(self) -> frozenset[str]:
+    def acting(self) -> Set[str]:
         """Return the other daemons that lately said to be on duty."""
-        present = self._present_beats()
-        return frozenset(heard.beat.name for heard in present if heard.beat.on_duty)
-
-    @property
-    def served(self) -> bool:
-        """Return whether one of the others has served a request."""
-        return any(heard.beat.served for heard in self._heard.values())
-
-    @property
-    def suspects(self) -> frozenset[str]:
-        """Return the upstreams that others leave out."""
-        fresh = self._load_beats()
-        return frozenset(host for heard in fresh for host in heard.beat.suspects)
+        return self._acting
 
     @property
     def end_by_peer(self) -> Mapping[str, Mapping[str, int]]:
@@ -144,16 +131,11 @@
 
         Those of the own failure domain are told of, if any is heard.
         """
-        heard = {
-            heard.beat.name: heard.beat.end_by_topic
-            for heard in self._load_beats()
-            if heard.beat.name in self._seats
-        }
-        near = heard.keys() & self._near
+        names = self._counted[True].names or self._counted[False].names
         return {
-            self._seats[name].internal: ends
-            for name, ends in heard.items()
-            if name in near or not near
+            self._seats[name].internal: self._beat_by_name[name].end_by_topic
+            for name in names
+            if name in self._seats
         }
 
     def reads_store(self, *, reaches: bool) -> bool:
@@ -161,85 +143,23 @@
 
         :param reaches: whether the store answered this daemon's last reading
         """
-        able = {
-            name
-            for name in self.present & self._near
-            if self._heard[name].beat.reaches_store
-        }
-        if not reaches and len(able) >= READERS:
+        if self._readers is None:
+            able = (
+                name
+                for name in self._present[True].names
+                if self._beat_by_name[name].reaches_store
+            )
+            self._readers = rank_names("reader", able)
+        if not reaches and len(self._readers) >= READERS:
             return self._turn % RETRY_TURNS == 0
-        order = rank_names("reader", {self._name, *able})
-        return order.index(self._name) < READERS
-
-    def _present_beats(self) -> list[Heard]:
-        return self._fresh(least_s=HEARD_S, beats=HEARD_BEATS)
-
-    def _load_beats(self) -> list[Heard]:
-        return self._fresh(least_s=LOAD_S, beats=LOAD_BEATS)
-
-    def _fresh(self, *, least_s: float, beats: float) -> list[Heard]:
-        """Return the newest beats of the daemons that are not late.
-
-        :param least_s: age that a beat may have at any size of the deployment
-        :param beats: beats that a daemon may be late where that is more
-        """
-        now = loop_time()
-        age_s_by_domain = {
-            domain: max(least_s, beats * self._interval_s(domain))
-            for domain in self._count_by_domain
-        }
-        return [
-            heard
-            for name, heard in self._heard.items()
-            if now - heard.at < age_s_by_domain.get(self._domain(name), least_s)
-        ]
-
-    def _domain(self, name: str) -> str:
-        seat = self._seats.get(name)
-        return seat.failure_domain if seat else ""
-
-    def _interval_s(self, domain: str) -> float:
-        """Return the seconds between two beats of a failure domain's daemon to here."""
-        near = self._count_by_domain[domain]
-        if domain == self._seat.failure_domain:
-            return TICK_S * max(1.0, (near - 1) / (NEAR_BEATS_PER_S * TICK_S))
-        far = self._count_by_domain.total() - near
-        return max(FAR_TICKS * TICK_S, far / FAR_BEATS_PER_S)
-
-    @property
-    def _near(self) -> set[str]:
-        own = self._seat.failure_domain
-        return {name for name, s in self._seats.items() if s.failure_domain == own}
-
-    @property
-    def lost(self) -> frozenset[str]:
-        """Return the heads of the replicas that the daemon on duty is ending."""
-        fresh = self._load_beats()
-        return frozenset(host for heard in fresh for host in heard.beat.lost)
+        if len(self._readers) < READERS:
+            return True
+        ahead = rank_names("reader", [self._name, *self._readers[:READERS]])
+        return ahead.index(self._name) < READERS
 
     def work(self, host: str) -> tuple[int, int]:
         """Return the requests of the others at an upstream, and those that wait."""
-        if loop_time() - self._work_at >= WORK_S:
-            self._work_at = loop_time()
-            self._work_by_host = self._sum_work()
-        return self._work_by_host.get(host, (0, 0))
-
-    def _sum_work(self) -> dict[str, tuple[int, int]]:
-        sums: dict[str, tuple[int, int]] = {}
-        for heard in self._load_beats():
-            for host, work in heard.beat.work_by_host.items():
-                in_flight, waiting = sums.get(host, (0, 0))
-                sums[host] = in_flight + work.in_flight, waiting + work.waiting
-        return sums
-
-    def heard_at(self, host: str) -> float:
-        """Return the loop's time at which one of the others last heard an upstream."""
-        times = [
-            heard.at - work.silent_ms / MS_PER_S
-            for heard in self._heard.values()
-            if (work := heard.beat.work_by_host.get(host)) is not None
-        ]
-        return max(times, default=-1.0)
+        return self.tally.work(host)
 
     def record(self) -> Change | None:
         """Return the record of this daemon's seat, None if it stands already."""
@@ -257,8 +177,8 @@
         self._transport = transport
         try:
             while True:
+                self.tick()
                 self._send_beats()
-                self._note_presence()
                 await asyncio.sleep(TICK_S)
         finally:
             transport.close()
@@ -270,12 +190,54 @@
         except PeerError as error:
             self._decisions.belief("beat_unreadable", peer=addr[0], reason=str(error))
             return
-        if beat.name == self._name:
-            return
-        self._heard[beat.name] = Heard(beat, loop_time())
+        if beat.name != self._name:
+            self.hear(beat)
+
+    def hear(self, beat: Beat) -> None:
+        """Take what another daemon says of itself."""
+        now, name = loop_time(), beat.name
+        near = name in self._near
+        before = self._beat_by_name.get(name)
+        self._beat_by_name[name] = beat
+        self.served |= beat.served
+        if self._present[near].hear(name, at=now):
+            self._decisions.belief("dependency_regained", dependency=f"daemon/{name}")
+        self._counted[near].hear(name, at=now)
+        self.tally.put(beat, at=now)
+        if beat.on_duty:
+            self._acting.add(name)
+        else:
+            self._acting.discard(name)
+        if near and (before is None or before.reaches_store != beat.reaches_store):
+            self._readers = None
+        if (seat := self._seats.get(name)) is not None:
+            self._domain_heard_at[seat.failure_domain] = now
         for life in beat.leaving:
             self.on_leaving(life)
 
+    def tick(self) -> None:
+        """Count the daemons no more that are late."""
+        self._turn += 1
+        now = loop_time()
+        for near, interval_s in (
+            (True, self.near_interval_s),
+            (False, self.far_interval_s),
+        ):
+            load_s = max(LOAD_S, LOAD_BEATS * interval_s)
+            for name in self._counted[near].expire(now - load_s):
+                self.tally.drop(name)
+            heard_s = max(HEARD_S, HEARD_BEATS * interval_s)
+            for name in self._present[near].expire(now - heard_s):
+                self._lose(name)
+        if self._turn % FORGET_TURNS == 0:
+            self.tally.forget(now)
+
+    def _lose(self, name: str) -> None:
+        del self._beat_by_name[name]
+        self._acting.discard(name)
+        self._readers = None
+        self._decisions.belief("dependency_lost", dependency=f"daemon/{name}")
+
     def error_received(self, exc: Exception) -> None:
         """Log a datagram that the network gave back."""
         self._decisions.belief("beat_unsent", reason=repr(exc))
@@ -283,13 +245,9 @@
     def _send_beats(self) -> None:
         """Send to a few daemons in turn, near ones more often."""
         data = pack(self._say())
-        own = self._seat.failure_domain
-        others = [s for n, s in sorted(self._seats.items()) if n != self._name]
-        near = [seat for seat in others if seat.failure_domain == own]
-        far = [seat for seat in others if seat.failure_domain != own]
-        self._turn += 1
-        self._send(data, near, int(NEAR_BEATS_PER_S * TICK_S))
+        self._send(data, list(self._near.values()), int(NEAR_BEATS_PER_S * TICK_S))
         if self._turn % FAR_TICKS == 0:
+            far = list(self._far.values())
             self._send(data, far, int(FAR_BEATS_PER_S * TICK_S * FAR_TICKS))
 
     def _send(self, data: bytes, seats: list[Seat], most: int) -> None:
@@ -299,17 +257,35 @@
             transport = cast(asyncio.DatagramTransport, self._transport)
             transport.sendto(data, (host, int(port)))
 
-    def _note_presence(self) -> None:
-        present = self.present
-        for name in present - self._present:
-            self._decisions.belief("dependency_regained", dependency=f"daemon/{name}")
-        for name in self._present - present:
-            self._decisions.belief("dependency_lost", dependency=f"daemon/{name}")
-        self._present = present
-
     def _take_seat(self, change: Change) -> None:
         self._keep_seat(change)
-        self._count_by_domain = Counter(s.failure_domain for s in self._seats.values())
+        name, seat = change.key, self._seats.get(change.key)
+        self._near.pop(name, None)
+        self._far.pop(name, None)
+        if seat is not None and name != self._name:
+            near = seat.failure_domain == self._seat.failure_domain
+            (self._near if near else self._far)[name] = seat
+            self._move(name, near=near)
+            self._near = dict(sorted(self._near.items()))
+            self._far = dict(sorted(self._far.items()))
+        self._readers = None
+        self._set_intervals()
+
+    def _move(self, name: str, *, near: bool) -> None:
+        """Expect a daemon's beats as those of its failure domain."""
+        for rolls in (self._present, self._counted):
+            if name in rolls[not near].names:
+                rolls[not near].drop(name)
+                rolls[near].hear(name, at=loop_time())
+
+    def _set_intervals(self) -> None:
+        """Work out how often the others' turns bring their beats here."""
+        turn_s = len(self._near) / NEAR_BEATS_PER_S
+        self.near_interval_s = max(TICK_S, turn_s)
+        count_by_domain = Counter(seat.failure_domain for seat in self._far.values())
+        least = min(count_by_domain.values(), default=0)
+        turn_s = (len(self._seats) - least) / FAR_BEATS_PER_S
+        self.far_interval_s = max(FAR_TICKS * TICK_S, turn_s)
 
     def _keep_seat(self, change: Change) -> None:
         if not change.value:
--- a/auburnproxy/daemon/routed.py
+++ b/auburnproxy/daemon/routed.py
@@ -125,7 +125,7 @@
         self.health = Health(
             decisions,
             probe=self._answers,
-            heard_elsewhere=lambda host: self.circle.heard_at(host),
+            heard_elsewhere=lambda host: self.circle.tally.heard_at(host),
         )
         self._seats = Follower(
             self._store,
@@ -173,7 +173,7 @@
             self.orders,
             decisions,
             on_duty=lambda: self.duty.held,
-            suspects=lambda: {*self.health.suspects, *self.circle.suspects},
+            suspects=lambda: {*self.health.suspects, *self.circle.tally.suspects},
             heard_at=lambda domain: self.circle.domain_heard_at(domain),
             lists=lambda: self._upstreams.reaches,
             starting=self._starting,
@@ -188,8 +188,8 @@
             self.rests,
             failure_domain=settings.failure_domain,
             elsewhere=lambda host: self.circle.work(host),
-            suspected=lambda: self.circle.suspects,
-            lost=lambda: self.circle.lost,
+            suspected=lambda: self.circle.tally.suspects,
+            lost=lambda: self.circle.tally.lost,
             daemons=lambda: self.circle.size,
         )
         sender = Sender(self._session, dialect, self.directory, self.rests)
--- /dev/null
+++ b/bench/fleet.py
@@ -0,0 +1,182 @@
+"""What one routed daemon's beats and choices cost among 6 to 800 daemons.
+
+Run with ``python -m bench.fleet``. Real slices in memory: beats are packed, unpacked
+and counted at the rates at which they would come, and requests choose replicas.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import time
+import tracemalloc
+from random import Random
+from types import SimpleNamespace
+
+import msgspec
+
+from auburnproxy.beats import Beat, Circle
+from auburnproxy.beats.beat import pack
+from auburnproxy.beats.circle import FAR_BEATS_PER_S, NEAR_BEATS_PER_S, Seat
+from auburnproxy.gateway.choice import Choice
+from auburnproxy.gateway.directory import Directory
+from auburnproxy.gateway.health import Health, Work
+from auburnproxy.gateway.host import Host, Part, PartState
+from auburnproxy.gateway.rests import Rests
+from auburnproxy.gateway.route import (
+    NOTHING,
+    EngineSpec,
+    ModelSpec,
+    ServiceSpec,
+)
+from auburnproxy.store import Change
+from auburnproxy.telemetry.decisions import Decisions
+
+SIZES = (6, 65, 195, 400, 800)
+DOMAINS = {6: 3, 65: 3, 195: 5, 400: 18, 800: 18}
+HEADS_PER_DAEMON = 0.7
+REQUESTS = 2_000
+SECONDS = 5
+UPSTREAMS_AT_ONCE = 20
+"""Upstreams at which a daemon has requests at a time, at most."""
+MODEL = ModelSpec("m", 1, 1.0, 1.0, 1.0, 1.0)
+ENGINE = EngineSpec(7, (MODEL,), 0.008, 0.0002, 45_900, 8, 60.0, 90, 0.3, 900, 150)
+
+
+def quiet() -> Decisions:
+    """Return decisions that are not written."""
+    return Decisions("bench", descriptor=os.open(os.devnull, os.O_WRONLY))
+
+
+def make(size: int) -> SimpleNamespace:
+    """Return one daemon's slices among a number of daemons."""
+    domains = DOMAINS[size]
+    heads = [f"h{n}" for n in range(max(int(size * HEADS_PER_DAEMON), 6))]
+    directory = Directory(quiet())
+    service = ServiceSpec("engines", 3.0, 17.0, ENGINE)
+    directory.configure(
+        NOTHING._replace(version=1, services_by_name={"engines": service})
+    )
+    for number, name in enumerate(heads):
+        directory.register(
+            Host(
+                id=name,
+                service="engines",
+                address=f"{name}:1",
+                failure_domain=f"fd{number % domains}",
+                slots=7,
+                leaving=False,
+                cold_s=0.0,
+                born=1,
+                fabric_domain="f",
+                models=("m",),
+                part=Part(f"r-{name}", 1, 0, PartState.OPEN),
+            )
+        )
+    names = frozenset(f"r-{name}" for name in heads)
+    directory.recorded = lambda: names
+    follower = SimpleNamespace(on_change=None)
+    circle = Circle(
+        "d0",
+        Seat("10.0.0.0:1", "fd0", "10.0.0.0:2"),
+        follower,  # type: ignore[arg-type]
+        lambda: beat("d0", heads, Random(0)),
+        quiet(),
+    )
+    for number in range(size):
+        seat = Seat(f"10.0.0.{number}:1", f"fd{number % domains}", "10.0.0.0:2")
+        circle._take_seat(Change(f"d{number}", msgspec.json.encode(seat), number))
+
+    async def answers(host: str) -> bool:
+        return True
+
+    health = Health(quiet(), probe=answers, heard_elsewhere=circle.tally.heard_at)
+    choice = Choice(
+        directory,
+        health,
+        Rests(quiet()),
+        failure_domain="fd0",
+        elsewhere=circle.work,
+        suspected=lambda: circle.tally.suspects,
+        lost=lambda: circle.tally.lost,
+        daemons=lambda: circle.size,
+    )
+    return SimpleNamespace(circle=circle, choice=choice, health=health, heads=heads)
+
+
+def beat(name: str, heads: list[str], random: Random) -> Beat:
+    """Return a beat of a daemon with a few requests."""
+    some = random.sample(heads, min(len(heads), UPSTREAMS_AT_ONCE) // 5)
+    work = {head: Work(random.randint(1, 3), random.randint(0, 1), 40) for head in some}
+    ends = {"op": 10, "servers": 100_000, "replicas": 900, "daemons": 400}
+    return Beat(name, False, True, True, work, ends, [], [])
+
+
+async def idle(size: int) -> tuple[float, float]:
+    """Return the part of a core and the bytes a second that beats take."""
+    site, random = make(size), Random(1)
+    domains = DOMAINS[size]
+    near = [f"d{n}" for n in range(1, size) if n % domains == 0]
+    far = [f"d{n}" for n in range(1, size) if n % domains]
+    beats = [
+        (names[k % len(names)], k)
+        for names, rate in (
+            (near, min(10 * len(near), NEAR_BEATS_PER_S)),
+            (far, min(3.3 * len(far), FAR_BEATS_PER_S)),
+        )
+        if names
+        for k in range(int(rate * SECONDS))
+    ]
+    data = [pack(beat(name, site.heads, random)) for name, _ in beats]
+    began = time.process_time()
+    for turn, each in enumerate(data):
+        site.circle.datagram_received(each, ("10.0.0.1", 1))
+        if turn % max(len(data) // (10 * SECONDS), 1) == 0:
+            site.circle.tick()
+            _ = site.circle.end_by_peer
+            pack(site.circle._say())
+            for _ in range(5):
+                site.circle.reads_store(reaches=True)
+    taken_s = time.process_time() - began
+    return taken_s / SECONDS, sum(map(len, data)) / SECONDS
+
+
+async def choose(size: int) -> float:
+    """Return the processor time in microseconds that a choice takes."""
+    site, random = make(size), Random(1)
+    for number in range(1, size):
+        site.circle.hear(beat(f"d{number}", site.heads, random))
+    began = time.process_time()
+    for _ in range(REQUESTS):
+        head = site.choice.replica("m").head.id
+        with site.health.request(head, lambda: None) as begin:
+            begin()
+            site.health.heard(head)
+    return (time.process_time() - began) / REQUESTS * 1e6
+
+
+async def memory(size: int) -> float:
+    """Return the kilobytes that the beats of all daemons take."""
+    tracemalloc.start()
+    site, random = make(size), Random(1)
+    for number in range(1, size):
+        data = pack(beat(f"d{number}", site.heads, random))
+        site.circle.datagram_received(data, ("10.0.0.1", 1))
+    taken, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    return taken / 1e3
+
+
+def main() -> None:
+    """Print a row for each size."""
+    print("daemons  control %  received KB/s  choice us  state KB")
+    for size in SIZES:
+        core, received = asyncio.run(idle(size))
+        micros = asyncio.run(choose(size))
+        state = asyncio.run(memory(size))
+        row = f"{size:7}  {core * 100:9.2f}  {received / 1e3:13.1f}"
+        print(f"{row}  {micros:9.0f}  {state:8.0f}")
+
+
+if __name__ == "__main__":
+    main()
--- a/features/steps/readers.py
+++ b/features/steps/readers.py
@@ -9,7 +9,7 @@
 
 from auburnproxy.beats import Beat, Circle
 from auburnproxy.beats.beat import pack as pack_beat
-from auburnproxy.beats.circle import Heard, Seat
+from auburnproxy.beats.circle import Seat
 from auburnproxy.gateway.health import Work
 from auburnproxy.store import Change, Follower, Peers, Relay
 from auburnproxy.store.relay import pack, unpack
@@ -33,7 +33,9 @@
         )
         seats = Follower(self.port, "daemons", quiet())
         self.circle = Circle(name, Seat(name, "fd", name), seats, self.say, quiet())
-        self.circle._seats = {n: Seat(n, "fd", n) for n in site.names}
+        for other in site.names:
+            value = msgspec.json.encode(Seat(other, "fd", other))
+            seats.on_change(Change(other, value))
 
     def reads(self):
         return self.circle.reads_store(reaches=self.follower.reaches)
@@ -53,11 +55,10 @@
             following.cancel()
 
     def hear(self):
-        self.circle._turn += 1
-        now = asyncio.get_running_loop().time()
+        self.circle.tick()
         for other in self.site.daemons:
             if other is not self and not other.lost and not self.deaf:
-                self.circle._heard[other.name] = Heard(other.say(), now)
+                self.circle.hear(other.say())
 
     def fetch(self):
         for other in self.site.daemons:
@@ -142,7 +143,6 @@
     reading = readers(context)
     deaf = next(d for d in context.readers.daemons if d not in reading)
     deaf.deaf = True
-    deaf.circle._heard.clear()
 
 
 @then("each daemon holds the newest record")
@@ -363,6 +363,7 @@
         for _ in range(80):
             gone = len(context.others) - len(context.circle.present)
             context.most_gone = max(context.most_gone, gone)
+            context.circle.tick()
             await asyncio.sleep(0.1)
         for task in telling:
             task.cancel()
@@ -379,6 +380,7 @@
 def compare_all_gone(context, seconds):
     async def wait():
         await asyncio.sleep(seconds)
+        context.circle.tick()
         return context.circle.present
 
     assert not context.loop.run_until_complete(wait())
@@ -399,6 +401,7 @@
 def compare_far_work(context, seconds, count):
     async def wait():
         await asyncio.sleep(seconds)
+        context.circle.tick()
         return context.circle.work("h")
 
     assert context.loop.run_until_complete(wait())[0] == count
