Choose among a few replicas, near ones first, however many there are

Change: replicas are listed by model, near and far, when a registration changes. The near ones are scored; far ones only where no near one is idle, of a few drawn at random, the fewer the older the news from there is. A cold upstream's bound is dealt to the daemons of its failure domain in an order that all agree on.

--- a/auburnproxy/beats/circle.py
+++ b/auburnproxy/beats/circle.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections import Counter
+from collections import defaultdict
 from collections.abc import Callable, Mapping, Set
 from typing import NamedTuple, cast
 
@@ -81,6 +81,8 @@
         self._seat = seat
         self._say = say
         self._decisions = decisions
+        self.names_by_domain: defaultdict[str, set[str]] = defaultdict(set)
+        """The recorded daemons of each failure domain, this one included."""
         self._seats: dict[str, Seat] = {}
         self._near: dict[str, Seat] = {}
         self._far: dict[str, Seat] = {}
@@ -258,8 +260,13 @@
             transport.sendto(data, (host, int(port)))
 
     def _take_seat(self, change: Change) -> None:
+        name, before = change.key, self._seats.get(change.key)
         self._keep_seat(change)
-        name, seat = change.key, self._seats.get(change.key)
+        seat = self._seats.get(name)
+        if before is not None:
+            self.names_by_domain[before.failure_domain].discard(name)
+        if seat is not None:
+            self.names_by_domain[seat.failure_domain].add(name)
         self._near.pop(name, None)
         self._far.pop(name, None)
         if seat is not None and name != self._name:
@@ -282,8 +289,10 @@
         """Work out how often the others' turns bring their beats here."""
         turn_s = len(self._near) / NEAR_BEATS_PER_S
         self.near_interval_s = max(TICK_S, turn_s)
-        count_by_domain = Counter(seat.failure_domain for seat in self._far.values())
-        least = min(count_by_domain.values(), default=0)
+        own = self._seat.failure_domain
+        domains = self.names_by_domain.items()
+        counts = [len(names) for domain, names in domains if domain != own and names]
+        least = min(counts, default=0)
         turn_s = (len(self._seats) - least) / FAR_BEATS_PER_S
         self.far_interval_s = max(FAR_TICKS * TICK_S, turn_s)
 
--- a/auburnproxy/daemon/routed.py
+++ b/auburnproxy/daemon/routed.py
@@ -190,7 +190,9 @@
             elsewhere=lambda host: self.circle.work(host),
             suspected=lambda: self.circle.tally.suspects,
             lost=lambda: self.circle.tally.lost,
-            daemons=lambda: self.circle.size,
+            sharers=lambda domain: self.circle.names_by_domain[domain],
+            name=settings.name,
+            far_interval_s=lambda: self.circle.far_interval_s,
         )
         sender = Sender(self._session, dialect, self.directory, self.rests)
         plain = Plain(
--- a/auburnproxy/gateway/choice.py
+++ b/auburnproxy/gateway/choice.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 from collections import deque
-from collections.abc import Callable, Collection, Sequence
+from collections.abc import Callable, Collection, Iterator, Sequence
 from random import Random
+from typing import NamedTuple
 
 from ..clock import loop_time
 from ..errors import RefusalError
+from ..rendezvous import rank_names
 from .directory import Directory
 from .health import Health
 from .host import Host
@@ -29,6 +31,13 @@
 """Load that a replica counts as having whose member is not registered any more."""
 QUEUE_PART = 0.2
 """Requests beyond an upstream's slots, as a part of them, that it may queue."""
+LEAST_DRAWN = 2
+MOST_DRAWN = 16
+"""Far replicas that are looked at if those drawn first cannot take a request."""
+DRAWN_BEATS_S = 4.0
+"""Far replicas that are drawn, times the seconds between two beats from there."""
+MOST_LOGGED = 32
+"""Loads that the line of a refusal names."""
 COLD_WINDOW_S = 1.0
 FULL_RETRY_S = 1.0
 """Wait after which slots are likely free: a stream holds one for about a second,
@@ -39,6 +48,19 @@
 """Part by which waits differ, so that refused callers do not return together."""
 
 
+class _Options(NamedTuple):
+    exclude: Collection[str]
+    """Heads that the request has failed on."""
+    any_host: bool
+    """Whether a head that is left out will do if no other is there."""
+
+
+class _Scored(NamedTuple):
+    score: float
+    """Load of its head as a part of its slots, with what speaks against it."""
+    replica: ServingReplica
+
+
 class Choice:
     """Chooses by load, distance and health.
 
@@ -50,7 +72,10 @@
         those the ones without an answer
     :param suspected: returns the upstreams that other daemons leave out
     :param lost: returns the heads of replicas that are being ended
-    :param daemons: returns how many daemons share the bound of a cold upstream
+    :param sharers: returns the daemons of a failure domain, which share the bound of
+        a cold upstream there
+    :param name: name of this daemon
+    :param far_interval_s: returns the seconds between two beats of a far daemon
     """
 
     def __init__(
@@ -63,7 +88,9 @@
         elsewhere: Callable[[str], tuple[int, int]] = lambda host: (0, 0),
         suspected: Callable[[], Collection[str]] = tuple,
         lost: Callable[[], Collection[str]] = tuple,
-        daemons: Callable[[], int] = lambda: 1,
+        sharers: Callable[[str], Collection[str]] = lambda domain: (),
+        name: str = "",
+        far_interval_s: Callable[[], float] = lambda: 0.3,
         random: Random | None = None,
     ) -> None:
         self._directory = directory
@@ -73,9 +100,14 @@
         self._elsewhere = elsewhere
         self._suspected = suspected
         self._lost = lost
-        self._daemons = daemons
+        self._sharers = sharers
+        self._name = name
+        self._far_interval_s = far_interval_s
         self._random = random or Random()
         self._sent_by_cold_host: dict[str, deque[float]] = {}
+        self._indexed: tuple[ServingReplica, ...] | None = None
+        self._near: dict[str, list[ServingReplica]] = {}
+        self._far: dict[str, list[ServingReplica]] = {}
 
     def replica(
         self, model: str, *, exclude: Collection[str] = (), any_head: bool = False
@@ -87,23 +119,104 @@
         :param any_head: whether a head that is left out will do if no other is there
         :raises RefusalError: if none can take it now
         """
-        recorded = self._directory.recorded()
-        by_head = {
-            replica.head.id: replica
-            for replica in self._directory.replicas()
-            if replica.model.name == model
-            and replica.name in recorded
-            and not replica.leaving
+        near, far = self._candidates(model)
+        options = _Options(exclude, any_host=any_head)
+        chosen = self._best(near, options)
+        if chosen is None or chosen.score > FAR_LOAD:
+            for sample in self._samples(far):
+                other = self._best(sample, options)
+                if other and (chosen is None or other.score < chosen.score):
+                    chosen = other
+                if chosen is not None:
+                    break
+        if chosen is None:
+            raise self._refusal("no_replica", [*near, *far], exclude)
+        self._note_sent(chosen.replica.head)
+        return chosen.replica
+
+    def _candidates(
+        self, model: str
+    ) -> tuple[Sequence[ServingReplica], Sequence[ServingReplica]]:
+        """Return the replicas of a model, near and far, that are not leaving."""
+        replicas = self._directory.replicas()
+        if replicas is not self._indexed:
+            self._indexed = replicas
+            self._near, self._far = {}, {}
+            for replica in replicas:
+                if not replica.leaving:
+                    near = replica.head.failure_domain == self._failure_domain
+                    found = self._near if near else self._far
+                    found.setdefault(replica.model.name, []).append(replica)
+        return self._near.get(model, ()), self._far.get(model, ())
+
+    def _samples(
+        self, far: Sequence[ServingReplica]
+    ) -> Iterator[Sequence[ServingReplica]]:
+        """Yield far replicas to choose the best of, a few drawn ones first.
+
+        All daemons would choose the one that looked best when they last heard. Of a
+        few drawn ones each chooses its own; the older the news, the fewer.
+        """
+        drawn = max(LEAST_DRAWN, round(DRAWN_BEATS_S / self._far_interval_s()))
+        if drawn < len(far):
+            yield self._random.sample(far, drawn)
+            yield self._random.sample(far, min(MOST_DRAWN, len(far)))
+        yield far
+
+    def _best(
+        self, replicas: Sequence[ServingReplica], options: _Options
+    ) -> _Scored | None:
+        """Return the least loaded replica of those that can take a request now."""
+        recorded, lost = self._directory.recorded(), self._lost()
+        left = [
+            replica
+            for replica in replicas
+            if replica.name in recorded
+            and replica.head.id not in options.exclude
+            and replica.head.id not in lost
             and self._directory.may_use(replica.head)
-        }
-        missing = {head for head, replica in by_head.items() if replica.missing}
-        heads = [replica.head for replica in by_head.values()]
-        lost = self._lost()
-        excluded = {head for head in by_head if head in exclude or head in lost}
-        chosen = self._pick(
-            heads, "no_replica", exclude=excluded, missing=missing, any_host=any_head
-        )
-        return by_head[chosen.id]
+            and not self._rests.left_s(replica.head.life)
+        ]
+        fit = [r for r in left if not self._health.excluded(r.head.id)]
+        if not fit and options.any_host:
+            fit = left
+        suspected = self._suspected()
+        best: _Scored | None = None
+        ties = 0
+        for replica in fit:
+            head = replica.head
+            if not self._has_room(head) or not self._bears(head):
+                continue
+            score = self._score(head)
+            if replica.missing:
+                score += MISSING_LOAD
+            if head.id in suspected:
+                score += SUSPECT_LOAD
+            if best is not None and score == best.score:
+                ties += 1
+                if self._random.random() * (ties + 1) >= 1:
+                    continue
+            elif best is not None and score > best.score:
+                continue
+            else:
+                ties = 0
+            best = _Scored(score, replica)
+        return best
+
+    def _refusal(
+        self,
+        code: str,
+        replicas: Sequence[ServingReplica],
+        exclude: Collection[str],
+    ) -> RefusalError:
+        """Return what a caller is told whom no replica can take now."""
+        heads = [
+            replica.head
+            for replica in replicas
+            if replica.name in self._directory.recorded()
+            and self._directory.may_use(replica.head)
+        ]
+        return self._refuse(code, heads, [h for h in heads if h.id not in exclude])
 
     def plain(self, service: str, *, exclude: Collection[str] = ()) -> Host:
         """Return the host of a plain service that suits a request best.
@@ -113,46 +226,21 @@
         :raises RefusalError: if none can take it now
         """
         hosts = list(self._directory.plain_hosts(service))
-        return self._pick(hosts, "no_service", exclude=exclude)
-
-    def _pick(
-        self,
-        hosts: Sequence[Host],
-        code: str,
-        *,
-        exclude: Collection[str],
-        missing: Collection[str] = (),
-        any_host: bool = False,
-    ) -> Host:
-        """Return the least loaded host.
-
-        :param code: code of the refusal if none of them answers
-        :param missing: heads of replicas that may have lost a member
-        :param any_host: whether a host that is left out will do
-        :raises RefusalError: if none can take a request now
-        """
-        rests_s = [self._rests.left_s(host.life) for host in hosts]
-        left = [
+        left = [host for host in hosts if host.id not in exclude]
+        suspected = self._suspected()
+        free = [
             host
-            for host, rest_s in zip(hosts, rests_s, strict=True)
-            if not rest_s and host.id not in exclude
+            for host in left
+            if not self._rests.left_s(host.life)
+            and not self._health.excluded(host.id)
+            and self._has_room(host)
+            and self._bears(host)
         ]
-        fit = [host for host in left if not self._health.excluded(host.id)]
-        if not fit and any_host:
-            fit = left
-        if not fit:
-            wait_s = max(NONE_RETRY_S, min(rests_s, default=0.0))
-            raise self._refusal(code, wait_s, hosts, fit)
-        free = [host for host in fit if self._has_room(host) and self._bears(host)]
         if not free:
-            raise self._refusal("no_slot", FULL_RETRY_S, hosts, fit)
-
-        suspected = self._suspected()
+            raise self._refuse("no_service", hosts, left)
 
         def score(host: Host) -> tuple[float, float]:
             load = self._score(host)
-            if host.id in missing:
-                load += MISSING_LOAD
             if host.id in suspected:
                 load += SUSPECT_LOAD
             return load, self._random.random()
@@ -161,18 +249,32 @@
         self._note_sent(chosen)
         return chosen
 
-    def _refusal(
-        self, code: str, wait_s: float, hosts: Sequence[Host], fit: Sequence[Host]
+    def _refuse(
+        self, code: str, hosts: Sequence[Host], left: Sequence[Host]
     ) -> RefusalError:
+        """Return what a caller is told whom no upstream can take now.
+
+        :param code: code of the refusal if none of them answers
+        :param hosts: the upstreams that there are
+        :param left: those that the request has not failed on
+        """
+        rests_s = [self._rests.left_s(host.life) for host in hosts]
+        resting = {h.id for h, rest_s in zip(hosts, rests_s, strict=True) if rest_s}
+        fit = [
+            host
+            for host in left
+            if host.id not in resting and not self._health.excluded(host.id)
+        ]
+        wait_s = FULL_RETRY_S if fit else max(NONE_RETRY_S, min(rests_s, default=0.0))
         refusal = RefusalError(
-            code,
+            "no_slot" if fit else code,
             f"{len(fit)} of {len(hosts)} upstreams answer, none has a free slot.",
             retry_after_s=wait_s * (1 + JITTER * (self._random.random() - 0.5)),
         )
         refusal.inputs = {
             "known": len(hosts),
             "answering": len(fit),
-            "loads": [self.load(host) for host in fit],
+            "loads": [self.load(host) for host in fit[:MOST_LOGGED]],
         }
         return refusal
 
@@ -212,7 +314,22 @@
         since = loop_time() - COLD_WINDOW_S
         while sent and sent[0] <= since:
             sent.popleft()
-        return len(sent) < max(service.cold_per_s / max(self._daemons(), 1), 1)
+        return len(sent) < self._cold_part(host, service.cold_per_s)
+
+    def _cold_part(self, host: Host, cold_per_s: float) -> int:
+        """Return the requests a second that this daemon may send to a cold upstream.
+
+        The bound is dealt to the daemons of its failure domain, one request to each
+        in an order that all agree on, so that their parts add up to the bound.
+        """
+        sharers = {*self._sharers(host.failure_domain)}
+        if not sharers:
+            return int(cold_per_s)
+        if self._name not in sharers:
+            return 0
+        whole, rest = divmod(int(cold_per_s), len(sharers))
+        place = rank_names(f"cold {host.id}", sharers).index(self._name)
+        return whole + (place < rest)
 
     def _note_sent(self, host: Host) -> None:
         if self._directory.cold_s(host) > 0:
--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -99,7 +99,9 @@
         elsewhere=circle.work,
         suspected=lambda: circle.tally.suspects,
         lost=lambda: circle.tally.lost,
-        daemons=lambda: circle.size,
+        sharers=lambda domain: circle.names_by_domain[domain],
+        name="d0",
+        far_interval_s=lambda: circle.far_interval_s,
     )
     return SimpleNamespace(circle=circle, choice=choice, health=health, heads=heads)
 
--- /dev/null
+++ b/features/fakes/herd.py
@@ -0,0 +1,181 @@
+"""Many daemons that choose heads by what they last heard of each other.
+
+Seeded, on a virtual clock and without a network: beats are objects that reach the
+daemons whose turn it is, requests stay at their heads for about a second.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections import Counter
+from random import Random
+
+from auburnproxy.beats import Beat
+from auburnproxy.beats.circle import FAR_BEATS_PER_S, FAR_TICKS, NEAR_BEATS_PER_S
+from auburnproxy.beats.tally import Tally
+from auburnproxy.errors import RefusalError
+from auburnproxy.gateway.choice import Choice
+from auburnproxy.gateway.directory import Directory
+from auburnproxy.gateway.health import Health
+from auburnproxy.gateway.host import Part, PartState
+from auburnproxy.gateway.rests import Rests
+from features.fakes.fleet import configuration, host
+from features.fakes.store import quiet
+
+TICK_S = 0.1
+FIRST_EVENT_S = 0.15
+
+
+class Chooser:
+    """One daemon: what it knows of the others, and its requests."""
+
+    def __init__(self, name, domain, herd):
+        self.name, self.domain, self.herd = name, domain, herd
+        self.tally = Tally()
+        self.health = Health(
+            herd.decisions, probe=self.probe, heard_elsewhere=self.tally.heard_at
+        )
+        self.choice = Choice(
+            herd.directory,
+            self.health,
+            Rests(herd.decisions),
+            failure_domain=domain,
+            elsewhere=self.tally.work,
+            suspected=lambda: self.tally.suspects,
+            sharers=lambda domain: herd.names_by_domain[domain],
+            name=name,
+            far_interval_s=lambda: herd.far_interval_s,
+            random=Random(name),
+        )
+
+    async def probe(self, name):
+        return name not in self.herd.dead
+
+    def beat(self):
+        suspects = list(self.health.suspects)
+        work = self.health.work_by_host
+        return Beat(self.name, False, True, True, work, {}, suspects, [])
+
+
+class Herd:
+    """Daemons of unequal share before the heads of one model.
+
+    :param heads: heads in each failure domain
+    """
+
+    def __init__(self, *, daemons, domains, heads, slots, seed=1, cold_s=0.0):
+        self.random = Random(seed)
+        self.decisions = quiet()
+        self.directory = Directory(self.decisions)
+        self.directory.configure(configuration())
+        names = [f"fd{number}" for number in range(domains)]
+        self.slots = slots
+        self.heads = []
+        for domain in names:
+            for number in range(heads):
+                name = f"{domain}-{number}"
+                part = Part(f"r-{name}", 1, 0, PartState.OPEN)
+                self.heads.append(name)
+                self.directory.register(
+                    host(
+                        name,
+                        failure_domain=domain,
+                        models=("small",),
+                        part=part,
+                        slots=slots,
+                        cold_s=cold_s,
+                        seen_at=asyncio.get_running_loop().time(),
+                    )
+                )
+        recorded = frozenset(f"r-{name}" for name in self.heads)
+        self.directory.recorded = lambda: recorded
+        self.names_by_domain = {d: set() for d in names}
+        self.daemons = []
+        for number in range(daemons):
+            domain = names[number % domains]
+            self.names_by_domain[domain].add(f"d{number}")
+            self.daemons.append(Chooser(f"d{number}", domain, self))
+        self.weights = [self.random.expovariate(1.0) + 0.2 for _ in self.daemons]
+        far = daemons * (domains - 1) / domains
+        self.far_interval_s = max(0.3, far / FAR_BEATS_PER_S)
+        self.dead: set[str] = set()
+        self.load = Counter()
+        self.peak = Counter()
+        self.placed = self.refused = self.over = self.refused_while_free = 0
+        self.sent_to_dead: list[tuple[float, str, str]] = []
+        self.sent_at: dict[str, list[float]] = {}
+        self._tasks: set[asyncio.Task] = set()
+
+    async def run(self, seconds, *, per_s):
+        """Send requests at random times while beats go round."""
+        loop = asyncio.get_running_loop()
+        until = loop.time() + seconds
+        beating = asyncio.create_task(self._beat())
+        while loop.time() < until:
+            await asyncio.sleep(self.random.expovariate(per_s))
+            daemon = self.random.choices(self.daemons, self.weights)[0]
+            task = asyncio.create_task(self._request(daemon))
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+        beating.cancel()
+
+    async def finish(self):
+        await asyncio.gather(*self._tasks)
+
+    async def _request(self, daemon):
+        free = any(
+            self.load[head] < self.slots for head in self.heads if head not in self.dead
+        )
+        try:
+            head = daemon.choice.replica("small").head.id
+        except RefusalError:
+            self.refused += 1
+            self.refused_while_free += free
+            return
+        now = asyncio.get_running_loop().time()
+        self.placed += 1
+        self.sent_at.setdefault(head, []).append(now)
+        if head in self.dead:
+            self.sent_to_dead.append((now, daemon.domain, head))
+        self.load[head] += 1
+        self.peak[head] = max(self.peak[head], self.load[head])
+        self.over += free and self.load[head] > 1.1 * self.slots
+        lost = asyncio.Event()
+        with daemon.health.request(head, lost.set) as begin:
+            if head in self.dead:
+                await asyncio.sleep(0.3)
+                daemon.health.stalled(head, silence_s=0.3, reason="no event")
+            else:
+                await asyncio.sleep(FIRST_EVENT_S)
+                begin()
+                daemon.health.heard(head)
+                await asyncio.sleep(self.random.uniform(0.5, 1.2))
+        self.load[head] -= 1
+
+    async def _beat(self):
+        turn = 0
+        near = {
+            domain: [d for d in self.daemons if d.domain == domain]
+            for domain in self.names_by_domain
+        }
+        far = {
+            domain: [d for d in self.daemons if d.domain != domain]
+            for domain in self.names_by_domain
+        }
+        while True:
+            turn += 1
+            for daemon in self.daemons:
+                beat = daemon.beat()
+                self._send(beat, near[daemon.domain], turn, NEAR_BEATS_PER_S * TICK_S)
+                if turn % FAR_TICKS == 0:
+                    most = FAR_BEATS_PER_S * TICK_S * FAR_TICKS
+                    self._send(beat, far[daemon.domain], turn, most)
+            await asyncio.sleep(TICK_S)
+
+    def _send(self, beat, daemons, turn, most):
+        now = asyncio.get_running_loop().time()
+        most = int(most)
+        start = turn * most % len(daemons) if len(daemons) > most else 0
+        for other in (daemons[start:] + daemons[:start])[:most]:
+            if other.name != beat.name:
+                other.tally.put(beat, at=now)
--- a/features/steps/choice.py
+++ b/features/steps/choice.py
@@ -25,7 +25,7 @@
         self.elsewhere = {}
         self.heard = {}
         self.answers = True
-        self.daemons = 1
+        self.sharers = ["d0"]
         self.directory = Directory(quiet())
         self.directory.configure(configuration())
         self.heads = [f"n{n}" for n in range(near)] + [f"f{n}" for n in range(far)]
@@ -53,7 +53,8 @@
             self.rests,
             failure_domain="fd1",
             elsewhere=lambda h: self.elsewhere.get(h, (0, 0)),
-            daemons=lambda: self.daemons,
+            sharers=lambda domain: self.sharers,
+            name="d0",
             random=Random(1),
         )
         self.stack = ExitStack()
@@ -227,7 +228,7 @@
 
 @given("{count:d} daemons share the bound of 36 requests a second")
 def share_bound(context, count):
-    context.chooser.daemons = count
+    context.chooser.sharers = [f"d{number}" for number in range(count)]
 
 
 @then("{count:d} of them are taken")
