Deal heads to daemons in subsets whose sharers tell each other at once

Cause: 39 daemons of a failure domain chose among all of its heads by beats up to 0.3 s old, while a stream lasts about a second; they chose the same heads.

Change: rendezvous hashing deals each daemon six heads of each model near it.

--- a/auburnproxy/beats/circle.py
+++ b/auburnproxy/beats/circle.py
@@ -4,7 +4,7 @@
 
 import asyncio
 from collections import defaultdict
-from collections.abc import Callable, Mapping, Set
+from collections.abc import Callable, Collection, Mapping, Sequence, Set
 from typing import NamedTuple, cast
 
 import msgspec
@@ -33,6 +33,8 @@
 """Beats that are late before a daemon counts as gone; single datagrams are lost."""
 READERS = 2
 """Daemons of a failure domain that read the store: one more may be lost meanwhile."""
+SOON_S = 0.01
+"""Seconds in which changes at upstreams are told together."""
 RETRY_TURNS = 20
 """Ticks between two tries of a daemon that the store has turned away."""
 LOAD_S = 1.0
@@ -97,6 +99,7 @@
         """Seconds between two beats of a daemon of this failure domain."""
         self.far_interval_s = FAR_TICKS * TICK_S
         """Seconds between two beats of a daemon of another one."""
+        self._told_soon: set[str] = set()
         self._transport: asyncio.DatagramTransport | None = None
         self._turn = 0
         follower.on_change = self._take_seat
@@ -163,6 +166,23 @@
         """Return the requests of the others at an upstream, and those that wait."""
         return self.tally.work(host)
 
+    def tell_soon(self, names: Collection[str]) -> None:
+        """Send the next beat to some near daemons at once, with what else comes soon.
+
+        :param names: daemons; those that are not near are left out
+        """
+        if self._transport is None or not names:
+            return
+        if not self._told_soon:
+            asyncio.get_running_loop().call_later(SOON_S, self._tell_now)
+        self._told_soon.update(names)
+
+    def _tell_now(self) -> None:
+        names, self._told_soon = self._told_soon, set()
+        seats = [self._near[name] for name in names if name in self._near]
+        if seats and self._transport is not None:
+            self._send_to(pack(self._say()), seats)
+
     def record(self) -> Change | None:
         """Return the record of this daemon's seat, None if it stands already."""
         if self._seats.get(self._name) == self._seat:
@@ -183,6 +203,7 @@
                 self._send_beats()
                 await asyncio.sleep(TICK_S)
         finally:
+            self._transport = None
             transport.close()
 
     def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
@@ -254,7 +275,10 @@
 
     def _send(self, data: bytes, seats: list[Seat], most: int) -> None:
         start = self._turn * most % len(seats) if len(seats) > most else 0
-        for seat in (seats[start:] + seats[:start])[:most]:
+        self._send_to(data, (seats[start:] + seats[:start])[:most])
+
+    def _send_to(self, data: bytes, seats: Sequence[Seat]) -> None:
+        for seat in seats:
             host, _, port = seat.address.rpartition(":")
             transport = cast(asyncio.DatagramTransport, self._transport)
             transport.sendto(data, (host, int(port)))
--- a/auburnproxy/daemon/routed.py
+++ b/auburnproxy/daemon/routed.py
@@ -28,6 +28,7 @@
 from ..gateway.route import Configuration
 from ..gateway.sender import Sender
 from ..gateway.streams import Streams
+from ..gateway.subsets import Subsets
 from ..store import Change, CountedStore, Follower, HttpPeers, Relay
 from ..telemetry import Gauge, Reading, Telemetry
 from ..telemetry.decisions import Decisions, open_decisions
@@ -182,10 +183,16 @@
     def _join_serving(self) -> None:
         settings = self.settings
         dialect = self._deployment.dialect()
+        subsets = Subsets(
+            settings.name,
+            lambda: self.circle.names_by_domain[settings.failure_domain],
+        )
+        self.health.on_news = lambda host: self.circle.tell_soon(subsets.sharers(host))
         choice = Choice(
             self.directory,
             self.health,
             self.rests,
+            subsets,
             failure_domain=settings.failure_domain,
             elsewhere=lambda host: self.circle.work(host),
             suspected=lambda: self.circle.tally.suspects,
--- a/auburnproxy/gateway/choice.py
+++ b/auburnproxy/gateway/choice.py
@@ -15,9 +15,21 @@
 from .host import Host
 from .rests import Rests
 from .serving_replica import ServingReplica
+from .subsets import Subsets
 
 FAR_LOAD = 0.1
 """Load, as a part of the slots, that a near upstream may have more than a far one."""
+FRESH_S = 0.3
+"""Age up to which news of far upstreams is as good as any."""
+STALE_LOAD = 0.2
+"""The same for each second that the news of far upstreams is older."""
+MOST_FAR_LOAD = 0.9
+OWN_LOAD = 0.7
+"""Load of the best of its own heads up to which a daemon looks at no other."""
+OTHERS_DRAWN = 3
+"""Near heads of other daemons that are looked at beyond that."""
+OTHERS_LOAD = 0.15
+"""Load that one of them must have less: news of it is older."""
 WAITING_WEIGHT = 3.0
 """Requests that one without its first event counts as: reading its prompt holds up
 every stream of the replica for about as long as the objective for pauses."""
@@ -67,6 +79,7 @@
     :param directory: the registered hosts
     :param health: what this daemon's requests showed of them
     :param rests: the ones that are to get nothing for a while
+    :param subsets: the near heads that this daemon sends to first
     :param failure_domain: where this daemon runs
     :param elsewhere: returns the requests of other daemons at an upstream, and of
         those the ones without an answer
@@ -83,6 +96,7 @@
         directory: Directory,
         health: Health,
         rests: Rests,
+        subsets: Subsets,
         *,
         failure_domain: str,
         elsewhere: Callable[[str], tuple[int, int]] = lambda host: (0, 0),
@@ -96,6 +110,7 @@
         self._directory = directory
         self._health = health
         self._rests = rests
+        self._subsets = subsets
         self._failure_domain = failure_domain
         self._elsewhere = elsewhere
         self._suspected = suspected
@@ -121,12 +136,10 @@
         """
         near, far = self._candidates(model)
         options = _Options(exclude, any_host=any_head)
-        chosen = self._best(near, options)
-        if chosen is None or chosen.score > FAR_LOAD:
+        chosen = self._best_near(near, options)
+        if chosen is None or chosen.score > self._far_load:
             for sample in self._samples(far):
-                other = self._best(sample, options)
-                if other and (chosen is None or other.score < chosen.score):
-                    chosen = other
+                chosen = _better(chosen, self._best(sample, options))
                 if chosen is not None:
                     break
         if chosen is None:
@@ -134,6 +147,27 @@
         self._note_sent(chosen.replica.head)
         return chosen.replica
 
+    def _best_near(
+        self, near: Sequence[ServingReplica], options: _Options
+    ) -> _Scored | None:
+        """Return the best near replica, one of this daemon's own while they bear it."""
+        own = [r for r in near if self._subsets.holds(r.head.id)]
+        chosen = self._best(own, options)
+        if chosen is not None and chosen.score <= OWN_LOAD:
+            return chosen
+        others = [r for r in near if not self._subsets.holds(r.head.id)]
+        drawn = self._random.sample(others, min(OTHERS_DRAWN, len(others)))
+        other = self._best(drawn, options)
+        if other is not None:
+            other = other._replace(score=other.score + OTHERS_LOAD)
+        return _better(chosen, other) or self._best(near, options)
+
+    @property
+    def _far_load(self) -> float:
+        """Return the load that a near replica may have more than a far one."""
+        late_s = max(self._far_interval_s() - FRESH_S, 0.0)
+        return min(FAR_LOAD + STALE_LOAD * late_s, MOST_FAR_LOAD)
+
     def _candidates(
         self, model: str
     ) -> tuple[Sequence[ServingReplica], Sequence[ServingReplica]]:
@@ -147,6 +181,9 @@
                     near = replica.head.failure_domain == self._failure_domain
                     found = self._near if near else self._far
                     found.setdefault(replica.model.name, []).append(replica)
+            self._subsets.deal(
+                {m: tuple(r.head.id for r in near) for m, near in self._near.items()}
+            )
         return self._near.get(model, ()), self._far.get(model, ())
 
     def _samples(
@@ -294,7 +331,7 @@
         waiting += self._health.waiting(host.id)
         score = (in_flight + WAITING_WEIGHT * waiting) / max(host.slots, 1)
         if host.failure_domain != self._failure_domain:
-            score += FAR_LOAD
+            score += self._far_load
         if self._health.quiet_s(host.id) > QUIET_S:
             score += QUIET_LOAD
         return score
@@ -334,3 +371,10 @@
     def _note_sent(self, host: Host) -> None:
         if self._directory.cold_s(host) > 0:
             self._sent_by_cold_host.setdefault(host.id, deque()).append(loop_time())
+
+
+def _better(one: _Scored | None, other: _Scored | None) -> _Scored | None:
+    """Return the less loaded of two replicas, either of which there may not be."""
+    if one is None or (other is not None and other.score < one.score):
+        return other
+    return one
--- a/auburnproxy/gateway/health.py
+++ b/auburnproxy/gateway/health.py
@@ -71,6 +71,9 @@
         self._heard_elsewhere = heard_elsewhere
         self._probes: set[asyncio.Task[None]] = set()
         self._states: dict[str, _State] = {}
+        self.on_news: Callable[[str], None] = lambda host: None
+        """Called with an upstream at which this daemon's requests, or its belief of
+        it, have changed."""
 
     def in_flight(self, host: str) -> int:
         """Return this daemon's requests that are at an upstream."""
@@ -152,7 +155,9 @@
             if not began:
                 began = True
                 state.waiting -= 1
+                self.on_news(host)
 
+        self.on_news(host)
         try:
             yield begin
         finally:
@@ -161,6 +166,7 @@
             state.watches.discard(on_lost)
             if probe:
                 state.probing = False
+            self.on_news(host)
 
     def heard(self, host: str) -> None:
         """Note that an upstream has sent something."""
@@ -202,6 +208,7 @@
             else min(2 * state.pause_s, LONGEST_PAUSE_S)
         )
         state.excluded_until = now + state.pause_s
+        self.on_news(host)
         self._check_later(host, state.pause_s)
         self._decisions.belief(
             "upstream_excluded",
--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -29,6 +29,7 @@
     ModelSpec,
     ServiceSpec,
 )
+from auburnproxy.gateway.subsets import Subsets
 from auburnproxy.store import Change
 from auburnproxy.telemetry.decisions import Decisions
 
@@ -95,6 +96,7 @@
         directory,
         health,
         Rests(quiet()),
+        Subsets("d0", lambda: circle.names_by_domain["fd0"]),
         failure_domain="fd0",
         elsewhere=circle.work,
         suspected=lambda: circle.tally.suspects,
--- a/features/fakes/herd.py
+++ b/features/fakes/herd.py
@@ -11,7 +11,12 @@
 from random import Random
 
 from auburnproxy.beats import Beat
-from auburnproxy.beats.circle import FAR_BEATS_PER_S, FAR_TICKS, NEAR_BEATS_PER_S
+from auburnproxy.beats.circle import (
+    FAR_BEATS_PER_S,
+    FAR_TICKS,
+    NEAR_BEATS_PER_S,
+    SOON_S,
+)
 from auburnproxy.beats.tally import Tally
 from auburnproxy.errors import RefusalError
 from auburnproxy.gateway.choice import Choice
@@ -19,6 +24,7 @@
 from auburnproxy.gateway.health import Health
 from auburnproxy.gateway.host import Part, PartState
 from auburnproxy.gateway.rests import Rests
+from auburnproxy.gateway.subsets import Subsets
 from features.fakes.fleet import configuration, host
 from features.fakes.store import quiet
 
@@ -35,10 +41,14 @@
         self.health = Health(
             herd.decisions, probe=self.probe, heard_elsewhere=self.tally.heard_at
         )
+        self.subsets = Subsets(name, lambda: herd.names_by_domain[domain])
+        self.health.on_news = self.tell_soon
+        self._told_soon = set()
         self.choice = Choice(
             herd.directory,
             self.health,
             Rests(herd.decisions),
+            self.subsets,
             failure_domain=domain,
             elsewhere=self.tally.work,
             suspected=lambda: self.tally.suspects,
@@ -51,6 +61,18 @@
     async def probe(self, name):
         return name not in self.herd.dead
 
+    def tell_soon(self, head):
+        if not self._told_soon:
+            asyncio.get_running_loop().call_later(SOON_S, self._tell_now)
+        self._told_soon |= {*self.subsets.sharers(head)} - {self.name}
+
+    def _tell_now(self):
+        names, self._told_soon = self._told_soon, set()
+        now = asyncio.get_running_loop().time()
+        for name in names:
+            self.herd.told += 1
+            self.herd.daemon_by_name[name].tally.put(self.beat(), at=now)
+
     def beat(self):
         suspects = list(self.health.suspects)
         work = self.health.work_by_host
@@ -95,6 +117,8 @@
             domain = names[number % domains]
             self.names_by_domain[domain].add(f"d{number}")
             self.daemons.append(Chooser(f"d{number}", domain, self))
+        self.daemon_by_name = {daemon.name: daemon for daemon in self.daemons}
+        self.told = 0
         self.weights = [self.random.expovariate(1.0) + 0.2 for _ in self.daemons]
         far = daemons * (domains - 1) / domains
         self.far_interval_s = max(0.3, far / FAR_BEATS_PER_S)
@@ -102,6 +126,8 @@
         self.load = Counter()
         self.peak = Counter()
         self.placed = self.refused = self.over = self.refused_while_free = 0
+        self.over_own = 0
+        self.noticed_at: dict[str, float] = {}
         self.sent_to_dead: list[tuple[float, str, str]] = []
         self.sent_at: dict[str, list[float]] = {}
         self._tasks: set[asyncio.Task] = set()
@@ -134,16 +160,25 @@
             return
         now = asyncio.get_running_loop().time()
         self.placed += 1
+        own_free = any(
+            self.load[other] < self.slots
+            for other in self.heads
+            if daemon.subsets.holds(other)
+        )
         self.sent_at.setdefault(head, []).append(now)
         if head in self.dead:
             self.sent_to_dead.append((now, daemon.domain, head))
         self.load[head] += 1
         self.peak[head] = max(self.peak[head], self.load[head])
-        self.over += free and self.load[head] > 1.1 * self.slots
+        beyond = self.load[head] > 1.1 * self.slots
+        self.over += free and beyond
+        self.over_own += own_free and beyond
         lost = asyncio.Event()
         with daemon.health.request(head, lost.set) as begin:
             if head in self.dead:
                 await asyncio.sleep(0.3)
+                loop_time = asyncio.get_running_loop().time()
+                self.noticed_at.setdefault(head, loop_time)
                 daemon.health.stalled(head, silence_s=0.3, reason="no event")
             else:
                 await asyncio.sleep(FIRST_EVENT_S)
--- a/features/steps/choice.py
+++ b/features/steps/choice.py
@@ -14,6 +14,7 @@
 from auburnproxy.gateway.host import Part, PartState
 from auburnproxy.gateway.resends import Allowance, Resends
 from auburnproxy.gateway.rests import Rests
+from auburnproxy.gateway.subsets import Subsets
 from features.fakes.fleet import configuration, host
 from features.fakes.store import quiet
 
@@ -51,6 +52,7 @@
             self.directory,
             self.health,
             self.rests,
+            Subsets("d0", lambda: self.sharers),
             failure_domain="fd1",
             elsewhere=lambda h: self.elsewhere.get(h, (0, 0)),
             sharers=lambda domain: self.sharers,
--- /dev/null
+++ b/features/steps/herd.py
@@ -0,0 +1,103 @@
+"""Steps for many daemons that choose heads at the same time, without a network."""
+
+import async_solipsism
+from behave import given, then, when
+
+from features.fakes.herd import Herd
+
+
+def make(context, **options):
+    context.loop = async_solipsism.EventLoop()
+    context.add_cleanup(context.loop.close)
+
+    async def build():
+        return Herd(**options)
+
+    context.herd = context.loop.run_until_complete(build())
+
+
+def run(context, seconds, per_s):
+    herd = context.herd
+    context.loop.run_until_complete(herd.run(seconds, per_s=per_s))
+
+
+@given(
+    "{daemons:d} daemons in {domains:d} failure domains before {heads:d} heads of"
+    " {slots:d} slots in each"
+)
+def make_herd(context, daemons, domains, heads, slots):
+    make(context, daemons=daemons, domains=domains, heads=heads, slots=slots)
+
+
+@given(
+    "{daemons:d} daemons in {domains:d} failure domains before {heads:d} cold heads of"
+    " {slots:d} slots in each"
+)
+def make_cold_herd(context, daemons, domains, heads, slots):
+    make(
+        context, daemons=daemons, domains=domains, heads=heads, slots=slots, cold_s=60.0
+    )
+
+
+@when("they send requests for {seconds:d} s that fill {part:g} of the slots")
+def send(context, seconds, part):
+    context.per_s = len(context.herd.heads) * context.herd.slots * part
+    run(context, seconds, context.per_s)
+    context.loop.run_until_complete(context.herd.finish())
+
+
+@when("they send requests for {seconds:d} s at {per_s:d} a second")
+def send_at(context, seconds, per_s):
+    run(context, seconds, per_s)
+    context.loop.run_until_complete(context.herd.finish())
+
+
+@when("a head is lost, and requests go on for {seconds:d} s")
+def lose(context, seconds):
+    herd = context.herd
+    context.lost = herd.heads[0]
+    herd.dead.add(context.lost)
+    run(context, seconds, context.per_s)
+    context.loop.run_until_complete(herd.finish())
+
+
+@then("no request is refused while a slot is free")
+def compare_refused(context):
+    assert not context.herd.refused_while_free, context.herd.refused_while_free
+
+
+@then(
+    "at most 1 in {many:d} requests meets a full head while its daemon has others free"
+)
+def compare_own(context, many):
+    herd = context.herd
+    assert herd.over_own * many <= herd.placed, (herd.over_own, herd.placed)
+
+
+@then("no request is placed beyond a head's slots while another head has a free one")
+def compare_over(context):
+    assert not context.herd.over, (context.herd.over, context.herd.placed)
+
+
+@then("no head gets more than {most:d} requests in any second")
+def compare_cold(context, most):
+    assert context.herd.placed, "nothing was sent"
+    for head, times in context.herd.sent_at.items():
+        for index, at in enumerate(times):
+            got = sum(at <= t < at + 1.0 for t in times[index:])
+            assert got <= most, (head, got)
+
+
+@then("it gets none later than {seconds:g} s after the first daemon has noticed")
+def compare_lost(context, seconds):
+    sent = [at for at, _, head in context.herd.sent_to_dead if head == context.lost]
+    assert sent, "no daemon sent to it"
+    noticed_at = context.herd.noticed_at[context.lost]
+    late = [round(at - noticed_at, 2) for at in sent if at > noticed_at + seconds]
+    assert not late, late
+
+
+@then("each request is told to at most {most:d} daemons, all messages taken together")
+def compare_told(context, most):
+    told, placed = context.herd.told, context.herd.placed
+    assert told <= most * placed, (told, placed)
