Let a few daemons read the store from their start on

Change: a daemon records its seat first, and the recorded daemons of its failure domain count as there for 1.5 s; of them two read, and the others wait as long for their copies. Loading a topic is one call, not two. How long readings wait follows the bounds of the deployment: 0.8 and 0.7 s where they are 2 s, twice that where they are 4. A registration that repeats what is known is not decoded again.

--- a/auburnproxy/beats/circle.py
+++ b/auburnproxy/beats/circle.py
@@ -35,6 +35,8 @@
 """Daemons of a failure domain that read the store: one more may be lost meanwhile."""
 SOON_S = 0.01
 """Seconds in which changes at upstreams are told together."""
+TRUST_S = 1.5
+"""Seconds after the start in which recorded daemons count as there, heard or not."""
 RETRY_TURNS = 20
 """Ticks between two tries of a daemon that the store has turned away."""
 LOAD_S = 1.0
@@ -99,6 +101,7 @@
         """Seconds between two beats of a daemon of this failure domain."""
         self.far_interval_s = FAR_TICKS * TICK_S
         """Seconds between two beats of a daemon of another one."""
+        self._trusts_until = loop_time() + TRUST_S
         self._told_soon: set[str] = set()
         self._transport: asyncio.DatagramTransport | None = None
         self._turn = 0
@@ -148,19 +151,27 @@
 
         :param reaches: whether the store answered this daemon's last reading
         """
+        if loop_time() < self._trusts_until:
+            unheard = self._near.keys() - self._present[True].names
+            return self._leads(rank_names("reader", self._able() | unheard))
         if self._readers is None:
-            able = (
-                name
-                for name in self._present[True].names
-                if self._beat_by_name[name].reaches_store
-            )
-            self._readers = rank_names("reader", able)
+            self._readers = rank_names("reader", self._able())
         if not reaches and len(self._readers) >= READERS:
             return self._turn % RETRY_TURNS == 0
-        if len(self._readers) < READERS:
-            return True
-        ahead = rank_names("reader", [self._name, *self._readers[:READERS]])
-        return ahead.index(self._name) < READERS
+        return self._leads(self._readers)
+
+    def _able(self) -> set[str]:
+        """Return the daemons near here that say that they reach the store."""
+        return {
+            name
+            for name in self._present[True].names
+            if self._beat_by_name[name].reaches_store
+        }
+
+    def _leads(self, readers: Sequence[str]) -> bool:
+        """Return whether this daemon is among the first of the readers by rank."""
+        first = rank_names("reader", [self._name, *readers[:READERS]])
+        return self._name in first[:READERS]
 
     def work(self, host: str) -> tuple[int, int]:
         """Return the requests of the others at an upstream, and those that wait."""
--- a/auburnproxy/daemon/deployment.py
+++ b/auburnproxy/daemon/deployment.py
@@ -33,6 +33,10 @@
     allowance: Allowance
     grace_s: float
     """Time from the signal to stop until the process is killed."""
+    drain_s: float
+    """Time after which an upstream that leaves gets no request."""
+    apply_s: float
+    """Time after which a configuration is in force."""
     answer_bytes: int
     """Longest body of an upstream's answer that is taken into memory."""
 
--- a/auburnproxy/daemon/routed.py
+++ b/auburnproxy/daemon/routed.py
@@ -41,9 +41,10 @@
 """Seconds that a reading of the daemons' records waits for a new one."""
 SEATS_PAUSE_S = 1.0
 """Pause between two such readings; at the start every daemon writes a record."""
-OPERATORS_WAIT_S = 0.8
-"""The same for operators' records. A reading that the store got while it was silent is
-given up within this and a second, and a configuration must be in force within two."""
+OPERATORS_WAIT_PART = 0.4
+"""The same for operators' records, as a part of the time in which a configuration must
+be in force. A reading that the store got while it was silent is given up a second
+after this."""
 REPLICAS_WAIT_S = 2.5
 """The same for replicas' records, which hosts' registrations show as well."""
 RELAY_S = 0.1
@@ -53,11 +54,18 @@
 """The same until the first request, while loads take a tenth of their time."""
 PAUSE_S = 0.45
 """The same at other times, for the daemon that forms replicas."""
-OTHERS_PAUSE_S = 0.7
-"""The same for the others; an upstream that leaves must be known within two seconds."""
+OTHERS_PAUSE_PART = 0.35
+"""The same for the others, as a part of the time in which it must be known that an
+upstream leaves."""
 REPLICAS_PAUSE_S = 0.5
 EXPIRY_S = 0.5
 RECORD_RETRY_S = 1.0
+RECORD_REPEAT_S = 5.0
+"""Seconds until a seat that was recorded, but is not read back, is recorded again."""
+SEATS_LEAD_S = 0.4
+"""Seconds at the first start in which most daemons record where they listen."""
+PATIENCE_S = 1.5
+"""Seconds after the start for which a daemon that is not to read waits for a peer."""
 BALANCER_S = 3.0
 """Seconds after the signal to stop in which the balancer still sends callers here."""
 CLOSE_S = 0.5
@@ -88,6 +96,7 @@
         self._session = open_session(
             keep=False, timeout=ClientTimeout(sock_connect=CONNECT_TIMEOUT_S)
         )
+        self._started_at = loop_time()
         self._join_beliefs()
         self._join_formation()
         self._join_serving()
@@ -103,8 +112,9 @@
             self._store,
             self._deployment.operator_topic,
             decisions,
-            wait_s=OPERATORS_WAIT_S,
+            wait_s=OPERATORS_WAIT_PART * settings.apply_s,
             reads=self._reads,
+            patience_s=PATIENCE_S,
         )
         self._upstreams = Follower(
             self._store,
@@ -113,12 +123,14 @@
             pause_s=self._registration_pause_s,
             reads=self._reads,
             essence=self._deployment.essence,
+            patience_s=PATIENCE_S,
         )
         self._operators.on_change = self._take_operator
         self._upstreams.on_change = self._take_upstream
         self.directory = Directory(
             decisions, store_away_at=lambda: self._upstreams.away_at
         )
+        self._upstreams.on_repeat = lambda change: self.directory.seen(change.key)
         self.rests = Rests(decisions)
         orders = self._deployment.orders()
         orders.on_leaving = partial(self.directory.note_leaving, told_by="engine")
@@ -149,6 +161,7 @@
             wait_s=REPLICAS_WAIT_S,
             reads=self._reads,
             pause_s=lambda: REPLICAS_PAUSE_S,
+            patience_s=PATIENCE_S,
         )
         self.register = Register(self._store, decisions, replicas)
         topics = {
@@ -252,7 +265,7 @@
             ("operators", self._operators.run()),
             ("upstreams", self._upstreams.run()),
             ("replicas", self.register.follower.run()),
-            ("daemons", self._seats.run()),
+            ("daemons", self._follow_seats()),
             ("beats", self.circle.run()),
             ("duty", self.duty.run()),
             ("conductor", self.conductor.run()),
@@ -340,13 +353,21 @@
 
     async def _take_seat(self) -> None:
         """Record where this daemon listens for beats."""
-        await self._seats.changed.wait(LONG_WAIT_S)
+        if not self.settings.first_start:
+            await self._seats.changed.wait(LONG_WAIT_S)
         while (record := self.circle.record()) is not None:
+            pause_s = RECORD_REPEAT_S
             try:
                 await self._store.append(DAEMONS_TOPIC, [record])
             except PlatformError as error:
                 self.decisions.belief("seat_not_recorded", reason=str(error))
-            await asyncio.sleep(RECORD_RETRY_S)
+                pause_s = RECORD_RETRY_S
+            await asyncio.sleep(pause_s)
+
+    async def _follow_seats(self) -> None:
+        if self.settings.first_start:
+            await asyncio.sleep(SEATS_LEAD_S)
+        await self._seats.run()
 
     async def _relay_records(self) -> None:
         while True:
@@ -379,6 +400,8 @@
         """Return whether this daemon reads the shared topics from the store."""
         if self.duty.held:
             return True
+        if not self._seats.whole and loop_time() - self._started_at < PATIENCE_S:
+            return False
         return self.circle.reads_store(reaches=self._reaches_store())
 
     def _reaches_store(self) -> bool:
@@ -387,7 +410,7 @@
 
     def _registration_pause_s(self) -> float:
         if not self.duty.held:
-            return OTHERS_PAUSE_S
+            return OTHERS_PAUSE_PART * self.settings.drain_s
         if self._starting():
             return START_PAUSE_S
         return QUICK_PAUSE_S if self.conductor.busy else PAUSE_S
--- a/auburnproxy/gateway/directory.py
+++ b/auburnproxy/gateway/directory.py
@@ -106,6 +106,17 @@
             self._log_host(known, host)
             self.changed.send()
 
+    def seen(self, host_id: str) -> None:
+        """Note that a host has registered anew and told nothing new.
+
+        :param host_id: id of the host
+        """
+        self._lapsed_at_by_id.pop(host_id, None)
+        host = self._hosts.get(host_id)
+        if host is not None:
+            cold_s = self.cold_s(host)
+            self._hosts[host_id] = host._replace(seen_at=loop_time(), cold_s=cold_s)
+
     def note_leaving(self, life: Life, *, told_by: str) -> None:
         """Believe for the rest of a process's life that it leaves.
 
--- a/auburnproxy/platform/settings.py
+++ b/auburnproxy/platform/settings.py
@@ -13,6 +13,7 @@
 SETTINGS_VARIABLE = "AUBURNPROXY_CONFIG"
 METRICS_PORT = 9464
 """Port of the metrics, as the deploy file names it."""
+MS_PER_S = 1000
 BYTES_PER_MB = 1_000_000
 DEFAULT_MEMORY_MB = 200
 ANSWER_PART = 1 / 64
@@ -21,6 +22,7 @@
 _TEXT = {"type": "string", "minLength": 1}
 _ADDRESS = {"type": "string", "pattern": r"^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$"}
 _NUMBER = {"type": "number", "minimum": 0}
+_BOUND_MS = {"type": "number", "minimum": 100}
 
 
 def _object(properties: dict[str, Any], *, required: bool = True) -> dict[str, Any]:
@@ -50,6 +52,8 @@
                 "budget-slack": _NUMBER,
                 "budget-window-s": _NUMBER,
                 "grace-s": _NUMBER,
+                "drain-ms": _BOUND_MS,
+                "config-apply-ms": _BOUND_MS,
             },
             required=False,
         ),
@@ -88,5 +92,7 @@
             window_s=bounds.get("budget-window-s", 10.0),
         ),
         grace_s=bounds.get("grace-s", 8.0),
+        drain_s=bounds.get("drain-ms", 2000) / MS_PER_S,
+        apply_s=bounds.get("config-apply-ms", 2000) / MS_PER_S,
         answer_bytes=int(memory_mb * BYTES_PER_MB * ANSWER_PART),
     )
--- a/auburnproxy/store/follower.py
+++ b/auburnproxy/store/follower.py
@@ -49,6 +49,8 @@
     :param reads: whether this daemon reads the log itself; others get the records
         from peers through :meth:`adopt`
     :param essence: returns what of a value is news to anybody
+    :param patience_s: seconds after the start for which a copy from a peer is waited
+        for if this daemon is not to read the log
     """
 
     def __init__(
@@ -61,6 +63,7 @@
         pause_s: Callable[[], float] = lambda: 0.0,
         reads: Callable[[], bool] = lambda: True,
         essence: Callable[[bytes], bytes] = bytes,
+        patience_s: float = 0.0,
     ) -> None:
         self.end = 0
         """Offset of the next record to be read."""
@@ -72,6 +75,8 @@
         """The loop's time in seconds of the newest failed reading."""
         self.changed = Pulse()
         self.on_change: Callable[[Change], None] = lambda change: None
+        self.on_repeat: Callable[[Change], None] | None = None
+        """Called in place of ``on_change`` with a record that is no news to anybody."""
         self._store = store
         self._topic = topic
         self._decisions = decisions
@@ -79,6 +84,7 @@
         self._pause_s = pause_s
         self._reads = reads
         self._essence = essence
+        self._patience_s = patience_s
         self._recent: deque[Change] = deque()
         self._recent_from = 0
         self._by_key: dict[str, Change] = {}
@@ -116,11 +122,12 @@
 
     async def run(self) -> None:
         """Follow until cancelled."""
+        patient_until = loop_time() + self._patience_s
         while True:
-            if self.whole and not self._reads():
+            if (self.whole or loop_time() < patient_until) and not self._reads():
                 await asyncio.sleep(IDLE_S)
                 continue
-            self._asked_at = loop_time()
+            self._asked_at, loads = loop_time(), not self.whole
             try:
                 await self.step()
             except PlatformError:
@@ -129,7 +136,8 @@
                 continue
             finally:
                 self._asked_at = None
-            await asyncio.sleep(self._pause_s())
+            if not loads:
+                await asyncio.sleep(self._pause_s())
 
     async def step(self, *, wait: bool = True) -> None:
         """Read once.
@@ -139,9 +147,10 @@
         """
         sent_at = loop_time()
         try:
-            if not self.whole:
+            if self.whole:
+                await self._read(self._wait_s if wait else 0.0)
+            else:
                 await self._load()
-            await self._read(self._wait_s if wait else 0.0)
         except PlatformError as error:
             self._note(up=False, error=error)
             raise
@@ -209,6 +218,10 @@
             return
         if known is None or self._essence(known.value) != self._essence(change.value):
             self._keep(change)
+        elif self.on_repeat is not None:
+            self._by_key[change.key] = change
+            self.on_repeat(change)
+            return
         if change.value:
             self._by_key[change.key] = change
         elif known is None:
