Tell the six stories of other operators as tests on real sockets

A connection carries one request, so a late second copy meets nobody; bytes that complete no event do not extend a stream's time.

--- a/features/fakes/platform.py
+++ b/features/fakes/platform.py
@@ -244,6 +244,20 @@
         elif action == "leaving refusal":
             status = "503 Service Unavailable"
             self._plain(writer, headers, b"", status, "refused leaving")
+        elif action == "second copy":
+            await self._answer_twice(writer, headers)
+        elif action == "short":
+            head = f"HTTP/1.1 200 OK\r\nAttempt-Id: {headers['attempt-id']}\r\n"
+            head += f"Engine-Stamp: {STAMP}\r\nContent-Length: 16\r\n\r\n"
+            writer.write(head.encode() + b"the whole")
+        elif action == "chunked cut":
+            head = f"HTTP/1.1 200 OK\r\nAttempt-Id: {headers['attempt-id']}\r\n"
+            head += f"Engine-Stamp: {STAMP}\r\nTransfer-Encoding: chunked\r\n\r\n"
+            writer.write(head.encode() + b"9\r\nthe whole\r\n")
+        elif action == "half a head":
+            writer.write(b"HTTP/1.1 200 OK\r\nAttempt-")
+        elif action == "silent close":
+            writer.close()
         elif action == "reset":
             reset(writer)
         elif action == "silent":
@@ -256,6 +270,24 @@
         else:
             self._plain(writer, headers, b"the whole answer", more=action)
 
+    async def _answer_twice(self, writer, headers) -> None:
+        """Answer, keep the connection, and send the same answer again, late."""
+        request_id = headers["attempt-id"]
+        body = f"answer to {request_id}"
+        answer = f"HTTP/1.1 200 OK\r\nAttempt-Id: {request_id}\r\n"
+        answer += f"Engine-Stamp: {STAMP}\r\nContent-Length: {len(body)}\r\n\r\n{body}"
+        for _ in range(2):
+            writer.write(answer.encode())
+            await writer.drain()
+            await asyncio.sleep(0.03)
+
+    async def _trickle(self, writer) -> None:
+        """Send a byte now and then, and never an event."""
+        for _ in range(100):
+            writer.write(b"1\r\n:\r\n")
+            await writer.drain()
+            await asyncio.sleep(0.05)
+
     async def _stream(self, action, reader, writer, headers) -> None:
         start = int(headers.get("last-event-id", 0))
         head = f"HTTP/1.1 200 OK\r\nAttempt-Id: {headers['attempt-id']}\r\n"
@@ -266,6 +298,13 @@
         writer.write(head.encode())
         for number in range(start + 1, EVENTS + 1):
             event = b"id: %d\ndata: token %d\n\n" % (number, number)
+            if action == "trickle from start" or (
+                action == "trickle after event" and number == 4
+            ):
+                await self._trickle(writer)
+                return
+            if action == "close halfway" and number == 4:
+                return
             if action in ("stall", "break") and number == 4:
                 half = event[:9]
                 writer.write(b"%x\r\n%b\r\n" % (len(half), half))
--- a/features/steps/formation.py
+++ b/features/steps/formation.py
@@ -153,13 +153,13 @@
 class Site:
     """A conductor on duty over a fleet, on a virtual clock."""
 
-    def __init__(self, hosts, *, topics=None, served=False):
-        self.served = served
-        self.topics = topics or FakeTopics()
-        self.suspects = set()
-        self.directory = Directory(quiet())
+    def __init__(self, hosts, *, topics=None, served=False, beside=None):
+        self.served = served or beside is not None
+        self.topics = beside.topics if beside else topics or FakeTopics()
+        self.suspects = beside.suspects if beside else set()
+        self.directory = beside.directory if beside else Directory(quiet())
         self.directory.configure(configuration())
-        self.fleet = FakeFleet(self.directory)
+        self.fleet = beside.fleet if beside else FakeFleet(self.directory)
         self.fleet.add(*hosts)
         self.register = register_of(self.topics)
         self.directory.recorded = lambda: self.register.by_name
--- /dev/null
+++ b/features/steps/stories.py
@@ -0,0 +1,104 @@
+"""Steps for what went wrong for operators of similar systems."""
+
+import asyncio
+
+from aiohttp import ClientError
+from behave import then, when
+
+from features.fakes.platform import SAFE_PATH
+from features.steps.formation import Site as FormationSite
+from features.steps.formation import lose_most
+from features.steps.routed import SecondAnswer, ask, run
+
+
+@when("{count:d} lookups follow each other in {lanes:d} lanes")
+def look_up_in_lanes(context, count, lanes):
+    async def lane(number):
+        found = []
+        for turn in range(count // lanes):
+            answer = SecondAnswer(context)
+            request_id = f"{number:04x}{turn:012x}"
+            await ask(answer, "GET", f"{SAFE_PATH}x", Attempt_Id=request_id)
+            found.append((request_id, answer))
+            await asyncio.sleep(0.02)
+        return found
+
+    async def all_lanes():
+        return await asyncio.gather(*map(lane, range(lanes)))
+
+    lanes_found = run(context, all_lanes())
+    context.lookups = [each for found in lanes_found for each in found]
+
+
+@then("each gets the answer to its own request")
+def compare_own(context):
+    for request_id, answer in context.lookups:
+        assert answer.status == 200, answer.status
+        assert answer.headers["Attempt-Id"] == request_id, answer.headers
+        assert answer.body == f"answer to {request_id}".encode(), answer.body
+
+
+@when("the daemon is told to stop while {per_s:d} lookups a second come")
+def stop_under_load(context, per_s):
+    async def look_up():
+        answer = SecondAnswer(context)
+        try:
+            await ask(answer, "GET", f"{SAFE_PATH}x")
+        except ClientError as error:
+            answer.status, answer.error = 0, error
+        return answer
+
+    async def play():
+        stopping = asyncio.create_task(context.site.daemons[0].stop())
+        tasks = []
+        while not stopping.done():
+            tasks.append(asyncio.create_task(look_up()))
+            await asyncio.sleep(1 / per_s)
+        await stopping
+        return await asyncio.gather(*tasks)
+
+    context.lookups = run(context, play())
+
+
+@then("each lookup has got a whole answer or a refusal that says when to come back")
+def compare_whole(context):
+    for answer in context.lookups:
+        assert answer.status in (200, 503), (answer.status, vars(answer))
+        assert not answer.broken, "cut off"
+        if answer.status == 503:
+            assert float(answer.headers["Retry-After"]) > 0, answer.headers
+
+
+@then("at least {least:d} of them were answered 200")
+def compare_served(context, least):
+    served = sum(answer.status == 200 for answer in context.lookups)
+    assert served >= least, (served, len(context.lookups))
+
+
+@then("it took less than {seconds:g} s")
+def compare_took(context, seconds):
+    assert context.took_s < seconds, context.took_s
+
+
+@when("a second daemon acts on duty as well while hosts are lost, for {seconds:d} s")
+def act_both(context, seconds):
+    first = context.site
+    first.fleet.sent.clear()
+
+    async def play():
+        second = FormationSite([], beside=first)
+        await asyncio.gather(first.run(seconds / 2), second.run(seconds / 2))
+
+    context.loop.run_until_complete(play())
+    lose_most(context, 3, 0)
+    context.loop.run_until_complete(play())
+
+
+@then("no host got two different orders to load at once")
+def compare_loads(context):
+    models_by_host = {}
+    for kind, host, model in context.site.fleet.sent:
+        if kind == "stage":
+            models_by_host.setdefault(host, set()).add(model)
+    twice = {host: models for host, models in models_by_host.items() if len(models) > 1}
+    assert not twice, twice
--- /dev/null
+++ b/features/stories.feature
@@ -0,0 +1,71 @@
+Feature: What went wrong for operators of similar systems
+
+  Scenario: A server sends a second copy of an answer, late, on a kept connection
+    Given a routed site
+    And every plain engine will second copy
+    When 30 lookups follow each other in 5 lanes
+    Then each gets the answer to its own request
+
+  Scenario: Requests that were just accepted are answered in a planned stop under load
+    Given a routed site
+    When the daemon is told to stop while 40 lookups a second come
+    Then each lookup has got a whole answer or a refusal that says when to come back
+    And at least 100 of them were answered 200
+
+  Scenario: A slow but sound stream is not cut
+    Given a routed site
+    And every engine will slow
+    When a caller asks for a stream
+    Then it gets 6 events in order, complete
+    And 1 engines have got the request
+
+  Scenario Outline: A stalled stream that sends a byte now and then ends
+    Given a routed site
+    And the first engine asked will <trickle>
+    When a caller asks for a stream
+    Then it gets 6 events in order, complete
+    And it took less than 2.2 s
+
+    Examples:
+      | trickle              |
+      | trickle after event  |
+      | trickle from start   |
+
+  Scenario Outline: Work that has run is not run again, nor denied, when its answer is lost
+    Given a routed site
+    And the first plain engine asked will <fail>
+    When a caller places an order
+    Then the caller is answered 502
+    And 1 plain engine was asked
+
+    Examples:
+      | fail            |
+      | reset           |
+      | silent close    |
+      | half a head     |
+
+  Scenario: Two daemons act on duty at the same time around a hand-over
+    Given a fleet of 20 hosts in 2 fabric domains
+    And 30 s have passed with requests
+    When a second daemon acts on duty as well while hosts are lost, for 20 s
+    Then no order broke a rule
+    And every recorded replica serves
+    And no host got two different orders to load at once
+
+  Scenario Outline: An answer that breaks off halfway is no success
+    Given a routed site
+    And every plain engine will <fail>
+    When a caller places an order
+    Then the caller is answered 502
+
+    Examples:
+      | fail             |
+      | short            |
+      | chunked cut      |
+      | unframed reset   |
+
+  Scenario: A stream whose connection closes before its end does not look complete
+    Given a routed site
+    And every engine will close halfway
+    When a caller asks for a stream
+    Then its answer breaks off after event 3
