End a replica whose last members are lost while it is being ended

Cause: a retirement asked once, at its beginning, whether its head had ended. Where the head and all others were lost later, it waited for a leave that nobody could give, and the replica stood in the register for good. Found by the new RecoveryMachine: one host cut off, then all lost.

Change: the question is asked anew before each try.

RecoveryMachine loses, cuts off, replaces and adds hosts, loses orders and starts other daemons; no order may break TWO or PARTIAL as the fleet notes them, and after all has healed every recorded replica serves and every open head is recorded.

--- a/auburnproxy/formation/conductor.py
+++ b/auburnproxy/formation/conductor.py
@@ -191,15 +191,20 @@
                         domain = formed.failure_domain
                         self._probes.ask(member, domain, "unregistered")
             elif state in (Standing.LOST, Standing.LEAVING):
-                lost = not any(map(self._may_live, formed.members))
                 self._retirement.begin(
                     formed,
                     partial(self._others, formed),
-                    head_gone=lost or self._restarted(formed.head),
+                    head_gone=partial(self._head_gone, formed),
                     gentle=state is Standing.LEAVING,
                 )
         self._retirement.keep(self._register.by_name)
 
+    def _head_gone(self, formed: Formed) -> bool:
+        """Return whether a head has ended, or no process of its replica is left."""
+        if self._restarted(formed.head):
+            return True
+        return not any(map(self._may_live, formed.members))
+
     def _others(self, formed: Formed) -> list[Member]:
         """Return the members beside the head that may be there."""
         return [member for member in formed.members[1:] if self._may_live(member)]
--- a/auburnproxy/formation/retirement.py
+++ b/auburnproxy/formation/retirement.py
@@ -49,14 +49,14 @@
         formed: Formed,
         others: Callable[[], Sequence[Member]],
         *,
-        head_gone: bool,
+        head_gone: Callable[[], bool],
         gentle: bool,
     ) -> None:
         """Begin to end a replica, unless that is under way.
 
         :param formed: the replica
         :param others: returns its members beside the head that may be there
-        :param head_gone: whether the head's process is known to have ended
+        :param head_gone: returns whether the head's process is known to have ended
         :param gentle: whether its requests may end first
         """
         if formed.name in self.under_way:
@@ -65,7 +65,7 @@
             "replica_retiring",
             replica=formed.name,
             gentle=gentle,
-            head_gone=head_gone,
+            head_gone=head_gone(),
         )
         work = self._end(formed, others, head_gone=head_gone, gentle=gentle)
         task = asyncio.create_task(work)
@@ -100,15 +100,13 @@
         formed: Formed,
         others: Callable[[], Sequence[Member]],
         *,
-        head_gone: bool,
+        head_gone: Callable[[], bool],
         gentle: bool,
     ) -> None:
-        if head_gone:
-            return
-        if gentle:
+        if gentle and not head_gone():
             await self._drain(formed)
         tries = 0
-        while not await self._left(formed, formed.head):
+        while not head_gone() and not await self._left(formed, formed.head):
             tries += 1
             if tries >= HEAD_TRIES and await self._all_left(formed, others()):
                 return
--- /dev/null
+++ b/features/fakes/formation.py
@@ -0,0 +1,56 @@
+"""A conductor on duty over a fleet in memory, on a virtual clock."""
+
+from __future__ import annotations
+
+import asyncio
+
+from auburnproxy.clock import loop_time
+from auburnproxy.formation import Conductor, Register
+from auburnproxy.gateway.directory import Directory
+from auburnproxy.store import Follower
+from features.fakes.fleet import FakeFleet, configuration
+from features.fakes.store import FakeTopics, StorePort, quiet
+
+
+def register_of(topics):
+    port = StorePort(topics)
+    follower = Follower(port, "replicas", quiet())
+    return Register(port, quiet(), follower)
+
+
+class FormationSite:
+    """A conductor on duty over a fleet, on a virtual clock."""
+
+    def __init__(self, hosts, *, topics=None, served=False, beside=None):
+        self.served = served or beside is not None
+        self.topics = beside.topics if beside else topics or FakeTopics()
+        self.hears_daemons = True
+        """Whether daemons of the hosts' failure domain are heard."""
+        self.suspects = beside.suspects if beside else set()
+        self.directory = beside.directory if beside else Directory(quiet())
+        self.directory.configure(configuration())
+        self.fleet = beside.fleet if beside else FakeFleet(self.directory)
+        self.fleet.add(*hosts)
+        self.register = register_of(self.topics)
+        self.directory.recorded = lambda: self.register.by_name
+        self.conductor = Conductor(
+            "a",
+            self.directory,
+            self.register,
+            self.fleet,
+            quiet(),
+            on_duty=lambda: True,
+            suspects=lambda: self.suspects,
+            heard_at=lambda domain: loop_time() if self.hears_daemons else -1.0,
+            starting=lambda: not self.served,
+        )
+
+    async def run(self, seconds):
+        if not self.register.follower.whole:
+            await self.register.follower.step(wait=False)
+        tasks = [asyncio.create_task(self.conductor.run())]
+        tasks.append(asyncio.create_task(self.fleet.beat()))
+        await asyncio.sleep(seconds)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
--- a/features/formation.feature
+++ b/features/formation.feature
@@ -132,3 +132,7 @@
     And 10 s pass
     Then the head and its members have left
     And no order broke a rule
+
+  Scenario: Whatever is lost, what is recorded serves or is ended once all has healed
+    When hosts are lost, cut off, replaced and ordered late, and daemons start again
+    Then no order breaks a rule, and once all has healed every replica serves or is ended
--- a/features/machines/search.py
+++ b/features/machines/search.py
@@ -38,9 +38,14 @@
     try:
         return loop.run_until_complete(coroutine)
     finally:
-        pending = asyncio.all_tasks(loop)
-        for task in pending:
-            task.cancel()
-        if pending:
-            loop.run_until_complete(asyncio.gather(*pending, return_exceptions=True))
-        loop.close()
+        close(loop)
+
+
+def close(loop: asyncio.AbstractEventLoop) -> None:
+    """End every task of a loop and close it."""
+    pending = asyncio.all_tasks(loop)
+    for task in pending:
+        task.cancel()
+    if pending:
+        loop.run_until_complete(asyncio.gather(*pending, return_exceptions=True))
+    loop.close()
--- a/features/steps/formation.py
+++ b/features/steps/formation.py
@@ -8,7 +8,6 @@
 from behave import given, then, when
 
 from auburnproxy.errors import PlatformError
-from auburnproxy.formation import Conductor, Register
 from auburnproxy.formation.duty import Duty
 from auburnproxy.formation.layout import (
     Domain,
@@ -17,10 +16,11 @@
     plan,
     targets_by_domain,
 )
-from auburnproxy.gateway.directory import Directory
-from auburnproxy.store import ConflictError, Follower
-from features.fakes.fleet import ENGINE, FakeFleet, configuration, host
-from features.fakes.store import FakeTopics, StorePort, quiet
+from auburnproxy.store import ConflictError
+from features.fakes.fleet import ENGINE, host
+from features.fakes.formation import FormationSite, register_of
+from features.fakes.store import FakeTopics, quiet
+from features.machines.recovery import RecoveryMachine
 from features.machines.register import RegisterMachine
 from features.machines.search import search
 
@@ -95,12 +95,6 @@
     assert models == {"large": count}, models
 
 
-def register_of(topics):
-    port = StorePort(topics)
-    follower = Follower(port, "replicas", quiet())
-    return Register(port, quiet(), follower)
-
-
 @given("two registers that have read the same records")
 def make_registers(context):
     context.loop = async_solipsism.EventLoop()
@@ -144,47 +138,20 @@
     context.search = (RegisterMachine, 40, 40)
 
 
+@when("hosts are lost, cut off, replaced and ordered late, and daemons start again")
+def choose_recovery(context):
+    context.search = (RecoveryMachine, 30, 10)
+
+
+@then(
+    "no order breaks a rule, and once all has healed every replica serves or is ended"
+)
 @then("every recorded replica has its own hosts")
 def run_machine(context):
     machine, examples, steps = context.search
     search(machine, examples=examples, steps=steps)
 
 
-class Site:
-    """A conductor on duty over a fleet, on a virtual clock."""
-
-    def __init__(self, hosts, *, topics=None, served=False, beside=None):
-        self.served = served or beside is not None
-        self.topics = beside.topics if beside else topics or FakeTopics()
-        self.suspects = beside.suspects if beside else set()
-        self.directory = beside.directory if beside else Directory(quiet())
-        self.directory.configure(configuration())
-        self.fleet = beside.fleet if beside else FakeFleet(self.directory)
-        self.fleet.add(*hosts)
-        self.register = register_of(self.topics)
-        self.directory.recorded = lambda: self.register.by_name
-        self.conductor = Conductor(
-            "a",
-            self.directory,
-            self.register,
-            self.fleet,
-            quiet(),
-            on_duty=lambda: True,
-            suspects=lambda: self.suspects,
-            starting=lambda: not self.served,
-        )
-
-    async def run(self, seconds):
-        if not self.register.follower.whole:
-            await self.register.follower.step(wait=False)
-        tasks = [asyncio.create_task(self.conductor.run())]
-        tasks.append(asyncio.create_task(self.fleet.beat()))
-        await asyncio.sleep(seconds)
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
-
-
 def pass_time(context, seconds):
     context.loop.run_until_complete(context.site.run(seconds))
 
@@ -194,7 +161,7 @@
     context.add_cleanup(context.loop.close)
 
     async def make():
-        return Site(
+        return FormationSite(
             [
                 host(f"f{fabric}-{number}", fabric=f"f{fabric}")
                 for fabric in range(fabrics)
@@ -250,6 +217,7 @@
 @when("every host is silent to this daemon and heads are suspected")
 def cut_off(context):
     context.before = set(context.site.register.by_name)
+    context.site.hears_daemons = False
     context.site.fleet.silent.update(context.site.fleet.hosts)
     for formed in context.site.register.by_name.values():
         context.site.suspects.add(formed.head.id)
@@ -328,7 +296,7 @@
         site.fleet.stop(name)
 
     async def start():
-        return Site(
+        return FormationSite(
             [host(f"new-{number}") for number in range(14)],
             topics=site.topics,
             served=True,
--- a/features/steps/stories.py
+++ b/features/steps/stories.py
@@ -5,8 +5,8 @@
 from aiohttp import ClientError
 from behave import then, when
 
+from features.fakes.formation import FormationSite
 from features.fakes.platform import SAFE_PATH
-from features.steps.formation import Site as FormationSite
 from features.steps.formation import lose_most
 from features.steps.routed import SecondAnswer, ask, run
 
