Plan only when something has changed, and give the duty to strong hosts first

Cause: the daemon on duty planned over all hosts five times a second, and any of 195 hosts could hold the duty, most of them with half a core.

Change: a plan that left nothing to do is made again only when hosts, records, verdicts or loads have changed. Seats say whether a host has a core; daemons on weaker hosts take the duty after the others. auburnctl explain leaves out other daemons' presence and what a process believed before it started again.

--- a/auburnproxy/beats/circle.py
+++ b/auburnproxy/beats/circle.py
@@ -55,6 +55,8 @@
     failure_domain: str
     internal: str
     """IP number and port of its listener for peers."""
+    strong: bool = True
+    """Whether its host has a whole core to itself."""
 
 
 class Circle(asyncio.DatagramProtocol):
--- a/auburnproxy/ctl/story.py
+++ b/auburnproxy/ctl/story.py
@@ -10,6 +10,10 @@
 Line = dict[str, Any]
 SUBJECTS = ("upstream", "replica")
 """Fields by which a decision names what it rested on."""
+STARTED = "started"
+"""A process's first line: it has forgotten what it believed before."""
+DAEMON = "daemon/"
+"""Other daemons, of which a request asks nothing."""
 ALWAYS = ("configuration_in_force", "dependency_lost", "dependency_regained")
 """Beliefs that bear on every decision of their daemon."""
 
@@ -74,9 +78,12 @@
     for belief in beliefs:
         if belief["host"] != decision["host"]:
             continue
+        if belief["kind"] == STARTED:
+            newest.clear()
         subject = next((belief[k] for k in SUBJECTS if belief.get(k) in named), "")
-        if subject or belief["kind"] in ALWAYS:
-            about = subject or str(belief.get("dependency", ""))
+        about = subject or str(belief.get("dependency", ""))
+        bears = belief["kind"] in ALWAYS and not about.startswith(DAEMON)
+        if subject or bears:
             newest[belief["kind"], about] = belief
     yield from sorted(newest.values(), key=lambda belief: belief["at"])
 
--- a/auburnproxy/daemon/deployment.py
+++ b/auburnproxy/daemon/deployment.py
@@ -33,6 +33,8 @@
     allowance: Allowance
     grace_s: float
     """Time from the signal to stop until the process is killed."""
+    cores: float
+    """Processor time that the host gives, in cores."""
     drain_s: float
     """Time after which an upstream that leaves gets no request."""
     apply_s: float
--- a/auburnproxy/daemon/routed.py
+++ b/auburnproxy/daemon/routed.py
@@ -66,6 +66,8 @@
 """Seconds at the first start in which most daemons record where they listen."""
 PATIENCE_S = 1.5
 """Seconds after the start for which a daemon that is not to read waits for a peer."""
+STRONG_CORES = 1.0
+"""Cores of a host that is to form replicas where there are such hosts."""
 BALANCER_S = 3.0
 """Seconds after the signal to stop in which the balancer still sends callers here."""
 CLOSE_S = 0.5
@@ -148,7 +150,12 @@
             pause_s=lambda: SEATS_PAUSE_S,
             reads=self._reads,
         )
-        seat = Seat(settings.beats, settings.failure_domain, settings.internal)
+        seat = Seat(
+            settings.beats,
+            settings.failure_domain,
+            settings.internal,
+            strong=settings.cores >= STRONG_CORES,
+        )
         self.circle = Circle(settings.name, seat, self._seats, self._beat, decisions)
         self.circle.on_leaving = partial(self.directory.note_leaving, told_by="daemon")
 
@@ -177,6 +184,7 @@
             present=lambda: self.circle.present,
             acting=lambda: self.circle.acting,
             known=lambda: self.circle.seats,
+            strong=self._strong,
             decisions=decisions,
         )
         self.directory.recorded = lambda: self.register.by_name
@@ -396,6 +404,10 @@
             return False
         return True
 
+    def _strong(self, daemon: str) -> bool:
+        seat = self.circle.seats.get(daemon)
+        return seat is not None and seat.strong
+
     def _reads(self) -> bool:
         """Return whether this daemon reads the shared topics from the store."""
         if self.duty.held:
--- a/auburnproxy/formation/conductor.py
+++ b/auburnproxy/formation/conductor.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable, Collection, Coroutine, Mapping
+from collections.abc import Callable, Collection, Coroutine, Mapping, Sequence
 from functools import partial
 from itertools import zip_longest
 from typing import Any, NamedTuple
@@ -11,7 +11,7 @@
 from ..clock import loop_time
 from ..errors import PlatformError
 from ..gateway.directory import Directory
-from ..gateway.host import Host
+from ..gateway.host import Host, Life
 from ..gateway.route import EngineSpec, ModelSpec
 from ..telemetry.decisions import Decisions
 from .census import Census
@@ -46,6 +46,18 @@
     order: str
 
 
+class _Inputs(NamedTuple):
+    """What a plan rests on; the same inputs give the same plan."""
+
+    hosts: int
+    """Changes of what is believed of hosts."""
+    register_end: int
+    lost: frozenset[Life]
+    staging: frozenset[str]
+    ended: frozenset[str]
+    starting: bool
+
+
 class Conductor:
     """Keeps the replicas of all fabric domains formed.
 
@@ -96,6 +108,8 @@
             directory, orders, decisions, heard_at=heard_at, lists=lists
         )
         self._tasks: set[asyncio.Task[None]] = set()
+        self._planned_for: _Inputs | None = None
+        """Inputs of the last plan, if it left nothing to be done."""
         self.census = Census(directory, register, decisions)
         self._hosts_seen = (0, 0.0)
         """Hosts that were registered, and the loop's time at which that changed."""
@@ -226,7 +240,12 @@
             for name, formed in self._register.by_name.items()
             if name in self._retirement.ended
         ]
+        planned_for = self._inputs(ended)
+        if planned_for == self._planned_for:
+            return
         forms, stages = self._plan(service, spec, {formed.name for formed in ended})
+        # Stages that have to wait for their turn are planned again.
+        self._planned_for = None if forms or stages or ended else planned_for
         if forms or ended:
             await self._register.change(forms, dropped=ended)
         if forms or (self._starting() and self._joins_wait(standings)):
@@ -234,6 +253,16 @@
         for stage in stages:
             self._stage(stage, spec)
 
+    def _inputs(self, ended: Sequence[Formed]) -> _Inputs:
+        return _Inputs(
+            hosts=self._directory.changes,
+            register_end=self._register.follower.end,
+            lost=frozenset(self._probes.lost),
+            staging=frozenset(self._staging_by_host),
+            ended=frozenset(formed.name for formed in ended),
+            starting=self._starting(),
+        )
+
     def _joins_wait(self, standings: Mapping[str, Standing]) -> bool:
         """Return whether a host of a replica has still to be ordered to load."""
         return any(
--- a/auburnproxy/formation/duty.py
+++ b/auburnproxy/formation/duty.py
@@ -32,6 +32,8 @@
     :param present: returns the other daemons that are heard
     :param acting: returns those of them that are on duty and able to act
     :param known: returns every recorded daemon
+    :param strong: returns whether a daemon's host is fit for the work; the others take
+        the duty only after those that are
     :param decisions: takes a line for each failed try
     """
 
@@ -43,6 +45,7 @@
         present: Callable[[], Collection[str]],
         acting: Callable[[], Collection[str]],
         known: Callable[[], Collection[str]],
+        strong: Callable[[str], bool] = lambda daemon: True,
         decisions: Decisions,
     ) -> None:
         self._name = name
@@ -50,6 +53,7 @@
         self._present = present
         self._acting = acting
         self._known = known
+        self._strong = strong
         self._decisions = decisions
         self._silent_since: float | None = None
         self._left = False
@@ -81,14 +85,14 @@
         follower = self._register.follower
         if self._left or not follower.whole or not follower.up:
             return
-        holder, present = self._register.on_duty, self._present()
+        holder = self._register.on_duty
         if holder == self._name or (holder and holder in self._acting()):
             self._silent_since = None
             return
         now = loop_time()
         if self._silent_since is None:
             self._silent_since = now
-        if now - self._silent_since >= self._wait_s(present):
+        if now - self._silent_since >= self._wait_s(self._present()):
             self._silent_since = None
             # Most daemons get the register from peers; this one has to be current.
             await follower.step(wait=False)
@@ -106,6 +110,7 @@
 
     def _wait_s(self, present: Collection[str]) -> float:
         order = rank_names("duty", {self._name, *present})
+        order.sort(key=self._strong, reverse=True)
         turn_s = TURN_S * order.index(self._name)
         alone = 2 * (len(present) + 1) < len(self._known())
         return turn_s + (ALONE_S if alone else 0.0)
--- a/auburnproxy/gateway/directory.py
+++ b/auburnproxy/gateway/directory.py
@@ -39,6 +39,8 @@
         self.out_domains: frozenset[str] = frozenset()
         """Failure domains that operators have taken out of service."""
         self.changed = Pulse()
+        self.changes = 0
+        """How often what is believed has changed."""
         self._decisions = decisions
         self._store_away_at = store_away_at
         self._hosts: dict[str, Host] = {}
@@ -75,7 +77,7 @@
         self._decisions.belief(
             "configuration_in_force", version=configuration.version, before=before
         )
-        self.changed.send()
+        self._change()
 
     def set_out(self, failure_domain: str, *, out: bool) -> None:
         """Take a failure domain out of service, or back.
@@ -89,7 +91,7 @@
         if self.out_domains != before:
             kind = "domain_out" if out else "domain_back"
             self._decisions.belief(kind, failure_domain=failure_domain)
-            self.changed.send()
+            self._change()
 
     def register(self, host: Host) -> None:
         """Take a host's registration.
@@ -104,7 +106,7 @@
         if known is None or known._replace(seen_at=host.seen_at) != host:
             self._replicas = None
             self._log_host(known, host)
-            self.changed.send()
+            self._change()
 
     def seen(self, host_id: str) -> None:
         """Note that a host has registered anew and told nothing new.
@@ -195,6 +197,10 @@
         """Return the seconds for which a host is still cold."""
         return max(host.cold_s - (loop_time() - host.seen_at), 0.0)
 
+    def _change(self) -> None:
+        self.changes += 1
+        self.changed.send()
+
     def _lives(self, life: Life) -> bool:
         host = self._hosts.get(life[0])
         return host is not None and host.life == life
@@ -207,7 +213,7 @@
         del self._hosts[host_id]
         self._replicas = None
         self._decisions.belief("host_gone", upstream=host_id)
-        self.changed.send()
+        self._change()
 
     def _log_host(self, known: Host | None, host: Host) -> None:
         if known is None or known.life != host.life:
--- a/auburnproxy/platform/settings.py
+++ b/auburnproxy/platform/settings.py
@@ -57,7 +57,10 @@
             },
             required=False,
         ),
-        "limits": _object({"memory-mb": _NUMBER}, required=False),
+        "limits": _object(
+            {"memory-mb": _NUMBER, "cpu-share": _NUMBER, "cores": _NUMBER},
+            required=False,
+        ),
     },
 }
 
@@ -74,7 +77,8 @@
         raise DocumentError([Finding(str(path), 1, "", "file", str(error))]) from error
     value = check(parse(text, file=str(path)), SCHEMA)
     bounds = value.get("bounds", {})
-    memory_mb = value.get("limits", {}).get("memory-mb", DEFAULT_MEMORY_MB)
+    limits = value.get("limits", {})
+    memory_mb = limits.get("memory-mb", DEFAULT_MEMORY_MB)
     beats_port, last_port = value["internal-ports"][:2]
     return RoutedSettings(
         name=value["node-name"],
@@ -92,6 +96,7 @@
             window_s=bounds.get("budget-window-s", 10.0),
         ),
         grace_s=bounds.get("grace-s", 8.0),
+        cores=limits.get("cpu-share", 1.0) * limits.get("cores", 1),
         drain_s=bounds.get("drain-ms", 2000) / MS_PER_S,
         apply_s=bounds.get("config-apply-ms", 2000) / MS_PER_S,
         answer_bytes=int(memory_mb * BYTES_PER_MB * ANSWER_PART),
--- a/features/ctl.feature
+++ b/features/ctl.feature
@@ -41,6 +41,7 @@
     Given logs of two daemons that both had request q1
     When an operator runs auburnctl explain q1 on both
     Then the decisions on it are told in order, each with what was believed
+    And nothing is told of other daemons, nor from before the process started
     And the line that is no JSON is counted
 
   Scenario: A request that no log names
--- a/features/formation.feature
+++ b/features/formation.feature
@@ -84,6 +84,30 @@
     Then no head serves a replica that is not recorded
     And no order broke a rule
 
+  Scenario: The duty goes to a host that is fit for the work
+    Given daemons a, b and c of which a is on duty
+    And the host of b is weak
+    When a falls silent
+    And 8 s of watching pass
+    Then c is on duty itself
+
+  Scenario: A weak host takes the duty if there is no other
+    Given daemons a, b and c of which a is on duty
+    And the host of b is weak
+    And the host of c is weak
+    When a falls silent
+    And 8 s of watching pass
+    Then another is on duty
+
+  Scenario: A plan that leaves nothing to do is made again only when something changes
+    Given a fleet of 20 hosts in 2 fabric domains
+    And 30 s have passed with requests
+    When 10 s pass with nothing new, counting plans
+    Then at most 2 plans were made
+    When a member of a large replica is lost and its head falls silent to callers
+    And 6 s pass
+    Then 2 large and 5 small replicas serve
+
   Scenario Outline: The duty moves when its holder cannot act
     Given daemons a, b and c of which a is on duty
     When <trouble>
--- a/features/steps/decisions.py
+++ b/features/steps/decisions.py
@@ -170,7 +170,12 @@
 
 
 LOGS = (
-    """{"at": 1.0, "host": "a", "kind": "configuration_in_force", "version": 4}
+    """{"at": 0.1, "host": "a", "kind": "upstream_excluded", "upstream": "u1"}
+{"at": 0.2, "host": "a", "kind": "dependency_lost", "dependency": "store/op"}
+{"at": 0.5, "host": "a", "kind": "started", "version": "1"}
+{"at": 0.6, "host": "a", "kind": "dependency_regained", "dependency": "daemon/c"}
+{"at": 0.7, "host": "a", "kind": "dependency_lost", "dependency": "store/servers"}
+{"at": 1.0, "host": "a", "kind": "configuration_in_force", "version": 4}
 {"at": 2.0, "host": "a", "kind": "upstream_back", "upstream": "u1"}
 {"at": 2.5, "host": "a", "kind": "upstream_back", "upstream": "u9"}
 {"at": 3.0, "host": "a", "kind": "try_failed", "request": "q1", "upstream": "u1"}
@@ -215,6 +220,14 @@
     assert "u9" not in context.out, context.out
 
 
+@then("nothing is told of other daemons, nor from before the process started")
+def compare_relevant(context):
+    assert "daemon/c" not in context.out, context.out
+    assert "upstream_excluded" not in context.out, context.out
+    assert "store/op" not in context.out, context.out
+    assert "store/servers" in context.out, context.out
+
+
 @then("the line that is no JSON is counted")
 def compare_unreadable(context):
     assert "1 lines could not be read" in context.out, context.out
--- a/features/steps/formation.py
+++ b/features/steps/formation.py
@@ -350,11 +350,42 @@
         assert not dead & set(formed.ids), (formed, dead)
 
 
+@given("the host of {name} is weak")
+def weaken(context, name):
+    context.weak.add(name)
+
+
+@then("{name} is on duty itself")
+def compare_holder(context, name):
+    register = context.daemons[name].register
+    context.loop.run_until_complete(register.follower.step(wait=False))
+    assert register.on_duty == name, register.on_duty
+
+
+@when("{seconds:d} s pass with nothing new, counting plans")
+def count_plans(context, seconds):
+    conductor = context.site.conductor
+    context.plans, plan = 0, conductor._plan
+
+    def counted(*args):
+        context.plans += 1
+        return plan(*args)
+
+    conductor._plan = counted
+    pass_time(context, seconds)
+
+
+@then("at most {most:d} plans were made")
+def compare_plans(context, most):
+    assert context.plans <= most, context.plans
+
+
 @given("daemons a, b and c of which a is on duty")
 def make_duties(context):
     context.loop = async_solipsism.EventLoop()
     context.add_cleanup(context.loop.close)
     context.silent = set()
+    context.weak = set()
     context.deaf = set()
     topics = FakeTopics()
     context.daemons = {}
@@ -370,6 +401,7 @@
                 if context.daemons[other].duty.acting
             },
             known=lambda: set("abc"),
+            strong=lambda name: name not in context.weak,
             decisions=quiet(),
         )
         context.daemons[name] = SimpleNamespace(register=register, duty=duty)
