Beat at rates that fit 8 KB a second, and keep the duty where its loss is known

Cause: a daemon among 400 received 14.1 KB of beats a second; sharers of a head tell each other at once now, so the turns may be slower. A far daemon counts as there for three turns, 12 s among 195, and daemons that hear a lost holder no more waited behind ones that still did.

Change: 60 beats a second to the own failure domain and 30 to the others (120 and 40); the steps of features/readers.feature take the rates from the module. Daemons of the holder's failure domain take the duty first.

--- a/auburnproxy/beats/circle.py
+++ b/auburnproxy/beats/circle.py
@@ -23,9 +23,9 @@
 """Seconds between two beats to daemons of the own failure domain."""
 FAR_TICKS = 3
 """Ticks between two beats to other failure domains, whose links are paid for."""
-NEAR_BEATS_PER_S = 120
+NEAR_BEATS_PER_S = 60
 """Most beats that a daemon sends to its own failure domain in a second."""
-FAR_BEATS_PER_S = 40
+FAR_BEATS_PER_S = 30
 """Most beats that a daemon sends to other failure domains in a second."""
 HEARD_S = 1.5
 """Least age at which a beat no longer shows its daemon to be there."""
--- a/auburnproxy/daemon/routed.py
+++ b/auburnproxy/daemon/routed.py
@@ -185,6 +185,7 @@
             acting=lambda: self.circle.acting,
             known=lambda: self.circle.seats,
             strong=self._strong,
+            domain=self._domain_of,
             decisions=decisions,
         )
         self.directory.recorded = lambda: self.register.by_name
@@ -404,6 +405,10 @@
             return False
         return True
 
+    def _domain_of(self, daemon: str) -> str:
+        seat = self.circle.seats.get(daemon)
+        return seat.failure_domain if seat is not None else ""
+
     def _strong(self, daemon: str) -> bool:
         seat = self.circle.seats.get(daemon)
         return seat is not None and seat.strong
--- a/auburnproxy/formation/duty.py
+++ b/auburnproxy/formation/duty.py
@@ -34,6 +34,8 @@
     :param known: returns every recorded daemon
     :param strong: returns whether a daemon's host is fit for the work; the others take
         the duty only after those that are
+    :param domain: returns the failure domain of a daemon; those beside the holder hear
+        of its end first, and take the duty before the others
     :param decisions: takes a line for each failed try
     """
 
@@ -46,6 +48,7 @@
         acting: Callable[[], Collection[str]],
         known: Callable[[], Collection[str]],
         strong: Callable[[str], bool] = lambda daemon: True,
+        domain: Callable[[str], str] = lambda daemon: "",
         decisions: Decisions,
     ) -> None:
         self._name = name
@@ -54,6 +57,7 @@
         self._acting = acting
         self._known = known
         self._strong = strong
+        self._domain = domain
         self._decisions = decisions
         self._silent_since: float | None = None
         self._left = False
@@ -110,7 +114,13 @@
 
     def _wait_s(self, present: Collection[str]) -> float:
         order = rank_names("duty", {self._name, *present})
-        order.sort(key=self._strong, reverse=True)
+        beside = self._domain(self._register.on_duty)
+        order.sort(
+            key=lambda daemon: (
+                self._domain(daemon) != beside,
+                not self._strong(daemon),
+            )
+        )
         turn_s = TURN_S * order.index(self._name)
         alone = 2 * (len(present) + 1) < len(self._known())
         return turn_s + (ALONE_S if alone else 0.0)
--- a/features/formation.feature
+++ b/features/formation.feature
@@ -91,6 +91,14 @@
     And 8 s of watching pass
     Then c is on duty itself
 
+  Scenario: The duty stays in its failure domain, where its loss is known first
+    Given daemons a, b and c of which a is on duty
+    And the host of b is weak
+    And b is in the failure domain of a
+    When a falls silent
+    And 8 s of watching pass
+    Then b is on duty itself
+
   Scenario: A weak host takes the duty if there is no other
     Given daemons a, b and c of which a is on duty
     And the host of b is weak
--- a/features/steps/formation.py
+++ b/features/steps/formation.py
@@ -355,6 +355,11 @@
     context.weak.add(name)
 
 
+@given("{name} is in the failure domain of a")
+def put_beside(context, name):
+    context.beside |= {"a", name}
+
+
 @then("{name} is on duty itself")
 def compare_holder(context, name):
     register = context.daemons[name].register
@@ -386,6 +391,7 @@
     context.add_cleanup(context.loop.close)
     context.silent = set()
     context.weak = set()
+    context.beside = set()
     context.deaf = set()
     topics = FakeTopics()
     context.daemons = {}
@@ -402,6 +408,7 @@
             },
             known=lambda: set("abc"),
             strong=lambda name: name not in context.weak,
+            domain=lambda name: "fd1" if name in context.beside else "fd2",
             decisions=quiet(),
         )
         context.daemons[name] = SimpleNamespace(register=register, duty=duty)
--- a/features/steps/readers.py
+++ b/features/steps/readers.py
@@ -9,7 +9,7 @@
 
 from auburnproxy.beats import Beat, Circle
 from auburnproxy.beats.beat import pack as pack_beat
-from auburnproxy.beats.circle import Seat
+from auburnproxy.beats.circle import FAR_BEATS_PER_S, NEAR_BEATS_PER_S, Seat
 from auburnproxy.gateway.health import Work
 from auburnproxy.store import Change, Follower, Peers, Relay
 from auburnproxy.store.relay import pack, unpack
@@ -340,8 +340,8 @@
     """Return how often a daemon's turn comes, by the published rates."""
     near = sum(s.failure_domain == "fd0" for s in context.others.values())
     if seat.failure_domain == "fd0":
-        return max(0.1, near / 120)
-    return max(0.3, (len(context.others) - near) / 40)
+        return max(0.1, near / NEAR_BEATS_PER_S)
+    return max(0.3, (len(context.others) - near) / FAR_BEATS_PER_S)
 
 
 @when("it hears each of the others as often as they send for 8 s, a tenth is lost")
