Read beats and seats of other versions by the fields that both know

Cause: an array with more fields than its type was refused, so during a roll the older daemons would hear nobody and drop the newer ones' seats.

Change: fields that are not known are left out, missing ones have defaults.

--- a/auburnproxy/beats/beat.py
+++ b/auburnproxy/beats/beat.py
@@ -9,6 +9,7 @@
 from ..errors import PeerError
 from ..gateway.health import Work
 from ..gateway.host import Life
+from ..growing_tuple import known_fields
 
 
 class Beat(NamedTuple):
@@ -48,5 +49,15 @@
     """
     try:
         return _decoder.decode(data)
+    except msgspec.ValidationError:
+        # A daemon of a later version may say more.
+        return _known_part(data)
+    except msgspec.MsgspecError as error:
+        raise PeerError(f"malformed beat of {len(data)} bytes") from error
+
+
+def _known_part(data: bytes) -> Beat:
+    try:
+        return known_fields(msgspec.msgpack.decode(data), Beat)
     except msgspec.MsgspecError as error:
         raise PeerError(f"malformed beat of {len(data)} bytes") from error
--- a/auburnproxy/beats/circle.py
+++ b/auburnproxy/beats/circle.py
@@ -12,6 +12,7 @@
 from ..clock import loop_time
 from ..errors import PeerError
 from ..gateway.host import Life
+from ..growing_tuple import known_fields
 from ..rendezvous import rank_names
 from ..store import Change, Follower
 from ..telemetry.decisions import Decisions
@@ -338,7 +339,8 @@
             self._seats.pop(change.key, None)
             return
         try:
-            self._seats[change.key] = msgspec.json.decode(change.value, type=Seat)
+            fields = msgspec.json.decode(change.value)
+            self._seats[change.key] = known_fields(fields, Seat)
         except msgspec.MsgspecError as error:
             self._decisions.belief(
                 "record_unreadable", key=change.key, reason=str(error)
--- a/features/readers.feature
+++ b/features/readers.feature
@@ -78,3 +78,19 @@
     Then 0.9 s later it counts 128 requests there
     And 0.5 s later it counts the 86 of other failure domains
     And 1.0 s later it counts none
+
+  Scenario Outline: A fleet of two versions understands what both know
+    Given a daemon among 6 daemons in 3 failure domains
+    When another one's beat and seat have <fields>
+    Then its requests are counted and it is among the recorded daemons
+
+    Examples:
+      | fields                 |
+      | the fields of today    |
+      | two more fields        |
+      | one field less         |
+
+  Scenario: Beats and seats that cannot be read change nothing
+    Given a daemon among 6 daemons in 3 failure domains
+    When another one's beat and seat are nonsense
+    Then no requests are counted and its seat stays as it was
--- a/features/steps/readers.py
+++ b/features/steps/readers.py
@@ -410,3 +410,44 @@
 @then("{seconds:g} s later it counts none")
 def compare_no_work(context, seconds):
     compare_far_work(context, seconds, 0)
+
+
+def tell_fields(context, beat, seat):
+    context.other = "d3"
+
+    async def tell():
+        change = Change(context.other, msgspec.json.encode(seat))
+        context.circle._take_seat(change)
+        context.circle.datagram_received(msgspec.msgpack.encode(beat), ("", 0))
+
+    context.loop.run_until_complete(tell())
+
+
+@when("another one's beat and seat have {fields}")
+def tell_version(context, fields):
+    beat = ["d3", False, True, True, {"h": [2, 0, 0]}, {}, [], [], []]
+    seat = ["d3", "fd0", "d3", True]
+    if fields == "two more fields":
+        beat += [{"new": 1}, 5]
+        seat += ["new", 7]
+    elif fields == "one field less":
+        del beat[-1], seat[-1]
+    tell_fields(context, beat, seat)
+
+
+@when("another one's beat and seat are nonsense")
+def tell_nonsense(context):
+    tell_fields(context, ["d3", 7, "x"], {"not": "a seat"})
+
+
+@then("its requests are counted and it is among the recorded daemons")
+def compare_version(context):
+    assert context.circle.work("h") == (2, 0), context.circle.work("h")
+    assert context.other in context.circle.seats
+    assert context.other in context.circle.present
+
+
+@then("no requests are counted and its seat stays as it was")
+def compare_nonsense(context):
+    assert context.circle.work("h") == (0, 0)
+    assert context.circle.seats[context.other].failure_domain == "fd0"
