--- a/auburnproxy/operators/overview.py
+++ b/auburnproxy/operators/overview.py
@@ -11,6 +11,7 @@
 from aiohttp import ClientError, ClientSession, ClientTimeout
 from loguru import logger
 
+from ..bounded_body import read_body
 from ..membership import Member
 from ..telemetry.telemetry import merge
 from .bodies import (
@@ -25,6 +26,8 @@
 STATUS_PATH = "/operator/local/status"
 REPORT_PATH = "/operator/local/report"
 ASK_TIMEOUT = ClientTimeout(total=2.0, sock_connect=0.5)
+STATUS_BYTES = 33_554_432
+"""Longest report that is read; one holds every histogram of its daemon."""
 AT_ONCE = 16
 """Daemons that are asked at the same time."""
 
@@ -132,7 +135,8 @@
         try:
             async with session.get(url) as response:
                 response.raise_for_status()
-                return msgspec.json.decode(await response.read(), type=kind)
+                body = await read_body(response, most_bytes=STATUS_BYTES)
+                return msgspec.json.decode(body, type=kind)
         except (ClientError, OSError, TimeoutError, msgspec.MsgspecError) as error:
             log.info("{} did not answer an operator's call: {!r}.", member.id, error)
             return None
--- a/auburnproxy/serving/forward.py
+++ b/auburnproxy/serving/forward.py
@@ -17,8 +17,10 @@
     TCPConnector,
 )
 
+from ..bounded_body import read_body
 from ..errors import Ran, RefusalError, UpstreamError
 from ..membership import Member
+from ..upstreams.client import MOST_BYTES
 from ..upstreams.engine import Chunk, ChunkKind, ModelCall
 from ..upstreams.observation import Observation, Result
 from ..upstreams.service import PlainAnswer, PlainCall
@@ -30,6 +32,9 @@
 MODEL_PATH = "/forward/model"
 SERVICE_PATH = "/forward/service"
 CONNECT_TIMEOUT_S = 0.5
+ANSWER_BYTES = 2 * MOST_BYTES
+"""Longest answer that a peer passes on: a whole one with its type and framing."""
+REFUSAL_BYTES = 65_536
 MS_PER_S = 1000
 OK = 200
 
@@ -80,7 +85,7 @@
         whole = False
         try:
             if response.status != OK:
-                raise _remote_error(await response.read())
+                raise _remote_error(await read_body(response, most_bytes=REFUSAL_BYTES))
             reader = FrameReader(call.request_id.encode())
             while block := await response.content.readany():
                 for chunk in reader.feed(block):
@@ -112,7 +117,7 @@
             async with asyncio.timeout(call.deadline_s):
                 response = await self._post(member, SERVICE_PATH, headers, call.body)
                 async with response:
-                    body = await response.read()
+                    body = await read_body(response, most_bytes=ANSWER_BYTES)
             if response.status == OK:
                 return msgspec.msgpack.decode(body, type=PlainAnswer)
         except (TimeoutError, ClientError, OSError, msgspec.MsgspecError) as error:
