Serve what fits in a fabric domain that is too small for the shares

Cause: a fabric domain's hosts were divided by share, and a part that is smaller than one replica gave none: with 3 hosts left of 14, or 3 new ones, neither model had a target, and nothing was loaded.

Change: where no part is large enough, the model with the largest share that fits takes the whole fabric domain. The cases of 3 and 2 hosts failed before.

--- a/auburnproxy/formation/layout.py
+++ b/auburnproxy/formation/layout.py
@@ -104,9 +104,27 @@
         part = min(size * shares[model.name], left)
         wanted[model.name] = int(part // model.hosts)
         left -= wanted[model.name] * model.hosts
+    if not any(wanted.values()):
+        _serve_something(size, shares, engine, wanted)
     return wanted
 
 
+def _serve_something(
+    size: int,
+    shares: Mapping[str, float],
+    engine: EngineSpec,
+    wanted: dict[str, int],
+) -> None:
+    """Let a fabric domain whose parts are all too small serve the model that fits.
+
+    Most of its hosts may be lost, or it may just be growing.
+    """
+    fit = [model for model in engine.models if model.hosts <= size]
+    if fit:
+        model = max(fit, key=lambda model: (shares[model.name], -model.hosts))
+        wanted[model.name] = size // model.hosts
+
+
 def plan(
     domain: Domain,
     engine: EngineSpec,
--- a/features/formation.feature
+++ b/features/formation.feature
@@ -11,6 +11,18 @@
     And the second is to have 2 large and 4 small replicas
     And the third is to have 0 large and 9 small replicas
 
+  Scenario Outline: A fabric domain that is too small for the shares serves what fits
+    Given 1 fabric domain of <hosts> hosts
+    Then the first is to have <large> large and <small> small replicas
+
+    Examples:
+      | hosts | large | small |
+      | 10    | 1     | 2     |
+      | 4     | 0     | 1     |
+      | 3     | 0     | 1     |
+      | 2     | 0     | 1     |
+      | 1     | 0     | 0     |
+
   Scenario: Survivors of lost replicas complete each other (engines lost faster than weights load)
     Given a fabric domain for the large model with 2 lost replicas of 3 survivors each
     When it is planned while the system runs
--- a/features/steps/formation.py
+++ b/features/steps/formation.py
@@ -27,6 +27,7 @@
 PLACES = {"first": 0, "second": 1, "third": 2}
 
 
+@given("{domains:d} fabric domain of {hosts:d} hosts")
 @given("{domains:d} fabric domains of {hosts:d} hosts")
 def lay_out(context, domains, hosts):
     found = [
