Let a stream that has begun go on at a far head before one that is left out

Cause: with near and far replicas looked at in turn, a near head that was left out counted as good enough for a stream that has begun, before any far one was asked. The new scenario failed before.

Change: heads that are left out are looked at only when no other one is there.

--- a/auburnproxy/gateway/choice.py
+++ b/auburnproxy/gateway/choice.py
@@ -60,13 +60,6 @@
 """Part by which waits differ, so that refused callers do not return together."""
 
 
-class _Options(NamedTuple):
-    exclude: Collection[str]
-    """Heads that the request has failed on."""
-    any_host: bool
-    """Whether a head that is left out will do if no other is there."""
-
-
 class _Scored(NamedTuple):
     score: float
     """Load of its head as a part of its slots, with what speaks against it."""
@@ -135,32 +128,33 @@
         :raises RefusalError: if none can take it now
         """
         near, far = self._candidates(model)
-        options = _Options(exclude, any_host=any_head)
-        chosen = self._best_near(near, options)
+        chosen = self._best_near(near, exclude)
         if chosen is None or chosen.score > self._far_load:
             for sample in self._samples(far):
-                chosen = _better(chosen, self._best(sample, options))
+                chosen = _better(chosen, self._best(sample, exclude))
                 if chosen is not None:
                     break
+        if chosen is None and any_head:
+            chosen = self._best([*near, *far], exclude, any_head=True)
         if chosen is None:
             raise self._refusal("no_replica", [*near, *far], exclude)
         self._note_sent(chosen.replica.head)
         return chosen.replica
 
     def _best_near(
-        self, near: Sequence[ServingReplica], options: _Options
+        self, near: Sequence[ServingReplica], exclude: Collection[str]
     ) -> _Scored | None:
         """Return the best near replica, one of this daemon's own while they bear it."""
         own = [r for r in near if self._subsets.holds(r.head.id)]
-        chosen = self._best(own, options)
+        chosen = self._best(own, exclude)
         if chosen is not None and chosen.score <= OWN_LOAD:
             return chosen
         others = [r for r in near if not self._subsets.holds(r.head.id)]
         drawn = self._random.sample(others, min(OTHERS_DRAWN, len(others)))
-        other = self._best(drawn, options)
+        other = self._best(drawn, exclude)
         if other is not None:
             other = other._replace(score=other.score + OTHERS_LOAD)
-        return _better(chosen, other) or self._best(near, options)
+        return _better(chosen, other) or self._best(near, exclude)
 
     @property
     def _far_load(self) -> float:
@@ -201,22 +195,27 @@
         yield far
 
     def _best(
-        self, replicas: Sequence[ServingReplica], options: _Options
+        self,
+        replicas: Sequence[ServingReplica],
+        exclude: Collection[str],
+        *,
+        any_head: bool = False,
     ) -> _Scored | None:
-        """Return the least loaded replica of those that can take a request now."""
+        """Return the least loaded replica of those that can take a request now.
+
+        :param any_head: whether heads that are left out will do
+        """
         recorded, lost = self._directory.recorded(), self._lost()
         left = [
             replica
             for replica in replicas
             if replica.name in recorded
-            and replica.head.id not in options.exclude
+            and replica.head.id not in exclude
             and replica.head.id not in lost
             and self._directory.may_use(replica.head)
             and not self._rests.left_s(replica.head.life)
         ]
-        fit = [r for r in left if not self._health.excluded(r.head.id)]
-        if not fit and options.any_host:
-            fit = left
+        fit = [r for r in left if any_head or not self._health.excluded(r.head.id)]
         suspected = self._suspected()
         best: _Scored | None = None
         ties = 0
--- a/features/choice.feature
+++ b/features/choice.feature
@@ -32,6 +32,12 @@
     When its pause ends and a probe is answered
     Then one request is taken, and another only after its first event
 
+  Scenario: A stream that has begun goes on at a far head before one that is left out
+    Given 1 near and 1 far replicas of 9 slots
+    When its head falls silent towards all streams
+    Then a stream that has begun goes on at the far head
+    And at the near one only if the far one has failed it
+
   Scenario: A head whose process does not answer stays out
     Given 1 near and 0 far replicas of 9 slots
     When its head falls silent towards all streams
--- a/features/steps/choice.py
+++ b/features/steps/choice.py
@@ -192,6 +192,25 @@
     assert context.chooser.refusals[-1].code == code
 
 
+def resume(context, exclude=()):
+    choice = context.chooser.choice
+
+    def ask():
+        return choice.replica("small", exclude=exclude, any_head=True).head.id
+
+    return run(context, ask)
+
+
+@then("a stream that has begun goes on at the far head")
+def compare_resumed(context):
+    assert resume(context) == "f0"
+
+
+@then("at the near one only if the far one has failed it")
+def compare_resumed_near(context):
+    assert resume(context, exclude={"f0"}) == "n0"
+
+
 @when("its pause ends and a probe is answered")
 def end_pause(context):
     run(context, lambda: asyncio.sleep(0.6))
