Count no attempt for a head that has just left its replica

Change: up to two such answers cost a resend and no attempt, and the head is left out as one that is full.

--- a/auburnproxy/gateway/streams.py
+++ b/auburnproxy/gateway/streams.py
@@ -39,6 +39,10 @@
 LONGEST_PAUSE_S = 1.8
 """Pause of a stream that has begun after which its caller is about to leave."""
 REPLICA_WAIT_S = 0.1
+FULL, MISDIRECTED = "rejected_503", "rejected_421"
+MOST_MISDIRECTED = 2
+"""Heads that may have left their replica, as the register does not tell yet, before
+one counts as an attempt."""
 OK = 200
 
 
@@ -111,6 +115,7 @@
         self._exclude: set[str] = set()
         self._failed: list[str] = []
         self._unsent = 0
+        self._misdirected = 0
         self._tries = 0
         self._first_at = 0.0
         self._event_at = 0.0
@@ -172,6 +177,9 @@
         if not error.sent:
             self._unsent += 1
             return self._unsent < MOST_UNSENT or self._waits_for_replica()
+        if error.code == MISDIRECTED and self._misdirected < MOST_MISDIRECTED:
+            self._misdirected += 1
+            return self._resends.spend(error.code)
         self._failed.append(replica.head.id)
         if self._ran is Ran.UNKNOWN and not self._call.route.repeatable:
             return False
@@ -250,7 +258,7 @@
             health.stalled(head.id, silence_s=silence_s, reason="no event")
             raise TryError("stalled", ran=Ran.UNKNOWN) from None
         except TryError as error:
-            if not error.sent or error.code == "rejected_503":
+            if not error.sent or error.code in (FULL, MISDIRECTED):
                 health.failed(head.id, reason=error.code)
             raise
 
--- a/features/fakes/platform.py
+++ b/features/fakes/platform.py
@@ -225,6 +225,7 @@
             "reset",
             "failed",
             "rest",
+            "misdirect",
         ):
             await self._stream(action, reader, writer, headers)
         elif action == "ok":
@@ -233,6 +234,8 @@
             self._plain(writer, headers, b"boom", "500 Internal Server Error")
         elif action == "shed":
             self._plain(writer, headers, b"", "503 Service Unavailable", "refused")
+        elif action == "misdirect":
+            self._plain(writer, headers, b"", "421 Misdirected Request")
         elif action == "rest":
             status = "503 Service Unavailable"
             self._plain(writer, headers, b"", status, "refused rest")
--- a/features/routed.feature
+++ b/features/routed.feature
@@ -188,6 +188,13 @@
     When a caller asks for a stream
     Then it gets 6 events in order, complete
 
+  Scenario: Heads that have just left their replicas cost no attempt (a replica is ended)
+    Given a routed site with three engines
+    And the engines e0 and e1 will misdirect
+    When 6 streams are asked for
+    Then all streams are answered
+    And the engines e0 and e1 were asked at most twice each
+
   Scenario: No more live heads are tried than the route allows
     Given a routed site with three engines
     And every engine will stall
--- a/features/steps/routed.py
+++ b/features/steps/routed.py
@@ -496,3 +496,16 @@
 def compare_tried(context, count):
     tried = {name for name, _ in asked(context, False)}
     assert len(tried) == count, tried
+
+
+@given("the engines e0 and e1 will misdirect")
+def misdirect(context):
+    for name in ("e0", "e1"):
+        context.site.engines[name].script = ["misdirect"]
+
+
+@then("the engines e0 and e1 were asked at most twice each")
+def compare_misdirected(context):
+    for name in ("e0", "e1"):
+        requests = context.site.engines[name].requests
+        assert len(requests) <= 2, (name, len(requests))
