--- a/auburnproxy/beats/circle.py
+++ b/auburnproxy/beats/circle.py
@@ -36,8 +36,6 @@
 """Daemons of a failure domain that read the store: one more may be lost meanwhile."""
 SOON_S = 0.01
 """Seconds in which changes at upstreams are told together."""
-TRUST_S = 1.5
-"""Seconds after the start in which recorded daemons count as there, heard or not."""
 RETRY_TURNS = 20
 """Ticks between two tries of a daemon that the store has turned away."""
 LOAD_S = 1.0
@@ -68,6 +66,8 @@
     :param follower: the recorded daemons
     :param say: returns what to tell
     :param decisions: takes a line for each daemon that comes and goes
+    :param trust_s: seconds after the start in which recorded daemons count as there,
+        heard or not
     """
 
     def __init__(
@@ -77,6 +77,8 @@
         follower: Follower,
         say: Callable[[], Beat],
         decisions: Decisions,
+        *,
+        trust_s: float = 0.0,
     ) -> None:
         self.served = False
         """Whether one of the others has served a request."""
@@ -104,7 +106,7 @@
         """Seconds between two beats of a daemon of this failure domain."""
         self.far_interval_s = FAR_TICKS * TICK_S
         """Seconds between two beats of a daemon of another one."""
-        self._trusts_until = loop_time() + TRUST_S
+        self._trusts_until = loop_time() + trust_s
         self._told_soon: set[str] = set()
         self._transport: asyncio.DatagramTransport | None = None
         self._turn = 0
--- a/auburnproxy/daemon/routed.py
+++ b/auburnproxy/daemon/routed.py
@@ -65,7 +65,10 @@
 SEATS_LEAD_S = 0.4
 """Seconds at the first start in which most daemons record where they listen."""
 PATIENCE_S = 1.5
-"""Seconds after the start for which a daemon that is not to read waits for a peer."""
+"""Seconds after the start for which a daemon that is not to read waits for a peer, and
+takes recorded daemons for there."""
+START_PATIENCE_S = 5.0
+"""The same at the first start of the system; weak hosts take some seconds to start."""
 STRONG_CORES = 1.0
 """Cores of a host that is to form replicas where there are such hosts."""
 BALANCER_S = 3.0
@@ -99,6 +102,7 @@
             keep=False, timeout=ClientTimeout(sock_connect=CONNECT_TIMEOUT_S)
         )
         self._started_at = loop_time()
+        self._patience_s = START_PATIENCE_S if settings.first_start else PATIENCE_S
         self._join_beliefs()
         self._join_formation()
         self._join_serving()
@@ -116,7 +120,7 @@
             decisions,
             wait_s=OPERATORS_WAIT_PART * settings.apply_s,
             reads=self._reads,
-            patience_s=PATIENCE_S,
+            patience_s=self._patience_s,
         )
         self._upstreams = Follower(
             self._store,
@@ -125,7 +129,7 @@
             pause_s=self._registration_pause_s,
             reads=self._reads,
             essence=self._deployment.essence,
-            patience_s=PATIENCE_S,
+            patience_s=self._patience_s,
         )
         self._operators.on_change = self._take_operator
         self._upstreams.on_change = self._take_upstream
@@ -156,7 +160,14 @@
             settings.internal,
             strong=settings.cores >= STRONG_CORES,
         )
-        self.circle = Circle(settings.name, seat, self._seats, self._beat, decisions)
+        self.circle = Circle(
+            settings.name,
+            seat,
+            self._seats,
+            self._beat,
+            decisions,
+            trust_s=self._patience_s,
+        )
         self.circle.on_leaving = partial(self.directory.note_leaving, told_by="daemon")
 
     def _join_formation(self) -> None:
@@ -168,7 +179,7 @@
             wait_s=REPLICAS_WAIT_S,
             reads=self._reads,
             pause_s=lambda: REPLICAS_PAUSE_S,
-            patience_s=PATIENCE_S,
+            patience_s=self._patience_s,
         )
         self.register = Register(self._store, decisions, replicas)
         topics = {
@@ -417,7 +428,7 @@
         """Return whether this daemon reads the shared topics from the store."""
         if self.duty.held:
             return True
-        if not self._seats.whole and loop_time() - self._started_at < PATIENCE_S:
+        if not self._seats.whole and loop_time() - self._started_at < self._patience_s:
             return False
         return self.circle.reads_store(reaches=self._reaches_store())
 
--- a/features/readers.feature
+++ b/features/readers.feature
@@ -94,3 +94,8 @@
     Given a daemon among 6 daemons in 3 failure domains
     When another one's beat and seat are nonsense
     Then no requests are counted and its seat stays as it was
+
+  Scenario: Of daemons that start together two read, though none has been heard
+    Given 39 daemons of one failure domain that have just recorded where they listen
+    Then 2 of them are to read the store
+    And all of them are 5 s later if they still hear nobody
--- a/features/steps/readers.py
+++ b/features/steps/readers.py
@@ -451,3 +451,46 @@
 def compare_nonsense(context):
     assert context.circle.work("h") == (0, 0)
     assert context.circle.seats[context.other].failure_domain == "fd0"
+
+
+@given(
+    "{count:d} daemons of one failure domain that have just recorded where they listen"
+)
+def make_started(context, count):
+    context.loop = async_solipsism.EventLoop()
+    context.add_cleanup(context.loop.close)
+    names = [f"d{number}" for number in range(count)]
+
+    async def make(name):
+        follower = Follower(StorePort(FakeTopics()), "daemons", quiet())
+        seat = Seat(name, "fd", name)
+        circle = Circle(name, seat, follower, lambda: None, quiet(), trust_s=5.0)
+        for other in names:
+            value = msgspec.json.encode(Seat(other, "fd", other))
+            follower.on_change(Change(other, value))
+        return circle
+
+    async def make_all():
+        return [await make(name) for name in names]
+
+    context.circles = context.loop.run_until_complete(make_all())
+
+
+def count_readers(context, seconds):
+    async def count():
+        await asyncio.sleep(seconds)
+        for circle in context.circles:
+            circle.tick()
+        return sum(circle.reads_store(reaches=False) for circle in context.circles)
+
+    return context.loop.run_until_complete(count())
+
+
+@then("{count:d} of them are to read the store")
+def compare_started(context, count):
+    assert count_readers(context, 0) == count
+
+
+@then("all of them are {seconds:d} s later if they still hear nobody")
+def compare_alone(context, seconds):
+    assert count_readers(context, seconds) == len(context.circles)
