Take a host for alive again once the store lists it anew

Cause: a verdict of loss was kept for 30 s. Hosts of a failure domain that was cut off from the daemon on duty and the store, while daemons there were heard, stayed unusable for that time after the cut had healed.

Change: a verdict on a process that the store had dropped ends when it lists the process again; verdicts on listed hosts that do not answer are kept as before, since their replicas could not be ended otherwise. The new scenario failed before.

--- a/auburnproxy/formation/probes.py
+++ b/auburnproxy/formation/probes.py
@@ -17,7 +17,7 @@
 from ..clock import loop_time
 from ..errors import AuburnError
 from ..gateway.directory import Directory
-from ..gateway.host import Host
+from ..gateway.host import Host, Life
 from ..telemetry.decisions import Decisions
 from .orders import Orders, RestError
 from .record import Member
@@ -62,18 +62,30 @@
         self._directory = directory
         self._orders = orders
         self._decisions = decisions
-        self._lost_until: dict[tuple[str, int], float] = {}
+        self._lost_until: dict[Life, float] = {}
+        self._unlisted: set[Life] = set()
+        """Lost processes that the store had dropped; it may list one again."""
         self._asked_until: dict[tuple[str, int, str], float] = {}
         self._tasks: set[asyncio.Task[None]] = set()
 
     @property
-    def lost(self) -> Collection[tuple[str, int]]:
-        """Return the processes, by id and start, that are known to be gone."""
+    def lost(self) -> Collection[Life]:
+        """Return the processes that are known to be gone."""
         return self._lost_until.keys()
 
     def expire(self) -> None:
-        """Forget old verdicts."""
+        """Forget old verdicts, and those that the store's list has refuted."""
         now = loop_time()
+        for life in list(self._unlisted):
+            host = self._directory.hosts.get(life[0])
+            if host is not None and host.life == life:
+                self._lost_until.pop(life, None)
+                self._decisions.belief("host_back", upstream=life[0])
+        self._unlisted = {
+            life
+            for life in self._unlisted
+            if life in self._lost_until and self._lost_until[life] > now
+        }
         self._lost_until = _after(now, self._lost_until)
         self._asked_until = _after(now, self._asked_until)
 
@@ -123,6 +135,8 @@
             self._decisions.belief("host_unreachable", upstream=member.id)
             return
         self._lost_until[member.life] = loop_time() + LOST_KEPT_S
+        if member.id not in self._directory.hosts:
+            self._unlisted.add(member.life)
         self._decisions.belief(
             "host_lost",
             upstream=member.id,
--- a/features/formation.feature
+++ b/features/formation.feature
@@ -158,6 +158,17 @@
     And 20 s pass
     Then every replica is still recorded
 
+  Scenario: Hosts that register anew are not taken for lost any longer (a healed cut)
+    Given a fleet of 14 hosts in 1 fabric domain
+    And 30 s have passed with requests
+    When 14 hosts are cut off and lapse while daemons there are heard
+    And 10 s pass
+    And the cut heals
+    And 6 s pass
+    Then every recorded replica serves
+    And at least 10 hosts are in a replica
+    And no order broke a rule
+
   Scenario: Replicas of which nothing is left are ended after a restart of everything
     Given a fleet of 14 hosts in 1 fabric domain
     And 30 s have passed with requests
--- a/features/steps/formation.py
+++ b/features/steps/formation.py
@@ -290,6 +290,26 @@
         context.site.fleet.unregister(name)
 
 
+@when("{count:d} hosts are cut off and lapse while daemons there are heard")
+def cut_hosts(context, count):
+    fleet = context.site.fleet
+    names = sorted(fleet.hosts)[:count]
+    fleet.silent.update(names)
+    pass_time(context, 4)
+    for name in names:
+        fleet.unregister(name)
+
+
+@when("the cut heals")
+def heal_cut(context):
+    context.site.fleet.silent.clear()
+
+
+@then("at least {least:d} hosts are in a replica")
+def compare_used(context, least):
+    assert len(context.site.register.by_host) >= least, context.site.register.by_host
+
+
 @when("another daemon starts after every host was replaced by a new one")
 def replace_all(context):
     site = context.site
