--- a/features/fakes/endless.py
+++ b/features/fakes/endless.py
@@ -9,7 +9,19 @@
 
 BLOCK = b"x" * 65_536
 MOST_BYTES = 500_000_000
-STAMP = "Engine-Stamp: 3e1b\r\n"
+
+
+ENDLESS = (
+    "a head line",
+    "head lines",
+    "interim answers",
+    "a body without length",
+    "a body past its length",
+    "a failure's body",
+    "a body of 500 MB",
+    "an event",
+)
+"""What a server may send without end."""
 
 
 def head(status: str, request_id: str, *more: str) -> bytes:
--- a/features/fakes/platform.py
+++ b/features/fakes/platform.py
@@ -27,6 +27,8 @@
 KEY = "key-1"
 MODEL = "large"
 EVENTS = 6
+REFUSALS = frozenset({"shed", "rest", "leaving refusal", "misdirect"})
+"""Actions that leave a request not run."""
 
 
 class PlatformStandIn:
@@ -148,6 +150,8 @@
         self.born = 1
         self.staged: list[str] = []
         self.on_order: Callable[[dict], None] = lambda order: None
+        self.ran: list[str] = []
+        """Ids of the requests that it did not refuse."""
         self.asked_at: list[float] = []
         """Times at which anything reached it, a probe or an order as well."""
         self.leaving_reports = False
@@ -196,9 +200,12 @@
             else:
                 self.requests.append((method, path, headers, body))
                 if self.endless:
+                    self.ran.append(headers.get("attempt-id", ""))
                     await play(self.endless, writer, headers.get("attempt-id", ""))
                     return
                 action = self.script.pop(0) if len(self.script) > 1 else self.script[0]
+                if action not in REFUSALS:
+                    self.ran.append(headers.get("attempt-id", ""))
                 await self._act(action, reader, writer, path, headers)
             await writer.drain()
         writer.close()
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -101,9 +101,9 @@
         """Compare what engines were asked with what callers were told."""
         runs: Counter[str] = Counter()
         for engine in self.site.engines.values():
+            runs.update(engine.ran)
             for _, _, headers, _ in engine.requests:
                 request_id = headers["attempt-id"]
-                runs[request_id] += 1
                 if "api-key" in headers or headers.get("tenant") != "works":
                     self.broken.append(f"{request_id}: key or account at {engine.name}")
         for request_id in self.once_ids:
--- a/soak/main.py
+++ b/soak/main.py
@@ -15,6 +15,7 @@
 import defopt
 from aiohttp import ClientSession
 
+from features.fakes.endless import ENDLESS
 from features.fakes.platform import (
     MODEL,
     ONCE_PATH,
@@ -72,6 +73,9 @@
             self._store,
             self._engine_crash,
             self._engine_leaves,
+            self._engine_says_leaving,
+            self._engine_rests,
+            self._engine_endless,
             self._configure,
             self._mark,
         )
@@ -143,6 +147,35 @@
         await asyncio.sleep(self._random.uniform(0.5, 3.0))
         register(name, state="ready")
 
+    async def _engine_says_leaving(self) -> None:
+        """Let a plain engine say in its answers that it leaves, then start anew."""
+        name = self._random.choice([n for n in self._site.engines if n[0] == "p"])
+        self._note(f"engine {name} says that it leaves")
+        engine = self._site.engines[name]
+        engine.script = [f"leaving {self._random.choice(('success', 'refusal'))}"]
+        await asyncio.sleep(self._random.uniform(0.2, 1.5))
+        engine.script = ["ok"]
+        engine.born += 1
+        zone = f"z{int(name[1:]) % 2}"
+        self._site.platform.register(name, service="plain", zone=zone, born=engine.born)
+
+    async def _engine_rests(self) -> None:
+        name = self._random.choice(sorted(self._site.engines))
+        engine = self._site.engines[name]
+        engine.rest_s = self._random.choice(("0.5", "2.0", "-1", "soon", "1e9"))
+        self._note(f"engine {name} refuses, rest {engine.rest_s}")
+        engine.script = ["rest"]
+        await asyncio.sleep(self._random.uniform(0.2, 1.0))
+        engine.script = ["ok"]
+
+    async def _engine_endless(self) -> None:
+        name = self._random.choice(sorted(self._site.engines))
+        engine = self._site.engines[name]
+        engine.endless = self._random.choice(ENDLESS)
+        self._note(f"engine {name} sends {engine.endless} without end")
+        await asyncio.sleep(self._random.uniform(0.2, 1.5))
+        engine.endless = ""
+
     async def _configure(self) -> None:
         self._version += 1
         self._note(f"configuration {self._version}")
