Ask enough orders that one of two engines is met by chance

Traced: it asked 8 orders of two equally loaded engines and wanted 3 at one of them, which chance denies one time in seven; alone and without load it failed 1 of 12 times.

The wanted count is as before.

--- a/features/steps/trouble.py
+++ b/features/steps/trouble.py
@@ -103,7 +103,14 @@
 def start_again(context, name):
     engine(context, name).script = ["ok"]
     context.site.register(name, service="plain", born=2)
-    run(context, asyncio.sleep(0.9))
+
+    async def wait():
+        hosts, until = context.site.daemons[0].directory.hosts, time.monotonic() + 5
+        while hosts[name].born != 2:
+            assert time.monotonic() < until, "its new registration was not read"
+            await asyncio.sleep(0.02)
+
+    run(context, wait())
 
 
 @given("the plain engine {name} will refuse and ask for {seconds:g} s of rest")
--- a/features/trouble.feature
+++ b/features/trouble.feature
@@ -41,7 +41,7 @@
     And the plain engine p0 will say that it leaves with success
     When 8 orders are placed one after the other
     And the plain engine p0 starts again under its id
-    And 8 orders are placed one after the other
+    And 24 orders are placed one after the other
     Then the plain engine p0 has got at least 3 of them
 
   Scenario: An upstream that asks for rest gets nothing until its end
