Go on with beats after the daemon at which the last turn ended

Cause: each turn began at a multiple of the tick, so where a daemon has 27, 54, 81, ... far daemons only a third of them ever got its beats: duty, suspects and leaving upstreams were not told to the others. Ruled out: random starts, which leave a daemon out for long by chance. Change: beats/turns.py keeps where the last turn ended; Seat has a module of its own. Before: with the old arithmetic the new scenario fails for dozens of sizes, some with no beat in three rounds; after: at least 2 for each of 2 to 400 daemons.

--- a/auburnproxy/beats/__init__.py
+++ b/auburnproxy/beats/__init__.py
@@ -2,5 +2,6 @@
 
 from .beat import Beat
 from .circle import Circle
+from .seat import Seat
 
-__all__ = ["Beat", "Circle"]
+__all__ = ["Beat", "Circle", "Seat"]
--- a/auburnproxy/beats/circle.py
+++ b/auburnproxy/beats/circle.py
@@ -5,7 +5,7 @@
 import asyncio
 from collections import defaultdict
 from collections.abc import Callable, Collection, Mapping, Sequence, Set
-from typing import NamedTuple, cast
+from typing import cast
 
 import msgspec
 
@@ -18,7 +18,9 @@
 from ..telemetry.decisions import Decisions
 from .beat import Beat, pack, unpack
 from .roll import Roll
+from .seat import Seat
 from .tally import Tally
+from .turns import Turns
 
 TICK_S = 0.1
 """Seconds between two beats to daemons of the own failure domain."""
@@ -46,18 +48,6 @@
 """Ticks between two looks for upstreams that nobody hears any more."""
 
 
-class Seat(NamedTuple):
-    """Where a daemon listens for beats, as it has recorded."""
-
-    address: str
-    """IP number and port."""
-    failure_domain: str
-    internal: str
-    """IP number and port of its listener for peers."""
-    strong: bool = True
-    """Whether its host has a whole core to itself."""
-
-
 class Circle(asyncio.DatagramProtocol):
     """Sends beats to the recorded daemons and keeps theirs.
 
@@ -93,8 +83,8 @@
         self.names_by_domain: defaultdict[str, set[str]] = defaultdict(set)
         """The recorded daemons of each failure domain, this one included."""
         self._seats: dict[str, Seat] = {}
-        self._near: dict[str, Seat] = {}
-        self._far: dict[str, Seat] = {}
+        self._near = Turns()
+        self._far = Turns()
         self._beat_by_name: dict[str, Beat] = {}
         self._present = {near: Roll() for near in (True, False)}
         self._counted = {near: Roll() for near in (True, False)}
@@ -157,7 +147,7 @@
         :param reaches: whether the store answered this daemon's last reading
         """
         if loop_time() < self._trusts_until:
-            unheard = self._near.keys() - self._present[True].names
+            unheard = self._near.seats.keys() - self._present[True].names
             return self._leads(rank_names("reader", self._able() | unheard))
         if self._readers is None:
             self._readers = rank_names("reader", self._able())
@@ -218,16 +208,19 @@
         transport, _ = await loop.create_datagram_endpoint(
             lambda: self, local_addr=(host, int(port))
         )
-        self._transport = transport
         try:
             while True:
                 self.tick()
-                self._send_beats()
+                self.send_beats()
                 await asyncio.sleep(TICK_S)
         finally:
             self._transport = None
             transport.close()
 
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Take the socket that beats go out by."""
+        self._transport = cast(asyncio.DatagramTransport, transport)
+
     def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
         """Take a beat."""
         try:
@@ -241,7 +234,7 @@
     def hear(self, beat: Beat) -> None:
         """Take what another daemon says of itself."""
         now, name = loop_time(), beat.name
-        near = name in self._near
+        near = name in self._near.seats
         before = self._beat_by_name.get(name)
         self._beat_by_name[name] = beat
         self.served |= beat.served
@@ -287,17 +280,13 @@
         """Log a datagram that the network gave back."""
         self._decisions.belief("beat_unsent", reason=repr(exc))
 
-    def _send_beats(self) -> None:
+    def send_beats(self) -> None:
         """Send to a few daemons in turn, near ones more often."""
         data = pack(self._say())
-        self._send(data, list(self._near.values()), int(NEAR_BEATS_PER_S * TICK_S))
+        self._send_to(data, self._near.next(int(NEAR_BEATS_PER_S * TICK_S)))
         if self._turn % FAR_TICKS == 0:
-            far = list(self._far.values())
-            self._send(data, far, int(FAR_BEATS_PER_S * TICK_S * FAR_TICKS))
-
-    def _send(self, data: bytes, seats: list[Seat], most: int) -> None:
-        start = self._turn * most % len(seats) if len(seats) > most else 0
-        self._send_to(data, (seats[start:] + seats[:start])[:most])
+            most = int(FAR_BEATS_PER_S * TICK_S * FAR_TICKS)
+            self._send_to(data, self._far.next(most))
 
     def _send_to(self, data: bytes, seats: Sequence[Seat]) -> None:
         for seat in seats:
@@ -313,14 +302,12 @@
             self.names_by_domain[before.failure_domain].discard(name)
         if seat is not None:
             self.names_by_domain[seat.failure_domain].add(name)
-        self._near.pop(name, None)
-        self._far.pop(name, None)
+        self._near.drop(name)
+        self._far.drop(name)
         if seat is not None and name != self._name:
             near = seat.failure_domain == self._seat.failure_domain
-            (self._near if near else self._far)[name] = seat
+            (self._near if near else self._far).put(name, seat)
             self._move(name, near=near)
-            self._near = dict(sorted(self._near.items()))
-            self._far = dict(sorted(self._far.items()))
         self._readers = None
         self._set_intervals()
 
@@ -333,7 +320,7 @@
 
     def _set_intervals(self) -> None:
         """Work out how often the others' turns bring their beats here."""
-        turn_s = len(self._near) / NEAR_BEATS_PER_S
+        turn_s = len(self._near.seats) / NEAR_BEATS_PER_S
         self.near_interval_s = max(TICK_S, turn_s)
         own = self._seat.failure_domain
         domains = self.names_by_domain.items()
--- a/auburnproxy/daemon/routed.py
+++ b/auburnproxy/daemon/routed.py
@@ -10,8 +10,7 @@
 from aiohttp import ClientTimeout, web
 
 from .. import __version__
-from ..beats import Beat, Circle
-from ..beats.circle import Seat
+from ..beats import Beat, Circle, Seat
 from ..clock import loop_time
 from ..errors import AuburnError, DocumentError, PlatformError
 from ..formation import Conductor, Register
--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -15,9 +15,9 @@
 
 import msgspec
 
-from auburnproxy.beats import Beat, Circle
+from auburnproxy.beats import Beat, Circle, Seat
 from auburnproxy.beats.beat import pack
-from auburnproxy.beats.circle import FAR_BEATS_PER_S, NEAR_BEATS_PER_S, Seat
+from auburnproxy.beats.circle import FAR_BEATS_PER_S, NEAR_BEATS_PER_S
 from auburnproxy.gateway.choice import Choice
 from auburnproxy.gateway.directory import Directory
 from auburnproxy.gateway.health import Health, Work
--- a/features/readers.feature
+++ b/features/readers.feature
@@ -99,3 +99,7 @@
     Given 39 daemons of one failure domain that have just recorded where they listen
     Then 2 of them are to read the store
     And all of them are 5 s later if they still hear nobody
+
+  Scenario: Every daemon gets beats, however many there are (turns in step with the count)
+    When a daemon among each number of daemons up to 400 has sent for 3 rounds
+    Then each of the others has got at least 2 beats
--- a/features/steps/readers.py
+++ b/features/steps/readers.py
@@ -2,14 +2,20 @@
 
 import asyncio
 import random
+from collections import Counter
 
 import async_solipsism
 import msgspec
 from behave import given, then, when
 
-from auburnproxy.beats import Beat, Circle
+from auburnproxy.beats import Beat, Circle, Seat
 from auburnproxy.beats.beat import pack as pack_beat
-from auburnproxy.beats.circle import FAR_BEATS_PER_S, NEAR_BEATS_PER_S, Seat
+from auburnproxy.beats.circle import (
+    FAR_BEATS_PER_S,
+    FAR_TICKS,
+    NEAR_BEATS_PER_S,
+    TICK_S,
+)
 from auburnproxy.gateway.health import Work
 from auburnproxy.store import Change, Follower, Peers, Relay
 from auburnproxy.store.relay import pack, unpack
@@ -323,7 +329,7 @@
 def make_circle(context, count):
     context.loop = async_solipsism.EventLoop()
     context.add_cleanup(context.loop.close)
-    seats = {f"d{i}": Seat(f"d{i}", f"fd{i % 3}", f"d{i}") for i in range(count)}
+    seats = {f"d{i}": Seat(f"d{i}:1", f"fd{i % 3}", f"d{i}") for i in range(count)}
     context.others = {name: seat for name, seat in seats.items() if name != "d0"}
 
     async def make():
@@ -494,3 +500,40 @@
 @then("all of them are {seconds:d} s later if they still hear nobody")
 def compare_alone(context, seconds):
     assert count_readers(context, seconds) == len(context.circles)
+
+
+class CountingTransport:
+    """Counts the beats that go out to each address."""
+
+    def __init__(self):
+        self.sent = Counter()
+
+    def sendto(self, data, address):
+        self.sent[address] += 1
+
+
+@when("a daemon among each number of daemons up to 400 has sent for 3 rounds")
+def send_rounds(context):
+    context.passed_over = []
+    for count in range(2, 401):
+        make_circle(context, count)
+        transport = CountingTransport()
+        context.circle.connection_made(transport)
+        far = sum(s.failure_domain != "fd0" for s in context.others.values())
+        round_ticks = FAR_TICKS * -(-far // int(FAR_BEATS_PER_S * TICK_S * FAR_TICKS))
+        ticks = 3 * max(round_ticks, 1)
+        context.loop.run_until_complete(send_for(context.circle, ticks))
+        least = min(transport.sent[name, 1] for name in context.others)
+        if least < 2:
+            context.passed_over.append((count, least))
+
+
+async def send_for(circle, ticks):
+    for _ in range(ticks):
+        circle.tick()
+        circle.send_beats()
+
+
+@then("each of the others has got at least 2 beats")
+def compare_passed_over(context):
+    assert not context.passed_over, context.passed_over
