Add up late and failed requests over the logs of all daemons

Change: that line names load, prompt tokens and objectives; auburnctl summary tells streams by replica and head, and late ones and failures by cause for every 2 s. Cut and mixed logs are read as far as they go, and what is missing is counted.

--- a/auburnproxy/ctl/main.py
+++ b/auburnproxy/ctl/main.py
@@ -22,7 +22,8 @@
 from .difference import differences
 from .exits import EXIT_BY_VERDICT, Exit
 from .settings import read_settings, read_text
-from .story import read_lines, story
+from .story import Reading, read_lines, story
+from .summary import summarize
 
 SETTINGS = Path("auburnctl.yaml")
 WAIT_S = 8.0
@@ -288,10 +289,7 @@
     :param files: logs of the daemons; standard input without any
     :param json: print JSON
     """
-    texts: list[str] = []
-    for path in files:
-        texts += read_text(path).splitlines()
-    reading = read_lines(texts if files else sys.stdin)
+    reading = _read_logs(files)
     steps = story(reading.lines, request_id)
     if json:
         _print_json({"steps": steps, "unreadable": reading.unreadable})
@@ -300,6 +298,31 @@
     return Exit.DONE if steps else Exit.UNNAMED
 
 
+def summary(*files: Path, json: bool = False) -> Exit:
+    """Print which requests were late or failed, by replica and by time.
+
+    Exits with 0 if the logs have lines of daemons, 2 if a file cannot be read and 10
+    if no line is one.
+
+    :param files: logs of the daemons; standard input without any
+    :param json: print JSON
+    """
+    reading = _read_logs(files)
+    found = summarize(reading)
+    if json:
+        _print_json(found)
+    else:
+        tables.print_summary(Console(), found)
+    return Exit.DONE if reading.lines else Exit.UNNAMED
+
+
+def _read_logs(files: Sequence[Path]) -> Reading:
+    texts: list[str] = []
+    for path in files:
+        texts += read_text(path).splitlines()
+    return read_lines(texts if files else sys.stdin)
+
+
 COMMANDS: list[Callable[..., Exit]] = [
     check,
     apply,
@@ -311,6 +334,7 @@
     report,
     digest,
     explain,
+    summary,
 ]
 
 
--- a/auburnproxy/ctl/tables.py
+++ b/auburnproxy/ctl/tables.py
@@ -10,6 +10,7 @@
 
 from .difference import Difference
 from .story import Reading, Step, told
+from .summary import Summary
 
 
 def _table(title: str, columns: Iterable[str], rows: Iterable[Iterable[Any]]) -> Table:
@@ -161,3 +162,23 @@
         print(f"{decision['at']:.3f} {decision['host']}: {told(decision)}")
     if reading.unreadable:
         print(f"{reading.unreadable} lines could not be read")
+
+
+def print_summary(console: Console, summary: Summary) -> None:
+    """Print late and failed requests by replica and by time."""
+    columns = ("model", "replica", "head", "streams", "first late", "pause late")
+    rows = [tuple(row.values()) for row in summary["replicas"]]
+    console.print(_table("replicas", (*columns, "several tries"), rows))
+    spans = [
+        (
+            f"{row['at']:.0f}",
+            row["streams"],
+            row["late"],
+            ", ".join(f"{what}: {n}" for what, n in sorted(row["failures"].items())),
+        )
+        for row in summary["spans"]
+    ]
+    console.print(_table("seconds", ("from", "streams", "late", "failures"), spans))
+    console.print(f"{summary['left_out']} lines were left out by the daemons")
+    if summary["unreadable"]:
+        console.print(f"{summary['unreadable']} lines could not be read")
--- a/auburnproxy/gateway/streams.py
+++ b/auburnproxy/gateway/streams.py
@@ -107,6 +107,8 @@
         self._parts = parts
         self._call = call
         self._resends = resends
+        self._load = 0
+        """Requests at the head when it was chosen last."""
         self._response: web.StreamResponse | None = None
         self._last_id = call.ask.resume_after
         self._heard = False
@@ -137,7 +139,7 @@
                     await asyncio.sleep(REPLICA_WAIT_S)
                     continue
                 self._give_up(refusal.code, refusal.retry_after_s, refusal.inputs)
-            self._note_try()
+            self._note_try(replica)
             try:
                 response = await self._try(replica)
                 self._log_end(replica)
@@ -147,8 +149,9 @@
                 if not await self._may_go_on(replica, error):
                     self._give_up(error.code, None, {})
 
-    def _note_try(self) -> None:
+    def _note_try(self, replica: ServingReplica) -> None:
         call, telemetry = self._call, self._parts.telemetry
+        self._load = self._parts.choice.load(replica.head)
         if not self._tries:
             waited_s = loop_time() - call.arrived
             telemetry.observe(Measure.QUEUE_WAIT, call.account, call.service, waited_s)
@@ -407,8 +410,12 @@
             upstream=replica.head.id,
             replica=replica.name,
             tries=self._tries,
+            load=self._load,
+            prompt_tokens=self._call.ask.prompt_tokens,
             first_s=round(self._first_at - self._call.arrived, 3),
+            objective_s=self._call.route.objective_s,
             longest_pause_s=round(self._longest_pause_s, 3),
+            pause_objective_s=self._call.route.pause_objective_s,
         )
 
     def _log(self, replica: ServingReplica, error: TryError) -> None:
--- a/features/ctl.feature
+++ b/features/ctl.feature
@@ -48,3 +48,16 @@
     Given logs of two daemons that both had request q1
     When an operator runs auburnctl explain q7 on both
     Then it ends with exit code 10
+
+  Scenario: Late and failed requests are added up over the logs of two daemons
+    Given logs of two daemons that both have late streams
+    When an operator runs auburnctl summary on both
+    Then it ends with exit code 0
+    And replica r7 of model large has 3 streams, 1 begun late and 1 with a long pause
+    And the 2 s from 10 have 2 streams, 1 late, and 1 refusal for want of a slot
+    And 4 lines were left out and 2 could not be read
+
+  Scenario: A summary of logs that have no line of a daemon
+    Given logs of two daemons that both have no line
+    When an operator runs auburnctl summary on both
+    Then it ends with exit code 10
--- a/features/steps/decisions.py
+++ b/features/steps/decisions.py
@@ -7,6 +7,7 @@
 import time
 from pathlib import Path
 
+import msgspec
 from behave import given, then, when
 
 from auburnproxy.ctl.main import run as run_ctl
@@ -188,12 +189,73 @@
 )
 
 
+LATE_LOGS = (
+    """{"at": 1, "host": "a", "kind": "replica_recorded", \
+"replica": "r7", "model": "large"}
+{"at": 10.1, "host": "a", "kind": "streamed", "replica": "r7", "upstream": "u1", \
+"first_s": 0.6, "objective_s": 0.5, "longest_pause_s": 0.4, "pause_objective_s": 0.3}
+{"at": 10.2, "host": "a", "kind": "refused", "code": "no_slot", "omitted": 4}
+{"at": 11.9, "host": "a", "kind": "streamed", "replica": "r7", "upstream": "u1", \
+"first_s": 0.2, "objective_s": 0.5, "longest_pause_s": 0.3, "pause_objective_s": 0.3}
+cut off {"at": 12.0, "host"
+""",
+    """{"at": 12.5, "host": "b", "kind": "streamed", \
+"replica": "r7", "upstream": "u1", "first_s": 0.2, "objective_s": 0.5, \
+"longest_pause_s": 0.4, "pause_objective_s": 0.3}
+{"at": 12.6, "host": "b", "kind": "streamed", "replica": "r9"}
+no JSON
+""",
+)
+
+
+@given("logs of two daemons that both have late streams")
+def write_late_logs(context):
+    write_logs(context, LATE_LOGS)
+
+
+@given("logs of two daemons that both have no line")
+def write_no_logs(context):
+    write_logs(context, ("", "no JSON"))
+
+
+@when("an operator runs auburnctl summary on both")
+def summarize(context):
+    import contextlib
+    import io
+
+    out = io.StringIO()
+    with contextlib.redirect_stdout(out):
+        context.exit = run_ctl(["summary", *context.files, "--json"])
+    context.summary = msgspec.json.decode(out.getvalue())
+
+
+@then("replica r7 of model large has 3 streams, 1 begun late and 1 with a long pause")
+def compare_replica_row(context):
+    first, second = context.summary["replicas"]
+    wanted = {"model": "large", "replica": "r7", "upstream": "u1", "streams": 3}
+    wanted |= {"first_late": 1, "pause_late": 1, "several_tries": 0}
+    assert first == wanted, first
+    assert second["replica"] == "r9" and second["streams"] == 1, second
+
+
+@then("the 2 s from 10 have 2 streams, 1 late, and 1 refusal for want of a slot")
+def compare_span(context):
+    wanted = {"at": 10, "streams": 2, "late": 1, "failures": {"refused no_slot": 1}}
+    assert context.summary["spans"][0] == wanted, context.summary["spans"]
+
+
+@then("{count:d} lines were left out and {unreadable:d} could not be read")
+def compare_left_out(context, count, unreadable):
+    found = context.summary["left_out"], context.summary["unreadable"]
+    assert found == (count, unreadable), found
+
+
 @given("logs of two daemons that both had request q1")
-def write_logs(context):
+def write_logs(context, texts=LOGS):
     context.folder = tempfile.TemporaryDirectory()
     context.add_cleanup(context.folder.cleanup)
     context.files = []
-    for number, text in enumerate(LOGS):
+    for number, text in enumerate(texts):
         path = Path(context.folder.name) / f"{number}.log"
         path.write_text(text)
         context.files.append(str(path))
