Round the parts of a fabric domain that serves two models over all failure domains

Hypothesis: the model with more hosts in a replica is short, since each part of a fabric domain was rounded down: with a share of 0.67 of 48 hosts it got 24, the other 24. Change: parts are rounded to the nearest replica, and what rounding takes is made up for in the next failure domain: 8 and 7 replicas in place of 6 and 12. The check of orders is unchanged.

--- a/auburnproxy/formation/layout.py
+++ b/auburnproxy/formation/layout.py
@@ -11,6 +11,7 @@
 
 from collections import Counter
 from collections.abc import Mapping, Sequence
+from math import ceil
 from typing import NamedTuple
 
 from ..gateway.host import Host
@@ -62,7 +63,9 @@
 
     A failure domain's fabric domains are divided between the models by share, as
     few of them as can be serving two. So the survivors of lost replicas and the
-    spares of one fabric domain hold the same weights and complete each other.
+    spares of one fabric domain hold the same weights and complete each other. Where
+    one serves two models its parts are no whole replicas; what rounding takes from a
+    model there is made up for in the next failure domain (error diffusion).
 
     :param domains: the fabric domains of all failure domains
     :param engine: the models
@@ -71,10 +74,11 @@
     for domain in domains:
         by_failure_domain.setdefault(domain.failure_domain, []).append(domain)
     found: dict[str, dict[str, int]] = {}
+    owed = dict.fromkeys((model.name for model in engine.models), 0.0)
     for near in by_failure_domain.values():
         for index, domain in enumerate(near):
             shares = _shares(index / len(near), (index + 1) / len(near), engine)
-            found[domain.name] = _targets(domain.size, shares, engine)
+            found[domain.name] = _targets(domain.size, shares, engine, owed)
     return found
 
 
@@ -91,24 +95,39 @@
 
 
 def _targets(
-    size: int, shares: Mapping[str, float], engine: EngineSpec
+    size: int,
+    shares: Mapping[str, float],
+    engine: EngineSpec,
+    owed: dict[str, float],
 ) -> dict[str, int]:
     """Return the replicas of one fabric domain.
 
     The model with the most hosts in a replica comes first, since the small ones
     fill what is left.
+
+    :param owed: hosts that rounding has taken from each model so far, or given it if
+        negative; kept up
     """
     left = size
     wanted: dict[str, int] = {}
     for model in sorted(engine.models, key=lambda model: -model.hosts):
-        part = min(size * shares[model.name], left)
-        wanted[model.name] = int(part // model.hosts)
+        shared = 0 < shares[model.name] < 1
+        part = size * shares[model.name] + (owed[model.name] if shared else 0.0)
+        count = max(_rounded(part / model.hosts) if shared else part // model.hosts, 0)
+        wanted[model.name] = int(min(count, left // model.hosts))
         left -= wanted[model.name] * model.hosts
+        if shared:
+            owed[model.name] = part - wanted[model.name] * model.hosts
     if not any(wanted.values()):
         _serve_something(size, shares, engine, wanted)
     return wanted
 
 
+def _rounded(part: float) -> int:
+    """Return the nearest whole number, the lower one of two."""
+    return ceil(part - 0.5)
+
+
 def _serve_something(
     size: int,
     shares: Mapping[str, float],
--- a/features/fakes/fleet.py
+++ b/features/fakes/fleet.py
@@ -110,6 +110,9 @@
             known = self.hosts[member.id]
             if known.part and known.part.epoch > formed.epoch:
                 return
+            if self._has(member.id, formed):
+                # A copy that comes late finds the state that it asks for.
+                return
             rank = formed.ids.index(member.id)
             self._members[formed.name, formed.epoch] = formed.ids
             joining = Part(formed.name, formed.epoch, rank, PartState.JOINING)
--- a/features/formation.feature
+++ b/features/formation.feature
@@ -11,6 +11,12 @@
     And the second is to have 2 large and 4 small replicas
     And the third is to have 0 large and 9 small replicas
 
+  Scenario: Parts that are no whole replicas add up over the failure domains (one model short, one idle)
+    Given 3 failure domains of 2 fabric domains of 8 hosts
+    And a share of 0.67 for the large model
+    Then 8 large and 7 small replicas are to be had
+    And each failure domain is to have replicas of both models
+
   Scenario Outline: A fabric domain that is too small for the shares serves what fits
     Given 1 fabric domain of <hosts> hosts
     Then the first is to have <large> large and <small> small replicas
--- a/features/steps/formation.py
+++ b/features/steps/formation.py
@@ -38,6 +38,39 @@
     context.domains = fabric_domains(found, {}, {})
 
 
+@given("{near:d} failure domains of {fabrics:d} fabric domains of {hosts:d} hosts")
+def lay_out_several(context, near, fabrics, hosts):
+    found = [
+        host(f"h{fd}-{fabric}-{n}", failure_domain=f"fd{fd}", fabric=f"f{fabric}")
+        for fd in range(near)
+        for fabric in range(fabrics)
+        for n in range(hosts)
+    ]
+    context.domains = fabric_domains(found, {}, {})
+
+
+@given("a share of {share:g} for the large model")
+def share_unequally(context, share):
+    large, small = ENGINE.models
+    models = large._replace(share=share), small._replace(share=1 - share)
+    context.targets = targets_by_domain(context.domains, ENGINE._replace(models=models))
+
+
+@then("{large:d} large and {small:d} small replicas are to be had")
+def compare_total(context, large, small):
+    total = sum(map(Counter, context.targets.values()), Counter())
+    assert total == {"large": large, "small": small}, context.targets
+
+
+@then("each failure domain is to have replicas of both models")
+def compare_spread(context):
+    found = {}
+    for domain in context.domains:
+        counts = found.setdefault(domain.failure_domain, Counter())
+        counts.update(context.targets[domain.name])
+    assert all(min(counts.values()) > 0 for counts in found.values()), found
+
+
 @then("the {place} is to have {large:d} large and {small:d} small replicas")
 def compare_targets(context, place, large, small):
     name = context.domains[PLACES[place]].name
