--- a/auburnproxy/beats/beat.py
+++ b/auburnproxy/beats/beat.py
@@ -32,6 +32,10 @@
     """Heads of replicas that it is ending, if it is on duty."""
     leaving: list[Life] = []
     """Upstreams that told it in an answer that they leave."""
+    era: int = 0
+    """Newest era of the store that it knows of."""
+    carried_by_topic: dict[str, int] = {}
+    """How far it had read topics in the era before, where it has carried some over."""
 
 
 _decoder = msgspec.msgpack.Decoder(Beat)
--- a/auburnproxy/beats/circle.py
+++ b/auburnproxy/beats/circle.py
@@ -14,7 +14,7 @@
 from ..gateway.host import Life
 from ..growing_tuple import known_fields
 from ..rendezvous import rank_names
-from ..store import Change, Follower
+from ..store import Change, Follower, Progress
 from ..telemetry.decisions import Decisions
 from .beat import Beat, pack, unpack
 from .roll import Roll
@@ -74,6 +74,8 @@
         """Whether one of the others has served a request."""
         self.on_leaving: Callable[[Life], None] = lambda life: None
         """Called with each upstream that a beat says to be leaving."""
+        self.on_era: Callable[[int], None] = lambda era: None
+        """Called with each era of the store that a beat tells."""
         self.tally = Tally()
         """What the beats of the daemons that are not late tell of upstreams."""
         self._name = name
@@ -129,14 +131,14 @@
         return self._acting
 
     @property
-    def end_by_peer(self) -> Mapping[str, Mapping[str, int]]:
+    def progress_by_peer(self) -> Mapping[str, Progress]:
         """Return how far others have read each topic, by internal address.
 
         Those of the own failure domain are told of, if any is heard.
         """
         names = self._counted[True].names or self._counted[False].names
         return {
-            self._seats[name].internal: self._beat_by_name[name].end_by_topic
+            self._seats[name].internal: _progress(self._beat_by_name[name])
             for name in names
             if name in self._seats
         }
@@ -195,9 +197,12 @@
         if seats and self._transport is not None:
             self._send_to(pack(self._say()), seats)
 
-    def record(self) -> Change | None:
-        """Return the record of this daemon's seat, None if it stands already."""
-        if self._seats.get(self._name) == self._seat:
+    def record(self, *, again: bool = False) -> Change | None:
+        """Return the record of this daemon's seat, None if it stands already.
+
+        :param again: whether to return it all the same
+        """
+        if self._seats.get(self._name) == self._seat and not again:
             return None
         return Change(self._name, msgspec.json.encode(self._seat))
 
@@ -252,6 +257,7 @@
             self._domain_heard_at[seat.failure_domain] = now
         for life in beat.leaving:
             self.on_leaving(life)
+        self.on_era(beat.era)
 
     def tick(self) -> None:
         """Count the daemons no more that are late."""
@@ -340,3 +346,7 @@
             self._decisions.belief(
                 "record_unreadable", key=change.key, reason=str(error)
             )
+
+
+def _progress(beat: Beat) -> Progress:
+    return Progress(beat.end_by_topic, beat.era, beat.carried_by_topic)
--- a/auburnproxy/daemon/routed.py
+++ b/auburnproxy/daemon/routed.py
@@ -28,7 +28,7 @@
 from ..gateway.sender import Sender
 from ..gateway.streams import Streams
 from ..gateway.subsets import Subsets
-from ..store import Change, CountedStore, Follower, HttpPeers, Relay
+from ..store import Change, CountedStore, Follower, HttpPeers, Relay, Renewal
 from ..telemetry import Gauge, Reading, Telemetry
 from ..telemetry.decisions import Decisions, open_decisions
 from ..upstreams.client import open_session
@@ -101,6 +101,7 @@
             keep=False, timeout=ClientTimeout(sock_connect=CONNECT_TIMEOUT_S)
         )
         self._started_at = loop_time()
+        self._started = False
         self._patience_s = START_PATIENCE_S if settings.first_start else PATIENCE_S
         self._join_beliefs()
         self._join_formation()
@@ -120,6 +121,7 @@
             wait_s=OPERATORS_WAIT_PART * settings.apply_s,
             reads=self._reads,
             patience_s=self._patience_s,
+            outranks=self._outranks,
         )
         self._upstreams = Follower(
             self._store,
@@ -129,6 +131,7 @@
             reads=self._reads,
             essence=self._deployment.essence,
             patience_s=self._patience_s,
+            renewal=Renewal.LAPSED,
         )
         self._operators.on_change = self._take_operator
         self._upstreams.on_change = self._take_upstream
@@ -168,6 +171,10 @@
             trust_s=self._patience_s,
         )
         self.circle.on_leaving = partial(self.directory.note_leaving, told_by="daemon")
+        era = self._store.era
+        era.note = decisions.belief
+        era.on_change += [self.circle.tell_everyone, self._take_seat_anew]
+        self.circle.on_era = partial(era.learn, told_by="daemon")
 
     def _join_formation(self) -> None:
         settings, decisions = self.settings, self.decisions
@@ -179,6 +186,7 @@
             reads=self._reads,
             pause_s=lambda: REPLICAS_PAUSE_S,
             patience_s=self._patience_s,
+            renewal=Renewal.REPLACED,
         )
         self.register = Register(self._store, decisions, replicas)
         topics = {
@@ -265,6 +273,8 @@
 
     def _readings(self) -> Iterator[Reading]:
         yield Reading(Gauge.DAEMONS, len(self.circle.present))
+        yield Reading(Gauge.STORE_ERA, self._store.era.number)
+        yield Reading(Gauge.STORE_ERA_CHANGES, self._store.era.changes)
         now = loop_time()
         for topic, follower in self.relay.followers.items():
             if follower.whole:
@@ -295,6 +305,7 @@
         ):
             self.tasks.spawn(name, work)
         self._seat_taking = asyncio.create_task(self._take_seat())
+        self._started = True
         loop = asyncio.get_running_loop()
         loop.add_signal_handler(signal.SIGHUP, self.reload)
 
@@ -372,14 +383,24 @@
         error = repr(task.exception())
         self.decisions.belief("task_failed", task=task.get_name(), error=error)
 
-    async def _take_seat(self) -> None:
-        """Record where this daemon listens for beats."""
-        if not self.settings.first_start:
+    def _take_seat_anew(self) -> None:
+        """Record this daemon's seat again, which the store may have lost."""
+        if self._started:
+            self._seat_taking.cancel()
+            self._seat_taking = asyncio.create_task(self._take_seat(again=True))
+
+    async def _take_seat(self, *, again: bool = False) -> None:
+        """Record where this daemon listens for beats.
+
+        :param again: whether to record it though it is known
+        """
+        if not self.settings.first_start and not again:
             await self._seats.changed.wait(LONG_WAIT_S)
-        while (record := self.circle.record()) is not None:
+        while (record := self.circle.record(again=again)) is not None:
             pause_s = RECORD_REPEAT_S
             try:
                 await self._store.append(DAEMONS_TOPIC, [record])
+                again = False
             except PlatformError as error:
                 self.decisions.belief("seat_not_recorded", reason=str(error))
                 pause_s = RECORD_RETRY_S
@@ -392,7 +413,7 @@
 
     async def _relay_records(self) -> None:
         while True:
-            self.relay.step(self.circle.end_by_peer)
+            self.relay.step(self.circle.progress_by_peer)
             await asyncio.sleep(RELAY_S)
 
     async def _expire(self) -> None:
@@ -459,8 +480,21 @@
             list(self.health.suspects),
             list(self.conductor.retiring_heads),
             list(self.directory.told_leaving),
+            self._store.era.number,
+            self.relay.carried_by_topic,
         )
 
+    def _outranks(self, known: Change, other: Change) -> bool:
+        """Return whether an operators' record is newer than another of its key."""
+        versions = []
+        for change in (known, other):
+            try:
+                said = self._deployment.read_operator(change)
+            except PlatformError:
+                return False
+            versions.append(said.version if isinstance(said, Configuration) else 0)
+        return versions[0] > versions[1]
+
     def _take_operator(self, change: Change) -> None:
         try:
             said = self._deployment.read_operator(change)
--- a/auburnproxy/external/client.py
+++ b/auburnproxy/external/client.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Mapping
+from types import MappingProxyType
 from typing import NamedTuple
 
 from aiohttp import (
@@ -30,6 +31,7 @@
 
     status: int
     body: bytes
+    headers: Mapping[str, str] = MappingProxyType({})
 
 
 class LostAnswerError(PlatformError):
@@ -125,7 +127,7 @@
                 data=body,
             ) as response:
                 body = await read_body(response, most_bytes=self._most_bytes)
-                return Answer(response.status, body)
+                return Answer(response.status, body, response.headers)
         except (ClientConnectorError, ConnectionTimeoutError) as error:
             raise PlatformError(f"{url}: {error}") from error
         except (TimeoutError, ClientError, OSError) as error:
--- a/auburnproxy/formation/conductor.py
+++ b/auburnproxy/formation/conductor.py
@@ -51,7 +51,8 @@
 
     hosts: int
     """Changes of what is believed of hosts."""
-    register_end: int
+    register_end: tuple[int, int]
+    """Era and end of the register."""
     lost: frozenset[Life]
     staging: frozenset[str]
     ended: frozenset[str]
@@ -107,6 +108,9 @@
         self._probes = Probes(
             directory, orders, decisions, heard_at=heard_at, lists=lists
         )
+        self._refused: set[str] = set()
+        """Replicas of an earlier era that a member would not join: it has seen a later
+        one, whose record the store has lost."""
         self._tasks: set[asyncio.Task[None]] = set()
         self._planned_for: _Inputs | None = None
         """Inputs of the last plan, if it left nothing to be done."""
@@ -161,6 +165,7 @@
         loading = (model for model, _ in self._staging_by_host.values())
         self.census.take(spec, standings, loading)
         if self._register.follower.up and self._settled():
+            await self._register.refill()
             await self._record(service, spec, standings)
             self._leave_strays()
         self._order(spec, standings)
@@ -204,7 +209,9 @@
                     if member.id not in self._directory.hosts:
                         domain = formed.failure_domain
                         self._probes.ask(member, domain, "unregistered")
-            elif state in (Standing.LOST, Standing.LEAVING):
+            elif state in (Standing.LOST, Standing.LEAVING) or (
+                state is Standing.FORMING and formed.name in self._refused
+            ):
                 self.retirement.begin(
                     formed,
                     partial(self._others, formed),
@@ -212,6 +219,7 @@
                     gentle=state is Standing.LEAVING,
                 )
         self.retirement.keep(self._register.by_name)
+        self._refused.intersection_update(self._register.by_name)
 
     def _head_gone(self, formed: Formed) -> bool:
         """Return whether a head has ended, or no process of its replica is left."""
@@ -256,7 +264,7 @@
     def _inputs(self, ended: Sequence[Formed]) -> _Inputs:
         return _Inputs(
             hosts=self._directory.changes,
-            register_end=self._register.follower.end,
+            register_end=(self._register.follower.era, self._register.follower.end),
             lost=frozenset(self._probes.lost),
             staging=frozenset(self._staging_by_host),
             ended=frozenset(formed.name for formed in ended),
@@ -395,6 +403,8 @@
 
     async def _send_join(self, member: Member, formed: Formed) -> None:
         answer = await self._orders.join(member, formed)
+        if answer is Answer.REFUSED and formed.epoch < self._register.era_epoch:
+            self._refused.add(formed.name)
         self._note_answer(member.id, answer)
         self._log("join", member.id, formed.name, answer)
 
--- a/auburnproxy/formation/record.py
+++ b/auburnproxy/formation/record.py
@@ -42,7 +42,7 @@
 
     name: str
     epoch: int
-    """Offset of the record; a later replica always has a higher one."""
+    """Place of the record in its era of the store, above all places of earlier eras."""
     model: str
     fabric_domain: str
     """Failure domain and fabric domain, separated by a slash."""
--- a/auburnproxy/formation/register.py
+++ b/auburnproxy/formation/register.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Mapping, Sequence
+from collections.abc import Callable, Iterable, Mapping, Sequence
+from secrets import token_hex
 from types import MappingProxyType
 
+from ..clock import loop_time
 from ..errors import PlatformError
 from ..store import Change, Follower, Store
 from ..telemetry.decisions import Decisions
@@ -12,6 +14,12 @@
 from .record import Formed, decode, encode, member_of
 
 TOPIC = "replicas"
+ERA_EPOCHS = 1 << 32
+"""Epochs of one era of the store: offsets begin anew in each, and a host refuses a
+lower epoch than it has seen."""
+TOKEN_BYTES = 3
+SEED_WAIT_S = 1.0
+"""Seconds in a new era after which other daemons have told how far they had read."""
 DUTY_KEY = "duty"
 """Names the daemon that forms replicas at present."""
 REPLICA_PREFIX = "replica/"
@@ -22,19 +30,31 @@
 
     Every append names the end of the log that its writer has read up to, so of
     two writers one is told to read first. What a writer has checked against its
-    copy therefore holds at the moment of its append.
+    copy therefore holds at the moment of its append. Where the store has come back
+    from an older copy, the register goes on in a topic of the new era: the first
+    writer puts all that it knows into it, on condition that it is empty.
 
     :param store: the log service
     :param decisions: takes a line for each change
     :param follower: the local copy of the register's topic
+    :param token: returns what tells names apart that two histories give at one offset
     """
 
-    def __init__(self, store: Store, decisions: Decisions, follower: Follower) -> None:
+    def __init__(
+        self,
+        store: Store,
+        decisions: Decisions,
+        follower: Follower,
+        *,
+        token: Callable[[], str] = lambda: token_hex(TOKEN_BYTES),
+    ) -> None:
         self.follower = follower
         self._store = store
         self._decisions = decisions
         self._by_name: dict[str, Formed] = {}
         self._by_host: dict[str, Formed] = {}
+        self._token = token
+        self._vacant_since: float | None = None
         follower.on_change = self._take
 
     @property
@@ -73,9 +93,13 @@
         gone = list(dropped)
         free = {host for formed in gone for host in formed.ids}
         changes = [Change(REPLICA_PREFIX + formed.name, b"") for formed in gone]
+        if forms:
+            await self.refill()
         for form in forms:
-            epoch = self.follower.end + len(changes)
-            name = f"r{epoch}"
+            offset = self.follower.end + len(changes)
+            era = self.follower.era
+            name = f"r{era}-{offset}-{self._token()}" if era else f"r{offset}"
+            epoch = era * ERA_EPOCHS + offset
             members = tuple(map(member_of, form.hosts))
             formed = Formed(name, epoch, form.model, form.fabric_domain, members)
             taken = [m.id for m in members if m.id in self._by_host]
@@ -85,9 +109,47 @@
         if changes:
             await self._append(changes)
 
+    @property
+    def era_epoch(self) -> int:
+        """Return the least epoch of the current era."""
+        return self.follower.era * ERA_EPOCHS
+
+    async def refill(self) -> None:
+        """Put all that is known into the topic of a new era, if it is empty.
+
+        :raises PlatformError: if that has to wait, or it was not recorded
+        """
+        if not self.follower.vacant:
+            self._vacant_since = None
+            return
+        now = loop_time()
+        if self._vacant_since is None:
+            self._vacant_since = now
+        if now - self._vacant_since < SEED_WAIT_S:
+            raise PlatformError("others may know more of the era before")
+        known = [Change(c.key, c.value) for c in self.follower.by_key.values()]
+        await self._send(known)
+        self._decisions.belief(
+            "register_refilled", era=self.follower.era, records=len(known)
+        )
+
     async def _append(self, changes: list[Change]) -> None:
-        await self._store.append(TOPIC, changes, at=self.follower.end)
-        await self.follower.step(wait=False)
+        await self.refill()
+        await self._send(changes)
+
+    async def _send(self, changes: list[Change]) -> None:
+        """Append on condition that the log ends where it was read up to.
+
+        :raises PlatformError: if it was not recorded
+        """
+        follower = self.follower
+        if not follower.current:
+            raise PlatformError("the register is of an earlier era")
+        era = follower.era
+        await self._store.append(follower.topic, changes, at=follower.end)
+        if self._store.era.number != era:
+            raise PlatformError("the store has come back from an older copy")
+        await follower.step(wait=False)
 
     def _take(self, change: Change) -> None:
         if change.key == DUTY_KEY:
--- a/auburnproxy/platform/store.py
+++ b/auburnproxy/platform/store.py
@@ -3,15 +3,17 @@
 from __future__ import annotations
 
 import base64
-from collections.abc import Iterator, Sequence
+from collections.abc import Iterator, Mapping, Sequence
 from typing import Any
 
 import msgspec
 
 from ..errors import AppendUncertainError, PlatformError
 from ..external.client import Answer, Client, LostAnswerError
-from ..store import Change, ConflictError, ExpiredError, Newest, Page, Store
+from ..store import Change, ConflictError, Era, ExpiredError, Newest, Page, Store
 
+ERA = "Store-Era"
+"""Header that rises by one each time that the store comes back from an older copy."""
 KEYED = "keyed."
 """Prefix of the topics that keep the newest record of each key."""
 MS_PER_S = 1000
@@ -49,10 +51,16 @@
     """
 
     def __init__(self, address: str) -> None:
+        self._era = Era()
         self._client = Client(
             f"http://{address}", silence_s=SILENCE_S, most_bytes=PAGE_BYTES
         )
 
+    @property
+    def era(self) -> Era:
+        """Return the era of the log, as its answers have told it so far."""
+        return self._era
+
     async def newest(self, topic: str) -> Newest:
         """Return the newest record of each key of a topic.
 
@@ -62,7 +70,7 @@
         params: dict[str, str | int] = {"topic": KEYED + topic, "part": 0}
         end: int | None = None
         while True:
-            answer = await self._client.send("GET", "/log-newest", params=params)
+            answer = await self._send("GET", "/log-newest", params=params)
             page = _decode(_checked(answer), _Items)
             end = page.end if end is None else end
             changes += [
@@ -87,9 +95,7 @@
         }
         if wait_s:
             params["wait-ms"] = round(wait_s * MS_PER_S)
-        answer = await self._client.send(
-            "GET", "/log-read", params=params, wait_s=wait_s
-        )
+        answer = await self._send("GET", "/log-read", params=params, wait_s=wait_s)
         if answer.status == GONE:
             raise ExpiredError(f"{topic} is not retained from {offset}")
         data = _checked(answer)
@@ -113,9 +119,7 @@
             params["at"] = at
         body = b"".join(map(_framed, changes))
         try:
-            answer = await self._client.send(
-                "POST", "/log-append", params=params, body=body
-            )
+            answer = await self._send("POST", "/log-append", params=params, body=body)
         except LostAnswerError as error:
             raise AppendUncertainError(str(error)) from error
         if answer.status == PRECONDITION:
@@ -127,6 +131,22 @@
         """Close every connection to the service."""
         await self._client.close()
 
+    async def _send(
+        self,
+        method: str,
+        path: str,
+        *,
+        params: Mapping[str, str | int],
+        body: bytes | None = None,
+        wait_s: float = 0.0,
+    ) -> Answer:
+        """Send a request and take the era that its answer tells."""
+        answer = await self._client.send(
+            method, path, params=params, body=body, wait_s=wait_s
+        )
+        self._era.read(answer.headers.get(ERA))
+        return answer
+
 
 def _checked(answer: Answer) -> bytes:
     if answer.status != OK:
--- a/auburnproxy/store/__init__.py
+++ b/auburnproxy/store/__init__.py
@@ -1,20 +1,25 @@
 """Shared state in a log of keyed records whose newest values are kept."""
 
 from .counted import CountedStore
-from .follower import Follower
-from .relay import HttpPeers, Peers, Relay
+from .era import Era
+from .follower import Follower, Renewal
+from .relay import HttpPeers, Peers, Place, Progress, Relay
 from .store import Change, ConflictError, ExpiredError, Newest, Page, Store
 
 __all__ = [
     "Change",
     "ConflictError",
     "CountedStore",
+    "Era",
     "ExpiredError",
     "Follower",
     "HttpPeers",
     "Newest",
     "Page",
     "Peers",
+    "Place",
+    "Progress",
     "Relay",
+    "Renewal",
     "Store",
 ]
--- a/auburnproxy/store/counted.py
+++ b/auburnproxy/store/counted.py
@@ -7,6 +7,7 @@
 
 from ..errors import PlatformError
 from ..telemetry import Counter, Telemetry
+from .era import Era
 from .store import Change, Newest, Page, Store
 
 _T = TypeVar("_T")
@@ -23,6 +24,11 @@
         self._store = store
         self._telemetry = telemetry
 
+    @property
+    def era(self) -> Era:
+        """Return the era of the log, as its answers have told it so far."""
+        return self._store.era
+
     async def newest(self, topic: str) -> Newest:
         """Return the newest record of each key of a topic.
 
--- a/auburnproxy/store/relay.py
+++ b/auburnproxy/store/relay.py
@@ -14,6 +14,7 @@
 from abc import ABC, abstractmethod
 from collections.abc import Mapping
 from random import Random
+from types import MappingProxyType
 from typing import NamedTuple
 
 import msgspec
@@ -24,7 +25,7 @@
 from ..errors import AuburnError, PeerError
 from ..telemetry.decisions import Decisions
 from ..upstreams.client import upstream_errors
-from .follower import Follower, Shared
+from .follower import CARRIED, Follower, Shared
 
 PATH = "/records/"
 BEHIND_S = 0.15
@@ -44,6 +45,24 @@
 COMPRESSION = 1
 """Level of zlib: fastest, and a configuration still shrinks to a tenth."""
 
+
+class Progress(NamedTuple):
+    """How far a peer has read the topics."""
+
+    end_by_topic: Mapping[str, int]
+    era: int = 0
+    """Era of the store that these ends are of."""
+    carried_by_topic: Mapping[str, int] = MappingProxyType({})
+    """Ends in the era before of the topics that it has carried over."""
+
+
+class Place(NamedTuple):
+    """How far a daemon that asks has read a topic."""
+
+    end: int
+    carried_end: int = CARRIED
+
+
 _decoder = msgspec.msgpack.Decoder(Shared)
 
 
@@ -71,8 +90,8 @@
     """Other daemons, asked for records."""
 
     @abstractmethod
-    async def fetch(self, address: str, topic: str, start: int) -> Shared:
-        """Return the changes of a topic from an offset on.
+    async def fetch(self, address: str, topic: str, place: Place) -> Shared:
+        """Return the changes of a topic from a place on.
 
         :param address: internal address of the peer
         :raises AuburnError: if it gives no answer that can be read
@@ -88,13 +107,14 @@
     def __init__(self, session: ClientSession) -> None:
         self._session = session
 
-    async def fetch(self, address: str, topic: str, start: int) -> Shared:
-        """Return the changes of a topic from an offset on.
+    async def fetch(self, address: str, topic: str, place: Place) -> Shared:
+        """Return the changes of a topic from a place on.
 
         :param address: internal address of the peer
         :raises AuburnError: if it gives no answer that can be read
         """
-        url = f"http://{address}{PATH}{topic}?from={start}"
+        query = f"from={place.end}&carried={place.carried_end}"
+        url = f"http://{address}{PATH}{topic}?{query}"
         timeout = ClientTimeout(total=FETCH_TIMEOUT_S)
         with upstream_errors(address):
             async with self._session.get(url, timeout=timeout) as response:
@@ -104,8 +124,10 @@
 class _Packed(NamedTuple):
     """The bytes sent last; peers that are as far behind get the same."""
 
-    start: int
-    end: int
+    place: Place
+    """Of who asked."""
+    end: tuple[int, int]
+    """Era and end of the own copy."""
     at: float
     """The loop's time in seconds."""
     data: bytes
@@ -144,7 +166,16 @@
     @property
     def end_by_topic(self) -> dict[str, int]:
         """Return how far this daemon has read each topic."""
-        return {name: f.end for name, f in self.followers.items() if f.whole}
+        return {name: f.end for name, f in self.followers.items() if f.current}
+
+    @property
+    def carried_by_topic(self) -> dict[str, int]:
+        """Return how far this daemon had read the topics that it has carried over."""
+        return {
+            name: follower.carried_end
+            for name, follower in self.followers.items()
+            if follower.current and follower.carried_end != CARRIED
+        }
 
     def application(self) -> web.Application:
         """Return what the listener for peers serves."""
@@ -152,24 +183,31 @@
         application.router.add_get(PATH + "{topic}", self._serve)
         return application
 
-    def step(self, end_by_peer: Mapping[str, Mapping[str, int]]) -> None:
+    def step(self, progress_by_peer: Mapping[str, Progress]) -> None:
         """Begin to fetch the topics that a peer has read further for a while.
 
-        :param end_by_peer: what each peer's beat told, by its internal address
+        :param progress_by_peer: what each peer's beat told, by its internal address
         """
         now = loop_time()
         for name, topic in self._topics.items():
             ahead = [
                 address
-                for address, ends in end_by_peer.items()
-                if ends.get(name, 0) > topic.follower.end
+                for address, progress in progress_by_peer.items()
+                if _ahead(progress, name, topic.follower)
             ]
             if not ahead:
                 topic.behind_since = None
                 continue
+            # The store has lost that, so no reading of the own will bring it.
+            carries_more = any(
+                _carries_more(progress_by_peer[address], name, topic.follower)
+                for address in ahead
+            )
             if topic.behind_since is None:
                 topic.behind_since = now
-            if now - topic.behind_since < BEHIND_S or not topic.follower.overdue:
+            if now - topic.behind_since < BEHIND_S:
+                continue
+            if not topic.follower.overdue and not carries_more:
                 continue
             others = [address for address in ahead if address not in topic.asked]
             if not others or len(topic.asked) >= MOST_FETCHES:
@@ -196,33 +234,67 @@
 
     async def _fetch(self, topic: str, follower: Follower, address: str) -> None:
         try:
-            shared = await self._peers.fetch(address, topic, follower.end)
+            shared = await self._peers.fetch(address, topic, _place(follower))
         except AuburnError as error:
             self._decisions.belief(
                 "relay_failed", topic=topic, peer=address, reason=repr(error)
             )
             return
-        before = follower.end
+        before = follower.era, follower.end
         follower.adopt(shared)
-        if follower.end > before:
+        if (follower.era, follower.end) > before:
             self._decisions.belief(
-                "relayed", topic=topic, peer=address, before=before, end=follower.end
+                "relayed",
+                topic=topic,
+                peer=address,
+                before=before[1],
+                end=follower.end,
+                era=follower.era,
             )
 
     async def _serve(self, http: web.Request) -> web.Response:
         topic = self._topics.get(http.match_info["topic"])
         if topic is None or not topic.follower.whole:
             return web.Response(status=404)
-        start = http.query.get("from", "")
-        offset = int(start) if start.isdigit() else -1
-        return web.Response(body=_packed(topic, offset))
+        end = _whole_number(http.query.get("from", ""))
+        carried_end = _whole_number(http.query.get("carried", ""))
+        return web.Response(body=_packed(topic, Place(end, carried_end)))
+
+
+def _whole_number(text: str) -> int:
+    return int(text) if text.isascii() and text.isdigit() else CARRIED
+
+
+def _place(follower: Follower) -> Place:
+    """Return the place from which changes are of use to a copy."""
+    if follower.current:
+        return Place(follower.end, follower.carried_end)
+    return Place(CARRIED)
+
+
+def _ahead(progress: Progress, topic: str, follower: Follower) -> bool:
+    """Return whether a peer knows more of a topic."""
+    end = progress.end_by_topic.get(topic)
+    if end is None or not follower.knows_era(progress.era):
+        return False
+    if not follower.current:
+        return True
+    return end > follower.end or _carries_more(progress, topic, follower)
+
+
+def _carries_more(progress: Progress, topic: str, follower: Follower) -> bool:
+    """Return whether a peer has carried more over from the era before."""
+    carried_end = progress.carried_by_topic.get(topic, CARRIED)
+    return follower.current and carried_end > follower.carried_end
 
 
-def _packed(topic: _Topic, start: int) -> bytes:
-    """Return what has changed since an offset, packed anew if that is due."""
-    now, known, end = loop_time(), topic.packed, topic.follower.end
-    fits = known and (known.start, known.end) == (start, end)
+def _packed(topic: _Topic, place: Place) -> bytes:
+    """Return what has changed since a place, packed anew if that is due."""
+    now, known, follower = loop_time(), topic.packed, topic.follower
+    end = follower.era, follower.end
+    fits = known and (known.place, known.end) == (place, end)
     if known is None or not fits or now - known.at > PACKED_S:
-        known = _Packed(start, end, now, pack(topic.follower.since(start)))
+        shared = follower.since(place.end, carried_end=place.carried_end)
+        known = _Packed(place, end, now, pack(shared))
         topic.packed = known
     return known.data
--- a/auburnproxy/store/store.py
+++ b/auburnproxy/store/store.py
@@ -7,6 +7,7 @@
 from typing import NamedTuple
 
 from ..errors import PlatformError
+from .era import Era
 
 
 class ConflictError(PlatformError):
@@ -57,6 +58,11 @@
 class Store(ABC):
     """A log service that keeps the newest record of each key for good."""
 
+    @property
+    @abstractmethod
+    def era(self) -> Era:
+        """Return the era of the log, as its answers have told it so far."""
+
     @abstractmethod
     async def newest(self, topic: str) -> Newest:
         """Return the newest record of each key of a topic.
--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -137,7 +137,7 @@
         site.circle.datagram_received(each, ("10.0.0.1", 1))
         if turn % max(len(data) // (10 * SECONDS), 1) == 0:
             site.circle.tick()
-            _ = site.circle.end_by_peer
+            _ = site.circle.progress_by_peer
             pack(site.circle._say())
             for _ in range(5):
                 site.circle.reads_store(reaches=True)
--- a/features/fakes/formation.py
+++ b/features/fakes/formation.py
@@ -7,15 +7,23 @@
 from auburnproxy.clock import loop_time
 from auburnproxy.formation import Conductor, Register
 from auburnproxy.gateway.directory import Directory
-from auburnproxy.store import Follower
+from auburnproxy.store import Follower, Renewal
 from features.fakes.fleet import FakeFleet, configuration
 from features.fakes.store import FakeTopics, StorePort, quiet
 
+READING_PAUSE_S = 0.4
+
 
 def register_of(topics):
     port = StorePort(topics)
-    follower = Follower(port, "replicas", quiet())
-    return Register(port, quiet(), follower)
+    follower = Follower(
+        port,
+        "replicas",
+        quiet(),
+        pause_s=lambda: READING_PAUSE_S,
+        renewal=Renewal.REPLACED,
+    )
+    return Register(port, quiet(), follower, token=topics.token)
 
 
 class FormationSite:
@@ -50,6 +58,8 @@
             await self.register.follower.step(wait=False)
         tasks = [asyncio.create_task(self.conductor.run())]
         tasks.append(asyncio.create_task(self.fleet.beat()))
+        if self.topics.era:
+            tasks.append(asyncio.create_task(self.register.follower.run()))
         await asyncio.sleep(seconds)
         for task in tasks:
             task.cancel()
--- a/features/fakes/platform.py
+++ b/features/fakes/platform.py
@@ -36,6 +36,8 @@
 
     def __init__(self) -> None:
         self.records_by_topic: dict[str, list[bytes]] = {}
+        self.era: str | None = None
+        """What its answers say of its era."""
         self.first = 0
         self.refuse: Callable[[web.Request], bool] = lambda request: False
         self.silent = False
@@ -44,11 +46,22 @@
 
     def app(self) -> web.Application:
         app = web.Application(client_max_size=2**24)
+        app.on_response_prepare.append(self._tell_era)
         app.router.add_get("/log-read", self._read)
         app.router.add_get("/log-newest", self._newest)
         app.router.add_post("/log-append", self._append)
         return app
 
+    async def _tell_era(self, request: web.Request, response) -> None:
+        if self.era is not None:
+            response.headers["Store-Era"] = self.era
+
+    def come_back_older(self, counts: dict[str, int]) -> None:
+        """Keep so many records of each topic and begin a new era."""
+        for topic, count in counts.items():
+            del self.records_by_topic.get(topic, [])[count:]
+        self.era = str(int(self.era or 0) + 1)
+
     def put(self, topic: str, key: str, value: object) -> None:
         text = b"" if value is None else json.dumps(value).encode()
         self._take(topic, [bytes([len(key)]) + key.encode() + text])
@@ -72,9 +85,9 @@
         if self.refuse(request):
             return web.Response(status=503)
         start = int(request.query["from"])
-        if start < self.first:
-            return web.json_response({"first": self.first}, status=410)
         topic = request.query["topic"]
+        if not self.first <= start <= len(self.records_by_topic.get(topic, [])):
+            return web.json_response({"first": self.first}, status=410)
         wait_s = int(request.query.get("wait-ms", 0)) / 1000
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(wait_s):
@@ -513,9 +526,12 @@
 
 
 @contextlib.asynccontextmanager
-async def running_site(folder: Path, *, engines: int = 2) -> AsyncIterator[Site]:
+async def running_site(
+    folder: Path, *, engines: int = 2, era: str | None = None
+) -> AsyncIterator[Site]:
     """Run a site with two of each kind of engine and a daemon that serves."""
     site = Site(folder)
+    site.store.era = era
     await site.start()
     site.store.put("keyed.op", "config", config())
     # The daemon of another site holds the duty, so that nothing is formed here.
--- a/features/fakes/store.py
+++ b/features/fakes/store.py
@@ -10,6 +10,7 @@
 from auburnproxy.store import (
     Change,
     ConflictError,
+    Era,
     ExpiredError,
     Newest,
     Page,
@@ -23,12 +24,36 @@
 
 
 class FakeTopics:
-    """The records of every topic; the oldest may expire, the newest of a key stay."""
+    """The records of every topic; the oldest may expire, the newest of a key stay.
 
-    def __init__(self) -> None:
+    :param era: what its answers tell of its era at first, 0 for nothing
+    """
+
+    def __init__(self, *, era: int = 0) -> None:
+        self.era = era
         self.records_by_topic: dict[str, list[Change]] = {}
         self.first_by_topic: dict[str, int] = {}
         self.appended = asyncio.Event()
+        self._topics_in_order: list[str] = []
+        self._tokens = 0
+
+    def token(self) -> str:
+        """Return a text that is given once."""
+        self._tokens += 1
+        return f"t{self._tokens}"
+
+    @property
+    def header(self) -> str | None:
+        """Return what an answer tells of the era."""
+        return str(self.era) if self.era else None
+
+    def come_back_older(self, lost: int) -> None:
+        """Lose the newest records of all topics together and begin a new era."""
+        for topic in self._topics_in_order[len(self._topics_in_order) - lost :]:
+            self.records(topic).pop()
+        del self._topics_in_order[len(self._topics_in_order) - lost :]
+        self.era += 1
+        self._wake()
 
     def records(self, topic: str) -> list[Change]:
         return self.records_by_topic.setdefault(topic, [])
@@ -37,9 +62,13 @@
         records = self.records(topic)
         for change in changes:
             records.append(change._replace(offset=len(records)))
+            self._topics_in_order.append(topic)
+        self._wake()
+        return len(records)
+
+    def _wake(self) -> None:
         turn, self.appended = self.appended, asyncio.Event()
         turn.set()
-        return len(records)
 
     def expire(self, topic: str) -> None:
         self.first_by_topic[topic] = len(self.records(topic))
@@ -61,6 +90,11 @@
         self.silent = False
         self.lose_answers = 0
         self.calls = 0
+        self._era = Era()
+
+    @property
+    def era(self) -> Era:
+        return self._era
 
     async def newest(self, topic: str) -> Newest:
         await self._travel()
@@ -68,15 +102,18 @@
 
     async def read(self, topic: str, offset: int, *, wait_s: float) -> Page:
         await self._travel()
-        if offset < self.topics.first_by_topic.get(topic, 0):
+        first, era = self.topics.first_by_topic.get(topic, 0), self.topics.era
+        if not first <= offset <= len(self.topics.records(topic)):
             raise ExpiredError(f"{topic} from {offset}")
         try:
             async with asyncio.timeout(wait_s):
-                while len(self.topics.records(topic)) <= offset:
+                while (
+                    self.topics.era == era and not self.topics.records(topic)[offset:]
+                ):
                     await self.topics.appended.wait()
         except TimeoutError:
             pass
-        if self.away:
+        if self.away or self.topics.era != era:
             raise PlatformError("away")
         found = tuple(self.topics.records(topic)[offset:])
         return Page(found, offset + len(found))
@@ -102,6 +139,7 @@
         await asyncio.sleep(SILENCE_S if self.silent else LATENCY_S)
         if self.away or self.silent:
             raise PlatformError("away")
+        self._era.read(self.topics.header)
 
 
 def quiet() -> Decisions:
--- /dev/null
+++ b/features/machines/eras.py
@@ -0,0 +1,136 @@
+"""Writers race on a store that comes back older; an oracle keeps all histories."""
+
+from __future__ import annotations
+
+import asyncio
+
+import async_solipsism
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    invariant,
+    rule,
+)
+
+from auburnproxy.errors import PlatformError
+from auburnproxy.formation.layout import Form
+from auburnproxy.formation.record import Formed, decode
+from auburnproxy.formation.register import REPLICA_PREFIX, TOPIC
+from auburnproxy.store import Follower
+from features.fakes.fleet import host
+from features.fakes.formation import register_of
+from features.fakes.store import FakeTopics
+
+HOSTS = 6
+WRITERS = 3
+
+
+class EraMachine(RuleBasedStateMachine):
+    """Three writers record and drop replicas of two hosts; histories are lost."""
+
+    @initialize()
+    def start(self) -> None:
+        self.loop = async_solipsism.EventLoop()
+        self.topics = FakeTopics(era=1)
+        self.registers = [register_of(self.topics) for _ in range(WRITERS)]
+        self.ever: dict[tuple[str, int], Formed] = {}
+        """Every replica that any history has recorded, by its name and epoch."""
+
+    def teardown(self) -> None:
+        if not hasattr(self, "loop"):
+            return
+        for register in self.registers:
+            register.follower._store.away = False
+        for _ in range(4):
+            for writer in range(WRITERS):
+                self.read(writer)
+                self.fill(writer)
+                self.pass_time()
+        known = [register.by_name for register in self.registers]
+        self.loop.close()
+        assert all(each == known[0] for each in known), known
+
+    @rule(
+        writer=st.integers(0, WRITERS - 1),
+        first=st.integers(0, HOSTS - 1),
+        second=st.integers(0, HOSTS - 1),
+        drop=st.booleans(),
+    )
+    def change(self, writer: int, first: int, second: int, drop: bool) -> None:
+        if first == second:
+            return
+        register = self.registers[writer]
+        dropped = [*register.by_name.values()][:1] if drop else []
+        form = Form("small", "fd1/f0", (host(f"h{first}"), host(f"h{second}")))
+        self._try(register.change([form], dropped=dropped))
+
+    @rule(lost=st.integers(0, 6))
+    def come_back_older(self, lost: int) -> None:
+        self.topics.come_back_older(lost)
+
+    @rule(writer=st.integers(0, WRITERS - 1))
+    def read(self, writer: int) -> None:
+        self._try(self.registers[writer].follower.step(wait=False))
+
+    @rule(writer=st.integers(0, WRITERS - 1))
+    def fill(self, writer: int) -> None:
+        self._try(self.registers[writer].refill())
+
+    @rule(writer=st.integers(0, WRITERS - 1), other=st.integers(0, WRITERS - 1))
+    def tell(self, writer: int, other: int) -> None:
+        """Let one daemon take what another knows, as the relay does."""
+        source, target = self.registers[writer].follower, self.registers[other].follower
+        if source is not target and source.current:
+            self.loop.run_until_complete(self.relay(source, target))
+
+    async def relay(self, source: Follower, target: Follower) -> None:
+        place = target.end if target.current else -1
+        target.adopt(source.since(place, carried_end=target.carried_end))
+
+    @rule(writer=st.integers(0, WRITERS - 1), away=st.booleans())
+    def cut(self, writer: int, away: bool) -> None:
+        self.registers[writer].follower._store.away = away
+
+    @rule(writer=st.integers(0, WRITERS - 1))
+    def lose_answer(self, writer: int) -> None:
+        self.registers[writer].follower._store.lose_answers = 1
+
+    @rule(writer=st.integers(0, WRITERS - 1))
+    def restart(self, writer: int) -> None:
+        self.registers[writer] = register_of(self.topics)
+
+    @rule()
+    def pass_time(self) -> None:
+        self.loop.run_until_complete(asyncio.sleep(1.5))
+
+    @invariant()
+    def hosts_are_apart(self) -> None:
+        if not hasattr(self, "registers"):
+            return
+        for register in self.registers:
+            hosts = [h for formed in register.by_name.values() for h in formed.ids]
+            assert len(hosts) == len(set(hosts)), register.by_name
+
+    @invariant()
+    def names_are_given_once(self) -> None:
+        if not hasattr(self, "topics"):
+            return
+        for topic, records in self.topics.records_by_topic.items():
+            if not topic.startswith(TOPIC):
+                continue
+            for change in records:
+                if change.key.startswith(REPLICA_PREFIX) and change.value:
+                    formed = decode(change.value)
+                    key = formed.name, formed.epoch
+                    known = self.ever.setdefault(key, formed)
+                    assert known == formed, (known, formed)
+
+    def _try(self, work) -> None:
+        try:
+            self.loop.run_until_complete(work)
+        except PlatformError:
+            return
+
+
+MACHINES = (EraMachine,)
--- a/features/routed.feature
+++ b/features/routed.feature
@@ -201,3 +201,10 @@
     When a caller asks for a stream
     Then its answer breaks off after event 3
     And 2 engines have got the request
+
+  Scenario: Callers are served while the store comes back from an older copy, twice
+    Given a routed site whose store tells its era
+    When the store comes back older twice while a caller asks again and again
+    Then each of its requests was answered
+    And the store holds the replicas and the daemon's address again
+    And the daemon's metrics tell era 3 and 2 changes of it
--- /dev/null
+++ b/features/steps/eras.py
@@ -0,0 +1,622 @@
+"""Steps for a store that comes back from an older copy."""
+
+import asyncio
+
+import async_solipsism
+from aiohttp.test_utils import TestServer
+from behave import given, then, when
+
+from auburnproxy.clock import loop_time
+from auburnproxy.errors import PlatformError
+from auburnproxy.formation.layout import Form
+from auburnproxy.formation.record import decode
+from auburnproxy.formation.register import REPLICA_PREFIX
+from auburnproxy.gateway.directory import Directory
+from auburnproxy.platform.store import PlatformStore
+from auburnproxy.store import (
+    Change,
+    ConflictError,
+    Era,
+    ExpiredError,
+    Follower,
+    Peers,
+    Progress,
+    Relay,
+    Renewal,
+)
+from features.fakes.fleet import host
+from features.fakes.formation import FormationSite, register_of
+from features.fakes.platform import PlatformStandIn
+from features.fakes.store import FakeTopics, StorePort
+from features.machines.eras import EraMachine
+from features.machines.search import search
+
+CONFIG = "config"
+
+
+class Notes:
+    """Decisions that are kept in memory."""
+
+    def __init__(self):
+        self.lines = []
+
+    def belief(self, kind, **inputs):
+        self.lines.append((kind, inputs))
+
+    def kinds(self):
+        return [kind for kind, _ in self.lines]
+
+
+class ReadingDaemon:
+    """A follower of one topic, and what it made of each key."""
+
+    def __init__(self, topics, topic, renewal=Renewal.KEPT):
+        self.notes = Notes()
+        self.port = StorePort(topics)
+        self.port.era.note = self.notes.belief
+        self.taken = []
+        self.follower = Follower(
+            self.port,
+            topic,
+            self.notes,
+            pause_s=lambda: 0.3,
+            renewal=renewal,
+            outranks=lambda known, other: version_of(known) > version_of(other),
+        )
+        self.follower.on_change = self.taken.append
+        self.version = 0
+        self.peer = None
+        self.relay = Relay({topic: self.follower}, self, self.notes)
+        self.topic = topic
+
+    async def fetch(self, address, topic, place):
+        peer = self.peer.follower
+        return peer.since(place.end, carried_end=place.carried_end)
+
+    def progress(self):
+        relay = self.relay
+        era = self.port.era.number
+        return Progress(relay.end_by_topic, era, relay.carried_by_topic)
+
+    def hear(self):
+        """Take what a beat of the peer tells."""
+        progress = self.peer.progress()
+        self.port.era.learn(progress.era, told_by="daemon")
+        self.relay.step({"peer": progress})
+
+    @property
+    def versions(self):
+        """Return the configurations that were put in force, as the directory would."""
+        found = []
+        for change in self.taken:
+            if change.key == CONFIG and version_of(change) > max(found, default=0):
+                found.append(version_of(change))
+        return found
+
+    @property
+    def values(self):
+        return {key: change.value for key, change in self.follower.by_key.items()}
+
+
+Peers.register(ReadingDaemon)
+
+
+def version_of(change):
+    return int(change.value) if change.key == CONFIG and change.value else 0
+
+
+def begin(context, topics):
+    context.loop = async_solipsism.EventLoop()
+    context.add_cleanup(context.loop.close)
+    context.topics = topics
+
+
+def run(context, work):
+    return context.loop.run_until_complete(work)
+
+
+def make_reader(context, changes, *, topic="op", renewal=Renewal.KEPT):
+    """Let a daemon read each record as it is written."""
+    begin(context, FakeTopics(era=1))
+
+    async def make():
+        context.daemon = ReadingDaemon(context.topics, topic, renewal)
+        for change in changes:
+            context.topics.take(topic, [change])
+            await context.daemon.follower.step(wait=False)
+
+    run(context, make())
+
+
+async def reads(context, seconds):
+    """Let the daemons read by themselves for a while."""
+    daemons = [context.daemon, *getattr(context, "others", [])]
+    tasks = [asyncio.create_task(each.follower.run()) for each in daemons]
+    await asyncio.sleep(seconds)
+    for task in tasks:
+        task.cancel()
+    await asyncio.gather(*tasks, return_exceptions=True)
+
+
+@given("a daemon that has read 5 records of a topic")
+def read_five(context):
+    make_reader(context, [Change(f"k{number}", b"1") for number in range(5)])
+
+
+@given("a daemon that has read versions 1 to 5 of a configuration")
+def read_versions(context):
+    make_reader(context, [Change(CONFIG, str(n).encode()) for n in range(1, 6)])
+    context.others = []
+
+
+@given("a daemon that has read a mark of domain a, its end, and a mark of domain b")
+def read_marks(context):
+    marks = [Change("out/a", b"1"), Change("out/a", b""), Change("out/b", b"1")]
+    make_reader(context, marks)
+
+
+@given("a daemon that has read registrations of u1, u2 and then u1 in another state")
+def read_registrations(context):
+    changes = [Change("u1", b"new"), Change("u2", b"new"), Change("u1", b"open")]
+    make_reader(context, changes, topic="servers", renewal=Renewal.LAPSED)
+    context.directory = Directory(
+        context.daemon.notes, store_away_at=lambda: context.daemon.follower.away_at
+    )
+    run(context, note_hosts(context))
+
+
+async def note_hosts(context):
+    """Let the directory know what the follower has taken, and go on from there."""
+
+    def take(change):
+        if change.value:
+            state = change.value.decode()
+            context.directory.register(
+                host(change.key, models=(state,), seen_at=loop_time())
+            )
+        else:
+            context.directory.unregister(change.key)
+
+    for change in context.daemon.taken:
+        take(change)
+    context.daemon.follower.on_change = take
+
+
+@when("the store comes back without the last {lost:d} of them")
+@when("the store comes back without the last {lost:d} records")
+def come_back(context, lost):
+    topics = getattr(context, "topics", None) or context.site.topics
+    if hasattr(context, "site"):
+        context.served_before = {
+            head.part.replica for head in context.site.fleet.open_heads()
+        }
+    topics.come_back_older(lost)
+
+
+@when("a record is written each second for 4 s")
+def write_each_second(context):
+    async def write():
+        reading = asyncio.create_task(reads(context, 4.5))
+        for number in range(4):
+            await asyncio.sleep(1)
+            context.topics.take("op", [Change(f"n{number}", b"2")])
+        await reading
+
+    run(context, write())
+
+
+@then("the daemon holds every record that was written since")
+def compare_since(context):
+    held = context.daemon.values
+    assert {f"n{number}" for number in range(4)} <= held.keys(), held
+
+
+@then("no reading was logged as lost")
+def compare_not_lost(context):
+    assert "history_lost" not in context.daemon.notes.kinds()
+    assert context.daemon.notes.kinds().count("era_entered") == 1
+
+
+@when("the operator writes version {version:d} again")
+@when("the operator writes version {version:d}")
+def write_version(context, version):
+    context.topics.take("op", [Change(CONFIG, str(version).encode())])
+
+
+@then("version {version:d} is in force")
+def compare_version(context, version):
+    run(context, reads(context, 2))
+    assert context.daemon.versions[-1] == version, context.daemon.versions
+    assert context.daemon.values[CONFIG] == str(version).encode()
+
+
+@then("no version was put in force twice")
+def compare_once(context):
+    versions = [version_of(c) for c in context.daemon.taken if c.key == CONFIG]
+    assert versions == [1, 2, 3, 4, 5], versions
+
+
+@then("domain a is in service and domain b is {state}")
+def compare_marks(context, state):
+    run(context, reads(context, 2))
+    held = context.daemon.values
+    wanted = {"out/b"} if state == "out" else set()
+    assert {key for key in held if key.startswith("out/")} == wanted, held
+
+
+@when("the operator takes the mark of domain b back")
+def take_mark_back(context):
+    context.topics.take("op", [Change("out/b", b"")])
+
+
+@when("the operator marks domain c before the daemon has read")
+def mark_early(context):
+    context.topics.take("op", [Change("out/c", b"1")])
+
+
+@then("domain c is out")
+def compare_early_mark(context):
+    run(context, reads(context, 2))
+    assert "out/c" in context.daemon.values, context.daemon.values
+
+
+@then("u1 is held in its last state")
+def compare_state(context):
+    run(context, reads(context, 1))
+    assert context.directory.hosts["u1"].models == ("open",), context.directory.hosts
+
+
+@then("the registration of u2 has lapsed")
+def compare_lapsed(context):
+    assert "u2" in context.directory.hosts
+
+    async def expire():
+        await asyncio.sleep(4)
+        context.directory.expire()
+
+    run(context, expire())
+    assert "u2" not in context.directory.hosts
+
+
+@when("u2 registers again")
+def register_again(context):
+    context.topics.take("servers", [Change("u2", b"new")])
+
+
+@then("u2 is held")
+def compare_registered(context):
+    run(context, reads(context, 2))
+    assert "u2" in context.directory.hosts
+
+
+def join(context, daemon):
+    context.others = [daemon]
+    context.other = daemon
+    daemon.peer, context.daemon.peer = context.daemon, daemon
+
+
+async def tell_each_other(context, seconds):
+    reading = asyncio.create_task(reads(context, seconds))
+    until = loop_time() + seconds
+    while loop_time() < until:
+        for daemon in (context.daemon, context.other):
+            daemon.hear()
+        await asyncio.sleep(0.1)
+    await reading
+
+
+@given("another daemon that had read version 4 last")
+def make_behind(context):
+    async def make():
+        other = ReadingDaemon(context.topics, "op")
+        shared = context.daemon.follower.since(-1)
+        fourth = Change(CONFIG, b"4", 3)
+        other.follower.adopt(shared._replace(changes=(fourth,), end=4))
+        return other
+
+    join(context, run(context, make()))
+
+
+@given("the store turns the other daemon away")
+def turn_other_away(context):
+    context.other.port.away = True
+
+
+@when("another daemon starts and both tell each other how far they have read")
+def start_other(context):
+    async def make():
+        other = ReadingDaemon(context.topics, "op")
+        await other.follower.step(wait=False)
+        return other
+
+    join(context, run(context, make()))
+    assert context.other.versions == [2], context.other.versions
+    run(context, tell_each_other(context, 3))
+
+
+@when("both tell each other how far they have read")
+def tell_both(context):
+    run(context, tell_each_other(context, 3))
+
+
+@then("version {version:d} is in force at the other daemon")
+def compare_other(context, version):
+    found = context.other
+    assert found.versions[-1] == version, found.versions
+    assert found.values[CONFIG] == str(version).encode(), found.values
+
+
+@when("its next reading is answered only after it has heard of a new era")
+def answer_late(context):
+    context.topics.take("op", [Change(CONFIG, b"9")])
+
+    async def read():
+        reading = asyncio.create_task(context.daemon.follower.step(wait=False))
+        await asyncio.sleep(0.001)
+        context.daemon.port.era.learn(2, told_by="daemon")
+        context.daemon.port.away = True
+        context.daemon.port.topics.era = 2
+        await asyncio.gather(reading, return_exceptions=True)
+
+    run(context, read())
+
+
+@then("nothing of that answer is taken")
+def compare_nothing_taken(context):
+    assert context.daemon.versions[-1] == 5, context.daemon.versions
+
+
+@given("a daemon that knows era 4 of the store")
+def know_era(context):
+    context.notes = Notes()
+    context.era = Era()
+    context.era.note = context.notes.belief
+    context.era.read("4")
+
+
+@when("an answer tells the era as {text}")
+def tell_era(context, text):
+    for _ in range(3):
+        context.era.read(None if text == "nothing" else text)
+
+
+@then("the daemon knows era 4")
+def compare_era(context):
+    assert context.era.number == 4, context.era.number
+
+
+@then("that is logged once in 3 answers")
+def compare_era_log(context):
+    assert context.notes.kinds().count("store_era_ignored") == 1, context.notes.lines
+
+
+@given("two registers, of which one has recorded 2 replicas and both have read them")
+def make_registers(context):
+    begin(context, FakeTopics(era=1))
+    context.registers = [register_of(context.topics) for _ in range(2)]
+
+    async def record():
+        first, second = context.registers
+        await first.follower.step(wait=False)
+        await first.change([form("a")])
+        await first.change([form("b")])
+        await second.follower.step(wait=False)
+
+    run(context, record())
+    context.known = dict(context.registers[0].by_name)
+
+
+def form(name):
+    return Form("small", "fd1/f0", (host(f"{name}1"), host(f"{name}2")))
+
+
+async def follow(context, seconds=1.0):
+    tasks = [asyncio.create_task(r.follower.run()) for r in context.registers]
+    await asyncio.sleep(seconds)
+    for task in tasks:
+        task.cancel()
+    await asyncio.gather(*tasks, return_exceptions=True)
+
+
+@then("both still know {count:d} replicas")
+def compare_both(context, count):
+    run(context, follow(context))
+    for register in context.registers:
+        assert len(register.by_name) == count, register.by_name
+        assert register.by_name.items() <= context.known.items()
+
+
+async def settle(context):
+    """Let both notice the new era, and wait until others would have told theirs."""
+    await follow(context)
+    for register in context.registers:
+        try:
+            await register.refill()
+        except PlatformError:
+            continue
+    await asyncio.sleep(2)
+
+
+@when("2 s pass and the first one writes what it knows")
+def fill_first(context):
+    async def fill():
+        await settle(context)
+        await context.registers[0].refill()
+
+    run(context, fill())
+
+
+@then("both know the same 2 replicas from the store")
+def compare_same(context):
+    run(context, follow(context))
+    for register in context.registers:
+        assert register.by_name == context.known, register.by_name
+        assert not register.follower.vacant
+        offsets = [c.offset for c in register.follower.by_key.values()]
+        assert min(offsets) >= 0, offsets
+
+
+@when("2 s pass and the second one records another replica")
+def record_third(context):
+    async def record():
+        await settle(context)
+        await context.registers[1].change([form("c")])
+
+    run(context, record())
+
+
+@then("3 replicas have names and epochs of their own, the newest the highest")
+def compare_epochs(context):
+    run(context, follow(context))
+    for register in context.registers:
+        epochs = [formed.epoch for formed in register.by_name.values()]
+        assert len(set(epochs)) == len(register.by_name) == 3, register.by_name
+        newest = next(f for f in register.by_name.values() if f.ids == ("c1", "c2"))
+        assert newest.epoch == max(epochs), epochs
+        assert all(register.by_name[n] == f for n, f in context.known.items())
+
+
+@when("a writer that has not noticed appends on condition of an end that exists again")
+def append_old(context):
+    async def append():
+        first, second = context.registers
+        end = second.follower.end
+        topic = second.follower.topic
+        # A record of somebody else makes the old topic as long as it was.
+        context.topics.take(topic, [Change("other", b"x")])
+        assert len(context.topics.records(topic)) == end
+        try:
+            await second.change([form("c")])
+        except PlatformError as error:
+            context.error = error
+        await follow(context)
+
+    run(context, append())
+
+
+@then("that writer is told that it was not recorded")
+def compare_told(context):
+    assert isinstance(context.error, PlatformError), context.error
+
+
+@then("neither register knows its replica")
+def compare_unknown(context):
+    run(context, follow(context))
+    for register in context.registers:
+        assert "c1" not in register.by_host, register.by_host
+
+
+@when("2 s pass and both write what they know at the same time")
+def fill_both(context):
+    async def fill():
+        await settle(context)
+        work = (register.refill() for register in context.registers)
+        context.outcomes = await asyncio.gather(*work, return_exceptions=True)
+
+    run(context, fill())
+
+
+@then("the register of the new era was filled once")
+def compare_filled(context):
+    failures = [o for o in context.outcomes if o is not None]
+    assert len(failures) == 1 and isinstance(failures[0], ConflictError), failures
+    topic = context.registers[0].follower.topic
+    assert len(context.topics.records(topic)) == 2, context.topics.records(topic)
+    compare_same(context)
+
+
+@when("every daemon starts anew")
+def restart_all(context):
+    context.registers = [register_of(context.topics) for _ in range(2)]
+
+
+@given(
+    "a fleet of {hosts:d} hosts in {fabrics:d} fabric domains whose store tells its era"
+)
+def make_fleet(context, hosts, fabrics):
+    context.loop = async_solipsism.EventLoop()
+    context.add_cleanup(context.loop.close)
+
+    async def make():
+        found = [
+            host(f"f{fabric}-{number}", fabric=f"f{fabric}")
+            for fabric in range(fabrics)
+            for number in range(hosts // fabrics)
+        ]
+        return FormationSite(found, topics=FakeTopics(era=1))
+
+    context.site = run(context, make())
+
+
+@then("every replica that served has served all the time")
+def compare_served(context):
+    served = {head.part.replica for head in context.site.fleet.open_heads()}
+    assert served == context.served_before, (served, context.served_before)
+    assert not [s for s in context.site.fleet.sent if s[0] in ("leave", "close")]
+
+
+@then("every replica that serves is recorded in the new era")
+def compare_recorded(context):
+    register = context.site.register
+    served = {head.part.replica for head in context.site.fleet.open_heads()}
+    assert register.follower.era == 2 and not register.follower.vacant
+    records = context.site.topics.records(register.follower.topic)
+    newest = {c.key: c.value for c in records}
+    found = {k.removeprefix(REPLICA_PREFIX) for k, value in newest.items() if value}
+    assert served == found, (served, found)
+    assert all(decode(newest[REPLICA_PREFIX + name]).name == name for name in served)
+
+
+@when("a daemon that knows nothing takes the duty")
+def take_over(context):
+    async def beside():
+        return FormationSite([], beside=context.site)
+
+    context.site = run(context, beside())
+
+
+@when("stores come back older at random while writers race and daemons start")
+def choose_machine(context):
+    context.search = (EraMachine, 60, 30)
+
+
+@then("no host is in two replicas and no name is given twice")
+def run_machine(context):
+    machine, examples, steps = context.search
+    search(machine, examples=examples, steps=steps)
+
+
+@given("a stand-in of the platform's store in era 7")
+def make_stand_in(context):
+    context.stand_in = PlatformStandIn()
+    context.stand_in.era = "7"
+
+
+@when("a record is appended, read, asked for beyond the end and refused on condition")
+def call_all(context):
+    context.eras = []
+
+    async def call():
+        async with TestServer(context.stand_in.app()) as server:
+            for work in (
+                lambda store: store.append("t", [Change("k", b"v")]),
+                lambda store: store.read("t", 0, wait_s=0.0),
+                lambda store: store.newest("t"),
+                lambda store: store.read("t", 9, wait_s=0.0),
+                lambda store: store.append("t", [Change("k", b"v")], at=9),
+            ):
+                store = PlatformStore(f"{server.host}:{server.port}")
+                try:
+                    await work(store)
+                except (ExpiredError, ConflictError):
+                    pass
+                finally:
+                    await store.close()
+                context.eras.append(store.era.number)
+
+    asyncio.run(call())
+
+
+@then("the era is 7 after each answer")
+def compare_eras(context):
+    assert context.eras == [7] * 5, context.eras
--- a/features/steps/readers.py
+++ b/features/steps/readers.py
@@ -17,7 +17,7 @@
     TICK_S,
 )
 from auburnproxy.gateway.health import Work
-from auburnproxy.store import Change, Follower, Peers, Relay
+from auburnproxy.store import Change, Follower, Peers, Progress, Relay
 from auburnproxy.store.relay import pack, unpack
 from features.fakes.store import FakeTopics, StorePort, quiet
 
@@ -229,14 +229,14 @@
         self.delay_by_topic = {}
         self.fault_by_address = {}
 
-    async def fetch(self, address, topic, start):
+    async def fetch(self, address, topic, place):
         fault = self.fault_by_address.get(address)
         if fault == "silent":
             await asyncio.sleep(60)
         if fault == "nonsense":
             return unpack(b"nonsense")
         await asyncio.sleep(self.delay_by_topic.get(topic, 0.01))
-        return self.follower_by_topic[topic].since(start)
+        return self.follower_by_topic[topic].since(place.end)
 
 
 class Behind:
@@ -247,13 +247,13 @@
         self.peers = peers
         self.relay = Relay(own, peers, quiet())
         ends = {name: f.end for name, f in peers.follower_by_topic.items()}
-        self.ends = dict.fromkeys(addresses, ends)
+        self.progress = dict.fromkeys(addresses, Progress(ends))
 
     async def run(self, seconds):
         loop = asyncio.get_running_loop()
         until = loop.time() + seconds
         while loop.time() < until:
-            self.relay.step(self.ends)
+            self.relay.step(self.progress)
             await asyncio.sleep(0.1)
         self.relay.close()
 
--- a/features/steps/routed.py
+++ b/features/steps/routed.py
@@ -12,6 +12,7 @@
 from yarl import URL
 
 from auburnproxy.errors import PlatformError
+from auburnproxy.telemetry import Gauge
 from features.fakes.platform import (
     HOST,
     KEY,
@@ -509,3 +510,62 @@
     for name in ("e0", "e1"):
         requests = context.site.engines[name].requests
         assert len(requests) <= 2, (name, len(requests))
+
+
+@given("a routed site whose store tells its era")
+def start_site_with_era(context):
+    open_site(context, era="1")
+
+
+@when("the store comes back older twice while a caller asks again and again")
+def come_back_older(context):
+    async def drill():
+        context.statuses = []
+        asking = asyncio.create_task(ask_on(context))
+        for _ in range(2):
+            await asyncio.sleep(3)
+            topics = context.site.store.records_by_topic
+            kept = {"keyed.op": 1, "keyed.servers": 3, "keyed.daemons": 0}
+            kept |= {t: 1 for t in topics if t.startswith("keyed.replicas")}
+            context.site.store.come_back_older(kept)
+            await asyncio.sleep(0.5)
+            for name in context.site.engines:
+                service = "plain" if name.startswith("p") else "engines"
+                context.site.register(name, service=service)
+        await asyncio.sleep(4)
+        asking.cancel()
+        await asyncio.gather(asking, return_exceptions=True)
+
+    run(context, drill())
+
+
+async def ask_on(context):
+    while True:
+        context.statuses.append(await ask(context, "GET", f"{SAFE_PATH}x"))
+        context.statuses.append(await stream(context))
+        await asyncio.sleep(0.02)
+
+
+@then("each of its requests was answered")
+def compare_statuses(context):
+    assert len(context.statuses) > 50, len(context.statuses)
+    assert {s for s in context.statuses if s is not None} == {200}, context.statuses
+
+
+@then("the store holds the replicas and the daemon's address again")
+def compare_written_again(context):
+    topics = context.site.store.records_by_topic
+    keys = {record[1 : 1 + record[0]] for record in topics["keyed.replicas-3"]}
+    assert {b"replica/r-e0", b"replica/r-e1", b"duty"} <= keys, keys
+    assert topics["keyed.daemons"], topics.keys()
+
+
+@then("the daemon's metrics tell era {era:d} and {changes:d} changes of it")
+def compare_era_metrics(context, era, changes):
+    async def read():
+        gauges = context.site.daemons[0].telemetry.gauges
+        return {r.gauge: r.value for source in gauges for r in source()}
+
+    readings = run(context, read())
+    assert readings[Gauge.STORE_ERA] == era, readings
+    assert readings[Gauge.STORE_ERA_CHANGES] == changes, readings
