--- a/features/steps/readers.py
+++ b/features/steps/readers.py
@@ -431,7 +431,7 @@
 
 @when("another one's beat and seat have {fields}")
 def tell_version(context, fields):
-    beat = ["d3", False, True, True, {"h": [2, 0, 0]}, {}, [], [], []]
+    beat = ["d3", False, True, True, {"h": [2, 0, 0]}, {}, [], [], [], 0, {}]
     seat = ["d3", "fd0", "d3", True]
     if fields == "two more fields":
         beat += [{"new": 1}, 5]
