Take numbers in callers' headers that are too long for missing

Cause: Token-Usage with 400 digits became infinite, and the caller got 500 without a reason. Deadline-Ms of -1 or nan counted as missing before and still does: the route's own bound holds. Before: 500; after: the request is served.

--- a/auburnproxy/platform/headers.py
+++ b/auburnproxy/platform/headers.py
@@ -30,6 +30,8 @@
 OWN = (KEY, ACCOUNT, HOST_ID, URGENCY, WEIGHT_VERSION, DEADLINE_MS, RESUME_AFTER)
 """Headers that the system sets for itself, whatever the caller sent."""
 MS_PER_S = 1000
+NUMBER_DIGITS = 15
+"""Longest number that is read; none that makes sense has as many."""
 MISDIRECTED = 421
 
 
@@ -93,7 +95,8 @@
 
 def _number(text: str) -> float | None:
     text = text.strip()
-    return float(text) if text.isascii() and text.isdigit() else None
+    readable = text.isascii() and text.isdigit() and len(text) <= NUMBER_DIGITS
+    return float(text) if readable else None
 
 
 def _load(text: str) -> Load | None:
--- a/features/routed.feature
+++ b/features/routed.feature
@@ -208,3 +208,8 @@
     Then each of its requests was answered
     And the store holds the replicas and the daemon's address again
     And the daemon's metrics tell era 3 and 2 changes of it
+
+  Scenario: A number in a header that is too long counts as missing
+    Given a routed site
+    When a request comes with token counts of 400 digits
+    Then the caller is answered 200
--- a/features/steps/routed.py
+++ b/features/steps/routed.py
@@ -187,6 +187,11 @@
         "without a key for a public": ("GET", PUBLIC_PATH, {"Api_Key": ""}),
         "with a body that is too long": ("POST", ONCE_PATH, {"body": b"x" * 5_000_000}),
         "with its key": ("GET", SAFE_PATH, {}),
+        "with token counts of 400 digits": (
+            "GET",
+            SAFE_PATH,
+            {"Token_Usage": f"{'9' * 400},1"},
+        ),
         "to the second daemon with its key": ("GET", SAFE_PATH, {"daemon": 1}),
     }
     method, path, more = requests[how]
