Show by tests two mends of eras that no scenario missed when taken out

Missed were the rank of versions and the token in names: both have a scenario now, which fails without them.

--- a/features/eras.feature
+++ b/features/eras.feature
@@ -17,6 +17,11 @@
     When the operator writes version 6
     Then version 6 is in force
 
+  Scenario: A daemon that has read the newest version alone does not go back either
+    Given a daemon that has read version 5 of a configuration alone
+    When the store comes back without the last 3 of them
+    Then version 5 is in force
+
   Scenario: A mark that was taken back stays so, and one that was set as well
     Given a daemon that has read a mark of domain a, its end, and a mark of domain b
     When the store comes back without the last 2 of them
@@ -101,6 +106,12 @@
     Then that writer is told that it was not recorded
     And neither register knows its replica
 
+  Scenario: A name that a lost history has given is not given again
+    Given two registers, of which one has recorded 2 replicas and the other has read 1
+    When the store comes back without the last 1 of them
+    And the other one, which has not noticed, records a replica at the same offset
+    Then the two replicas at that offset have different names
+
   Scenario: One of two writers fills the register of a new era
     Given two registers, of which one has recorded 2 replicas and both have read them
     When the store comes back without the last 1 of them
--- a/features/steps/eras.py
+++ b/features/steps/eras.py
@@ -10,7 +10,7 @@
 from auburnproxy.errors import PlatformError
 from auburnproxy.formation.layout import Form
 from auburnproxy.formation.record import decode
-from auburnproxy.formation.register import REPLICA_PREFIX
+from auburnproxy.formation.register import ERA_EPOCHS, REPLICA_PREFIX
 from auburnproxy.gateway.directory import Directory
 from auburnproxy.platform.store import PlatformStore
 from auburnproxy.store import (
@@ -149,6 +149,19 @@
     context.others = []
 
 
+@given("a daemon that has read version 5 of a configuration alone")
+def read_newest_version(context):
+    begin(context, FakeTopics(era=1))
+
+    async def make():
+        context.daemon = ReadingDaemon(context.topics, "op")
+        for number in range(1, 6):
+            context.topics.take("op", [Change(CONFIG, str(number).encode())])
+        await context.daemon.follower.step(wait=False)
+
+    run(context, make())
+
+
 @given("a daemon that has read a mark of domain a, its end, and a mark of domain b")
 def read_marks(context):
     marks = [Change("out/a", b"1"), Change("out/a", b""), Change("out/b", b"1")]
@@ -406,6 +419,40 @@
     context.known = dict(context.registers[0].by_name)
 
 
+@given("two registers, of which one has recorded 2 replicas and the other has read 1")
+def make_register_behind(context):
+    begin(context, FakeTopics(era=1))
+    context.registers = [register_of(context.topics) for _ in range(2)]
+
+    async def record():
+        first, second = context.registers
+        await first.follower.step(wait=False)
+        await first.change([form("a")])
+        await second.follower.step(wait=False)
+        await first.change([form("b")])
+
+    run(context, record())
+
+
+@when("the other one, which has not noticed, records a replica at the same offset")
+def record_at_same_offset(context):
+    async def record():
+        try:
+            await context.registers[1].change([form("c")])
+        except PlatformError as error:
+            context.error = error
+
+    run(context, record())
+    assert context.error is not None
+
+
+@then("the two replicas at that offset have different names")
+def compare_names(context):
+    (lost,) = [f for f in context.registers[0].by_name.values() if "b1" in f.ids]
+    (record,) = context.topics.records("replicas-1")[lost.epoch % ERA_EPOCHS :]
+    assert decode(record.value).name != lost.name, record
+
+
 def form(name):
     return Form("small", "fd1/f0", (host(f"{name}1"), host(f"{name}2")))
 
