Form replicas from spares of several fabric domains where a model is short

Hypothesis: losses leave spares that hold the weights of a model, in no fabric domain enough of them. The configuration names how much slower it is: it gets as much less work, and none before the others are a third busy.

--- a/auburnproxy/daemon/routed.py
+++ b/auburnproxy/daemon/routed.py
@@ -218,6 +218,7 @@
             heard_at=lambda domain: self.circle.domain_heard_at(domain),
             lists=lambda: self._upstreams.reaches,
             starting=self._starting,
+            in_flight=self._in_flight,
         )
         self.conductor.retirement.on_begin = self.circle.tell_everyone
 
@@ -438,6 +439,10 @@
             return False
         return True
 
+    def _in_flight(self, host: str) -> int:
+        """Return the requests of all daemons at an upstream."""
+        return self.health.in_flight(host) + self.circle.work(host)[0]
+
     def _domain_of(self, daemon: str) -> str:
         seat = self.circle.seats.get(daemon)
         return seat.failure_domain if seat is not None else ""
--- a/auburnproxy/formation/conductor.py
+++ b/auburnproxy/formation/conductor.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable, Collection, Coroutine, Mapping, Sequence
+from collections.abc import Callable, Collection, Coroutine, Iterator, Mapping, Sequence
 from functools import partial
 from itertools import zip_longest
 from typing import Any, NamedTuple
@@ -15,7 +15,15 @@
 from ..gateway.route import EngineSpec, ModelSpec
 from ..telemetry.decisions import Decisions
 from .census import Census
-from .layout import Form, Stage, fabric_domains, plan, targets_by_domain
+from .demand import Demand, Use
+from .layout import (
+    Form,
+    Stage,
+    fabric_domains,
+    plan,
+    spread_forms,
+    targets_by_domain,
+)
 from .loads import Loads
 from .orders import Answer, Orders
 from .probes import Probes
@@ -57,6 +65,7 @@
     staging: frozenset[str]
     ended: frozenset[str]
     starting: bool
+    short: frozenset[str]
 
 
 class Conductor:
@@ -77,6 +86,7 @@
         was last heard
     :param lists: returns whether the store's list of hosts is current
     :param starting: whether no request has been served yet
+    :param in_flight: returns the requests of all daemons at a head
     """
 
     def __init__(
@@ -92,6 +102,7 @@
         heard_at: Callable[[str], float] = lambda domain: -1.0,
         lists: Callable[[], bool] = lambda: True,
         starting: Callable[[], bool] = lambda: False,
+        in_flight: Callable[[str], int] = lambda head: 0,
     ) -> None:
         self._name = name
         self._directory = directory
@@ -101,6 +112,8 @@
         self._on_duty = on_duty
         self._suspects = suspects
         self._starting = starting
+        self._in_flight = in_flight
+        self._demand = Demand()
         self._loads = Loads()
         self.retirement = Retirement(orders, decisions)
         self._sent_by_host: dict[str, _Sent] = {}
@@ -162,6 +175,7 @@
             for formed in self._register.by_name.values()
         }
         self._retire(standings)
+        self._demand.take(self._uses())
         loading = (model for model, _ in self._staging_by_host.values())
         self.census.take(spec, standings, loading)
         if self._register.follower.up and self._settled():
@@ -170,6 +184,15 @@
             self._leave_strays()
         self._order(spec, standings)
 
+    def _uses(self) -> Iterator[Use]:
+        """Yield how much of each replica is in use."""
+        recorded = self._register.by_name
+        for replica in self._directory.replicas():
+            if replica.name in recorded:
+                in_flight = self._in_flight(replica.head.id)
+                slots = replica.head.slots / replica.slowdown
+                yield Use(replica.model.name, in_flight, slots)
+
     def _settled(self) -> bool:
         """Return whether the hosts of a started system have all registered."""
         if not self._starting():
@@ -218,9 +241,37 @@
                     head_gone=partial(self._head_gone, formed),
                     gentle=state is Standing.LEAVING,
                 )
+            elif state is Standing.SERVING and self._gathers(formed):
+                self.retirement.begin(
+                    formed,
+                    partial(self._others, formed),
+                    head_gone=partial(self._head_gone, formed),
+                    gentle=True,
+                )
         self.retirement.keep(self._register.by_name)
         self._refused.intersection_update(self._register.by_name)
 
+    def _gathers(self, formed: Formed) -> bool:
+        """Return whether a fabric domain of a spread replica has a whole one again."""
+        if not formed.spread:
+            return False
+        hosts, by_host = self._directory.hosts, self._register.by_host
+        members = [hosts[member.id] for member in formed.members]
+        for fabric_domain in {host.fabric_domain for host in members}:
+            free = [
+                host
+                for host in hosts.values()
+                if host.failure_domain == formed.failure_domain
+                and host.fabric_domain == fabric_domain
+                and formed.model in host.staged
+                and not host.leaving
+                and host.life not in self._probes.lost
+                and by_host.get(host.id, formed) == formed
+            ]
+            if len(free) >= len(formed.members):
+                return True
+        return False
+
     def _head_gone(self, formed: Formed) -> bool:
         """Return whether a head has ended, or no process of its replica is left."""
         if self._restarted(formed.head):
@@ -269,6 +320,7 @@
             staging=frozenset(self._staging_by_host),
             ended=frozenset(formed.name for formed in ended),
             starting=self._starting(),
+            short=self._demand.short,
         )
 
     def _joins_wait(self, standings: Mapping[str, Standing]) -> bool:
@@ -284,7 +336,7 @@
         self, service: str, spec: EngineSpec, ended: Collection[str]
     ) -> tuple[list[Form], list[Stage]]:
         taken = {
-            host: (formed.name, formed.model)
+            host: (formed.name, None if formed.spread else formed.model)
             for host, formed in self._register.by_host.items()
             if formed.name not in ended
         }
@@ -309,6 +361,8 @@
         # domains are complete before the second ones load.
         rounds = zip_longest(*(each.forms for each in plans))
         forms = [form for turn in rounds for form in turn if form is not None]
+        if not starting:
+            forms += spread_forms(domains, plans, spec, self._demand.short)
         return forms, [stage for each in plans for stage in each.stages]
 
     def _stray(self, host: Host) -> bool:
--- a/auburnproxy/formation/layout.py
+++ b/auburnproxy/formation/layout.py
@@ -10,7 +10,7 @@
 from __future__ import annotations
 
 from collections import Counter
-from collections.abc import Mapping, Sequence
+from collections.abc import Collection, Mapping, Sequence
 from math import ceil
 from typing import NamedTuple
 
@@ -23,8 +23,11 @@
 
     model: str
     fabric_domain: str
+    """Failure domain and fabric domain of its head, separated by a slash."""
     hosts: tuple[Host, ...]
     """The head first."""
+    spread: bool = False
+    """Whether the others are in several fabric domains."""
 
 
 class Stage(NamedTuple):
@@ -274,15 +277,55 @@
         return spares[0].name if spares else None
 
 
+def spread_forms(
+    domains: Sequence[Domain],
+    plans: Sequence[Plan],
+    engine: EngineSpec,
+    short: Collection[str],
+) -> list[Form]:
+    """Return replicas to form from spares of several fabric domains.
+
+    Answers losses that leave many spares, and in no fabric domain enough of them.
+    Such a replica is slow, so only a model that is short gets one, and it is ended
+    once one of its fabric domains has a whole replica again.
+
+    :param domains: the fabric domains of all failure domains
+    :param plans: what each of them does by itself
+    :param short: models whose replicas are close to what they bear
+    """
+    pools: dict[tuple[str, str], list[list[Host]]] = {}
+    for domain, own in zip(domains, plans, strict=True):
+        used = {host.id for form in own.forms for host in form.hosts}
+        used |= {stage.host.id for stage in own.stages} | domain.staging.keys()
+        for model in engine.models:
+            spares = [h for h in domain.idle if model.name in h.staged]
+            spares = [host for host in spares if host.id not in used]
+            if model.name in short and spares:
+                key = domain.failure_domain, model.name
+                pools.setdefault(key, []).append(spares)
+    found = []
+    for (failure_domain, name), pool in pools.items():
+        model_spec = engine.model(name)
+        assert model_spec is not None
+        hosts = [host for spares in sorted(pool, key=len)[::-1] for host in spares]
+        while len(hosts) >= model_spec.hosts:
+            members = tuple(hosts[: model_spec.hosts])
+            del hosts[: model_spec.hosts]
+            where = f"{failure_domain}/{members[0].fabric_domain}"
+            found.append(Form(name, where, members, spread=True))
+    return found
+
+
 def fabric_domains(
     hosts: Sequence[Host],
-    taken: dict[str, tuple[str, str]],
+    taken: Mapping[str, tuple[str, str | None]],
     staging: dict[str, str],
 ) -> list[Domain]:
     """Return the fabric domains of hosts.
 
     :param hosts: the hosts that may be used, idle or not
-    :param taken: replica and model of each host that is in one, by host id
+    :param taken: replica and model of each host that is in one, by host id; no model
+        if the replica has hosts in other fabric domains
     :param staging: model that is being loaded, by host id
     """
     hosts_by_domain: dict[str, list[Host]] = {}
@@ -299,7 +342,9 @@
                 failure_domain=members[0].failure_domain,
                 idle=idle,
                 staging={h.id: staging[h.id] for h in idle if h.id in staging},
-                replicas_by_model=dict(Counter(model for _, model in replicas)),
+                replicas_by_model=dict(
+                    Counter(model for _, model in replicas if model is not None)
+                ),
                 size=len(members),
             )
         )
--- a/auburnproxy/formation/record.py
+++ b/auburnproxy/formation/record.py
@@ -48,6 +48,8 @@
     """Failure domain and fabric domain, separated by a slash."""
     members: tuple[Member, ...]
     """By rank; the first is the head."""
+    spread: bool = False
+    """Whether its hosts are in several fabric domains, the head in the one named."""
 
     @property
     def head(self) -> Member:
--- a/auburnproxy/formation/register.py
+++ b/auburnproxy/formation/register.py
@@ -101,7 +101,9 @@
             name = f"r{era}-{offset}-{self._token()}" if era else f"r{offset}"
             epoch = era * ERA_EPOCHS + offset
             members = tuple(map(member_of, form.hosts))
-            formed = Formed(name, epoch, form.model, form.fabric_domain, members)
+            formed = Formed(
+                name, epoch, form.model, form.fabric_domain, members, form.spread
+            )
             taken = [m.id for m in members if m.id in self._by_host]
             if any(host not in free for host in taken):
                 raise PlatformError(f"hosts {taken} are in another replica")
@@ -178,4 +180,5 @@
             epoch=formed.epoch,
             model=formed.model,
             upstreams=formed.ids,
+            spread=formed.spread,
         )
--- a/auburnproxy/gateway/choice.py
+++ b/auburnproxy/gateway/choice.py
@@ -44,6 +44,9 @@
 """Silence towards this daemon's streams after which new requests go elsewhere if
 they can; nine in ten pauses are half as long."""
 QUIET_LOAD = 0.5
+SPREAD_LOAD = 0.3
+"""Load that a replica with hosts in several fabric domains counts as having: its times
+are longer, so it helps out where the others are busy."""
 MISSING_LOAD = 0.5
 """Load that a replica counts as having whose member is not registered any more."""
 QUEUE_PART = 0.2
@@ -226,9 +229,11 @@
         ties = 0
         for replica in fit:
             head = replica.head
-            if not self._has_room(head) or not self._bears(head):
+            if not self._has_room(head, replica.slowdown) or not self._bears(head):
                 continue
-            score = self._score(head)
+            score = self._score(head, replica.slowdown)
+            if replica.slowdown > 1:
+                score += SPREAD_LOAD
             if replica.missing:
                 score += MISSING_LOAD
             if head.id in suspected:
@@ -329,19 +334,19 @@
         """Return the requests at an upstream, as far as they are known."""
         return self._health.in_flight(host.id) + self._elsewhere(host.id)[0]
 
-    def _score(self, host: Host) -> float:
+    def _score(self, host: Host, slowdown: float = 1.0) -> float:
         in_flight, waiting = self._elsewhere(host.id)
         in_flight += self._health.in_flight(host.id)
         waiting += self._health.waiting(host.id)
-        score = (in_flight + WAITING_WEIGHT * waiting) / max(host.slots, 1)
+        score = slowdown * (in_flight + WAITING_WEIGHT * waiting) / max(host.slots, 1)
         if host.failure_domain != self._failure_domain:
             score += min(self._stale_load, MOST_FAR_LOAD)
         if self._health.quiet_s(host.id) > QUIET_S:
             score += QUIET_LOAD
         return score
 
-    def _has_room(self, host: Host) -> bool:
-        return self.load(host) < host.slots * (1 + QUEUE_PART)
+    def _has_room(self, host: Host, slowdown: float = 1.0) -> bool:
+        return self.load(host) < host.slots * (1 + QUEUE_PART) / slowdown
 
     def _bears(self, host: Host) -> bool:
         """Return whether a cold upstream bears another request in this second."""
--- a/auburnproxy/gateway/route.py
+++ b/auburnproxy/gateway/route.py
@@ -105,6 +105,8 @@
     """Time from the order to serve until a replica serves."""
     usual_prompt_tokens: float
     usual_answer_tokens: float
+    spread_factor: float = 1.0
+    """Factor on all times of a replica with hosts in several fabric domains."""
 
     def model(self, name: str) -> ModelSpec | None:
         """Return a model by its name."""
--- a/auburnproxy/gateway/serving_replica.py
+++ b/auburnproxy/gateway/serving_replica.py
@@ -18,6 +18,8 @@
     head: Host
     members: tuple[Host, ...]
     """The registered hosts that report a part in it, the head first."""
+    slowdown: float = 1.0
+    """Factor on its times; above 1 if its hosts are in several fabric domains."""
 
     @property
     def leaving(self) -> bool:
@@ -54,7 +56,11 @@
             continue
         model = engine.model(head.models[0])
         if head.part.state is PartState.OPEN and model is not None:
-            found.append(ServingReplica(name, epoch, model, head, tuple(members)))
+            spread = len({member.fabric_domain for member in members}) > 1
+            slowdown = engine.spread_factor if spread else 1.0
+            found.append(
+                ServingReplica(name, epoch, model, head, tuple(members), slowdown)
+            )
     return tuple(found)
 
 
--- a/auburnproxy/gateway/streams.py
+++ b/auburnproxy/gateway/streams.py
@@ -391,9 +391,11 @@
         engine = self._parts.engine()
         rate = engine.prompt_tokens_per_s if engine else 0.0
         tokens = self._call.ask.prompt_tokens
-        reading_s = tokens / rate * replica.model.pace if rate else 0.0
+        pace = replica.model.pace * replica.slowdown
+        reading_s = tokens / rate * pace if rate else 0.0
         objective_s = self._call.route.objective_s
-        full = self._parts.choice.load(replica.head) >= replica.head.slots
+        slots = replica.head.slots / replica.slowdown
+        full = self._parts.choice.load(replica.head) >= slots
         queued_s = QUEUED_S if full else 0.0
         return max(FIRST_PART * objective_s, LEAST_PAUSE_S) + reading_s + queued_s
 
--- a/auburnproxy/platform/operator_records.py
+++ b/auburnproxy/platform/operator_records.py
@@ -77,6 +77,8 @@
     loads_at_once: int = 1
     loads_per_s: float = msgspec.field(default=0.0, name="loads-per-s")
     form_ms: float = msgspec.field(default=0.0, name="form-ms")
+    far_x: float = 1.0
+    """Factor on the times of a group whose engines are in several fabric domains."""
     usual: _Usual = _Usual()
 
 
@@ -193,6 +195,7 @@
         loads_per_s=engine.loads_per_s,
         loads_at_once=engine.loads_at_once,
         form_s=engine.form_ms / MS_PER_S,
+        spread_factor=max(engine.far_x, 1.0),
         usual_prompt_tokens=engine.usual.prompt,
         usual_answer_tokens=engine.usual.answer,
     )
--- a/features/choice.feature
+++ b/features/choice.feature
@@ -25,6 +25,14 @@
     Then 18 to 22 are taken and the others are refused with no_slot
     And the times to come back differ and are within 0.5 and 2 s
 
+  Scenario: A replica over two fabric domains helps out where the others are busy
+    Given 2 near and 0 far replicas of 9 slots
+    And the second one has hosts in two fabric domains, which makes it 3 times as slow
+    When 2 requests come one after the other and stay
+    Then the second replica has 0 of them
+    When 20 requests come one after the other and stay
+    Then the second replica has 3 to 4 of them
+
   Scenario: A silent head gets nothing, then one request at a time (a dead group looks alive)
     Given 1 near and 0 far replicas of 9 slots
     When its head falls silent towards all streams
--- a/features/fakes/formation.py
+++ b/features/fakes/formation.py
@@ -32,6 +32,8 @@
     def __init__(self, hosts, *, topics=None, served=False, beside=None):
         self.served = served or beside is not None
         self.topics = beside.topics if beside else topics or FakeTopics()
+        self.in_flight = 0
+        """Requests at each head."""
         self.hears_daemons = True
         """Whether daemons of the hosts' failure domain are heard."""
         self.suspects = beside.suspects if beside else set()
@@ -51,6 +53,7 @@
             suspects=lambda: self.suspects,
             heard_at=lambda domain: loop_time() if self.hears_daemons else -1.0,
             starting=lambda: not self.served,
+            in_flight=lambda head: self.in_flight,
         )
 
     async def run(self, seconds):
--- a/features/formation.feature
+++ b/features/formation.feature
@@ -35,6 +35,32 @@
     Then 1 large replica is formed from hosts that hold the weights
     And nothing is loaded
 
+  Scenario Outline: Spares of several fabric domains serve a model that is short
+    Given 3 large spares in each of <fabrics> fabric domains of <near> failure domains
+    When spread replicas are planned while <short> is short
+    Then <count> of the large model are formed, each within one failure domain
+
+    Examples:
+      | fabrics | near | short           | count |
+      | 2       | 1    | the large model | 1     |
+      | 3       | 1    | the large model | 2     |
+      | 1       | 3    | the large model | 0     |
+      | 2       | 3    | the large model | 3     |
+      | 2       | 1    | the small model | 0     |
+      | 2       | 1    | no model        | 0     |
+
+  Scenario: Spares that wait in two fabric domains help out until one is whole again
+    Given a fleet of 20 hosts in 2 fabric domains that all serve the large model
+    And 30 s have passed with requests
+    And every slot of the large model is in use
+    When a member of a replica is lost in each fabric domain
+    And 8 s pass
+    Then 2 normal and 1 spread replicas serve
+    When a host with the weights is added to the first fabric domain
+    And 14 s pass
+    Then 3 normal and 0 spread replicas serve
+    And no order broke a rule
+
   Scenario: Hosts without weights are loaded before they join while the system runs
     Given a fabric domain for the large model with 3 staged and 2 empty hosts
     When it is planned while the system runs
--- a/features/steps/choice.py
+++ b/features/steps/choice.py
@@ -14,8 +14,9 @@
 from auburnproxy.gateway.host import Part, PartState
 from auburnproxy.gateway.resends import Allowance, Resends
 from auburnproxy.gateway.rests import Rests
+from auburnproxy.gateway.route import ServiceSpec
 from auburnproxy.gateway.subsets import Subsets
-from features.fakes.fleet import configuration, host
+from features.fakes.fleet import ENGINE, SERVICE, configuration, host
 from features.fakes.store import quiet
 
 
@@ -328,3 +329,32 @@
 
     context.loop.run_until_complete(wait())
     assert "h" not in context.directory.hosts
+
+
+@given(
+    "the second one has hosts in two fabric domains, which makes it {factor:g} times"
+    " as slow"
+)
+def spread_second(context, factor):
+    async def spread():
+        directory = context.chooser.directory
+        service = ServiceSpec(SERVICE, 0.0, 0.0, ENGINE._replace(spread_factor=factor))
+        newer = configuration(2)._replace(services_by_name={SERVICE: service})
+        directory.configure(newer)
+        for head, fabric in (("n0", "f0"), ("n1", "f1")):
+            part = Part(f"r-{head}", 1, 1, PartState.READY)
+            more = {"fabric": fabric, "models": ("small",), "part": part}
+            directory.register(host(f"member-{head}", **more))
+
+    context.loop.run_until_complete(spread())
+
+
+@then("the second replica has {count:d} of them")
+def compare_second(context, count):
+    assert context.chooser.taken.count("n1") == count, context.chooser.taken
+
+
+@then("the second replica has {least:d} to {most:d} of them")
+def compare_second_range(context, least, most):
+    found = context.chooser.taken.count("n1")
+    assert least <= found <= most, context.chooser.taken
--- a/features/steps/formation.py
+++ b/features/steps/formation.py
@@ -12,12 +12,15 @@
 from auburnproxy.formation.layout import (
     Domain,
     Form,
+    Plan,
     fabric_domains,
     plan,
+    spread_forms,
     targets_by_domain,
 )
+from auburnproxy.gateway.route import ServiceSpec
 from auburnproxy.store import ConflictError
-from features.fakes.fleet import ENGINE, host
+from features.fakes.fleet import ENGINE, SERVICE, configuration, host
 from features.fakes.formation import FormationSite, register_of
 from features.fakes.store import FakeTopics, quiet
 from features.machines.recovery import RecoveryMachine
@@ -94,6 +97,95 @@
     context.domain = Domain("fd1/f0", "fd1", tuple(hosts), {}, {}, len(hosts))
 
 
+@given(
+    "3 large spares in each of {fabrics:d} fabric domains of {near:d} failure domains"
+)
+def spare_in_several(context, fabrics, near):
+    hosts = [
+        host(f"h{fd}-{fabric}-{n}", failure_domain=f"fd{fd}", fabric=f"f{fabric}")
+        for fd in range(near)
+        for fabric in range(fabrics)
+        for n in range(3)
+    ]
+    staged = [each._replace(staged=("large",)) for each in hosts]
+    context.domains = fabric_domains(staged, {}, {})
+
+
+@when("spread replicas are planned while {short} is short")
+def plan_spread(context, short):
+    names = {"the large model": {"large"}, "the small model": {"small"}}
+    nothing = [Plan((), ())] * len(context.domains)
+    found = names.get(short, set())
+    context.forms = spread_forms(context.domains, nothing, ENGINE, found)
+
+
+@then("{count:d} of the large model are formed, each within one failure domain")
+def compare_spread_forms(context, count):
+    assert len(context.forms) == count, context.forms
+    for form in context.forms:
+        assert form.spread and form.model == "large"
+        assert len({each.failure_domain for each in form.hosts}) == 1, form
+        assert len({each.fabric_domain for each in form.hosts}) > 1, form
+
+
+@given("a fleet of 20 hosts in 2 fabric domains that all serve the large model")
+def make_large_fleet(context):
+    make_fleet(context, 20, 2)
+    whole = ENGINE.models[0]._replace(share=1.0), ENGINE.models[1]._replace(share=0.0)
+    service = ServiceSpec(SERVICE, 3.0, 36.0, ENGINE._replace(models=whole))
+    newer = configuration(2)._replace(services_by_name={SERVICE: service})
+
+    async def configure():
+        context.site.directory.configure(newer)
+
+    context.loop.run_until_complete(configure())
+
+
+@given("every slot of the large model is in use")
+def use_all(context):
+    context.site.in_flight = 9
+
+
+@when("a member of a replica is lost in each fabric domain")
+def lose_in_each(context):
+    for fabric in ("f0", "f1"):
+        names = {h.id for h in context.site.fleet.hosts.values()}
+        formed = next(
+            formed
+            for formed in context.site.register.by_name.values()
+            if set(formed.ids) <= names and formed.fabric_domain.endswith(fabric)
+        )
+        context.site.fleet.stop(formed.members[1].id)
+        context.site.suspects.add(formed.head.id)
+    # The spares of ten hosts complete one of the two that are lost in each.
+    spares = [h.id for h in context.site.fleet.hosts.values() if h.part is None]
+
+    async def unregister():
+        for name in spares:
+            context.site.fleet.stop(name)
+            context.site.fleet.unregister(name)
+
+    context.loop.run_until_complete(unregister())
+
+
+@then("{normal:d} normal and {spread:d} spread replicas serve")
+def compare_spread(context, normal, spread):
+    open_heads = {h.part.replica for h in context.site.fleet.open_heads()}
+    by_name = context.site.register.by_name
+    found = Counter(by_name[name].spread for name in open_heads)
+    assert (found[False], found[True]) == (normal, spread), by_name
+
+
+@when("a host with the weights is added to the first fabric domain")
+def add_spare(context):
+    new = host("new", fabric="f0", staged=("large",))
+
+    async def add():
+        context.site.fleet.add(new)
+
+    context.loop.run_until_complete(add())
+
+
 @when("it is planned {when}")
 def make_plan(context, when):
     starting = when == "before the first request"
