--- a/features/fakes/store.py
+++ b/features/fakes/store.py
@@ -5,6 +5,7 @@
 import asyncio
 import os
 from collections.abc import Sequence
+from functools import cache
 
 from auburnproxy.errors import AppendUncertainError, PlatformError
 from auburnproxy.store import (
@@ -142,7 +143,12 @@
         self._era.read(self.topics.header)
 
 
+@cache
+def nowhere() -> int:
+    """Return the descriptor of a file that keeps nothing, the same each time."""
+    return os.open(os.devnull, os.O_WRONLY)
+
+
 def quiet() -> Decisions:
     """Return decisions that nobody reads."""
-    descriptor = os.open(os.devnull, os.O_WRONLY)
-    return Decisions("test", descriptor=descriptor)
+    return Decisions("test", descriptor=nowhere())
--- a/features/steps/eras.py
+++ b/features/steps/eras.py
@@ -405,22 +405,15 @@
 
 @given("two registers, of which one has recorded 2 replicas and both have read them")
 def make_registers(context):
-    begin(context, FakeTopics(era=1))
-    context.registers = [register_of(context.topics) for _ in range(2)]
-
-    async def record():
-        first, second = context.registers
-        await first.follower.step(wait=False)
-        await first.change([form("a")])
-        await first.change([form("b")])
-        await second.follower.step(wait=False)
-
-    run(context, record())
-    context.known = dict(context.registers[0].by_name)
+    make_two_registers(context, reads_both=True)
 
 
 @given("two registers, of which one has recorded 2 replicas and the other has read 1")
 def make_register_behind(context):
+    make_two_registers(context, reads_both=False)
+
+
+def make_two_registers(context, *, reads_both):
     begin(context, FakeTopics(era=1))
     context.registers = [register_of(context.topics) for _ in range(2)]
 
@@ -430,8 +423,11 @@
         await first.change([form("a")])
         await second.follower.step(wait=False)
         await first.change([form("b")])
+        if reads_both:
+            await second.follower.step(wait=False)
 
     run(context, record())
+    context.known = dict(context.registers[0].by_name)
 
 
 @when("the other one, which has not noticed, records a replica at the same offset")
