Play the drill of the store in the soak

Once or twice in each run the store comes back without up to 30 of the newest records of each topic; operator and engines write again within a second. The drill has a random sequence of its own, so the faults of earlier seeds stay as they were.

--- a/soak/main.py
+++ b/soak/main.py
@@ -57,13 +57,16 @@
         self.done: list[str] = []
         self._site = site
         self._random = Random(seed)
+        self._drills = Random(f"drills {seed}")
+        """Apart from the other faults, whose order by seed stays as it was."""
+        self._out: set[str] = set()
         self._version = 1
         self._away: set[str] = set()
         self._began = time.monotonic()
 
     async def run(self, seconds: float) -> None:
         """Play faults for a while, and end them all."""
-        tasks = []
+        tasks = [asyncio.create_task(self._drill(seconds))]
         until = time.monotonic() + seconds
         kinds = (
             self._kill,
@@ -124,6 +127,31 @@
         await asyncio.sleep(self._random.uniform(0.5, 4.0))
         proxy.set(Mode.PASS)
 
+    async def _drill(self, seconds: float) -> None:
+        """Let the store come back without its newest records, once or twice."""
+        for _ in range(self._drills.choice((1, 2))):
+            await asyncio.sleep(self._drills.uniform(0.1, 0.45) * seconds)
+            store = self._site.platform.store
+            kept = {
+                topic: max(len(records) - self._drills.randint(0, 30), 1)
+                for topic, records in store.records_by_topic.items()
+            }
+            self._note(f"the store comes back older: {kept}")
+            store.come_back_older(kept)
+            await asyncio.sleep(self._drills.uniform(0.0, 1.0))
+            store.put("keyed.op", "config", replica_config(self._version))
+            for zone in ("z0", "z1"):
+                mark = {} if zone in self._out else None
+                store.put("keyed.op", f"evacuate/{zone}", mark)
+            for name in self._site.engines.keys() - self._away:
+                if name[0] == "e":
+                    self._site.replicas.register(name)
+                else:
+                    zone = f"z{int(name[1:]) % 2}"
+                    born = self._site.engines[name].born
+                    more = {"service": "plain", "zone": zone, "born": born}
+                    self._site.platform.register(name, **more)
+
     async def _engine_crash(self) -> None:
         name = self._random.choice(sorted(self._site.engines.keys() - self._away))
         self._note(f"engine {name} is away")
@@ -187,7 +215,9 @@
         self._note(f"{zone} is out")
         store = self._site.platform.store
         store.put("keyed.op", f"evacuate/{zone}", {})
+        self._out.add(zone)
         await asyncio.sleep(self._random.uniform(0.5, 2.0))
+        self._out.discard(zone)
         store.put("keyed.op", f"evacuate/{zone}", None)
 
 
@@ -208,6 +238,7 @@
     """Play one seed and return the promises that were broken."""
     site = SoakSite(folder, daemons=daemons)
     callers, faults = Callers(site, seed), Faults(site, seed)
+    site.platform.store.era = "1"
     try:
         await site.start(replica_config(1))
         await asyncio.sleep(WARM_S)
