Check in the soak that what serves is recorded in the era of the store

With one topic for all eras the soak had broken no promise; now it names each replica that serves and is not recorded.

--- a/soak/main.py
+++ b/soak/main.py
@@ -234,6 +234,19 @@
         callers.broken.append(f"{served} of {LAST_CALLS} served after the faults")
 
 
+def _check_register(site: SoakSite) -> list[str]:
+    """Return the replicas that serve and are not recorded in the store's era."""
+    store = site.platform.store
+    recorded: dict[str, bool] = {}
+    for record in store.records_by_topic.get(f"keyed.replicas-{store.era}", []):
+        end = 1 + record[0]
+        recorded[record[1:end].decode()] = bool(record[end:])
+    parts = [engine.part for engine in site.engines.values() if engine.part]
+    served = {str(part["name"]) for part in parts if part["state"] == "open"}
+    lost = sorted(name for name in served if not recorded.get(f"replica/{name}"))
+    return [f"{name} serves and is not recorded in era {store.era}" for name in lost]
+
+
 async def play(seed: int, seconds: float, daemons: int, folder: Path) -> list[str]:
     """Play one seed and return the promises that were broken."""
     site = SoakSite(folder, daemons=daemons)
@@ -249,7 +262,7 @@
         await asyncio.gather(*calling, return_exceptions=True)
         await _recovers(callers, site)
         callers.check_engines()
-        callers.broken += site.replicas.broken
+        callers.broken += site.replicas.broken + _check_register(site)
     finally:
         await site.stop()
     outcomes = ", ".join(f"{k}: {n}" for k, n in sorted(callers.outcomes.items()))
