Keep one change of each key, and take nothing for a register that is filled

Found on rereading. And a daemon whose register was filled took records of a peer that still waited for that, if the peer had read further in the era before: replicas that the store does not hold.

--- a/auburnproxy/store/follower.py
+++ b/auburnproxy/store/follower.py
@@ -9,6 +9,8 @@
 from types import MappingProxyType
 from typing import NamedTuple
 
+from xxhash import xxh3_128_digest
+
 from ..clock import loop_time
 from ..errors import PlatformError
 from ..pulse import Pulse
@@ -25,9 +27,8 @@
 IDLE_S = 0.2
 """Seconds between two looks at whether this daemon is to read the log itself."""
 RECENT_CHANGES = 2048
-"""Changes kept for peers; a configuration with its marks has a few, hosts hundreds."""
-
-
+"""Keys whose changes are kept for peers; operators' records have a few, hosts are
+hundreds."""
 MOST_ERAS_BACK = 3
 """Eras before the current one whose topics are looked for at a start; more than one
 drill without a writer in between is rare."""
@@ -58,7 +59,8 @@
     """A value that a key has had and has no more."""
 
     key: str
-    essence: bytes
+    digest: bytes
+    """Of its essence; values may be long and many."""
     end: int
     """Offset of the record that replaced it."""
 
@@ -137,7 +139,8 @@
         self._outranks = outranks
         self._renewed_end = 0
         self._past: deque[_Past] = deque(maxlen=RECENT_CHANGES)
-        self._recent: deque[Change] = deque()
+        self._recent: dict[str, Change] = {}
+        """The newest change of each key, in the order of their offsets."""
         self._recent_from = 0
         self._by_key: dict[str, Change] = {}
         self._up = True
@@ -309,8 +312,7 @@
         if whole:
             changes = list(self._by_key.values())
         else:
-            newest = {c.key: c for c in self._recent if c.offset >= offset}
-            changes = sorted(newest.values(), key=lambda change: change.offset)
+            changes = [c for c in self._recent.values() if c.offset >= offset]
         return Shared(
             tuple(changes),
             self.end,
@@ -330,11 +332,13 @@
         self._store.era.learn(shared.era, told_by="peer")
         if shared.era != self._store.era.number:
             return
-        if not shared.whole and (
-            self.vacant or (self.whole and self.era != shared.era)
-        ):
+        past = self.whole and self.era != shared.era
+        if not shared.whole and (self.vacant or past):
             return
-        if self.whole and self.era != shared.era:
+        if shared.vacant and self.current and not self.vacant:
+            # Its topic has been written, whatever a teller knows that waits for that.
+            return
+        if past:
             self._renew(shared)
         else:
             newer = shared.whole and shared.carried_end > self.carried_end
@@ -447,8 +451,8 @@
         if known is None or self._essence(known.value) != self._essence(change.value):
             self._keep(change)
             if known is not None:
-                essence = self._essence(known.value)
-                self._past.append(_Past(change.key, essence, change.offset))
+                digest = self._digest(known)
+                self._past.append(_Past(change.key, digest, change.offset))
         elif known.offset == CARRIED:
             self._by_key[change.key] = change
             if self.on_repeat is not None:
@@ -468,18 +472,22 @@
 
     def _is_past(self, change: Change, past: Sequence[_Past]) -> bool:
         """Return whether a record is one that was known and replaced before."""
-        essence = self._essence(change.value)
+        digest = self._digest(change)
         return any(
-            (each.key, each.essence) == (change.key, essence)
-            and change.offset < each.end
+            (each.key, each.digest) == (change.key, digest) and change.offset < each.end
             for each in past
         )
 
+    def _digest(self, change: Change) -> bytes:
+        return xxh3_128_digest(self._essence(change.value))
+
     def _keep(self, change: Change) -> None:
-        """Keep a change for peers that are a little behind."""
+        """Keep the newest change of a key for peers that are a little behind."""
+        self._recent.pop(change.key, None)
         if len(self._recent) >= RECENT_CHANGES:
-            self._recent_from = self._recent.popleft().offset + 1
-        self._recent.append(change)
+            oldest = self._recent.pop(next(iter(self._recent)))
+            self._recent_from = oldest.offset + 1
+        self._recent[change.key] = change
 
     def _note(self, *, up: bool, error: Exception | None = None) -> None:
         if not up:
--- a/features/eras.feature
+++ b/features/eras.feature
@@ -112,6 +112,13 @@
     And the other one, which has not noticed, records a replica at the same offset
     Then the two replicas at that offset have different names
 
+  Scenario: A register that has been filled takes nothing from a daemon that waits for it
+    Given two registers, of which one has recorded 2 replicas and the other has read 1
+    When the store comes back without the last 1 of them
+    And 2 s pass and the other one fills the register without having heard the first
+    And the first one tells what it knows
+    Then the other one knows the replicas of the store alone
+
   Scenario: One of two writers fills the register of a new era
     Given two registers, of which one has recorded 2 replicas and both have read them
     When the store comes back without the last 1 of them
--- a/features/readers.feature
+++ b/features/readers.feature
@@ -103,3 +103,7 @@
   Scenario: Every daemon gets beats, however many there are (turns in step with the count)
     When a daemon among each number of daemons up to 400 has sent for 3 rounds
     Then each of the others has got at least 2 beats
+
+  Scenario: A long configuration that changes all day does not fill the memory
+    Given a daemon that reads 300 versions of a configuration of 100 kB
+    Then its copy takes less than 1 MB
--- a/features/steps/eras.py
+++ b/features/steps/eras.py
@@ -430,6 +430,35 @@
     context.known = dict(context.registers[0].by_name)
 
 
+@when("2 s pass and the other one fills the register without having heard the first")
+def fill_unheard(context):
+    async def fill():
+        await settle(context)
+        await context.registers[1].refill()
+
+    run(context, fill())
+
+
+@when("the first one tells what it knows")
+def tell_unfilled(context):
+    async def tell():
+        first, second = (register.follower for register in context.registers)
+        assert first.vacant and not second.vacant
+        place = second.end
+        second.adopt(first.since(place, carried_end=second.carried_end))
+
+    run(context, tell())
+
+
+@then("the other one knows the replicas of the store alone")
+def compare_filled_alone(context):
+    register = context.registers[1]
+    assert not register.follower.vacant
+    records = context.topics.records(register.follower.topic)
+    recorded = {record.key.removeprefix(REPLICA_PREFIX) for record in records}
+    assert register.by_name.keys() == recorded, (register.by_name, recorded)
+
+
 @when("the other one, which has not noticed, records a replica at the same offset")
 def record_at_same_offset(context):
     async def record():
--- a/features/steps/readers.py
+++ b/features/steps/readers.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+import tracemalloc
 from collections import Counter
 
 import async_solipsism
@@ -537,3 +538,29 @@
 @then("each of the others has got at least 2 beats")
 def compare_passed_over(context):
     assert not context.passed_over, context.passed_over
+
+
+@given("a daemon that reads {count:d} versions of a configuration of {size:d} kB")
+def read_long(context, count, size):
+    context.loop = async_solipsism.EventLoop()
+    context.add_cleanup(context.loop.close)
+
+    async def read():
+        topics = FakeTopics()
+        context.copy = Follower(StorePort(topics), TOPIC, quiet())
+        await context.copy.step(wait=False)
+        tracemalloc.start()
+        for version in range(count):
+            topics.take(TOPIC, [Change(KEY, configuration(version, size * 1000))])
+            await context.copy.step(wait=False)
+            # Only the copy holds the value from here on.
+            topics.records(TOPIC)[-1] = Change(KEY, b"", version)
+        context.taken, _ = tracemalloc.get_traced_memory()
+        tracemalloc.stop()
+
+    context.loop.run_until_complete(read())
+
+
+@then("its copy takes less than 1 MB")
+def compare_memory(context):
+    assert context.taken < 1_000_000, context.taken
