--- a/auburnproxy/formation/conductor.py
+++ b/auburnproxy/formation/conductor.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections import Counter
 from collections.abc import Callable, Collection, Coroutine, Iterator, Mapping, Sequence
 from functools import partial
 from itertools import zip_longest
@@ -232,45 +233,36 @@
                     if member.id not in self._directory.hosts:
                         domain = formed.failure_domain
                         self._probes.ask(member, domain, "unregistered")
-            elif state in (Standing.LOST, Standing.LEAVING) or (
-                state is Standing.FORMING and formed.name in self._refused
-            ):
+            elif self._ends(formed, state):
                 self.retirement.begin(
                     formed,
                     partial(self._others, formed),
                     head_gone=partial(self._head_gone, formed),
-                    gentle=state is Standing.LEAVING,
-                )
-            elif state is Standing.SERVING and self._gathers(formed):
-                self.retirement.begin(
-                    formed,
-                    partial(self._others, formed),
-                    head_gone=partial(self._head_gone, formed),
-                    gentle=True,
+                    gentle=state in (Standing.LEAVING, Standing.SERVING),
                 )
         self.retirement.keep(self._register.by_name)
         self._refused.intersection_update(self._register.by_name)
 
+    def _ends(self, formed: Formed, state: Standing) -> bool:
+        """Return whether a replica is to be ended."""
+        if state is Standing.FORMING:
+            return formed.name in self._refused
+        if state is Standing.SERVING:
+            return formed.spread and self._gathers(formed)
+        return state in (Standing.LOST, Standing.LEAVING)
+
     def _gathers(self, formed: Formed) -> bool:
         """Return whether a fabric domain of a spread replica has a whole one again."""
-        if not formed.spread:
-            return False
-        hosts, by_host = self._directory.hosts, self._register.by_host
-        members = [hosts[member.id] for member in formed.members]
-        for fabric_domain in {host.fabric_domain for host in members}:
-            free = [
-                host
-                for host in hosts.values()
-                if host.failure_domain == formed.failure_domain
-                and host.fabric_domain == fabric_domain
-                and formed.model in host.staged
-                and not host.leaving
-                and host.life not in self._probes.lost
-                and by_host.get(host.id, formed) == formed
-            ]
-            if len(free) >= len(formed.members):
-                return True
-        return False
+        free = Counter(
+            host.fabric_domain
+            for host in self._directory.hosts.values()
+            if host.failure_domain == formed.failure_domain
+            and formed.model in host.staged
+            and not host.leaving
+            and host.life not in self._probes.lost
+            and self._register.by_host.get(host.id, formed) == formed
+        )
+        return max(free.values(), default=0) >= len(formed.members)
 
     def _head_gone(self, formed: Formed) -> bool:
         """Return whether a head has ended, or no process of its replica is left."""
