--- a/auburnproxy/formation/conductor.py
+++ b/auburnproxy/formation/conductor.py
@@ -253,10 +253,13 @@
 
     def _gathers(self, formed: Formed) -> bool:
         """Return whether a fabric domain of a spread replica has a whole one again."""
+        hosts = self._directory.hosts
+        domains = {hosts[member.id].fabric_domain for member in formed.members}
         free = Counter(
             host.fabric_domain
-            for host in self._directory.hosts.values()
+            for host in hosts.values()
             if host.failure_domain == formed.failure_domain
+            and host.fabric_domain in domains
             and formed.model in host.staged
             and not host.leaving
             and host.life not in self._probes.lost
