Give a host that holds the weights of two models one part

Found on rereading: where hosts keep several models and both are short, the same spares stood in two replicas to be formed, and the register looked for hosts of recorded replicas only, not of others in the same change. Both scenarios failed first.

--- a/auburnproxy/formation/layout.py
+++ b/auburnproxy/formation/layout.py
@@ -303,16 +303,21 @@
             if model.name in short and spares:
                 key = domain.failure_domain, model.name
                 pools.setdefault(key, []).append(spares)
-    found = []
+    found: list[Form] = []
+    taken: set[str] = set()
     for (failure_domain, name), pool in pools.items():
         model_spec = engine.model(name)
         assert model_spec is not None
-        hosts = [host for spares in sorted(pool, key=len)[::-1] for host in spares]
+        largest_first = sorted(pool, key=len, reverse=True)
+        hosts = [host for spares in largest_first for host in spares]
+        # A host may hold the weights of several models.
+        hosts = [host for host in hosts if host.id not in taken]
         while len(hosts) >= model_spec.hosts:
             members = tuple(hosts[: model_spec.hosts])
             del hosts[: model_spec.hosts]
             where = f"{failure_domain}/{members[0].fabric_domain}"
             found.append(Form(name, where, members, spread=True))
+            taken.update(host.id for host in members)
     return found
 
 
--- a/auburnproxy/formation/register.py
+++ b/auburnproxy/formation/register.py
@@ -92,6 +92,7 @@
         """
         gone = list(dropped)
         free = {host for formed in gone for host in formed.ids}
+        given: set[str] = set()
         changes = [Change(REPLICA_PREFIX + formed.name, b"") for formed in gone]
         if forms:
             await self.refill()
@@ -104,9 +105,10 @@
             formed = Formed(
                 name, epoch, form.model, form.fabric_domain, members, form.spread
             )
-            taken = [m.id for m in members if m.id in self._by_host]
-            if any(host not in free for host in taken):
-                raise PlatformError(f"hosts {taken} are in another replica")
+            taken = {*formed.ids} & ((self._by_host.keys() - free) | given)
+            if taken:
+                raise PlatformError(f"hosts {sorted(taken)} are in another replica")
+            given.update(formed.ids)
             changes.append(Change(REPLICA_PREFIX + name, encode(formed)))
         if changes:
             await self._append(changes)
--- a/features/formation.feature
+++ b/features/formation.feature
@@ -49,6 +49,16 @@
       | 2       | 1    | the small model | 0     |
       | 2       | 1    | no model        | 0     |
 
+  Scenario: A host that holds the weights of two models gets one part
+    Given 3 spares with both models in each of 2 fabric domains
+    When spread replicas are planned while both models are short
+    Then no host is in two of them
+
+  Scenario: Two replicas with the same host are never recorded together
+    Given two registers that have read the same records
+    When one is to record two replicas with the same host
+    Then it refuses, and nothing is recorded
+
   Scenario: Spares that wait in two fabric domains help out until one is whole again
     Given a fleet of 20 hosts in 2 fabric domains that all serve the large model
     And 30 s have passed with requests
--- a/features/steps/formation.py
+++ b/features/steps/formation.py
@@ -111,9 +111,48 @@
     context.domains = fabric_domains(staged, {}, {})
 
 
+@given("3 spares with both models in each of 2 fabric domains")
+def spare_both(context):
+    both = ("large", "small")
+    hosts = [
+        host(f"h{fabric}-{n}", fabric=f"f{fabric}", staged=both)
+        for fabric in range(2)
+        for n in range(3)
+    ]
+    context.domains = fabric_domains(hosts, {}, {})
+
+
+@then("no host is in two of them")
+def compare_apart(context):
+    hosts = [each.id for form in context.forms for each in form.hosts]
+    assert hosts and len(hosts) == len(set(hosts)), hosts
+
+
+@when("one is to record two replicas with the same host")
+def record_twice(context):
+    forms = [Form("small", "fd1/f0", (host("shared"), host(other))) for other in "xy"]
+
+    async def record():
+        try:
+            await context.registers[0].change(forms)
+        except PlatformError as error:
+            context.error = error
+
+    context.error = None
+    context.loop.run_until_complete(record())
+
+
+@then("it refuses, and nothing is recorded")
+def compare_refused(context):
+    assert isinstance(context.error, PlatformError)
+    assert not context.topics.records("replicas"), context.topics.records("replicas")
+
+
 @when("spread replicas are planned while {short} is short")
+@when("spread replicas are planned while {short} are short")
 def plan_spread(context, short):
     names = {"the large model": {"large"}, "the small model": {"small"}}
+    names["both models"] = {"large", "small"}
     nothing = [Plan((), ())] * len(context.domains)
     found = names.get(short, set())
     context.forms = spread_forms(context.domains, nothing, ENGINE, found)
