--- a/auburnproxy/formation/demand.py
+++ b/auburnproxy/formation/demand.py
@@ -59,10 +59,6 @@
             known = self._load_by_model.get(model, load)
             self._load_by_model[model] = known + part * (load - known)
 
-    def load(self, model: str) -> float:
-        """Return the mean load of a model, 0 while none is known."""
-        return self._load_by_model.get(model, 0.0)
-
     @property
     def short(self) -> frozenset[str]:
         """Return the models whose replicas are close to what they bear."""
--- a/auburnproxy/store/follower.py
+++ b/auburnproxy/store/follower.py
@@ -453,15 +453,11 @@
             if known is not None:
                 digest = self._digest(known)
                 self._past.append(_Past(change.key, digest, change.offset))
-        elif known.offset == CARRIED:
+        elif known.offset == CARRIED or self.on_repeat is not None:
             self._by_key[change.key] = change
             if self.on_repeat is not None:
                 self.on_repeat(change)
             return
-        elif self.on_repeat is not None:
-            self._by_key[change.key] = change
-            self.on_repeat(change)
-            return
         if change.value:
             self._by_key[change.key] = change
         elif known is None:
