--- a/features/formation.feature
+++ b/features/formation.feature
@@ -49,6 +49,18 @@
       | 2       | 1    | the small model | 0     |
       | 2       | 1    | no model        | 0     |
 
+  Scenario Outline: Which model is short, by what is in flight at its replicas
+    Given <large> of 18 slots of the large model in use and <small> of 18 of the small
+    When that lasts for 10 s, and then every slot is in use for <burst> s
+    Then <models> are short
+
+    Examples:
+      | large | small | burst | models          |
+      | 3     | 12    | 0     | small           |
+      | 9     | 8     | 0     | no models       |
+      | 3     | 6     | 0.5   | no models       |
+      | 3     | 6     | 10    | large and small |
+
   Scenario: A host that holds the weights of two models gets one part
     Given 3 spares with both models in each of 2 fabric domains
     When spread replicas are planned while both models are short
--- a/features/steps/formation.py
+++ b/features/steps/formation.py
@@ -8,6 +8,7 @@
 from behave import given, then, when
 
 from auburnproxy.errors import PlatformError
+from auburnproxy.formation.demand import Demand, Use
 from auburnproxy.formation.duty import Duty
 from auburnproxy.formation.layout import (
     Domain,
@@ -111,6 +112,30 @@
     context.domains = fabric_domains(staged, {}, {})
 
 
+@given(
+    "{large:d} of 18 slots of the large model in use and {small:d} of 18 of the small"
+)
+def use_slots(context, large, small):
+    context.uses = [Use("large", large, 18), Use("small", small, 18)]
+
+
+@when("that lasts for 10 s, and then every slot is in use for {burst:g} s")
+def use_on(context, burst):
+    now = [0.0]
+    context.demand = Demand(clock=lambda: now[0])
+    full = [use._replace(in_flight=18) for use in context.uses]
+    for uses, seconds in ((context.uses, 10), (full, burst)):
+        for _ in range(round(seconds / 0.1)):
+            context.demand.take(uses)
+            now[0] += 0.1
+
+
+@then("{models} are short")
+def compare_short(context, models):
+    short = " and ".join(sorted(context.demand.short)) or "no models"
+    assert short == models, short
+
+
 @given("3 spares with both models in each of 2 fabric domains")
 def spare_both(context):
     both = ("large", "small")
