Look twice before an upstream counts as silent

Cause: a timer that is due runs before data that have arrived are read. A daemon that stood still for longer than a pause's bound (stopped, or starved of processor time) took every stream's engine for silent, cut sound streams, sent the requests again and left the engines out. Test processes, in which daemons, engines and callers share one loop, show it at once: a standstill of 0.6 s after an event that had been sent cost a second engine its request. This fits both tests that failed once beside load ("A stream arrives whole", "No more live heads are tried"); neither run left a message, so that it was their cause is not proved.

A probe that ends long after its own limit is asked again, since it was this process that stood still.

Test: "A daemon that stood still does not take a sound engine for silent" failed before ({'e1', 'e2'} were asked), passes now.

--- a/auburnproxy/gateway/health.py
+++ b/auburnproxy/gateway/health.py
@@ -22,6 +22,8 @@
 """Longest exclusion; the register drops a dead host within that time."""
 PROBE_LEAD_S = 0.3
 """Seconds before the end of a pause at which the upstream is asked; a probe's time."""
+PROBE_SLACK_S = 0.1
+"""Delay of a probe's end beyond which this process stood still."""
 FORGET_S = 10.0
 """Seconds without trouble after which an upstream's pauses start short again."""
 MS_PER_S = 1000
@@ -230,11 +232,23 @@
         state = self._states.get(host)
         if state is None or not state.pause_s:
             return
-        if not await self._probe(host) and self._states.get(host) is state:
+        if not await self._answers(host) and self._states.get(host) is state:
             state.unanswered = True
             state.excluded_until = loop_time()
             self.failed(host, reason="no answer to a probe")
 
+    async def _answers(self, host: str) -> bool:
+        """Return whether an upstream answers a probe.
+
+        A probe that ends long after its own limit shows that this process stood
+        still meanwhile, not that the upstream did.
+        """
+        began = loop_time()
+        if await self._probe(host):
+            return True
+        took_s = loop_time() - began
+        return took_s > PROBE_LEAD_S + PROBE_SLACK_S and await self._probe(host)
+
     def close(self) -> None:
         """Stop asking upstreams."""
         for task in self._probes:
--- a/auburnproxy/gateway/plain.py
+++ b/auburnproxy/gateway/plain.py
@@ -7,6 +7,7 @@
 from aiohttp import ClientError, web
 
 from ..bounded_body import read_body
+from ..clock import loop_time
 from ..errors import Ran, RefusalError
 from ..telemetry.decisions import Decisions
 from .call import MOST_UNSENT, UNSENT_RETRY_S, Call, TryError
@@ -16,6 +17,7 @@
 from .host import Host
 from .resends import Resends
 from .sender import Sender, check_head
+from .silence import SilenceWatch
 
 PATIENCE = 0.45
 """Part of the time left after which a silent host is given up for another one."""
@@ -107,8 +109,10 @@
         dispatch = Dispatch(host, remaining_s, call.account, call.urgency)
         try:
             with self._health.request(host.id, _nothing):
-                async with asyncio.timeout(min(patience_s, remaining_s)):
-                    return await self._exchange(call, dispatch)
+                async with asyncio.timeout(remaining_s) as limit:
+                    given_up_at = loop_time() + patience_s
+                    with SilenceWatch(limit, lambda: given_up_at):
+                        return await self._exchange(call, dispatch)
         except TimeoutError:
             self._health.stalled(host.id, silence_s=patience_s, reason="no answer")
             raise TryError("silent", ran=Ran.UNKNOWN) from None
--- a/auburnproxy/gateway/streams.py
+++ b/auburnproxy/gateway/streams.py
@@ -3,8 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable, Iterator, Mapping
-from contextlib import contextmanager
+from collections.abc import Callable, Mapping
 from typing import NoReturn
 
 from aiohttp import ClientError, ClientResponse, web
@@ -24,6 +23,7 @@
 from .route import EngineSpec
 from .sender import Sender, check_head
 from .serving_replica import ServingReplica
+from .silence import SilenceWatch
 
 FIRST_PART = 0.7
 """Part of the objective for the first event in which a head shows itself."""
@@ -35,7 +35,6 @@
 """Longer wait for the first event at a head whose slots are all taken."""
 LONGEST_FIRST_S = 1.5
 """Longest wait for the first event at a head that sends events to others."""
-CHECK_SLACK_S = 0.005
 LONGEST_PAUSE_S = 1.8
 """Pause of a stream that has begun after which its caller is about to leave."""
 REPLICA_WAIT_S = 0.1
@@ -112,6 +111,10 @@
         self._response: web.StreamResponse | None = None
         self._last_id = call.ask.resume_after
         self._heard = False
+        self._writing = False
+        """Whether it is the caller that this stream waits for."""
+        self._quiet_from = 0.0
+        """The loop's time since which the caller has all events of this try."""
         self._begin: Callable[[], None] = _nothing
         self._ran = Ran.NO
         self._exclude: set[str] = set()
@@ -240,20 +243,23 @@
         dispatch = Dispatch(
             head, remaining_s, self._call.account, self._call.urgency, self._last_id
         )
-        self._heard = False
+        self._heard = self._writing = False
         try:
-            async with asyncio.timeout_at(self._limit_at(LONGEST_FIRST_S)) as limit:
+            async with asyncio.timeout_at(self._call.deadline) as limit:
+
+                def silent_at() -> float:
+                    return self._silent_at(head.id, now, bound_s)
 
                 def lost() -> None:
                     if not limit.expired():
                         limit.reschedule(loop_time())
 
                 with (
-                    self._watch(head.id, bound_s, limit),
+                    SilenceWatch(limit, silent_at),
                     health.request(head.id, lost) as begin,
                 ):
                     self._begin = begin
-                    return await self._exchange(dispatch, replica, limit)
+                    return await self._exchange(dispatch, replica)
         except TimeoutError:
             if self._call.remaining_s <= 0:
                 raise TryError("deadline", ran=Ran.UNKNOWN) from None
@@ -265,34 +271,21 @@
                 health.failed(head.id, reason=error.code)
             raise
 
-    @contextmanager
-    def _watch(
-        self, head: str, bound_s: float, limit: asyncio.Timeout
-    ) -> Iterator[None]:
-        """End a try without an event once its head is silent towards everybody."""
-        loop = asyncio.get_running_loop()
-
-        began = loop.time()
-        timers: list[asyncio.TimerHandle] = []
-
-        def look() -> None:
-            if self._heard or limit.expired():
-                return
-            silent_since = max(self._parts.health.heard_at(head), began)
-            if loop.time() - silent_since >= bound_s:
-                limit.reschedule(loop.time())
-                return
-            next_look = silent_since + bound_s + CHECK_SLACK_S
-            timers[:] = [loop.call_at(next_look, look)]
-
-        timers.append(loop.call_later(bound_s, look))
-        try:
-            yield
-        finally:
-            timers[0].cancel()
+    def _silent_at(self, head: str, began: float, first_bound_s: float) -> float:
+        """Return the loop's time from which the head's silence is too long.
+
+        Before the first event a head may be busy with others' streams, so what it
+        sends to anybody counts; time that the caller takes to read never does.
+        """
+        if self._writing:
+            return loop_time() + self._pause_bound_s()
+        if self._heard:
+            return self._quiet_from + self._pause_bound_s()
+        heard_at = max(self._parts.health.heard_at(head), began)
+        return min(heard_at + first_bound_s, began + LONGEST_FIRST_S)
 
     async def _exchange(
-        self, dispatch: Dispatch, replica: ServingReplica, limit: asyncio.Timeout
+        self, dispatch: Dispatch, replica: ServingReplica
     ) -> web.StreamResponse:
         parts = self._parts
         answer, reply = await parts.sender.send(self._call, dispatch)
@@ -300,23 +293,21 @@
             check_head(self._call, reply)
             if reply.status != OK:
                 return await self._failure(answer)
-            await self._pass_on(answer, replica, limit)
+            await self._pass_on(answer, replica)
         if self._response is None:
             await self._start(answer)
         assert self._response is not None
-        limit.reschedule(self._call.deadline)
+        self._writing = True
         await self._response.write_eof()
         return self._response
 
-    async def _pass_on(
-        self, answer: TrackedResponse, replica: ServingReplica, limit: asyncio.Timeout
-    ) -> None:
+    async def _pass_on(self, answer: TrackedResponse, replica: ServingReplica) -> None:
         """Pass the events of one try on until it ends.
 
         :raises TryError: if it ends early
         """
         reader, health = EventReader(), self._parts.health
-        head, bound_s = replica.head.id, self._pause_bound_s()
+        head = replica.head.id
         while True:
             try:
                 block = await answer.content.readany()
@@ -332,7 +323,6 @@
             if events:
                 self._heard = True
                 self._begin()
-                limit.reschedule(self._call.deadline)
                 data = b""
                 for event in events:
                     if not follows(event.id, self._last_id):
@@ -341,7 +331,6 @@
                     data += event.data
                 self._time_event()
                 await self._write(answer, data)
-                limit.reschedule(self._limit_at(bound_s))
         if reader.rest or not answer.whole:
             raise TryError("truncated", ran=Ran.UNKNOWN)
 
@@ -359,7 +348,10 @@
         if self._response is None:
             await self._start(answer)
         assert self._response is not None
+        self._writing = True
         await self._response.write(data)
+        self._writing = False
+        self._quiet_from = loop_time()
 
     async def _start(self, answer: ClientResponse) -> None:
         call = self._call
@@ -402,9 +394,6 @@
     def _pause_bound_s(self) -> float:
         return max(PAUSE_PART * self._call.route.pause_objective_s, LEAST_PAUSE_S)
 
-    def _limit_at(self, bound_s: float) -> float:
-        return min(loop_time() + bound_s, self._call.deadline)
-
     def _log_end(self, replica: ServingReplica) -> None:
         self._parts.decisions.request(
             "streamed",
--- a/features/fakes/platform.py
+++ b/features/fakes/platform.py
@@ -21,6 +21,8 @@
 from features.fakes.store import quiet
 from features.loopback import free_addresses
 
+FREEZE_S = 0.6
+"""Time for which the whole process, and so each daemon in it, stands still."""
 STAMP = "3e1b.07.5a2"
 HOST = "works.example"
 STREAM_PATH, ONCE_PATH, SAFE_PATH, PUBLIC_PATH = "/s/", "/o/", "/i/", "/p/"
@@ -340,6 +342,8 @@
                 return
             writer.write(b"%x\r\n%b\r\n" % (len(event), event))
             await writer.drain()
+            if action == "freeze" and number == 4:
+                time.sleep(FREEZE_S)  # noqa: ASYNC251
             await asyncio.sleep(0.2 if action == "slow" else 0.01)
             if reader.at_eof():
                 self.cancelled += 1
--- a/features/routed.feature
+++ b/features/routed.feature
@@ -202,6 +202,13 @@
     Then its answer breaks off after event 3
     And 2 engines have got the request
 
+  Scenario: A daemon that stood still does not take a sound engine for silent
+    Given a routed site with three engines
+    And every engine will freeze
+    When a caller asks for a stream
+    Then it gets 6 events in order, complete
+    And 1 engines have got the request
+
   Scenario: Callers are served while the store comes back from an older copy, twice
     Given a routed site whose store tells its era
     When the store comes back older twice while a caller asks again and again
