Learn records from other failure domains where the store turns a whole one away

Found by drills on whole daemons: with the store away for one failure domain while it came back older, that domain's daemons heard of the new era and stayed in the old one. A daemon asked only daemons of its own failure domain for records if it heard any, and none of them reached the store. So records of any kind, a revoked key among them, did not get into a failure domain that the store turned away.

Change: where no other daemon of the failure domain reaches the store, those of other domains are asked as well.

New: emulator/ with a network and event loop on virtual time, in which the product's own daemons run unchanged over a store in memory; features/fakes/drill.py plays the store's return on four of them: during a hand-over of the duty (five times of loss), with the store away for one failure domain or for all daemons but one, twice in half a second, and while a daemon starts.

--- a/auburnproxy/beats/circle.py
+++ b/auburnproxy/beats/circle.py
@@ -134,9 +134,12 @@
     def progress_by_peer(self) -> Mapping[str, Progress]:
         """Return how far others have read each topic, by internal address.
 
-        Those of the own failure domain are told of, if any is heard.
+        Those of the own failure domain are told of, if one of them reaches the store;
+        else the others as well, since the store may turn a whole domain away.
         """
-        names = self._counted[True].names or self._counted[False].names
+        names = self._counted[True].names
+        if not self._near_readers():
+            names = names | self._counted[False].names
         return {
             self._seats[name].internal: _progress(self._beat_by_name[name])
             for name in names
@@ -151,11 +154,16 @@
         if loop_time() < self._trusts_until:
             unheard = self._near.seats.keys() - self._present[True].names
             return self._leads(rank_names("reader", self._able() | unheard))
+        readers = self._near_readers()
+        if not reaches and len(readers) >= READERS:
+            return self._turn % RETRY_TURNS == 0
+        return self._leads(readers)
+
+    def _near_readers(self) -> Sequence[str]:
+        """Return the daemons near here that reach the store, by rank."""
         if self._readers is None:
             self._readers = rank_names("reader", self._able())
-        if not reaches and len(self._readers) >= READERS:
-            return self._turn % RETRY_TURNS == 0
-        return self._leads(self._readers)
+        return self._readers
 
     def _able(self) -> set[str]:
         """Return the daemons near here that say that they reach the store."""
--- a/auburnproxy/daemon/routed.py
+++ b/auburnproxy/daemon/routed.py
@@ -19,6 +19,7 @@
 from ..formation.register import TOPIC as REPLICAS_TOPIC
 from ..gateway.call import CONNECT_TIMEOUT_S
 from ..gateway.choice import Choice
+from ..gateway.dialect import Dialect
 from ..gateway.directory import Directory
 from ..gateway.face import RoutedFace
 from ..gateway.health import Health
@@ -28,7 +29,7 @@
 from ..gateway.sender import Sender
 from ..gateway.streams import Streams
 from ..gateway.subsets import Subsets
-from ..store import Change, CountedStore, Follower, HttpPeers, Relay, Renewal
+from ..store import Change, CountedStore, Follower, HttpPeers, Peers, Relay, Renewal
 from ..telemetry import Gauge, Reading, Telemetry
 from ..telemetry.decisions import Decisions, open_decisions
 from ..upstreams.client import open_session
@@ -200,7 +201,7 @@
             REPLICAS_TOPIC: replicas,
             DAEMONS_TOPIC: self._seats,
         }
-        self.relay = Relay(topics, HttpPeers(self._session), decisions)
+        self.relay = Relay(topics, self._open_peers(), decisions)
         self.duty = Duty(
             settings.name,
             self.register,
@@ -227,6 +228,12 @@
         )
         self.conductor.retirement.on_begin = self.circle.tell_everyone
 
+    def _open_peers(self) -> Peers:
+        return HttpPeers(self._session)
+
+    def _open_sender(self, dialect: Dialect) -> Sender:
+        return Sender(self._session, dialect, self.directory, self.rests)
+
     def _join_serving(self) -> None:
         settings = self.settings
         dialect = self._deployment.dialect()
@@ -249,7 +256,7 @@
             name=settings.name,
             far_interval_s=lambda: self.circle.far_interval_s,
         )
-        sender = Sender(self._session, dialect, self.directory, self.rests)
+        sender = self._open_sender(dialect)
         plain = Plain(
             sender,
             choice,
--- /dev/null
+++ b/bench/eras.py
@@ -0,0 +1,53 @@
+"""How long whole fleets take to agree after a store came back from an older copy.
+
+Run with ``python -m bench.eras [DAEMONS...]``. Real daemons in one process, on virtual
+time and a store in memory. Prints the seconds until every daemon knows the register
+of the new era and one is on duty, the calls to the store meanwhile and in as long a
+time before, and the replicas that went on serving.
+"""
+
+from __future__ import annotations
+
+import sys
+import time
+
+from features.fakes.drill import Drill
+
+SIZES = {6: (6, 3, 16), 195: (195, 5, 156)}
+"""Daemons, failure domains, and engines of each, by the number of daemons."""
+START_S = 30.0
+LIMIT_S = 30.0
+LOST = 3
+"""Records of replicas that the store loses, and all that were written since."""
+
+
+def measure(daemons: int, domains: int, hosts: int) -> str:
+    began = time.process_time()
+    drill = Drill(daemons=daemons, domains=domains, hosts=hosts)
+    drill.run(START_S)
+    if not drill.agree():
+        return f"{daemons:7}  the fleet has not formed in {START_S:g} s"
+    served, calls = drill.served(), drill.calls
+    drill.lose_topic_records("replicas", LOST)
+    took_s = drill.until_agreed(LIMIT_S)
+    during = drill.calls - calls
+    drill.run(LIMIT_S - took_s)
+    settled = drill.calls
+    drill.run(took_s)
+    usual = drill.calls - settled
+    went_on = len(served & drill.served())
+    cost_s = time.process_time() - began
+    row = f"{daemons:7}  {took_s:9.1f}  {during:5}  {usual:5}"
+    return f"{row}  {went_on:4} of {len(served):<4}  {cost_s:6.0f}"
+
+
+def main() -> None:
+    """Print a row for each size."""
+    sizes = [int(text) for text in sys.argv[1:]] or list(SIZES)
+    print("daemons  agreed, s  calls  usual  replicas   CPU s")
+    for size in sizes:
+        print(measure(*SIZES[size]), flush=True)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/emulator/__init__.py
@@ -0,0 +1,1 @@
+"""Whole fleets on virtual time, to try policies on before a bench does."""
--- /dev/null
+++ b/emulator/daemons.py
@@ -0,0 +1,234 @@
+"""Daemons of the routed kind in one process: the product's own, wired as ever."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Mapping
+
+import msgspec
+
+from auburnproxy.daemon.deployment import Deployment, DomainMark, RoutedSettings
+from auburnproxy.daemon.routed import RoutedDaemon
+from auburnproxy.errors import PeerError
+from auburnproxy.formation import Orders
+from auburnproxy.gateway.dialect import Dialect
+from auburnproxy.gateway.host import Host
+from auburnproxy.gateway.resends import Allowance
+from auburnproxy.gateway.route import Configuration
+from auburnproxy.platform.headers import PlatformDialect
+from auburnproxy.store import Change, Peers, Place, Relay, Store
+from auburnproxy.store.follower import Shared
+from auburnproxy.telemetry.decisions import Decisions
+
+from .network import Location, Network
+
+OPERATORS, UPSTREAMS = "op", "servers"
+CONFIGURATION, OUT_PREFIX = "configuration", "out/"
+ALLOWANCE = Allowance(ratio=0.2, slack=100.0, window_s=10.0)
+BEATS_PORT, INTERNAL_PORT = 7000, 7001
+
+
+def settings_of(
+    number: int,
+    *,
+    failure_domain: str,
+    first_start: bool = True,
+    cores: float = 1.0,
+    allowance: Allowance = ALLOWANCE,
+) -> RoutedSettings:
+    """Return the settings of one daemon."""
+    ip = f"10.0.{number // 250}.{number % 250 + 1}"
+    return RoutedSettings(
+        name=f"d{number}",
+        failure_domain=failure_domain,
+        callers=f"{ip}:80",
+        readiness=f"{ip}:81",
+        beats=f"{ip}:{BEATS_PORT}",
+        internal=f"{ip}:{INTERNAL_PORT}",
+        metrics=f"{ip}:82",
+        store="10.9.0.1:80",
+        first_start=first_start,
+        allowance=allowance,
+        grace_s=8.0,
+        cores=cores,
+        drain_s=2.0,
+        apply_s=2.0,
+        answer_bytes=1_000_000,
+    )
+
+
+class EmulatedDeployment(Deployment):
+    """Reads records as :func:`registration` writes them.
+
+    :param settings: of the daemon
+    :param store: the daemon's connection to the log
+    :param orders: the engines
+    :param configurations: the operators' configurations by the text of their records
+    """
+
+    operator_topic = OPERATORS
+    upstream_topic = UPSTREAMS
+
+    def __init__(
+        self,
+        settings: RoutedSettings,
+        store: Store,
+        orders: Orders,
+        configurations: Mapping[bytes, Configuration],
+    ) -> None:
+        self._settings = settings
+        self._store = store
+        self._orders = orders
+        self._configurations = configurations
+
+    def settings(self) -> RoutedSettings:
+        """Return the settings."""
+        return self._settings
+
+    def store(self, settings: RoutedSettings) -> Store:
+        """Return the connection to the log."""
+        return self._store
+
+    def dialect(self) -> Dialect:
+        """Return the dialect of the emulated callers and engines."""
+        return PlatformDialect()
+
+    def orders(self) -> Orders:
+        """Return the engines."""
+        return self._orders
+
+    def read_operator(self, change: Change) -> Configuration | DomainMark | None:
+        """Return what an operator's record says."""
+        if change.key.startswith(OUT_PREFIX):
+            domain = change.key.removeprefix(OUT_PREFIX)
+            return DomainMark(domain, out=bool(change.value))
+        return self._configurations.get(change.value)
+
+    def essence(self, registration: bytes) -> bytes:
+        """Return a registration without the time of its writing."""
+        return registration.rpartition(b",")[0]
+
+    def read_upstream(self, change: Change, *, now: float) -> Host:
+        """Return a host as it registered."""
+        return msgspec.json.decode(change.value, type=Host)._replace(seen_at=now)
+
+
+def registration(host: Host) -> Change:
+    """Return the record of a host; the time of its writing comes last."""
+    return Change(host.id, msgspec.json.encode(host))
+
+
+class EmulatedPeers(Peers):
+    """Daemons whose topics are fetched over the network's links.
+
+    :param location: where the daemon runs that fetches
+    :param links: the links
+    :param relay_by_address: the relays of the daemons that run
+    """
+
+    def __init__(
+        self,
+        location: Location,
+        links: Network,
+        relay_by_address: Mapping[str, tuple[Location, Relay]],
+    ) -> None:
+        self._location = location
+        self._links = links
+        self._relay_by_address = relay_by_address
+
+    async def fetch(self, address: str, topic: str, place: Place) -> Shared:
+        """Return the changes of a topic from a place on.
+
+        :raises PeerError: if the daemon is gone, cut off or has no copy
+        """
+        target, relay = self._relay_by_address.get(address, (None, None))
+        delay_s = self._links.delay_s(self._location, target) if target else None
+        if relay is None or delay_s is None:
+            raise PeerError(f"{address} does not answer")
+        await asyncio.sleep(2 * delay_s)
+        follower = relay.followers[topic]
+        if not follower.whole:
+            raise PeerError(f"{address} has no copy of {topic}")
+        return follower.since(place.end, carried_end=place.carried_end)
+
+
+class EmulatedDaemon(RoutedDaemon):
+    """A routed daemon whose peers are fetched from in memory."""
+
+    def __init__(
+        self,
+        deployment: EmulatedDeployment,
+        decisions: Decisions,
+        open_peers: Callable[[Location], Peers],
+    ) -> None:
+        self._open_peers_at = open_peers
+        super().__init__(deployment, decisions=decisions)
+
+    @property
+    def location(self) -> Location:
+        """Return where it runs."""
+        return Location(self.settings.name, self.settings.failure_domain)
+
+    def _open_peers(self) -> Peers:
+        return self._open_peers_at(self.location)
+
+    async def kill(self) -> None:
+        """End every task at once, as a lost process does."""
+        self._seat_taking.cancel()
+        self.relay.close()
+        self.health.close()
+        await self.tasks.cancel()
+        await self._session.close()
+
+
+class Group:
+    """The daemons of one installation.
+
+    :param links: the links between processes
+    :param orders: the engines
+    :param configurations: the operators' configurations by the text of their records
+    :param open_store: returns a daemon's connection to the log
+    :param open_decisions: returns where a daemon writes its decisions
+    """
+
+    def __init__(
+        self,
+        links: Network,
+        orders: Orders,
+        configurations: Mapping[bytes, Configuration],
+        *,
+        open_store: Callable[[Location], Store],
+        open_decisions: Callable[[str], Decisions],
+    ) -> None:
+        self.daemon_by_name: dict[str, EmulatedDaemon] = {}
+        self._links = links
+        self._orders = orders
+        self._configurations = configurations
+        self._open_store = open_store
+        self._open_decisions = open_decisions
+        self._relay_by_address: dict[str, tuple[Location, Relay]] = {}
+
+    def start(self, settings: RoutedSettings) -> EmulatedDaemon:
+        """Start a daemon."""
+        location = Location(settings.name, settings.failure_domain)
+        deployment = EmulatedDeployment(
+            settings, self._open_store(location), self._orders, self._configurations
+        )
+        daemon = EmulatedDaemon(
+            deployment, self._open_decisions(settings.name), self._open_peers
+        )
+        ip, _, port = settings.beats.partition(":")
+        self._links.location_by_address[ip, int(port)] = location
+        self._relay_by_address[settings.internal] = location, daemon.relay
+        self.daemon_by_name[settings.name] = daemon
+        daemon.start()
+        return daemon
+
+    async def kill(self, name: str) -> None:
+        """End a daemon at once."""
+        daemon = self.daemon_by_name.pop(name)
+        del self._relay_by_address[daemon.settings.internal]
+        await daemon.kill()
+
+    def _open_peers(self, location: Location) -> Peers:
+        return EmulatedPeers(location, self._links, self._relay_by_address)
--- a/features/eras.feature
+++ b/features/eras.feature
@@ -155,6 +155,49 @@
     And no order broke a rule
     And 2 large and 5 small replicas serve
 
+  Scenario Outline: The duty is handed over while the store comes back older
+    Given 4 daemons in 2 failure domains whose store tells its era
+    When the duty is given up and <after> s later the store has lost <lost> of its records
+    Then all daemons know the same replicas within 8 s and one is on duty
+    And every replica that served has gone on, and no order broke a rule
+    When a member of a replica is lost
+    Then its replica is made good within 12 s
+
+    Examples:
+      | after | lost |
+      | 0.0   | 0    |
+      | 0.1   | 1    |
+      | 0.7   | 1    |
+      | 0.7   | 2    |
+      | 3.0   | 2    |
+
+  Scenario: The store is away for a failure domain while it comes back older
+    Given 4 daemons in 2 failure domains whose store tells its era
+    When the store turns the daemons of fd1 away and comes back without 3 records
+    Then all daemons know the same replicas within 8 s and one is on duty
+    And every replica that served has gone on, and no order broke a rule
+    When the store serves all daemons again
+    And a member of a replica is lost
+    Then its replica is made good within 12 s
+
+  Scenario: The store turns all but one daemon away that had not the duty
+    Given 4 daemons in 2 failure domains whose store tells its era
+    When the store serves one daemon alone and comes back without 3 records
+    Then all daemons know the same replicas within 12 s and one is on duty
+    And every replica that served has gone on, and no order broke a rule
+
+  Scenario: The store comes back older twice within half a second
+    Given 4 daemons in 2 failure domains whose store tells its era
+    When the store comes back without 2 records and 0.4 s later without 1 more
+    Then all daemons know the same replicas within 8 s and one is on duty
+    And every replica that served has gone on, and no order broke a rule
+
+  Scenario: A daemon starts while the store comes back older
+    Given 4 daemons in 2 failure domains whose store tells its era
+    When a daemon starts and 0.2 s later the store has lost 3 records of replicas
+    Then all daemons know the same replicas within 8 s and one is on duty
+    And every replica that served has gone on, and no order broke a rule
+
   Scenario: No history is mixed with another, whatever is lost and when
     When stores come back older at random while writers race and daemons start
     Then no host is in two replicas and no name is given twice
--- a/features/steps/eras.py
+++ b/features/steps/eras.py
@@ -24,6 +24,8 @@
     Relay,
     Renewal,
 )
+from emulator.daemons import settings_of
+from features.fakes.drill import Drill
 from features.fakes.fleet import host
 from features.fakes.formation import FormationSite, register_of
 from features.fakes.platform import PlatformStandIn
@@ -692,3 +694,117 @@
 @then("the era is 7 after each answer")
 def compare_eras(context):
     assert context.eras == [7] * 5, context.eras
+
+
+@given("{count:d} daemons in {domains:d} failure domains whose store tells its era")
+def start_drill(context, count, domains):
+    context.drill = Drill(daemons=count, domains=domains, hosts=16)
+    context.add_cleanup(context.drill.close)
+    context.drill.run(20)
+    assert context.drill.agree() and context.drill.holder, "the fleet has not formed"
+    context.served_before = context.drill.served()
+    context.fell_at = []
+
+
+@when(
+    "the duty is given up and {seconds:g} s later the store has lost {lost:d} of its"
+    " records"
+)
+def hand_over(context, seconds, lost):
+    drill = context.drill
+    drill.loop.run_until_complete(drill.holder.duty.give_up())
+    drill.run(seconds)
+    drill.lose_topic_records("replicas", lost)
+
+
+@when("the store turns the daemons of {domain} away and comes back without 3 records")
+def turn_domain_away(context, domain):
+    for daemon in context.drill.daemons:
+        if daemon.settings.failure_domain == domain:
+            context.drill.ports[daemon.settings.name].away = True
+    context.drill.run(2)
+    context.drill.lose_topic_records("replicas", 3)
+
+
+@when("the store serves one daemon alone and comes back without 3 records")
+def serve_one(context):
+    drill = context.drill
+    alone = next(d for d in drill.daemons if d is not drill.holder)
+    for name, port in drill.ports.items():
+        port.away = name != alone.settings.name
+    drill.run(2)
+    drill.lose_topic_records("replicas", 3)
+
+
+@when("the store serves all daemons again")
+def serve_all(context):
+    for port in context.drill.ports.values():
+        port.away = False
+    context.drill.run(2)
+
+
+@when("the store comes back without 2 records and {seconds:g} s later without 1 more")
+def come_back_twice(context, seconds):
+    context.drill.lose_topic_records("replicas", 2)
+    context.drill.run(seconds)
+    context.drill.topics.come_back_older(1)
+
+
+@when(
+    "a daemon starts and {seconds:g} s later the store has lost {lost:d} records of"
+    " replicas"
+)
+def start_in_drill(context, seconds, lost):
+    drill = context.drill
+    settings = settings_of(9, failure_domain="fd1", first_start=False)
+
+    async def start():
+        drill.group.start(settings)
+
+    drill.loop.run_until_complete(start())
+    drill.run(seconds)
+    drill.lose_topic_records("replicas", lost)
+
+
+@then("all daemons know the same replicas within {seconds:g} s and one is on duty")
+def compare_agreed(context, seconds):
+    drill = context.drill
+    took_s = drill.until_agreed(seconds)
+    holders = [d.settings.name for d in drill.daemons if d.duty.held]
+    known = [
+        (d.settings.name, d.register.follower.era, len(d.register.by_name))
+        for d in drill.daemons
+    ]
+    assert drill.agree() and drill.holder, (took_s, holders, known)
+    drill.run(3)
+    assert drill.agree() and drill.holder, "it did not last"
+
+
+@then("every replica that served has gone on, and no order broke a rule")
+def compare_gone_on(context):
+    assert context.served_before <= context.drill.served(), context.served_before
+    assert not context.drill.fleet.violations, context.drill.fleet.violations
+
+
+@when("a member of a replica is lost")
+def lose_member(context):
+    drill = context.drill
+    head = sorted(drill.fleet.open_heads())[0]
+    formed = drill.daemons[0].register.by_name[head.part.replica]
+    context.lost = formed.ids[1]
+    context.lost_replica = formed
+    drill.fleet.stop(context.lost)
+    drill.run(4)
+    drill.fleet.unregister(context.lost)
+
+
+@then("its replica is made good within {seconds:g} s")
+def compare_good(context, seconds):
+    drill = context.drill
+    drill.run(seconds)
+    assert drill.agree()
+    register = drill.daemons[0].register
+    assert context.lost not in register.by_host
+    served, recorded = drill.served(), register.by_name.keys()
+    assert served == recorded, (served, recorded)
+    assert not drill.fleet.violations, drill.fleet.violations
