Keep callers to the configuration's bounds on idle time, heads and bodies

Cause: 300 connections with half a request head each stayed open for 75 s, the listener's own constant; idle-timeout-ms was read and used by nobody. So was max-body-bytes, where the library's 4 MB held, and max-header-bytes, where a single field beyond 8,190 bytes was answered 400 though 16,384 are allowed. A time limit that says nothing (-1, nan, 1e3) counted as missing without a word.

Change: the callers' listener takes the idle bound of each configuration for the connections that open from then on; heads and bodies are bounded by the face (431, 413); ignored headers are logged with the request's id, once a request.

Weighed: a bound of its own on a head that has begun (header-timeout-ms). The library has one timer for both, so a head may take as long as an idle connection may last.

Tests on the product's listener, which the stand-in's site now uses: half heads, heads and bodies at both sides of the bounds, three time limits.

--- a/auburnproxy/daemon/listener.py
+++ b/auburnproxy/daemon/listener.py
@@ -13,6 +13,8 @@
 """Seconds that connections may take to close once all calls are answered."""
 IDLE_S = 75.0
 """Seconds after which a connection without a whole request head is closed."""
+FIELD_BYTES = 65_536
+"""Longest line of a request's head that is read; who serves it bounds whole heads."""
 
 
 class Drains(Protocol):
@@ -77,7 +79,12 @@
             int(port),
             shutdown_timeout=close_s,  # type: ignore[arg-type]
             handler_cancellation=True,
-            runner_kwargs={"access_log": None, "keepalive_timeout": idle_s},
+            runner_kwargs={
+                "access_log": None,
+                "keepalive_timeout": idle_s,
+                "max_line_size": FIELD_BYTES,
+                "max_field_size": FIELD_BYTES,
+            },
         )
         self._application = application
         self._daemon = daemon
@@ -86,6 +93,16 @@
         """Return the application that was given."""
         return self._application
 
+    def bound_idle(self, idle_s: float) -> None:
+        """Bound the wait for a head on connections that are opened from now on.
+
+        :param idle_s: seconds that a connection may take for the head of a request
+        """
+        self.runner_kwargs["keepalive_timeout"] = idle_s
+        if hasattr(self, "runner") and self.runner.server is not None:
+            # The library takes the bound when it makes a server, and never again.
+            self.runner.server._kwargs["keepalive_timeout"] = idle_s
+
     async def stop(self, exception: Exception | None = None) -> None:
         """Close once nothing is in flight any more."""
         await self._daemon.drained.wait()
--- a/auburnproxy/daemon/routed.py
+++ b/auburnproxy/daemon/routed.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import signal
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from functools import partial
 
 from aiohttp import ClientTimeout, web
@@ -25,7 +25,7 @@
 from ..gateway.health import Health
 from ..gateway.plain import Plain
 from ..gateway.rests import Rests
-from ..gateway.route import Configuration
+from ..gateway.route import Bounds, Configuration
 from ..gateway.sender import Sender
 from ..gateway.streams import Streams
 from ..gateway.subsets import Subsets
@@ -95,6 +95,8 @@
     ) -> None:
         self.settings = settings = deployment.settings()
         self.drained = asyncio.Event()
+        self.on_bounds: Callable[[Bounds], None] = lambda bounds: None
+        """Called with the bounds on callers of each configuration in force."""
         self.decisions = decisions or open_decisions(settings.name)
         self.telemetry = Telemetry()
         self._deployment = deployment
@@ -522,6 +524,7 @@
             return
         if isinstance(said, Configuration):
             self.directory.configure(said)
+            self.on_bounds(self.directory.configuration.bounds)
         elif isinstance(said, DomainMark):
             self.directory.set_out(said.failure_domain, out=said.out)
 
--- a/auburnproxy/daemon/routed_services.py
+++ b/auburnproxy/daemon/routed_services.py
@@ -8,19 +8,31 @@
 from .routed import CLOSE_S, RoutedDaemon
 
 
+def callers_listener(daemon: RoutedDaemon) -> Listener:
+    """Return the callers' listener, which keeps to the configuration's bounds."""
+    listener = Listener(
+        daemon.settings.callers,
+        daemon.callers_application(),
+        daemon,
+        close_s=CLOSE_S,
+    )
+    daemon.on_bounds = lambda bounds: listener.bound_idle(bounds.idle_s)
+    return listener
+
+
 def services(daemon: RoutedDaemon) -> list[Any]:
     """Return all services of a daemon's entry point."""
     settings = daemon.settings
-    listeners = (
+    internal = (
         (settings.readiness, daemon.readiness_application()),
         (settings.internal, daemon.relay.application()),
         (settings.metrics, daemon.metrics_application()),
-        (settings.callers, daemon.callers_application()),
     )
     return [
         SliceService(daemon),
         *(
             Listener(address, application, daemon, close_s=CLOSE_S)
-            for address, application in listeners
+            for address, application in internal
         ),
+        callers_listener(daemon),
     ]
--- a/auburnproxy/gateway/dialect.py
+++ b/auburnproxy/gateway/dialect.py
@@ -41,6 +41,8 @@
     answer_tokens: int
     resume_after: str
     """Id of the last event that the caller has, empty for a new stream."""
+    odd: tuple[str, ...] = ()
+    """Headers that say nothing that can be read, and count as missing."""
 
 
 class Dispatch(NamedTuple):
--- a/auburnproxy/gateway/face.py
+++ b/auburnproxy/gateway/face.py
@@ -84,6 +84,8 @@
         """Answer one request."""
         arrived = loop_time()
         ask = self._dialect.read_ask(http.headers)
+        if ask.odd:
+            self._decisions.request("headers_ignored", ask.request_id, names=ask.odd)
         with self.requests.counted():
             try:
                 response = await self._answered(http, ask, arrived)
@@ -133,11 +135,7 @@
 
         :raises RefusalError: if it has none
         """
-        try:
-            body = await http.read()
-        except web.HTTPRequestEntityTooLarge:
-            message = "The body is too long."
-            raise RefusalError("body_too_long", message, status=413) from None
+        body = await self._body(http)
         if self.closed:
             message = "This daemon is shutting down."
             raise RefusalError("draining", message, retry_after_s=CLOSED_RETRY_S)
@@ -172,6 +170,23 @@
             deadline=arrived + waits_s,
         )
 
+    async def _body(self, http: web.Request) -> bytes:
+        """Return a request's body.
+
+        :raises RefusalError: if it or the head is longer than is allowed
+        """
+        bounds = self._directory.configuration.bounds
+        if sum(len(k) + len(v) for k, v in http.raw_headers) > bounds.header_bytes:
+            message = "The head is too long."
+            raise RefusalError("head_too_long", message, status=431)
+        if http.client_max_size != bounds.body_bytes:
+            http = http.clone(client_max_size=bounds.body_bytes)
+        try:
+            return await http.read()
+        except web.HTTPRequestEntityTooLarge:
+            message = "The body is too long."
+            raise RefusalError("body_too_long", message, status=413) from None
+
     def _refused(
         self, ask: Ask, refusal: RefusalError, arrived: float
     ) -> web.StreamResponse:
--- a/auburnproxy/platform/headers.py
+++ b/auburnproxy/platform/headers.py
@@ -50,6 +50,14 @@
             prompt_tokens=int(_number(prompt) or 0),
             answer_tokens=int(_number(answer) or 0),
             resume_after=headers.get(RESUME_AFTER, ""),
+            odd=tuple(
+                name
+                for name, number in (
+                    (DEADLINE_MS, deadline_ms),
+                    (TOKENS, _number(prompt)),
+                )
+                if number is None and name in headers
+            ),
         )
 
     def forwarded(
--- a/features/fakes/platform.py
+++ b/features/fakes/platform.py
@@ -15,7 +15,9 @@
 import yaml
 from aiohttp import web
 
+from auburnproxy.daemon.listener import Listener
 from auburnproxy.daemon.routed import RoutedDaemon
+from auburnproxy.daemon.routed_services import callers_listener
 from auburnproxy.platform.adapter import PlatformAdapter
 from features.fakes.endless import play
 from features.fakes.store import quiet
@@ -414,6 +416,7 @@
         self.daemons: list[RoutedDaemon] = []
         self.addresses: list[str] = []
         self._runners: list[web.AppRunner] = []
+        self._listeners: list[Listener] = []
         self._more: dict[str, dict[str, object]] = {}
 
     async def start(self) -> None:
@@ -498,8 +501,10 @@
         daemon = RoutedDaemon(PlatformAdapter(path), decisions=quiet())
         self.daemons.append(daemon)
         self.addresses.append(callers)
+        listener = callers_listener(daemon)
+        await listener.start()
+        self._listeners.append(listener)
         daemon.start()
-        await self._listen(daemon.callers_application(), callers)
         await self._listen(daemon.readiness_application(), readiness)
         await self._listen(daemon.relay.application(), internal)
         return daemon
@@ -523,6 +528,8 @@
             await daemon._session.close()
             await daemon._store.close()
             await daemon.orders.close_connections()
+        for listener in self._listeners:
+            await listener.stop()
         for engine in self.engines.values():
             await engine.stop()
         for runner in self._runners:
--- a/features/routed.feature
+++ b/features/routed.feature
@@ -216,6 +216,35 @@
     And the store holds the replicas and the daemon's address again
     And the daemon's metrics tell era 3 and 2 changes of it
 
+  Scenario: Connections with half a request head are closed in the configured time
+    Given a routed site whose callers may be idle for 0.5 s
+    When 30 connections bring half a request head each
+    Then all are closed within 2 s
+
+  Scenario Outline: Callers may send what the configuration allows, and no more
+    Given a routed site
+    When a request comes <how>
+    Then the caller is answered <status>
+
+    Examples:
+      | how                                  | status |
+      | with a header of 12000 bytes         | 200    |
+      | with a header of 20000 bytes         | 431    |
+      | with a body of 90000 bytes           | 200    |
+      | with a body of 110000 bytes          | 413    |
+
+  Scenario Outline: A time limit that says nothing is logged, and the route's holds
+    Given a routed site
+    When a lookup with the time limit <text> comes
+    Then the caller is answered 200
+    And the ignored time limit was logged once
+
+    Examples:
+      | text |
+      | -1   |
+      | nan  |
+      | 1e3  |
+
   Scenario: A number in a header that is too long counts as missing
     Given a routed site
     When a request comes with token counts of 400 digits
--- a/features/steps/routed.py
+++ b/features/steps/routed.py
@@ -187,6 +187,10 @@
         "without a key for a public": ("GET", PUBLIC_PATH, {"Api_Key": ""}),
         "with a body that is too long": ("POST", ONCE_PATH, {"body": b"x" * 5_000_000}),
         "with its key": ("GET", SAFE_PATH, {}),
+        "with a header of 12000 bytes": ("GET", SAFE_PATH, {"Odd": "x" * 12_000}),
+        "with a header of 20000 bytes": ("GET", SAFE_PATH, {"Odd": "x" * 20_000}),
+        "with a body of 90000 bytes": ("POST", ONCE_PATH, {"body": b"x" * 90_000}),
+        "with a body of 110000 bytes": ("POST", ONCE_PATH, {"body": b"x" * 110_000}),
         "with token counts of 400 digits": (
             "GET",
             SAFE_PATH,
@@ -574,3 +578,54 @@
     readings = run(context, read())
     assert readings[Gauge.STORE_ERA] == era, readings
     assert readings[Gauge.STORE_ERA_CHANGES] == changes, readings
+
+
+@given("a routed site whose callers may be idle for {seconds:g} s")
+def start_impatient(context, seconds):
+    open_site(context)
+    limits = {"max-body-bytes": 100_000, "idle-timeout-ms": seconds * 1000}
+    context.site.store.put("keyed.op", "config", config(version=2, limits=limits))
+    run(context, asyncio.sleep(SETTLE_S))
+
+
+@when("{count:d} connections bring half a request head each")
+def send_half_heads(context, count):
+    host, _, port = context.site.addresses[0].rpartition(":")
+
+    async def send():
+        found = [await asyncio.open_connection(host, int(port)) for _ in range(count)]
+        for _, writer in found:
+            writer.write(b"GET / HTTP/1.1\r\nHost: ")
+        return found
+
+    context.half = run(context, send())
+
+
+@then("all are closed within {seconds:g} s")
+def compare_closed(context, seconds):
+    async def wait():
+        async with asyncio.timeout(seconds):
+            ends = await asyncio.gather(*(reader.read() for reader, _ in context.half))
+        for _, writer in context.half:
+            writer.close()
+        return ends
+
+    assert not any(run(context, wait()))
+
+
+@when("a lookup with the time limit {text} comes")
+def ask_odd_limit(context, text):
+    context.noted = []
+    decisions = context.site.daemons[0].decisions
+    noted, decisions.request = (
+        decisions.request,
+        lambda *a, **k: context.noted.append((a, k)),
+    )
+    run(context, ask(context, "GET", f"{SAFE_PATH}x", Deadline_Ms=text))
+    decisions.request = noted
+
+
+@then("the ignored time limit was logged once")
+def compare_limit_logged(context):
+    odd = [k["names"] for a, k in context.noted if a[0] == "headers_ignored"]
+    assert odd == [("Deadline-Ms",)], context.noted
