Give the product's own log the type of an era, of which it has one

auburnproxy/era.py holds the type for both kinds of log. The product's log keeps what it has acknowledged, so its era never rises; its daemon shows it as the same gauge.

--- a/auburnproxy/daemon/daemon.py
+++ b/auburnproxy/daemon/daemon.py
@@ -5,6 +5,7 @@
 import asyncio
 import math
 import time
+from collections.abc import Iterator
 
 from ..admission import Admission
 from ..configuration import Configuration
@@ -18,7 +19,7 @@
 from ..replicas import Custodian, Downtime, Planner, Readiness, Repairs, Replicas
 from ..routing import Router
 from ..serving import Face, Limits, Spill
-from ..telemetry import Telemetry, part
+from ..telemetry import Gauge, Reading, Telemetry, part
 from ..upstreams import Watcher
 from ..upstreams.http_engine import connect_engine
 from ..upstreams.http_service import connect_service
@@ -84,6 +85,7 @@
         self.replicas = Replicas()
         self.ledger = Ledger()
         self.log_service = connect_log(settings.platform.log)
+        self.telemetry.gauges.append(self._log_readings)
         reducers = [self.roster, self.configuration, self.replicas, self.ledger]
         self.journal = Journal(
             self.log_service,
@@ -94,6 +96,9 @@
             rank=self._checkpoint_rank,
         )
 
+    def _log_readings(self) -> Iterator[Reading]:
+        yield Reading(Gauge.STORE_ERA, self.log_service.era.number)
+
     def _join_members(self, settings: Settings) -> None:
         self.membership = Membership(
             self.me,
--- a/auburnproxy/external/log.py
+++ b/auburnproxy/external/log.py
@@ -5,6 +5,8 @@
 from abc import ABC, abstractmethod
 from typing import NamedTuple
 
+from ..era import Era
+
 
 class LogRecord(NamedTuple):
     """One record as the log keeps it."""
@@ -27,6 +29,9 @@
 class LogService(ABC):
     """An append-only log with offsets, limited retention and outages."""
 
+    era = Era()
+    """The only era: this log keeps what it has acknowledged."""
+
     @abstractmethod
     async def append(self, payload: bytes) -> int:
         """Append a record and return its offset.
--- a/auburnproxy/store/__init__.py
+++ b/auburnproxy/store/__init__.py
@@ -1,7 +1,7 @@
 """Shared state in a log of keyed records whose newest values are kept."""
 
+from ..era import Era
 from .counted import CountedStore
-from .era import Era
 from .follower import Follower, Renewal
 from .relay import HttpPeers, Peers, Place, Progress, Relay
 from .store import Change, ConflictError, ExpiredError, Newest, Page, Store
--- a/auburnproxy/store/counted.py
+++ b/auburnproxy/store/counted.py
@@ -5,9 +5,9 @@
 from collections.abc import Awaitable, Sequence
 from typing import TypeVar
 
+from ..era import Era
 from ..errors import PlatformError
 from ..telemetry import Counter, Telemetry
-from .era import Era
 from .store import Change, Newest, Page, Store
 
 _T = TypeVar("_T")
--- a/auburnproxy/store/store.py
+++ b/auburnproxy/store/store.py
@@ -6,8 +6,8 @@
 from collections.abc import Sequence
 from typing import NamedTuple
 
+from ..era import Era
 from ..errors import PlatformError
-from .era import Era
 
 
 class ConflictError(PlatformError):
--- a/bench/eras.py
+++ b/bench/eras.py
@@ -38,6 +38,7 @@
     went_on = len(served & drill.served())
     cost_s = time.process_time() - began
     row = f"{daemons:7}  {took_s:9.1f}  {during:5}  {usual:5}"
+    drill.close()
     return f"{row}  {went_on:4} of {len(served):<4}  {cost_s:6.0f}"
 
 
