--- a/features/eras.feature
+++ b/features/eras.feature
@@ -198,6 +198,10 @@
     Then all daemons know the same replicas within 8 s and one is on duty
     And every replica that served has gone on, and no order broke a rule
 
+  Scenario: Whatever the store loses, and whoever is lost or cut off, all agree again
+    When whole daemons go through lost histories, cuts, crashes and hand-overs
+    Then one is on duty in the end, and what is recorded is what serves
+
   Scenario: No history is mixed with another, whatever is lost and when
     When stores come back older at random while writers race and daemons start
     Then no host is in two replicas and no name is given twice
--- a/features/fakes/drill.py
+++ b/features/fakes/drill.py
@@ -22,6 +22,8 @@
 
 VERSION = b"1"
 CHECK_S = 0.1
+LAPSE_S = 3.6
+"""Three of the engines' intervals, after which a silent one's registration is dropped."""
 
 
 class Registrations:
@@ -52,7 +54,7 @@
         self.network = Network()
         self.loop = VirtualLoop(self.network)
         self.ports: dict[str, StorePort] = {}
-        self.moments: list[tuple[float, str]] = []
+        self._lost_at: dict[str, float] = {}
         self._shape = daemons, domains, hosts
         self.loop.run_until_complete(self._start())
 
@@ -70,7 +72,10 @@
                         fabric=f"f{domain}-{number // 8}",
                     )
                 )
-        self.beating = asyncio.create_task(self.fleet.beat())
+        self._tasks = [
+            asyncio.create_task(self.fleet.beat()),
+            asyncio.create_task(self._lapse()),
+        ]
         self.group = Group(
             self.network,
             self.fleet,
@@ -83,6 +88,20 @@
                 settings_of(number, failure_domain=f"fd{number % domains}")
             )
 
+    def lose_engine(self, name: str) -> None:
+        """End an engine's process; its registration lapses later."""
+        self.fleet.stop(name)
+        self._lost_at[name] = self.loop.time()
+
+    async def _lapse(self) -> None:
+        """Drop the registrations of lost engines, again if the store forgets that."""
+        while True:
+            await asyncio.sleep(1)
+            newest = {c.key for c in self.topics.newest(UPSTREAMS).changes}
+            for name, at in self._lost_at.items():
+                if name in newest and loop_time() - at > LAPSE_S:
+                    self.topics.take(UPSTREAMS, [Change(name, b"")])
+
     def _open_store(self, location) -> StorePort:
         return self.ports.setdefault(location.name, StorePort(self.topics))
 
@@ -140,14 +159,16 @@
         """Come back without the newest records of all topics since one of these."""
         order = self.topics._topics_in_order
         places = [n for n, name in enumerate(order) if name.startswith(topic)]
-        lost = len(order) - places[-count] if count else 0
+        first = places[-count:][:1] if count else []
+        lost = len(order) - first[0] if first else 0
         self.topics.come_back_older(lost)
 
     def close(self) -> None:
         async def end() -> None:
             for name in list(self.group.daemon_by_name):
                 await self.group.kill(name)
-            self.beating.cancel()
+            for task in self._tasks:
+                task.cancel()
 
         self.loop.run_until_complete(end())
         self.loop.run_until_complete(asyncio.sleep(10))
--- /dev/null
+++ b/features/machines/drills.py
@@ -0,0 +1,111 @@
+"""Whole daemons through lost histories, cuts, crashes and hand-overs, in any order."""
+
+from __future__ import annotations
+
+import asyncio
+
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, rule
+
+from emulator.daemons import settings_of
+from features.fakes.drill import Drill
+
+DAEMONS = 4
+HOSTS = 8
+HEAL_S = 40.0
+"""Time for loads of weights, lost registrations and a duty that nobody holds."""
+
+
+class DrillMachine(RuleBasedStateMachine):
+    """Four daemons of two failure domains with eight engines each."""
+
+    @initialize()
+    def start(self) -> None:
+        self.drill = Drill(daemons=DAEMONS, domains=2, hosts=HOSTS)
+        self.drill.run(15)
+        self.started = DAEMONS
+
+    def teardown(self) -> None:
+        if not hasattr(self, "drill"):
+            return
+        for port in self.drill.ports.values():
+            port.away = False
+        self.drill.network.cut_domains.clear()
+        self.drill.run(HEAL_S)
+        try:
+            self.check()
+        finally:
+            self.drill.close()
+
+    def check(self) -> None:
+        drill = self.drill
+        assert not drill.fleet.violations, drill.fleet.violations
+        holders = [d.settings.name for d in drill.daemons if d.duty.held]
+        assert len(holders) == 1, holders
+        known = [
+            (d.settings.name, d.register.follower.era, sorted(d.register.by_name))
+            for d in drill.daemons
+        ]
+        assert drill.agree(), (drill.topics.era, known)
+        register = drill.daemons[0].register
+        hosts = [host for formed in register.by_name.values() for host in formed.ids]
+        assert len(hosts) == len(set(hosts)), hosts
+        assert drill.served() == register.by_name.keys(), (
+            drill.served(),
+            register.by_name,
+        )
+
+    @rule(lost=st.integers(0, 5))
+    def come_back_older(self, lost: int) -> None:
+        self.drill.lose_topic_records("replicas", lost)
+
+    @rule(number=st.integers(0, DAEMONS - 1), away=st.booleans())
+    def turn_away(self, number: int, away: bool) -> None:
+        self.drill.ports[f"d{number}"].away = away
+
+    @rule(cut=st.booleans())
+    def cut(self, cut: bool) -> None:
+        domains = self.drill.network.cut_domains
+        domains.add("fd1") if cut else domains.discard("fd1")
+
+    @rule()
+    def hand_over(self) -> None:
+        holder = self.drill.holder
+        if holder is not None and len(self.drill.daemons) > DAEMONS - 1:
+            self.drill.loop.run_until_complete(self.replace(holder.settings.name))
+
+    @rule(number=st.integers(0, DAEMONS - 1))
+    def crash(self, number: int) -> None:
+        names = sorted(self.drill.group.daemon_by_name)
+        self.drill.loop.run_until_complete(
+            self.replace(names[number % len(names)], planned=False)
+        )
+
+    async def replace(self, name: str, *, planned: bool = True) -> None:
+        """End a daemon and start another one in its failure domain."""
+        daemon = self.drill.group.daemon_by_name[name]
+        if planned:
+            await daemon.duty.give_up()
+        await self.drill.group.kill(name)
+        settings = settings_of(
+            self.started,
+            failure_domain=daemon.settings.failure_domain,
+            first_start=False,
+        )
+        self.started += 1
+        self.drill.group.start(settings)
+
+    @rule(domain=st.integers(0, 1), number=st.integers(0, HOSTS - 1))
+    def lose_engine(self, domain: int, number: int) -> None:
+        name, fleet = f"h{domain}-{number}", self.drill.fleet
+        lost = len(fleet.stopped)
+        if name in fleet.stopped or lost >= HOSTS // 2:
+            return
+        self.drill.lose_engine(name)
+
+    @rule(seconds=st.sampled_from((0.1, 0.6, 1.5, 4.0)))
+    def pass_time(self, seconds: float) -> None:
+        self.drill.loop.run_until_complete(asyncio.sleep(seconds))
+
+
+MACHINES = (DrillMachine,)
--- a/features/steps/eras.py
+++ b/features/steps/eras.py
@@ -30,6 +30,7 @@
 from features.fakes.formation import FormationSite, register_of
 from features.fakes.platform import PlatformStandIn
 from features.fakes.store import FakeTopics, StorePort
+from features.machines.drills import DrillMachine
 from features.machines.eras import EraMachine
 from features.machines.search import search
 
@@ -654,6 +655,12 @@
     context.search = (EraMachine, 60, 30)
 
 
+@when("whole daemons go through lost histories, cuts, crashes and hand-overs")
+def choose_drills(context):
+    context.search = (DrillMachine, 20, 12)
+
+
+@then("one is on duty in the end, and what is recorded is what serves")
 @then("no host is in two replicas and no name is given twice")
 def run_machine(context):
     machine, examples, steps = context.search
@@ -793,9 +800,8 @@
     formed = drill.daemons[0].register.by_name[head.part.replica]
     context.lost = formed.ids[1]
     context.lost_replica = formed
-    drill.fleet.stop(context.lost)
+    drill.lose_engine(context.lost)
     drill.run(4)
-    drill.fleet.unregister(context.lost)
 
 
 @then("its replica is made good within {seconds:g} s")
