--- a/auburnproxy/daemon/routed.py
+++ b/auburnproxy/daemon/routed.py
@@ -6,6 +6,7 @@
 import signal
 from collections.abc import Callable, Iterator
 from functools import partial
+from random import Random
 
 from aiohttp import ClientTimeout, web
 
@@ -48,6 +49,8 @@
 REPLICAS_WAIT_S = 2.5
 """The same for replicas' records, which hosts' registrations show as well."""
 RELAY_S = 0.1
+TOKEN_BITS = 24
+"""Randomness in the name of a replica: two histories may give the same offset."""
 QUICK_PAUSE_S = 0.25
 """Pause between two readings of the registrations while replicas are formed."""
 START_PAUSE_S = 0.12
@@ -108,6 +111,7 @@
         self._started_at = loop_time()
         self._started = False
         self._patience_s = START_PATIENCE_S if settings.first_start else PATIENCE_S
+        self._random = self._open_random()
         self._join_beliefs()
         self._join_formation()
         self._join_serving()
@@ -196,14 +200,14 @@
             patience_s=self._patience_s,
             renewal=Renewal.REPLACED,
         )
-        self.register = Register(self._store, decisions, replicas)
+        self.register = Register(self._store, decisions, replicas, token=self._token)
         topics = {
             self._deployment.operator_topic: self._operators,
             self._deployment.upstream_topic: self._upstreams,
             REPLICAS_TOPIC: replicas,
             DAEMONS_TOPIC: self._seats,
         }
-        self.relay = Relay(topics, self._open_peers(), decisions)
+        self.relay = Relay(topics, self._open_peers(), decisions, random=self._random)
         self.duty = Duty(
             settings.name,
             self.register,
@@ -230,6 +234,12 @@
         )
         self.conductor.retirement.on_begin = self.circle.tell_everyone
 
+    def _open_random(self) -> Random:
+        return Random()
+
+    def _token(self) -> str:
+        return f"{self._random.getrandbits(TOKEN_BITS):0{TOKEN_BITS // 4}x}"
+
     def _open_peers(self) -> Peers:
         return HttpPeers(self._session)
 
@@ -257,6 +267,7 @@
             sharers=lambda domain: self.circle.names_by_domain[domain],
             name=settings.name,
             far_interval_s=lambda: self.circle.far_interval_s,
+            random=self._random,
         )
         sender = self._open_sender(dialect)
         plain = Plain(
--- a/auburnproxy/formation/register.py
+++ b/auburnproxy/formation/register.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Iterable, Mapping, Sequence
-from secrets import token_hex
 from types import MappingProxyType
 
 from ..clock import loop_time
@@ -17,7 +16,6 @@
 ERA_EPOCHS = 1 << 32
 """Epochs of one era of the store: offsets begin anew in each, and a host refuses a
 lower epoch than it has seen."""
-TOKEN_BYTES = 3
 SEED_WAIT_S = 1.0
 """Seconds in a new era after which other daemons have told how far they had read."""
 DUTY_KEY = "duty"
@@ -46,7 +44,7 @@
         decisions: Decisions,
         follower: Follower,
         *,
-        token: Callable[[], str] = lambda: token_hex(TOKEN_BYTES),
+        token: Callable[[], str],
     ) -> None:
         self.follower = follower
         self._store = store
--- a/auburnproxy/store/relay.py
+++ b/auburnproxy/store/relay.py
@@ -151,17 +151,23 @@
     :param followers: the shared topics by name
     :param peers: the other daemons
     :param decisions: takes a line for each fetch
+    :param random: chooses among the peers that are ahead
     """
 
     def __init__(
-        self, followers: Mapping[str, Follower], peers: Peers, decisions: Decisions
+        self,
+        followers: Mapping[str, Follower],
+        peers: Peers,
+        decisions: Decisions,
+        *,
+        random: Random | None = None,
     ) -> None:
         self.followers = followers
         self._peers = peers
         self._decisions = decisions
         self._topics = {name: _Topic(f) for name, f in followers.items()}
         self._fetches: set[asyncio.Task[None]] = set()
-        self._random = Random()
+        self._random = random or Random()
 
     @property
     def end_by_topic(self) -> dict[str, int]:
--- a/emulator/daemons.py
+++ b/emulator/daemons.py
@@ -3,9 +3,12 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Mapping, Sequence
+from random import Random
+from typing import Any, cast
 
 import msgspec
+from aiohttp import web
 
 from auburnproxy.daemon.deployment import Deployment, DomainMark, RoutedSettings
 from auburnproxy.daemon.routed import RoutedDaemon
@@ -15,6 +18,7 @@
 from auburnproxy.gateway.host import Host
 from auburnproxy.gateway.resends import Allowance
 from auburnproxy.gateway.route import Configuration
+from auburnproxy.gateway.sender import Sender
 from auburnproxy.platform.headers import PlatformDialect
 from auburnproxy.store import Change, Peers, Place, Relay, Store
 from auburnproxy.store.follower import Shared
@@ -118,6 +122,11 @@
     return Change(host.id, msgspec.json.encode(host))
 
 
+def _no_sender(daemon: RoutedDaemon) -> Sender:
+    """Return a sender for daemons that nobody asks."""
+    return Sender(cast(Any, None), PlatformDialect(), daemon.directory, daemon.rests)
+
+
 class EmulatedPeers(Peers):
     """Daemons whose topics are fetched over the network's links.
 
@@ -153,15 +162,18 @@
 
 
 class EmulatedDaemon(RoutedDaemon):
-    """A routed daemon whose peers are fetched from in memory."""
+    """A routed daemon whose peers and engines are in the same process.
+
+    :param deployment: its settings and outside systems
+    :param decisions: takes its decisions
+    :param group: the daemons that it is one of
+    """
 
     def __init__(
-        self,
-        deployment: EmulatedDeployment,
-        decisions: Decisions,
-        open_peers: Callable[[Location], Peers],
+        self, deployment: EmulatedDeployment, decisions: Decisions, group: Group
     ) -> None:
-        self._open_peers_at = open_peers
+        self._group = group
+        self._asking: set[asyncio.Task[web.StreamResponse]] = set()
         super().__init__(deployment, decisions=decisions)
 
     @property
@@ -170,10 +182,25 @@
         return Location(self.settings.name, self.settings.failure_domain)
 
     def _open_peers(self) -> Peers:
-        return self._open_peers_at(self.location)
+        return self._group.peers_at(self.location)
+
+    def _open_sender(self, dialect: Dialect) -> Sender:
+        return self._group.open_sender(self)
+
+    def _open_random(self) -> Random:
+        return Random(f"{self._group.seed} {self.settings.name}")
+
+    def ask(self, http: web.BaseRequest) -> asyncio.Task[web.StreamResponse]:
+        """Begin to answer a caller; the task is cancelled if the caller leaves."""
+        task = asyncio.create_task(self.face.handle(cast(web.Request, http)))
+        self._asking.add(task)
+        task.add_done_callback(self._asking.discard)
+        return task
 
     async def kill(self) -> None:
         """End every task at once, as a lost process does."""
+        for task in tuple(self._asking):
+            task.cancel()
         self._seat_taking.cancel()
         self.relay.close()
         self.health.close()
@@ -189,6 +216,8 @@
     :param configurations: the operators' configurations by the text of their records
     :param open_store: returns a daemon's connection to the log
     :param open_decisions: returns where a daemon writes its decisions
+    :param open_sender: returns what sends a daemon's requests to the engines
+    :param seed: of what the daemons draw
     """
 
     def __init__(
@@ -199,6 +228,8 @@
         *,
         open_store: Callable[[Location], Store],
         open_decisions: Callable[[str], Decisions],
+        open_sender: Callable[[EmulatedDaemon], Sender] = _no_sender,
+        seed: int = 0,
     ) -> None:
         self.daemon_by_name: dict[str, EmulatedDaemon] = {}
         self._links = links
@@ -206,21 +237,35 @@
         self._configurations = configurations
         self._open_store = open_store
         self._open_decisions = open_decisions
+        self.open_sender = open_sender
+        self.seed = seed
         self._relay_by_address: dict[str, tuple[Location, Relay]] = {}
 
-    def start(self, settings: RoutedSettings) -> EmulatedDaemon:
-        """Start a daemon."""
+    @property
+    def daemons(self) -> list[EmulatedDaemon]:
+        """Return the daemons that run."""
+        return list(self.daemon_by_name.values())
+
+    def start(
+        self,
+        settings: RoutedSettings,
+        wires: Sequence[Callable[[EmulatedDaemon], None]] = (),
+    ) -> EmulatedDaemon:
+        """Start a daemon.
+
+        :param wires: changes of it before it starts
+        """
         location = Location(settings.name, settings.failure_domain)
         deployment = EmulatedDeployment(
             settings, self._open_store(location), self._orders, self._configurations
         )
-        daemon = EmulatedDaemon(
-            deployment, self._open_decisions(settings.name), self._open_peers
-        )
+        daemon = EmulatedDaemon(deployment, self._open_decisions(settings.name), self)
         ip, _, port = settings.beats.partition(":")
         self._links.location_by_address[ip, int(port)] = location
         self._relay_by_address[settings.internal] = location, daemon.relay
         self.daemon_by_name[settings.name] = daemon
+        for wire in wires:
+            wire(daemon)
         daemon.start()
         return daemon
 
@@ -230,5 +275,6 @@
         del self._relay_by_address[daemon.settings.internal]
         await daemon.kill()
 
-    def _open_peers(self, location: Location) -> Peers:
+    def peers_at(self, location: Location) -> Peers:
+        """Return the other daemons as they are reached from a place."""
         return EmulatedPeers(location, self._links, self._relay_by_address)
--- /dev/null
+++ b/emulator/fleet.py
@@ -0,0 +1,205 @@
+"""The engines of an installation: what they take, and how they are lost."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Iterable
+from typing import Any
+
+from auburnproxy.gateway.host import Host, Part, PartState
+from auburnproxy.gateway.route import EngineSpec
+from features.fakes.fleet import REJOIN_S, FakeFleet
+
+from .network import Location
+from .registrations import Registrations
+from .replica import Job, Reading, Replica
+
+STALL_S = 4.0
+"""Time after which a head whose member is lost breaks."""
+LAPSE_S = 3.6
+"""Three of the engines' intervals, after which a silent one's registration lapses."""
+STARTING_PART = 0.1
+"""Part of a load's time that it takes before the first request."""
+
+
+class PlainHost:
+    """An engine of a plain service, which works on few requests at once.
+
+    :param slots: requests that it works on at once
+    :param work_s: returns the time of the next one
+    """
+
+    def __init__(self, slots: int, work_s: Callable[[], float]) -> None:
+        self.work_s = work_s
+        self.slots = asyncio.Semaphore(slots)
+
+
+class Fleet(FakeFleet):
+    """Engines that serve what they form, with a store of weights that they share.
+
+    :param register: where they register
+    :param engine: how they batch requests
+    :param reading: how they read prompts
+    :param served: returns whether a request has been served yet
+    """
+
+    def __init__(
+        self,
+        register: Registrations,
+        engine: EngineSpec,
+        reading: Reading,
+        served: Callable[[], bool],
+    ) -> None:
+        super().__init__(register)
+        self.replica_by_head: dict[str, Replica] = {}
+        self.plain_by_id: dict[str, PlainHost] = {}
+        self.slow_by_id: dict[str, float] = {}
+        """Factor on the times of slow engines."""
+        self.dark: set[str] = set()
+        """Engines whose machines answer nothing, not even a connection."""
+        self._engine = engine
+        self.reading = reading
+        self._served = served
+        self._loads = 0
+        self._served_part: dict[str, tuple[str, int]] = {}
+        """Name and epoch of the replica that each head has opened last."""
+
+    def location(self, host_id: str) -> Location:
+        """Return where an engine runs."""
+        return Location(host_id, self.hosts[host_id].failure_domain)
+
+    def add_plain(self, host: Host, plain: PlainHost) -> None:
+        """Add an engine of a plain service."""
+        self.plain_by_id[host.id] = plain
+        self.add(host)
+
+    def admit(self, host: Host, job: Job) -> int:
+        """Give a head a job, and return the status of its answer.
+
+        :param host: the head as the daemon knows it
+        """
+        known = self.hosts[host.id]
+        part = known.part
+        replica = self.replica_by_head.get(host.id)
+        if known.born != host.born or part is None or replica is None:
+            return 421
+        if part.state is not PartState.OPEN or not replica.admit(job):
+            return 503
+        return 200
+
+    def drop(self, host_id: str, job: Job) -> None:
+        """Forget a job whose daemon has closed the connection."""
+        replica = self.replica_by_head.get(host_id)
+        if replica is not None:
+            replica.drop(job)
+
+    def lose(self, names: Iterable[str], *, dark: bool) -> None:
+        """Lose engines at once.
+
+        :param dark: whether their machines fall silent, and do not just reset
+        """
+        loop = asyncio.get_running_loop()
+        for name in names:
+            self.stop(name)
+            if dark:
+                self.dark.add(name)
+            own = self.replica_by_head.get(name)
+            if own is not None:
+                own.stall() if dark else own.break_off()
+            loop.call_later(LAPSE_S, self._lapse, name)
+            self._stall_with(name)
+
+    def restart(self, names: Iterable[str]) -> None:
+        """Start engines anew, with the weights that their hosts keep."""
+        for name in names:
+            replica = self.replica_by_head.pop(name, None)
+            if replica is not None:
+                replica.break_off()
+            self._stall_with(name)
+            self._served_part.pop(name, None)
+            known = self.hosts[name]
+            self.hosts[name] = known._replace(born=known.born + 1, part=None, models=())
+            for group in (self.stopped, self.silent, self.dark):
+                group.discard(name)
+            self._set(name, busy=False)
+
+    def _stall_with(self, name: str) -> None:
+        """Stall the replica of a member that is lost, and break it later."""
+        part = self.hosts[name].part
+        if part is None:
+            return
+        members = self._members.get((part.replica, part.epoch), ())
+        head = members[0] if members else ""
+        replica = self.replica_by_head.get(head)
+        if replica is not None and head != name:
+            replica.stall()
+            loop = asyncio.get_running_loop()
+            loop.call_later(STALL_S, self._break, head, replica, part)
+
+    def _break(self, head: str, replica: Replica, part: Part) -> None:
+        if self.replica_by_head.get(head) is not replica:
+            return
+        replica.break_off()
+        own = self.hosts[head].part
+        if own is not None and own.replica == part.replica:
+            self._set(head, part=own._replace(state=PartState.BROKEN))
+
+    def _lapse(self, name: str) -> None:
+        if name in self.stopped:
+            self.unregister(name)
+
+    def _slowdown(self, members: tuple[str, ...], pace: float) -> float:
+        slowest = max(self.slow_by_id.get(name, 1.0) for name in members)
+        places = {self.hosts[name].fabric_domain for name in members}
+        spread = self._engine.spread_factor if len(places) > 1 else 1.0
+        return pace * slowest * spread
+
+    def _set(self, name: str, **changes: Any) -> None:
+        super()._set(name, **changes)
+        part = self.hosts[name].part
+        if part is None or part.state is not PartState.OPEN:
+            return
+        if self._served_part.get(name) != (part.replica, part.epoch):
+            self._serve(name, part)
+
+    def _serve(self, name: str, part: Part) -> None:
+        key = part.replica, part.epoch
+        self._served_part[name] = key
+        members = self._members[key]
+        model = self._engine.model(self.hosts[name].models[0])
+        assert model is not None
+        replica = Replica(
+            self._engine, self.reading, lambda: self._slowdown(members, model.pace)
+        )
+        self.replica_by_head[name] = replica
+        if any(member in self.stopped for member in members):
+            replica.stall()
+            loop = asyncio.get_running_loop()
+            loop.call_later(STALL_S, self._break, name, replica, part)
+
+    def _join_s(self, known: Host, model: str) -> float:
+        if model in known.models and model in known.staged:
+            return REJOIN_S
+        spec = self._engine.model(model)
+        assert spec is not None
+        if model in known.staged:
+            return spec.warm_s
+        return self._load_s(spec.load_s)
+
+    def _load_s(self, usual_s: float) -> float:
+        """Return the time of a load that begins now; many at once take longer."""
+        if not self._served():
+            return usual_s * STARTING_PART
+        self._loads += 1
+        seconds = usual_s * max(self._loads / self._engine.loads_at_once, 1.0)
+        asyncio.get_running_loop().call_later(seconds, self._end_load)
+        return seconds
+
+    def _end_load(self) -> None:
+        self._loads -= 1
+
+    async def _stage(self, name: str, model: str) -> None:
+        spec = self._engine.model(model)
+        assert spec is not None
+        await asyncio.sleep(self._load_s(spec.load_s))
+        self._set(name, staged=(model,))
--- a/emulator/network.py
+++ b/emulator/network.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 from typing import Any, NamedTuple
 
 import async_solipsism
@@ -34,6 +35,8 @@
         """Processes that reach no other one."""
         self.location_by_address: dict[tuple[str, int], Location] = {}
         self.protocol_by_address: dict[tuple[str, int], asyncio.DatagramProtocol] = {}
+        self.loss_s: Callable[[], float] = lambda: 0.0
+        """Returns the seconds that lost packets hold the next block up."""
         self._near_s = near_s
         self._far_s = far_s
 
--- /dev/null
+++ b/emulator/play.py
@@ -0,0 +1,382 @@
+"""One day of an installation, played on virtual time."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Coroutine, Sequence
+from typing import Any
+
+import numpy
+from numpy.random import Generator
+
+from auburnproxy.clock import loop_time
+from auburnproxy.gateway.host import Host
+from auburnproxy.gateway.route import (
+    Bounds,
+    Configuration,
+    Route,
+    RouteKind,
+    ServiceSpec,
+    Target,
+)
+from auburnproxy.store import Change
+from features.fakes.store import FakeTopics, StorePort, quiet
+
+from .callers import Caller, Outcome
+from .daemons import (
+    CONFIGURATION,
+    OPERATORS,
+    OUT_PREFIX,
+    EmulatedDaemon,
+    Group,
+    settings_of,
+)
+from .day import Day, Fault, Kind
+from .fleet import Fleet, PlainHost
+from .network import Location, Network, VirtualLoop
+from .registrations import Registrations
+from .upstreams import EmulatedSender
+
+LEAD_S = 12.0
+"""Time between the start of the machines and that of the traffic."""
+TAIL_S = 10.0
+"""Time after the last request in which answers are waited for."""
+ENGINES, PLAIN = "engines", "plain"
+VERSION = b"1"
+LOST_PACKET_S = 0.2
+"""Time that a lost packet costs."""
+PLAIN_SPREAD = 0.5
+Wire = Callable[[EmulatedDaemon], None]
+"""Changes a daemon before it starts, as an experiment wants it."""
+
+
+def play(day: Day, seed: int, wires: Sequence[Wire] = ()) -> list[Outcome]:
+    """Play a day and return how each request ended.
+
+    :param seed: of all that is drawn
+    :param wires: changes of each daemon
+    """
+    links = Network()
+    loop = VirtualLoop(links)
+    asyncio.set_event_loop(loop)
+    try:
+        outcomes: list[Outcome] = loop.run_until_complete(
+            _Play(day, seed, links, wires).run()
+        )
+        return outcomes
+    finally:
+        for task in asyncio.all_tasks(loop):
+            task.cancel()
+        loop.run_until_complete(asyncio.sleep(0))
+        loop.close()
+
+
+class _Play:
+    def __init__(
+        self, day: Day, seed: int, links: Network, wires: Sequence[Wire]
+    ) -> None:
+        self._day = day
+        self._site = day.installation
+        self._seed = seed
+        self._links = links
+        self._wires = wires
+        self._random = numpy.random.default_rng(seed)
+        self._topics = FakeTopics()
+        self._ports: dict[str, StorePort] = {}
+        self._outcomes: list[Outcome] = []
+        self._rate = 1.0
+        self._lost_packets = self._site.lost_packets
+        links.loss_s = self._loss_s
+        self._started = 0
+        self._up: dict[str, float] = {}
+        """The loop's time from which callers are sent to a daemon."""
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    async def run(self) -> list[Outcome]:
+        self._begin()
+        await asyncio.sleep(LEAD_S)
+        self._started_at = loop_time()
+        for fault in self._day.faults:
+            self._spawn(self._suffer(fault))
+        arrivals = [
+            asyncio.create_task(self._arrive(kind, domain))
+            for kind in self._site.kinds
+            for domain in self._domains()
+        ]
+        await asyncio.sleep(self._day.seconds + TAIL_S)
+        for task in arrivals:
+            task.cancel()
+        for name in list(self.group.daemon_by_name):
+            await self.group.kill(name)
+        return self._outcomes
+
+    def _domains(self) -> list[str]:
+        return [f"fd{number}" for number in range(self._site.failure_domains)]
+
+    def _begin(self) -> None:
+        self._topics.take(OPERATORS, [Change(CONFIGURATION, VERSION)])
+        self.fleet = Fleet(
+            Registrations(self._topics.take),
+            self._site.engine,
+            self._site.reading,
+            served=lambda: any(d.face.served for d in self.group.daemons),
+        )
+        self.group = Group(
+            self._links,
+            self.fleet,
+            {VERSION: _configuration(self._day)},
+            open_store=self._open_store,
+            open_decisions=lambda name: quiet(),
+            open_sender=self._open_sender,
+            seed=self._seed,
+        )
+        for number in range(self._site.engines):
+            domain = number % self._site.failure_domains
+            index = number // self._site.failure_domains
+            fabric = f"f{domain}-{index // self._site.fabric_domain}"
+            self.fleet.add(
+                _host(
+                    f"e{number}",
+                    ENGINES,
+                    f"fd{domain}",
+                    fabric,
+                    self._site.engine.slots,
+                )
+            )
+        for number in range(self._site.plain_engines):
+            domain = number % self._site.failure_domains
+            host = _host(f"p{number}", PLAIN, f"fd{domain}", "", self._site.plain_slots)
+            self.fleet.add_plain(host, PlainHost(self._site.plain_slots, self._work_s))
+        self._spawn(self.fleet.beat())
+        for number in range(self._site.daemons):
+            self._start_daemon(number, first_start=True)
+
+    def _work_s(self) -> float:
+        sigma = PLAIN_SPREAD
+        drawn = self._random.lognormal(-sigma * sigma / 2, sigma)
+        return float(drawn * self._site.plain_work_s)
+
+    def _open_store(self, location: Location) -> StorePort:
+        return self._ports.setdefault(location.name, StorePort(self._topics))
+
+    def _open_sender(self, daemon: EmulatedDaemon) -> EmulatedSender:
+        return EmulatedSender(
+            daemon.location,
+            self._links,
+            self.fleet,
+            dialect=None,
+            directory=daemon.directory,
+            rests=daemon.rests,
+        )
+
+    def _start_daemon(self, number: int, *, first_start: bool) -> None:
+        settings = settings_of(
+            number,
+            failure_domain=f"fd{number % self._site.failure_domains}",
+            first_start=first_start,
+        )
+        daemon = self.group.start(settings, self._wires)
+        self._up[daemon.settings.name] = loop_time()
+
+    def _callers_go_to(self, domain: str) -> list[EmulatedDaemon]:
+        """Return the daemons that the balancer sends a domain's callers to."""
+        ready = [daemon for daemon in self.group.daemons if daemon.ready]
+        near = [d for d in ready if d.settings.failure_domain == domain]
+        return near or [
+            d for d in ready if d.settings.failure_domain not in self._links.cut_domains
+        ]
+
+    async def _arrive(self, kind: Kind, domain: str) -> None:
+        random = numpy.random.default_rng(
+            [self._seed, *f"{kind.name} {domain}".encode()]
+        )
+        rate = kind.per_s / self._site.failure_domains
+        ends_at, number = self._started_at + self._day.seconds, 0
+        while True:
+            await asyncio.sleep(random.exponential(1 / (rate * self._rate)))
+            if loop_time() >= ends_at:
+                return
+            number += 1
+            self._spawn(
+                self._ask(kind, domain, f"{kind.name}-{domain}-{number}", random)
+            )
+
+    async def _ask(self, kind: Kind, domain: str, id: str, random: Generator) -> None:
+        caller = Caller(kind, domain, self._callers_go_to, random, id=id)
+        self._outcomes.append(await caller.run(self._started_at))
+
+    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _suffer(self, fault: Fault) -> None:
+        """Let something go wrong, and end after its time."""
+        await asyncio.sleep(fault.at_s)
+        begin = getattr(self, "_" + fault.kind.replace("-", "_"))
+        end = begin(
+            **{
+                k.replace("-", "_"): v
+                for k, v in fault.values.items()
+                if k not in ("at-s", "for-s")
+            }
+        )
+        if end is not None:
+            await asyncio.sleep(fault.values["for-s"])
+            end()
+
+    def _alive(self) -> list[str]:
+        hosts = self.fleet.hosts
+        return [
+            n
+            for n in hosts
+            if hosts[n].service == ENGINES and n not in self.fleet.stopped
+        ]
+
+    def _lose_engines(self, count: int, dark: bool = False) -> None:
+        alive = self._alive()
+        drawn = self._random.choice(len(alive), min(count, len(alive)), replace=False)
+        self.fleet.lose([alive[index] for index in drawn], dark=dark)
+
+    def _lose_fabric_domain(self, index: int) -> Callable[[], None]:
+        fabrics = sorted(
+            {self.fleet.hosts[name].fabric_domain for name in self._alive()}
+        )
+        fabric = fabrics[index % len(fabrics)]
+        lost = [n for n in self._alive() if self.fleet.hosts[n].fabric_domain == fabric]
+        self.fleet.lose(lost, dark=True)
+        return lambda: self.fleet.restart(lost)
+
+    def _cut_domain(self, index: int) -> Callable[[], None]:
+        domain = f"fd{index}"
+        self._links.cut_domains.add(domain)
+        for daemon in self.group.daemons:
+            if daemon.settings.failure_domain == domain:
+                self._ports[daemon.settings.name].away = True
+
+        def end() -> None:
+            self._links.cut_domains.discard(domain)
+            for port in self._ports.values():
+                port.away = False
+
+        return end
+
+    def _take_domain_out(self, index: int) -> Callable[[], None]:
+        key = f"{OUT_PREFIX}fd{index}"
+        self._topics.take(OPERATORS, [Change(key, b"1")])
+
+        def end() -> None:
+            self._topics.take(OPERATORS, [Change(key, b"")])
+
+        return end
+
+    def _burst(self, times: float) -> Callable[[], None]:
+        self._rate *= times
+
+        def end() -> None:
+            self._rate /= times
+
+        return end
+
+    def _store_away(self) -> Callable[[], None]:
+        for port in self._ports.values():
+            port.away = True
+
+        def end() -> None:
+            for port in self._ports.values():
+                port.away = False
+
+        return end
+
+    def _slow_engines(self, count: int, times: float) -> Callable[[], None]:
+        alive = self._alive()
+        drawn = self._random.choice(len(alive), min(count, len(alive)), replace=False)
+        names = [alive[index] for index in drawn]
+        self.fleet.slow_by_id.update(dict.fromkeys(names, times))
+
+        def end() -> None:
+            for name in names:
+                self.fleet.slow_by_id.pop(name, None)
+
+        return end
+
+    def _lose_packets(self, part: float) -> Callable[[], None]:
+        self._lost_packets += part
+
+        def end() -> None:
+            self._lost_packets -= part
+
+        return end
+
+    def _loss_s(self) -> float:
+        return LOST_PACKET_S if self._random.random() < self._lost_packets else 0.0
+
+    def _kill_daemons(self, count: int) -> Callable[[], None]:
+        names = sorted(self.group.daemon_by_name)
+        drawn = self._random.choice(len(names), min(count, len(names)), replace=False)
+        return self._kill([names[index] for index in drawn])
+
+    def _restart_everything(self) -> Callable[[], None]:
+        alive = self._alive()
+        self.fleet.lose(alive, dark=True)
+        start = self._kill(sorted(self.group.daemon_by_name))
+
+        def end() -> None:
+            self.fleet.restart(alive)
+            start()
+
+        return end
+
+    def _kill(self, names: list[str]) -> Callable[[], None]:
+        for name in names:
+            self._spawn(self.group.kill(name))
+
+        def start() -> None:
+            for name in names:
+                self._start_daemon(int(name[1:]), first_start=False)
+
+        return start
+
+
+def _host(name: str, service: str, domain: str, fabric: str, slots: int) -> Host:
+    return Host(
+        id=name,
+        service=service,
+        address=f"{name}:1",
+        failure_domain=domain,
+        slots=slots,
+        leaving=False,
+        cold_s=0.0,
+        born=1,
+        fabric_domain=fabric,
+    )
+
+
+def _configuration(day: Day) -> Configuration:
+    """Return the operators' configuration: a route for each kind of request."""
+    routes = tuple(map(_route, day.installation.kinds))
+    services = {
+        ENGINES: ServiceSpec(ENGINES, 0.0, 0.0, day.installation.engine),
+        PLAIN: ServiceSpec(PLAIN, 0.0, 0.0, None),
+    }
+    return Configuration(1, {"emulated": routes}, services, {}, False, Bounds())
+
+
+def _route(kind: Kind) -> Route:
+    route_kind = RouteKind.STREAM if kind.model else RouteKind.IDEMPOTENT
+    if not kind.repeatable:
+        route_kind = RouteKind.ONCE
+    return Route(
+        name=kind.name,
+        host="emulated",
+        prefix=f"/{kind.name}/",
+        kind=route_kind,
+        targets=(Target(ENGINES if kind.model else PLAIN, 100),),
+        timeout_s=kind.limit_s,
+        objective_s=kind.objective_s,
+        pause_objective_s=kind.pause_s,
+        attempts=2 if kind.repeatable else 1,
+        priority=1,
+        public=True,
+        resumable=bool(kind.model),
+    )
--- a/features/fakes/drill.py
+++ b/features/fakes/drill.py
@@ -13,33 +13,17 @@
     OPERATORS,
     UPSTREAMS,
     Group,
-    registration,
     settings_of,
 )
 from emulator.network import Network, VirtualLoop
+from emulator.registrations import Registrations
 from features.fakes.fleet import FakeFleet, configuration, host
 from features.fakes.store import FakeTopics, StorePort, quiet
 
 VERSION = b"1"
 CHECK_S = 0.1
 LAPSE_S = 3.6
-"""Three of the engines' intervals, after which a silent one's registration is dropped."""
-
-
-class Registrations:
-    """The engines' records in the store, in place of one daemon's directory."""
-
-    def __init__(self, topics: FakeTopics) -> None:
-        self.hosts: dict[str, object] = {}
-        self._topics = topics
-
-    def register(self, host) -> None:
-        self.hosts[host.id] = host
-        self._topics.take(UPSTREAMS, [registration(host)])
-
-    def unregister(self, host_id: str) -> None:
-        del self.hosts[host_id]
-        self._topics.take(UPSTREAMS, [Change(host_id, b"")])
+"""Three of the engines' intervals, after which a silent one's registration lapses."""
 
 
 class Drill:
@@ -62,7 +46,7 @@
         daemons, domains, hosts = self._shape
         self.topics = FakeTopics(era=1)
         self.topics.take(OPERATORS, [Change(CONFIGURATION, VERSION)])
-        self.fleet = FakeFleet(Registrations(self.topics))
+        self.fleet = FakeFleet(Registrations(self.topics.take))
         for domain in range(domains):
             for number in range(hosts):
                 self.fleet.add(
--- a/features/fakes/fleet.py
+++ b/features/fakes/fleet.py
@@ -3,11 +3,12 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Coroutine, Mapping
+from typing import Any, Protocol
 
 from auburnproxy.errors import UpstreamError
 from auburnproxy.formation.orders import Answer, Orders
 from auburnproxy.formation.record import Formed, Member
-from auburnproxy.gateway.directory import Directory
 from auburnproxy.gateway.host import Host, Part, PartState
 from auburnproxy.gateway.route import (
     Bounds,
@@ -38,9 +39,9 @@
     staged: tuple[str, ...] = (),
     models: tuple[str, ...] = (),
     part: Part | None = None,
-    **more,
+    **more: Any,
 ) -> Host:
-    values = {"service": SERVICE, "address": f"{name}:1", "slots": 9}
+    values: dict[str, Any] = {"service": SERVICE, "address": f"{name}:1", "slots": 9}
     values |= {"leaving": False, "cold_s": 0.0, "born": 1} | more
     return Host(
         id=name,
@@ -53,13 +54,24 @@
     )
 
 
+class Registry(Protocol):
+    """Where engines register: a directory, or the store that fills directories."""
+
+    @property
+    def hosts(self) -> Mapping[str, Host]: ...
+
+    def register(self, host: Host) -> None: ...
+
+    def unregister(self, host_id: str) -> None: ...
+
+
 class FakeFleet(Orders):
     """The engines and their orders; it notes what must never happen.
 
     :param directory: where the engines register at once with each change
     """
 
-    def __init__(self, directory: Directory) -> None:
+    def __init__(self, directory: Registry) -> None:
         self.directory = directory
         self.hosts: dict[str, Host] = {}
         self.silent: set[str] = set()
@@ -158,11 +170,8 @@
         return await self._ordered("leave", member, formed.name, carry_out())
 
     async def stage(self, member: Member, model: str) -> Answer:
-        async def carry_out() -> None:
-            await asyncio.sleep(12.0)
-            self._set(member.id, staged=(model,))
-
-        return await self._ordered("stage", member, model, carry_out())
+        work = self._stage(member.id, model)
+        return await self._ordered("stage", member, model, work)
 
     async def report(self, host: Host) -> Host:
         await asyncio.sleep(0.005)
@@ -170,7 +179,9 @@
             raise UpstreamError(f"{host.id} does not answer")
         return self.hosts[host.id]
 
-    async def _ordered(self, kind, member, subject, work) -> Answer:
+    async def _ordered(
+        self, kind: str, member: Member, subject: str, work: Coroutine[Any, Any, None]
+    ) -> Answer:
         self.sent.append((kind, member.id, subject))
         await asyncio.sleep(0.005)
         if member.id in self.silent or member.id not in self.hosts:
@@ -191,6 +202,10 @@
         await asyncio.sleep(0)
         return Answer.DONE if task.done() else Answer.BEGUN
 
+    async def _stage(self, name: str, model: str) -> None:
+        await asyncio.sleep(12.0)
+        self._set(name, staged=(model,))
+
     def _check_join(self, member: Member, formed: Formed) -> None:
         """Note a join of a host whose own replica's head still serves."""
         part = self.hosts[member.id].part
@@ -218,7 +233,7 @@
         assert spec is not None
         return spec.warm_s if model in known.staged else spec.load_s / 10
 
-    def _set(self, name: str, **changes) -> None:
+    def _set(self, name: str, **changes: Any) -> None:
         self.hosts[name] = self.hosts[name]._replace(**changes)
         if name in self.directory.hosts and name not in self.silent:
             self.directory.register(self.hosts[name])
--- a/features/machines/register.py
+++ b/features/machines/register.py
@@ -35,7 +35,7 @@
         self.registers = []
         for port in self.ports:
             follower = Follower(port, TOPIC, quiet())
-            self.registers.append(Register(port, quiet(), follower))
+            self.registers.append(Register(port, quiet(), follower, token=str))
 
     def teardown(self) -> None:
         self.loop.close()
@@ -73,7 +73,9 @@
     @rule(writer=st.integers(0, WRITERS - 1))
     def restart(self, writer: int) -> None:
         follower = Follower(self.ports[writer], TOPIC, quiet())
-        self.registers[writer] = Register(self.ports[writer], quiet(), follower)
+        self.registers[writer] = Register(
+            self.ports[writer], quiet(), follower, token=str
+        )
 
     @invariant()
     def hosts_are_apart(self) -> None:
