Lose answers in the soak, and keep a caller's slow start out of a head's silence

The soak's engines now also run requests and lose their answers, or parts of them.

Reread: a stream's head counted as silent from an old moment while the answer's own head was being written to the caller. It is the caller that is waited for then.

--- a/auburnproxy/gateway/streams.py
+++ b/auburnproxy/gateway/streams.py
@@ -345,10 +345,10 @@
         self._event_at = now
 
     async def _write(self, answer: ClientResponse, data: bytes) -> None:
+        self._writing = True
         if self._response is None:
             await self._start(answer)
         assert self._response is not None
-        self._writing = True
         await self._response.write(data)
         self._writing = False
         self._quiet_from = loop_time()
--- a/soak/main.py
+++ b/soak/main.py
@@ -46,6 +46,11 @@
     return found
 
 
+LOST_ANSWERS = ("reset", "short", "chunked cut", "half a head", "silent close")
+"""What a plain engine does with requests that it has run."""
+LOST_STREAMS = ("break", "close halfway", "reset")
+
+
 class Faults:
     """Faults in series and overlapping, all chosen by a seed.
 
@@ -59,6 +64,7 @@
         self._random = Random(seed)
         self._drills = Random(f"drills {seed}")
         """Apart from the other faults, whose order by seed stays as it was."""
+        self._losses = Random(f"losses {seed}")
         self._out: set[str] = set()
         self._version = 1
         self._away: set[str] = set()
@@ -66,7 +72,10 @@
 
     async def run(self, seconds: float) -> None:
         """Play faults for a while, and end them all."""
-        tasks = [asyncio.create_task(self._drill(seconds))]
+        tasks = [
+            asyncio.create_task(self._drill(seconds)),
+            asyncio.create_task(self._lose_answers(seconds)),
+        ]
         until = time.monotonic() + seconds
         kinds = (
             self._kill,
@@ -204,6 +213,19 @@
         await asyncio.sleep(self._random.uniform(0.2, 1.5))
         engine.endless = ""
 
+    async def _lose_answers(self, seconds: float) -> None:
+        """Let engines run requests and lose their answers, or parts of them."""
+        until = time.monotonic() + seconds
+        while time.monotonic() < until:
+            await asyncio.sleep(self._losses.uniform(0.3, 2.5))
+            name = self._losses.choice(sorted(self._site.engines))
+            ways = LOST_STREAMS if name[0] == "e" else LOST_ANSWERS
+            engine, way = self._site.engines[name], self._losses.choice(ways)
+            self._note(f"engine {name} loses its answers: {way}")
+            engine.script = [way]
+            await asyncio.sleep(self._losses.uniform(0.2, 1.0))
+            engine.script = ["ok"]
+
     async def _configure(self) -> None:
         self._version += 1
         self._note(f"configuration {self._version}")
