Let requests wait for what a daemon reads right after its start

The daemons knew configuration and replicas 0.2 to 0.3 s after their start and refused 83 requests as "unconfigured" in that moment; their callers had spent their other try on a daemon that was down.

Change: within 0.8 s from its start, or their deadline if that is sooner, a daemon's requests wait until the configuration, the hosts and the replicas are known. After that it refuses at once, as before.

Ruled out: a shorter time to come back. The callers come no third time.

Tests: ten requests that come with the start are answered 200 (503 before); a daemon that learns nothing refuses within 1 s, and then at once.

--- a/auburnproxy/daemon/routed.py
+++ b/auburnproxy/daemon/routed.py
@@ -293,6 +293,7 @@
             streams,
             allowance=settings.allowance,
             daemons=lambda: self.circle.size,
+            informed=self._informed,
             decisions=self.decisions,
             telemetry=self.telemetry,
         )
@@ -313,6 +314,11 @@
         configured = self.directory.configuration.version >= 0
         return configured and self._upstreams.whole and not self.face.draining
 
+    def _informed(self) -> bool:
+        """Return whether the configuration, the hosts and the replicas are known."""
+        known = self.directory.configuration.version >= 0
+        return known and self._upstreams.whole and self.register.follower.whole
+
     def start(self) -> None:
         """Start the tasks of all slices."""
         self.decisions.belief(
--- a/auburnproxy/gateway/face.py
+++ b/auburnproxy/gateway/face.py
@@ -26,6 +26,10 @@
 """Greatest part of a caller's time that it is asked to wait; it needs the rest."""
 CLOSED_RETRY_S = 0.05
 """Wait of a caller whose next connection goes to another daemon."""
+START_HOLD_S = 0.8
+"""Time from the start in which requests wait for the configuration and the hosts, which
+are mostly read within a third of it; many callers have no further try by then."""
+START_LOOK_S = 0.02
 UNCONFIGURED_RETRY_S = 0.5
 """Wait until a started daemon has usually read its configuration."""
 
@@ -39,6 +43,7 @@
     :param streams: sends requests of streamed routes
     :param allowance: bound on resends
     :param daemons: returns how many daemons share that bound
+    :param informed: returns whether all is known that requests need
     :param decisions: takes a line for each request
     :param telemetry: histograms and counters
     """
@@ -52,6 +57,7 @@
         *,
         allowance: Allowance,
         daemons: Callable[[], int],
+        informed: Callable[[], bool] = lambda: True,
         decisions: Decisions,
         telemetry: Telemetry,
     ) -> None:
@@ -67,6 +73,8 @@
         self._streams = streams
         self._allowance = allowance
         self._daemons = daemons
+        self._informed = informed
+        self._hold_until = loop_time() + START_HOLD_S
         self._decisions = decisions
         self._telemetry = telemetry
         self._resends_by_service: dict[str, Resends] = {}
@@ -139,6 +147,7 @@
         if self.closed:
             message = "This daemon is shutting down."
             raise RefusalError("draining", message, retry_after_s=CLOSED_RETRY_S)
+        await self._hold(arrived, ask)
         configuration = self._directory.configuration
         if configuration.version < 0:
             message = "This daemon has no configuration yet."
@@ -170,6 +179,18 @@
             deadline=arrived + waits_s,
         )
 
+    async def _hold(self, arrived: float, ask: Ask) -> None:
+        """Wait right after the start until requests can be routed.
+
+        Answers a restart of everything: callers who found nobody come back in the
+        moment in which the daemons have not read anything yet.
+        """
+        until = self._hold_until
+        if ask.deadline_s is not None:
+            until = min(until, arrived + ask.deadline_s)
+        while not self._informed() and loop_time() < until:
+            await self._directory.changed.wait(START_LOOK_S)
+
     async def _body(self, http: web.Request) -> bytes:
         """Return a request's body.
 
--- a/features/routed.feature
+++ b/features/routed.feature
@@ -167,6 +167,16 @@
     And a request comes with its key
     Then the caller is answered 401
 
+  Scenario: Requests that come with the start wait for what is read then (a restart)
+    Given a routed site
+    When a daemon starts and 5 lookups and 5 streams come at once
+    Then all of them are answered 200 within 1 s
+
+  Scenario: A daemon that learns nothing refuses soon, and then at once
+    Given a routed site without a configuration
+    When a caller looks something up twice
+    Then both are answered 503, the first within 1 s and the second within 0.1 s
+
   Scenario: A daemon without a configuration says so
     Given a routed site without a configuration
     When a caller looks something up
--- a/features/steps/routed.py
+++ b/features/steps/routed.py
@@ -629,3 +629,39 @@
 def compare_limit_logged(context):
     odd = [k["names"] for a, k in context.noted if a[0] == "headers_ignored"]
     assert odd == [("Deadline-Ms",)], context.noted
+
+
+@when("a daemon starts and {lookups:d} lookups and {streams:d} streams come at once")
+def start_and_ask(context, lookups, streams):
+    async def begin():
+        await context.site.add_daemon("d2")
+        answers = [SecondAnswer(context) for _ in range(lookups + streams)]
+        work = [ask(a, "GET", f"{SAFE_PATH}x", daemon=1) for a in answers[:lookups]]
+        work += [stream(a, daemon=1) for a in answers[lookups:]]
+        await asyncio.gather(*work)
+        return answers
+
+    context.answers = run(context, begin())
+
+
+@then("all of them are answered {status:d} within {seconds:g} s")
+def compare_all(context, status, seconds):
+    found = [(a.status, round(a.took_s, 2)) for a in context.answers]
+    assert all(s == status and took_s < seconds for s, took_s in found), found
+
+
+@when("a caller looks something up twice")
+def look_up_twice(context):
+    context.answers = [SecondAnswer(context) for _ in range(2)]
+    for answer in context.answers:
+        run(context, ask(answer, "GET", f"{SAFE_PATH}x"))
+
+
+@then(
+    "both are answered 503, the first within {first:g} s and the second within"
+    " {next:g} s"
+)
+def compare_refused_soon(context, first, next):
+    found = [(a.status, a.took_s) for a in context.answers]
+    assert [status for status, _ in found] == [503, 503], found
+    assert found[0][1] < first and found[1][1] < next, found
