--- a/emulator/experiment.py
+++ b/emulator/experiment.py
@@ -187,15 +187,14 @@
         for finding in error.findings:
             console.print(str(finding), highlight=False, markup=False)
         return 2
-    runs = [
-        Run(day, seed, name)
-        for day in paths
-        for name in ("", *names)
-        for seed in range(first_seed, first_seed + seeds)
-    ]
-    results = run_all(paths, runs, jobs=jobs)
-    console.print(summary(results, paths, names))
     for day in paths:
+        runs = [
+            Run(day, seed, name)
+            for name in ("", *names)
+            for seed in range(first_seed, first_seed + seeds)
+        ]
+        results = run_all(paths, runs, jobs=jobs)
+        console.print(summary(results, [day], names))
         for name in ("", *names) if detail else ():
             console.print(details(results, day, name))
         if plots is not None:
--- a/emulator/play.py
+++ b/emulator/play.py
@@ -87,9 +87,6 @@
         self._rate = 1.0
         self._lost_packets = self._site.lost_packets
         links.loss_s = self._loss_s
-        self._started = 0
-        self._up: dict[str, float] = {}
-        """The loop's time from which callers are sent to a daemon."""
         self._tasks: set[asyncio.Task[None]] = set()
 
     async def run(self) -> list[Outcome]:
@@ -175,8 +172,7 @@
             failure_domain=f"fd{number % self._site.failure_domains}",
             first_start=first_start,
         )
-        daemon = self.group.start(settings, self._wires)
-        self._up[daemon.settings.name] = loop_time()
+        self.group.start(settings, self._wires)
 
     def _callers_go_to(self, domain: str) -> list[EmulatedDaemon]:
         """Return the daemons that the balancer sends a domain's callers to."""
