Draw, end outages and fill registers in one place each; drop a cut that nobody plays

Found on rereading the whole change: the emulator drew names in three places and ended the store's outage in two, two steps filled a register by the same lines, the time after which a registration lapses stood twice, and Network.cut_names was never filled.

--- a/emulator/fleet.py
+++ b/emulator/fleet.py
@@ -8,7 +8,7 @@
 
 from auburnproxy.gateway.host import Host, Part, PartState
 from auburnproxy.gateway.route import EngineSpec
-from features.fakes.fleet import REJOIN_S, FakeFleet
+from features.fakes.fleet import LAPSE_S, REJOIN_S, FakeFleet
 
 from .network import Location
 from .registrations import Registrations
@@ -16,8 +16,6 @@
 
 STALL_S = 4.0
 """Time after which a head whose member is lost breaks."""
-LAPSE_S = 3.6
-"""Three of the engines' intervals, after which a silent one's registration lapses."""
 STARTING_PART = 0.1
 """Part of a load's time that it takes before the first request."""
 
--- a/emulator/network.py
+++ b/emulator/network.py
@@ -31,8 +31,6 @@
     def __init__(self, *, near_s: float = NEAR_S, far_s: float = FAR_S) -> None:
         self.cut_domains: set[str] = set()
         """Failure domains that reach no other one."""
-        self.cut_names: set[str] = set()
-        """Processes that reach no other one."""
         self.location_by_address: dict[tuple[str, int], Location] = {}
         self.protocol_by_address: dict[tuple[str, int], asyncio.DatagramProtocol] = {}
         self.loss_s: Callable[[], float] = lambda: 0.0
@@ -42,8 +40,6 @@
 
     def delay_s(self, source: Location, target: Location) -> float | None:
         """Return the seconds that a message takes, None if it does not arrive."""
-        if source.name != target.name and {source.name, target.name} & self.cut_names:
-            return None
         domains = {source.failure_domain, target.failure_domain}
         if len(domains) == 1:
             return self._near_s
--- a/emulator/play.py
+++ b/emulator/play.py
@@ -229,10 +229,18 @@
             if hosts[n].service == ENGINES and n not in self.fleet.stopped
         ]
 
+    def _some(self, names: Sequence[str], count: int) -> list[str]:
+        """Draw some of these names, each at most once."""
+        drawn = self._random.choice(len(names), min(count, len(names)), replace=False)
+        return [names[index] for index in drawn]
+
+    def _reach_store(self) -> None:
+        """Let every daemon reach the store again."""
+        for port in self._ports.values():
+            port.away = False
+
     def _lose_engines(self, count: int, dark: bool = False) -> None:
-        alive = self._alive()
-        drawn = self._random.choice(len(alive), min(count, len(alive)), replace=False)
-        self.fleet.lose([alive[index] for index in drawn], dark=dark)
+        self.fleet.lose(self._some(self._alive(), count), dark=dark)
 
     def _lose_fabric_domain(self, index: int) -> Callable[[], None]:
         fabrics = sorted(
@@ -252,8 +260,7 @@
 
         def end() -> None:
             self._links.cut_domains.discard(domain)
-            for port in self._ports.values():
-                port.away = False
+            self._reach_store()
 
         return end
 
@@ -277,17 +284,10 @@
     def _store_away(self) -> Callable[[], None]:
         for port in self._ports.values():
             port.away = True
-
-        def end() -> None:
-            for port in self._ports.values():
-                port.away = False
-
-        return end
+        return self._reach_store
 
     def _slow_engines(self, count: int, times: float) -> Callable[[], None]:
-        alive = self._alive()
-        drawn = self._random.choice(len(alive), min(count, len(alive)), replace=False)
-        names = [alive[index] for index in drawn]
+        names = self._some(self._alive(), count)
         self.fleet.slow_by_id.update(dict.fromkeys(names, times))
 
         def end() -> None:
@@ -308,9 +308,7 @@
         return LOST_PACKET_S if self._random.random() < self._lost_packets else 0.0
 
     def _kill_daemons(self, count: int) -> Callable[[], None]:
-        names = sorted(self.group.daemon_by_name)
-        drawn = self._random.choice(len(names), min(count, len(names)), replace=False)
-        return self._kill([names[index] for index in drawn])
+        return self._kill(self._some(sorted(self.group.daemon_by_name), count))
 
     def _restart_everything(self) -> Callable[[], None]:
         alive = self._alive()
--- a/features/fakes/drill.py
+++ b/features/fakes/drill.py
@@ -17,13 +17,11 @@
 )
 from emulator.network import Network, VirtualLoop
 from emulator.registrations import Registrations
-from features.fakes.fleet import FakeFleet, configuration, host
+from features.fakes.fleet import LAPSE_S, FakeFleet, configuration, host
 from features.fakes.store import FakeTopics, StorePort, quiet
 
 VERSION = b"1"
 CHECK_S = 0.1
-LAPSE_S = 3.6
-"""Three of the engines' intervals, after which a silent one's registration lapses."""
 
 
 class Drill:
--- a/features/fakes/fleet.py
+++ b/features/fakes/fleet.py
@@ -24,6 +24,8 @@
 ENGINE = EngineSpec(9, (LARGE, SMALL), 0.008, 0.0002, 45_900, 5, 5.0, 7, 0.3, 900, 150)
 REJOIN_S = 0.2
 HEARTBEAT_S = 1.2
+LAPSE_S = 3.6
+"""Three of the engines' intervals, after which a silent one's registration lapses."""
 
 
 def configuration(version: int = 1) -> Configuration:
--- a/features/steps/eras.py
+++ b/features/steps/eras.py
@@ -435,11 +435,7 @@
 
 @when("2 s pass and the other one fills the register without having heard the first")
 def fill_unheard(context):
-    async def fill():
-        await settle(context)
-        await context.registers[1].refill()
-
-    run(context, fill())
+    run(context, settle_and_fill(context, 1))
 
 
 @when("the first one tells what it knows")
@@ -512,13 +508,14 @@
     await asyncio.sleep(2)
 
 
+async def settle_and_fill(context, writer):
+    await settle(context)
+    await context.registers[writer].refill()
+
+
 @when("2 s pass and the first one writes what it knows")
 def fill_first(context):
-    async def fill():
-        await settle(context)
-        await context.registers[0].refill()
-
-    run(context, fill())
+    run(context, settle_and_fill(context, 0))
 
 
 @then("both know the same 2 replicas from the store")
