Log why an attempt of a stream is not counted

Three beliefs let a stream go on at more engines than its route allows, and no line told which. One line a try that rests on them, bounded like all others; no decision changes.

--- a/auburnproxy/gateway/streams.py
+++ b/auburnproxy/gateway/streams.py
@@ -200,8 +200,18 @@
 
         Whether a silent head is gone shows only some time after its try.
         """
-        live = [head for head in self._failed if not self._parts.choice.gone(head)]
-        return len(live) < self._call.route.attempts
+        why_by_head = {head: self._parts.choice.why_gone(head) for head in self._failed}
+        live = [head for head in self._failed if not why_by_head[head]]
+        left = len(live) < self._call.route.attempts
+        if left and len(self._failed) >= self._call.route.attempts:
+            self._parts.decisions.request(
+                "attempt_not_counted",
+                self._call.id,
+                tried=self._failed,
+                why_by_upstream={head: why for head, why in why_by_head.items() if why},
+                allowed=self._call.route.attempts,
+            )
+        return left
 
     def _give_up(
         self,
