Count every engine that a stream was sent to until it is shown to have ended

Cause: Choice.gone let a tried head cost no attempt because it was not registered, because a daemon was ending its replica, or because one probe of it got no answer. All three are beliefs about something else. A registration lapses while its engine is cut off from the store, a replica is ended when a member of it is lost while its head lives, and one probe is lost with one packet. Each is taken back later; the attempt that it gave is not.

Ruled out: the count itself (sent tries are all counted), resent connections (the client sends once), tries of unreached engines (no connection was made, nothing ran).

Change: Attempts counts every engine that got the request. Once the route's attempts are used up, Presence looks for those engines by connections made after the try: a refused one, or another process at the address, shows an end at once; else three in a row must time out while no daemon hears from the engine. Nothing else makes room. A stream whose engines answer is given up at once, so that its caller may resume it, in place of waiting for a belief for up to 1.8 s.

A connection that failed for another reason (no descriptor left) counted as refused in UpstreamError.nothing_listens; only a refusal does now. Health.unanswered had no other reader; the step that asked it asks whether the head is left out, which fails like it if a probe that was slept through counts.

--- a/auburnproxy/errors.py
+++ b/auburnproxy/errors.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Mapping
 from enum import StrEnum
+from errno import ECONNREFUSED
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
@@ -76,9 +77,9 @@
 
     @property
     def nothing_listens(self) -> bool:
-        """Return whether the connection was refused, not merely slow."""
+        """Return whether the connection was refused, not merely not made."""
         cause = self.__cause__
-        return isinstance(cause, OSError) and not isinstance(cause, TimeoutError)
+        return isinstance(cause, OSError) and cause.errno == ECONNREFUSED
 
 
 class SilenceError(AuburnError):
--- a/auburnproxy/gateway/choice.py
+++ b/auburnproxy/gateway/choice.py
@@ -324,17 +324,6 @@
         }
         return refusal
 
-    def why_gone(self, host_id: str) -> str:
-        """Return why an upstream counts as ended or cut off from this daemon.
-
-        :return: empty if it does not
-        """
-        if host_id not in self._directory.hosts:
-            return "not registered"
-        if host_id in self._lost():
-            return "its replica is being ended"
-        return "no answer to a probe" if self._health.unanswered(host_id) else ""
-
     def load(self, host: Host) -> int:
         """Return the requests at an upstream, as far as they are known."""
         return self._health.in_flight(host.id) + self._elsewhere(host.id)[0]
--- a/auburnproxy/gateway/health.py
+++ b/auburnproxy/gateway/health.py
@@ -48,7 +48,6 @@
         self.excluded_until = -1.0
         self.pause_s = 0.0
         self.probing = False
-        self.unanswered = False
         self.watches: set[Callable[[], None]] = set()
 
 
@@ -120,11 +119,6 @@
         now = loop_time()
         return tuple(h for h, s in self._states.items() if s.excluded_until > now)
 
-    def unanswered(self, host: str) -> bool:
-        """Return whether an upstream fell silent and did not answer a probe either."""
-        state = self._states.get(host)
-        return state is not None and state.unanswered
-
     def excluded(self, host: str) -> bool:
         """Return whether an upstream is not to get a request now.
 
@@ -175,7 +169,6 @@
         """Note that an upstream has sent something."""
         state = self._states.setdefault(host, _State())
         state.heard_at = loop_time()
-        state.unanswered = False
         if state.pause_s:
             state.pause_s = 0.0
             state.probing = False
@@ -233,7 +226,6 @@
         if state is None or not state.pause_s:
             return
         if not await self._answers(host) and self._states.get(host) is state:
-            state.unanswered = True
             state.excluded_until = loop_time()
             self.failed(host, reason="no answer to a probe")
 
--- a/auburnproxy/gateway/streams.py
+++ b/auburnproxy/gateway/streams.py
@@ -14,11 +14,14 @@
 from ..telemetry import Counter, Measure, Telemetry
 from ..telemetry.decisions import Decisions
 from ..upstreams.client import TrackedResponse
+from .attempts import Attempts
 from .call import MOST_UNSENT, UNSENT_RETRY_S, Call, TryError
 from .choice import Choice
 from .dialect import Dispatch, passed_on
 from .events import EventReader, follows
 from .health import Health
+from .host import Host
+from .presence import Presence
 from .resends import Resends
 from .route import EngineSpec
 from .sender import Sender, check_head
@@ -66,6 +69,7 @@
     :param sender: sends each try
     :param choice: chooses replicas
     :param health: learns from each event
+    :param presence: looks for the heads that a stream failed at
     :param engine: returns how the engines batch, None while unknown
     :param decisions: takes a line for each try
     :param telemetry: histograms
@@ -77,6 +81,7 @@
         sender: Sender,
         choice: Choice,
         health: Health,
+        presence: Presence,
         engine: Callable[[], EngineSpec | None],
         decisions: Decisions,
         telemetry: Telemetry,
@@ -87,6 +92,7 @@
         self.answer_bytes = answer_bytes
         self.choice = choice
         self.health = health
+        self.presence = presence
         self.engine = engine
         self.decisions = decisions
         self.telemetry = telemetry
@@ -118,7 +124,9 @@
         self._begin: Callable[[], None] = _nothing
         self._ran = Ran.NO
         self._exclude: set[str] = set()
-        self._failed: list[str] = []
+        self._attempts = Attempts(
+            call.route.attempts, parts.presence, on_absent=self._log_absent
+        )
         self._unsent = 0
         self._misdirected = 0
         self._tries = 0
@@ -167,8 +175,7 @@
 
         Its caller waits for the next event; heads that were left may answer again.
         """
-        now = loop_time()
-        if self._response is None or now - self._event_at > LONGEST_PAUSE_S:
+        if self._response is None or self._patience_s() <= 0:
             return False
         self._exclude.clear()
         return self._call.remaining_s > REPLICA_WAIT_S
@@ -186,32 +193,18 @@
         if error.code == MISDIRECTED and self._misdirected < MOST_MISDIRECTED:
             self._misdirected += 1
             return self._resends.spend(error.code)
-        self._failed.append(replica.head.id)
+        self._attempts.failed(replica.head)
         if self._ran is Ran.UNKNOWN and not self._call.route.repeatable:
             return False
-        while not self._has_attempts_left():
-            if not self._waits_for_replica():
-                return False
-            await asyncio.sleep(REPLICA_WAIT_S)
+        if not await self._attempts.any_left(within_s=self._patience_s()):
+            return False
         return self._resends.spend(error.code)
 
-    def _has_attempts_left(self) -> bool:
-        """Return whether fewer live heads were tried than the route allows.
-
-        Whether a silent head is gone shows only some time after its try.
-        """
-        why_by_head = {head: self._parts.choice.why_gone(head) for head in self._failed}
-        live = [head for head in self._failed if not why_by_head[head]]
-        left = len(live) < self._call.route.attempts
-        if left and len(self._failed) >= self._call.route.attempts:
-            self._parts.decisions.request(
-                "attempt_not_counted",
-                self._call.id,
-                tried=self._failed,
-                why_by_upstream={head: why for head, why in why_by_head.items() if why},
-                allowed=self._call.route.attempts,
-            )
-        return left
+    def _patience_s(self) -> float:
+        """Return the seconds until this stream's caller is about to leave."""
+        heard_at = self._event_at or self._call.arrived
+        left_s = heard_at + LONGEST_PAUSE_S - loop_time()
+        return min(left_s, self._call.remaining_s)
 
     def _give_up(
         self,
@@ -419,6 +412,11 @@
             pause_objective_s=self._call.route.pause_objective_s,
         )
 
+    def _log_absent(self, host: Host) -> None:
+        self._parts.decisions.request(
+            "attempt_not_counted", self._call.id, upstream=host.id
+        )
+
     def _log(self, replica: ServingReplica, error: TryError) -> None:
         self._parts.decisions.request(
             "try_failed",
--- a/auburnproxy/platform/engine_orders.py
+++ b/auburnproxy/platform/engine_orders.py
@@ -12,6 +12,7 @@
 from ..errors import UpstreamError
 from ..formation.orders import Answer, Orders
 from ..formation.record import Formed, Member
+from ..gateway.call import CONNECT_TIMEOUT_S
 from ..gateway.host import Host, Life
 from ..upstreams.client import open_session, upstream_errors
 from .headers import HOST_ID, leaving
@@ -62,7 +63,7 @@
         :raises PlatformError: if its report cannot be read
         """
         url = f"http://{host.address}/report"
-        timeout = ClientTimeout(total=REPORT_TIMEOUT_S)
+        timeout = ClientTimeout(total=REPORT_TIMEOUT_S, sock_connect=CONNECT_TIMEOUT_S)
         with upstream_errors(host.address):
             async with self._session.get(
                 url, headers={HOST_ID: host.id}, timeout=timeout
--- a/features/fakes/fleet.py
+++ b/features/fakes/fleet.py
@@ -6,7 +6,7 @@
 from collections.abc import Coroutine, Mapping
 from typing import Any, Protocol
 
-from auburnproxy.errors import UpstreamError
+from auburnproxy.errors import Ran, UpstreamError
 from auburnproxy.formation.orders import Answer, Orders
 from auburnproxy.formation.record import Formed, Member
 from auburnproxy.gateway.host import Host, Part, PartState
@@ -23,6 +23,8 @@
 SMALL = ModelSpec("small", 2, 0.5, 0.6, 12.0, 1.1)
 ENGINE = EngineSpec(9, (LARGE, SMALL), 0.008, 0.0002, 45_900, 5, 5.0, 7, 0.3, 900, 150)
 REJOIN_S = 0.2
+CONNECT_S = 0.25
+"""Time after which a connection counts as not made."""
 HEARTBEAT_S = 1.2
 LAPSE_S = 3.6
 """Three of the engines' intervals, after which a silent one's registration lapses."""
@@ -178,7 +180,8 @@
     async def report(self, host: Host) -> Host:
         await asyncio.sleep(0.005)
         if host.id in self.silent or host.id not in self.hosts:
-            raise UpstreamError(f"{host.id} does not answer")
+            await asyncio.sleep(CONNECT_S)
+            raise UpstreamError(f"{host.id}", ran=Ran.NO) from TimeoutError()
         return self.hosts[host.id]
 
     async def _ordered(
--- a/features/fakes/tries.py
+++ b/features/fakes/tries.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from errno import ECONNREFUSED
 from typing import Any, cast
 
 from auburnproxy.clock import loop_time
@@ -10,6 +11,7 @@
 from auburnproxy.gateway.call import Call
 from auburnproxy.gateway.dialect import Ask, Dispatch, Reply
 from auburnproxy.gateway.host import Host
+from auburnproxy.gateway.presence import Presence
 from auburnproxy.gateway.resends import Allowance, Resends
 from auburnproxy.gateway.route import Route, RouteKind, Target
 from auburnproxy.gateway.sender import Sender, Sent
@@ -72,6 +74,7 @@
             self,
             self.chooser.choice,
             self.chooser.health,
+            Presence(self.report, self.chooser.health.heard_at, quiet()),
             lambda: ENGINE,
             quiet(),
             Telemetry(),
@@ -134,7 +137,7 @@
         count = self._probes_by_engine.get(host.id, 0) + 1
         self._probes_by_engine[host.id] = count
         if fate == "its process ends":
-            raise _unmade(ConnectionRefusedError())
+            raise _unmade(ConnectionRefusedError(ECONNREFUSED, "refused"))
         if fate == "its host goes dark" or (fate == "a probe is lost" and count == 1):
             await asyncio.sleep(CONNECT_S)
             raise _unmade(TimeoutError())
--- a/features/steps/choice.py
+++ b/features/steps/choice.py
@@ -158,7 +158,7 @@
 
 @then("its head counts as one that answers")
 def compare_answers(context):
-    assert not context.chooser.health.unanswered("n0")
+    assert not run(context, lambda: context.chooser.health.excluded("n0"))
 
 
 @when("its pause ends and no probe is answered")
