--- a/auburnproxy/gateway/attempts.py
+++ b/auburnproxy/gateway/attempts.py
@@ -39,9 +39,10 @@
         """
         if len(self._counted) < self._allowed:
             return True
+        host_by_life = {host.life: host for host in self._counted}
         looks = {
             asyncio.create_task(self._presence.absent(host)): host
-            for host in self._counted
+            for host in host_by_life.values()
         }
         until = loop_time() + within_s
         try:
@@ -52,10 +53,14 @@
                 for look in done:
                     host = looks.pop(look)
                     if look.result():
-                        self._counted.remove(host)
-                        self._on_absent(host)
+                        self._forget(host)
                         return True
             return False
         finally:
             for look in looks:
                 look.cancel()
+
+    def _forget(self, host: Host) -> None:
+        """Count the tries at a process no more."""
+        self._counted = [h for h in self._counted if h.life != host.life]
+        self._on_absent(host)
--- a/features/attempts.feature
+++ b/features/attempts.feature
@@ -25,3 +25,13 @@
       | its process ends       |
       | its host goes dark     |
       | another process starts |
+
+  Scenario: A head that was tried twice and has ended costs no attempt at all
+    Given a route that allows 2 engines, and one head that stalls twice
+    When a stream is asked for and, at each head that stalls, its host goes dark
+    Then it is whole and in order, and 1 engines have run it
+
+  Scenario: A head that was tried twice and lives leaves none
+    Given a route that allows 2 engines, and one head that stalls twice
+    When a stream is asked for and, at each head that stalls, its replica is ended
+    Then its answer never looks complete
--- a/features/fakes/tries.py
+++ b/features/fakes/tries.py
@@ -24,7 +24,7 @@
 from features.fakes.fleet import ENGINE, SERVICE
 from features.fakes.store import quiet
 
-HEADS, ALLOWED, EVENTS = 3, 2, 6
+ALLOWED, EVENTS = 2, 6
 STALLS_AFTER = 3
 """Events that a head writes before it stalls."""
 BEFALLS_S = 0.1
@@ -55,10 +55,11 @@
 
     :param stalling: how many of them
     :param fate: what befalls each of those
+    :param heads: how many there are
     """
 
-    def __init__(self, stalling: int, fate: str) -> None:
-        self.chooser = Chooser(HEADS, 0, 9)
+    def __init__(self, stalling: int, fate: str, *, heads: int = 3) -> None:
+        self.chooser = Chooser(heads, 0, 9)
         self.ran: list[str] = []
         """Engines that have begun to run the stream, in turn."""
         self.fate_by_engine: dict[str, str] = {}
--- a/features/steps/attempts.py
+++ b/features/steps/attempts.py
@@ -12,15 +12,21 @@
 @given("a route that allows {allowed:d} engines, and {count:d} heads that stall")
 def set_heads(context, allowed, count):
     assert allowed == ALLOWED
-    context.count = count
+    context.count, context.heads = count, 3
     context.loop = async_solipsism.EventLoop()
     context.add_cleanup(lambda: close(context.loop))
 
 
+@given("a route that allows {allowed:d} engines, and one head that stalls twice")
+def set_one_head(context, allowed):
+    set_heads(context, allowed, 2)
+    context.heads = 1
+
+
 @when("a stream is asked for and, at each head that stalls, {fate}")
 def ask(context, fate):
     async def play():
-        context.tries = Tries(context.count, fate)
+        context.tries = Tries(context.count, fate, heads=context.heads)
         await context.tries.stream()
 
     context.loop.run_until_complete(play())
