Count dispatches whose replica was only taken for lost (the product's own streams)

With 8 engines that all ran on, a call was dispatched 7 times where limits allow 3 (the new scenario failed so before, and passes). Now it spends no retry, as before, but counts as an attempt, unless the host reports another process than the one that was sent to: a call whose engines restart 6 times still goes on each time.

--- a/auburnproxy/serving/placement.py
+++ b/auburnproxy/serving/placement.py
@@ -34,6 +34,11 @@
         """Wait until the call can't be completed there."""
         await asyncio.get_running_loop().create_future()
 
+    @property
+    def ended(self) -> bool:
+        """Return whether the process that got the call is known to have ended."""
+        return False
+
     def observe(self, observation: Observation) -> None:  # noqa: B027
         """Learn from how the attempt ended."""
 
@@ -78,6 +83,15 @@
         """Wait until the replica is not whole any more."""
         await self._readiness.lost(self._replica)
 
+    @property
+    def ended(self) -> bool:
+        """Return whether another process reports in place of the one that was sent to.
+
+        A replica may be taken for lost while its head runs on.
+        """
+        report = self._watcher.report(self.host)
+        return report is not None and report.incarnation != self._incarnation
+
     def observe(self, observation: Observation) -> None:
         """Tell the watcher how the attempt ended."""
         seen = observation._replace(incarnation=self._incarnation)
--- a/auburnproxy/serving/stream.py
+++ b/auburnproxy/serving/stream.py
@@ -40,14 +40,16 @@
 
     :param cause: why it ended
     :param free: whether a new try spends nothing of the retry budget
+    :param counts: whether the engine may have run it and may still be there
     """
 
     code = "attempt"
 
-    def __init__(self, cause: Cause, *, free: bool) -> None:
+    def __init__(self, cause: Cause, *, free: bool, counts: bool) -> None:
         super().__init__(cause)
         self.cause = cause
         self.free = free
+        self.counts = counts
 
 
 class StallError(SilenceError, AttemptError):
@@ -115,10 +117,10 @@
                 return
             except AttemptError as error:
                 log.info("Attempt of {} ended: {}", self._call.request_id, error.cause)
-                if error.free:
-                    continue
-                tries += 1
-                if tries == self._limits.attempts or not self._budget.spend():
+                tries += error.counts
+                if tries == self._limits.attempts:
+                    raise self._given_up(error.cause) from error
+                if not error.free and not self._budget.spend():
                     raise self._given_up(error.cause) from error
             except RefusalError as refusal:
                 if self._may_have_run:
@@ -149,9 +151,10 @@
         if cause is not Cause.GAP:
             self._avoid.add(placement.host)
         refused = cause is Cause.REFUSED and placement.refusal_is_free
-        free = refused or cause is Cause.LOST
+        lost = cause is Cause.LOST
         kind = StallError if cause is Cause.STALLED else AttemptError
-        raise kind(cause, free=free)
+        counts = not refused and not (lost and placement.ended)
+        raise kind(cause, free=refused or lost, counts=counts)
 
     def _judged(self, error: UpstreamError) -> tuple[Cause, Result]:
         log.info("Call {}: {}", self._call.request_id, error)
--- a/features/fakes/serving.py
+++ b/features/fakes/serving.py
@@ -114,6 +114,7 @@
         self.lost_by_host = {host: asyncio.Event() for host in engines_by_host}
         self.prefixes_by_host = {}
         self.observations = []
+        self.restarts_by_host = Counter()
         self.slots = slots
         self.entries_by_host = {
             host: _entry(host, HostKind.ENGINE, "") for host in engines_by_host
@@ -126,8 +127,9 @@
             return None
         prefixes = self.prefixes_by_host.get(host, ())
         fence = Fence(0, 0)
+        incarnation = str(1 + self.restarts_by_host[host])
         return EngineReport(
-            host, "1", EngineState.READY, fence, None, 0, 0, (), prefixes, 0
+            host, incarnation, EngineState.READY, fence, None, 0, 0, (), prefixes, 0
         )
 
     def service_report(self, host):
--- a/features/steps/streams.py
+++ b/features/steps/streams.py
@@ -23,8 +23,8 @@
     pass
 
 
-def two_engines(script=None, *, slots=4, concurrent=8):
-    engines = [FakeEngine(script=script) for _ in range(2)]
+def two_engines(script=None, *, slots=4, concurrent=8, count=2):
+    engines = [FakeEngine(script=script) for _ in range(count)]
     upstreams = FakeUpstreams({f"e{i}": e for i, e in enumerate(engines)}, slots=slots)
     plan = make_plan("alpha", concurrent=concurrent, queue=200)
     return engines, plan, make_site([plan], upstreams)
@@ -47,6 +47,60 @@
     )
 
 
+@given("8 engines that run, and whose replicas are taken for lost {times:d} times")
+def take_for_lost(context, times):
+    context.times, context.restart = times, False
+
+
+@given("8 engines of which the one in use restarts {times:d} times")
+def restart(context, times):
+    context.times, context.restart = times, True
+
+
+@when("an answer of 40 chunks is asked for")
+def ask_long(context):
+    run_virtual(flap(context))
+
+
+async def flap(context):
+    """Lose the replica in use again and again, and have it back soon."""
+    engines, plan, site = two_engines(count=8)
+    loop, left = asyncio.get_running_loop(), context.times
+    context.parts, context.refusal = [], None
+
+    def lose(host):
+        nonlocal left
+        if left:
+            left -= 1
+            site.upstreams.restarts_by_host[host] += context.restart
+            site.upstreams.lose(host)
+            loop.call_later(0.02, site.upstreams.recover, host)
+
+    async def write(data):
+        context.parts.append(data)
+
+    for host, engine in site.upstreams.engines_by_host.items():
+        engine.length = 40
+        engine.on_call = lambda call, host=host: loop.call_later(0.1, lose, host)
+    try:
+        await site.models.run(make_request(plan, "r"), write)
+    except RefusalError as refusal:
+        context.refusal = refusal
+    context.calls = sum(len(engine.calls) for engine in engines)
+
+
+@then("3 calls have reached the engines, and the caller is told that it may have run")
+def compare_dispatched(context):
+    assert context.calls == 3, context.calls
+    assert context.refusal and context.refusal.ran is Ran.UNKNOWN, context.refusal
+
+
+@then("{calls:d} calls have reached the engines, and the answer is whole")
+def compare_gone_on(context, calls):
+    assert context.calls == calls, context.calls
+    assert context.parts == [b"t%d" % i for i in range(40)], context.parts
+
+
 @when("an answer of 5 chunks is asked for")
 def ask_silent(context):
     async def steps():
--- a/features/streams.feature
+++ b/features/streams.feature
@@ -31,3 +31,13 @@
     Given 8 calls of a plan of 8 slots on 2 engines
     When one engine breaks off its calls
     Then all 8 calls are in flight at once again
+
+  Scenario: A call whose replicas are taken for lost is dispatched 3 times at most (BUDGET)
+    Given 8 engines that run, and whose replicas are taken for lost 6 times
+    When an answer of 40 chunks is asked for
+    Then 3 calls have reached the engines, and the caller is told that it may have run
+
+  Scenario: A call whose engines restart goes on each time
+    Given 8 engines of which the one in use restarts 6 times
+    When an answer of 40 chunks is asked for
+    Then 7 calls have reached the engines, and the answer is whole
