Give a daemon that does not know the others no part of what is shared

A failure domain without daemons shares its cold bounds among all, where each daemon took the whole.

--- a/auburnproxy/beats/circle.py
+++ b/auburnproxy/beats/circle.py
@@ -114,6 +114,10 @@
         """Return how many daemons there may be."""
         return max(len(self._seats), len(self._beat_by_name) + 1)
 
+    def sharers(self, failure_domain: str) -> Set[str]:
+        """Return the daemons of a failure domain, all of them if it has none."""
+        return self.names_by_domain[failure_domain] or self._seats.keys()
+
     @property
     def present(self) -> Set[str]:
         """Return the other daemons that were heard of late."""
--- a/auburnproxy/daemon/routed.py
+++ b/auburnproxy/daemon/routed.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import signal
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Collection, Iterator
 from functools import partial
 from random import Random
 
@@ -265,7 +265,7 @@
             elsewhere=lambda host: self.circle.work(host),
             suspected=lambda: self.circle.tally.suspects,
             lost=lambda: self.circle.tally.lost,
-            sharers=lambda domain: self.circle.names_by_domain[domain],
+            sharers=self._sharers,
             name=settings.name,
             far_interval_s=lambda: self.circle.far_interval_s,
             random=self._random,
@@ -294,7 +294,7 @@
             plain,
             streams,
             allowance=settings.allowance,
-            daemons=lambda: self.circle.size,
+            daemons=lambda: self.circle.size if self._seats.whole else 0,
             informed=self._informed,
             decisions=self.decisions,
             telemetry=self.telemetry,
@@ -317,9 +317,10 @@
         return configured and self._upstreams.whole and not self.face.draining
 
     def _informed(self) -> bool:
-        """Return whether the configuration, the hosts and the replicas are known."""
+        """Return whether the configuration, hosts, replicas and daemons are known."""
         known = self.directory.configuration.version >= 0
-        return known and self._upstreams.whole and self.register.follower.whole
+        followers = (self._upstreams, self._seats, self.register.follower)
+        return known and all(follower.whole for follower in followers)
 
     def start(self) -> None:
         """Start the tasks of all slices."""
@@ -476,6 +477,10 @@
         """Return the requests of all daemons at an upstream."""
         return self.health.in_flight(host) + self.circle.work(host)[0]
 
+    def _sharers(self, failure_domain: str) -> Collection[str]:
+        """Return the daemons that share the bounds of cold upstreams, if known."""
+        return self.circle.sharers(failure_domain) if self._seats.whole else ()
+
     def _domain_of(self, daemon: str) -> str:
         seat = self.circle.seats.get(daemon)
         return seat.failure_domain if seat is not None else ""
--- a/auburnproxy/gateway/choice.py
+++ b/auburnproxy/gateway/choice.py
@@ -86,8 +86,8 @@
         those the ones without an answer
     :param suspected: returns the upstreams that other daemons leave out
     :param lost: returns the heads of replicas that are being ended
-    :param sharers: returns the daemons of a failure domain, which share the bound of
-        a cold upstream there
+    :param sharers: returns the daemons that share the bound of a cold upstream of a
+        failure domain, none while they are not known
     :param name: name of this daemon
     :param far_interval_s: returns the seconds between two beats of a far daemon
     """
@@ -363,8 +363,6 @@
         in an order that all agree on, so that their parts add up to the bound.
         """
         sharers = {*self._sharers(host.failure_domain)}
-        if not sharers:
-            return int(cold_per_s)
         if self._name not in sharers:
             return 0
         whole, rest = divmod(int(cold_per_s), len(sharers))
--- a/auburnproxy/gateway/resends.py
+++ b/auburnproxy/gateway/resends.py
@@ -30,7 +30,7 @@
     """Counts the requests and resends to one service in a sliding window.
 
     :param allowance: the bound for all daemons together
-    :param daemons: returns how many daemons share it
+    :param daemons: returns how many daemons share it, 0 while they are not known
     :param note: takes each resend, by the failure that it follows and whether it
         was allowed
     """
@@ -60,7 +60,8 @@
             while times and times[0] <= since:
                 times.popleft()
         earned = self._allowance.ratio * len(self._requests)
-        own = self._allowance.slack / max(self._daemons(), 1)
+        daemons = self._daemons()
+        own = self._allowance.slack / daemons if daemons else 0.0
         return int(MARGIN * (earned + own)) - len(self._resends)
 
     def spend(self, reason: str) -> bool:
--- a/features/choice.feature
+++ b/features/choice.feature
@@ -70,6 +70,17 @@
     When 20 requests come in one second
     Then 6 of them are taken
 
+  Scenario: A daemon that does not know the others sends a cold upstream nothing (a restart)
+    Given 1 near and 0 far replicas of 99 slots that are cold
+    And 0 daemons share the bound of 36 requests a second
+    When 20 requests come in one second
+    Then 0 of them are taken
+
+  Scenario: A daemon that does not know the others resends what its requests earn (a restart)
+    Given a bound of 0.2 resends a request and 100 beside for 0 daemons
+    When 100 requests are sent in 5 s and as many resends are asked for
+    Then 16 resends are made
+
   Scenario: Resends stay within this daemon's part of the bound (retry storms)
     Given a bound of 0.2 resends a request and 100 beside for 10 daemons
     When 100 requests are sent in 5 s and as many resends are asked for
--- a/features/steps/choice.py
+++ b/features/steps/choice.py
@@ -202,11 +202,11 @@
     assert len(context.chooser.taken) == count, len(context.chooser.taken)
 
 
-@given("a bound of 0.2 resends a request and 100 beside for 10 daemons")
-def make_resends(context):
+@given("a bound of 0.2 resends a request and 100 beside for {count:d} daemons")
+def make_resends(context, count):
     context.loop = async_solipsism.EventLoop()
     context.add_cleanup(context.loop.close)
-    context.resends = Resends(Allowance(0.2, 100, 10.0), lambda: 10)
+    context.resends = Resends(Allowance(0.2, 100, 10.0), lambda: count)
 
 
 @when("{count:d} requests are sent in 5 s and as many resends are asked for")
