--- a/auburnproxy/daemon/routed.py
+++ b/auburnproxy/daemon/routed.py
@@ -288,6 +288,7 @@
             self.telemetry,
             answer_bytes=settings.answer_bytes,
         )
+        window_s = settings.allowance.window_s
         self.face = RoutedFace(
             self.directory,
             dialect,
@@ -295,6 +296,7 @@
             streams,
             allowance=settings.allowance,
             daemons=lambda: self.circle.size if self._seats.whole else 0,
+            slack_from=self._started_at + (0.0 if settings.first_start else window_s),
             informed=self._informed,
             decisions=self.decisions,
             telemetry=self.telemetry,
--- a/auburnproxy/gateway/face.py
+++ b/auburnproxy/gateway/face.py
@@ -43,6 +43,7 @@
     :param streams: sends requests of streamed routes
     :param allowance: bound on resends
     :param daemons: returns how many daemons share that bound
+    :param slack_from: the loop's time from which the slack of that bound may be used
     :param informed: returns whether all is known that requests need
     :param decisions: takes a line for each request
     :param telemetry: histograms and counters
@@ -57,6 +58,7 @@
         *,
         allowance: Allowance,
         daemons: Callable[[], int],
+        slack_from: float = 0.0,
         informed: Callable[[], bool] = lambda: True,
         decisions: Decisions,
         telemetry: Telemetry,
@@ -73,6 +75,7 @@
         self._streams = streams
         self._allowance = allowance
         self._daemons = daemons
+        self._slack_from = slack_from
         self._informed = informed
         self._hold_until = loop_time() + START_HOLD_S
         self._decisions = decisions
@@ -237,7 +240,9 @@
         found = self._resends_by_service.get(service)
         if found is None:
             note = partial(self._note_resend, service)
-            found = Resends(self._allowance, self._daemons, note=note)
+            found = Resends(
+                self._allowance, self._daemons, slack_from=self._slack_from, note=note
+            )
             self._resends_by_service[service] = found
         return found
 
--- a/auburnproxy/gateway/resends.py
+++ b/auburnproxy/gateway/resends.py
@@ -31,6 +31,8 @@
 
     :param allowance: the bound for all daemons together
     :param daemons: returns how many daemons share it, 0 while they are not known
+    :param slack_from: the loop's time from which the slack may be used; a daemon that
+        has started again does not know what it resent before
     :param note: takes each resend, by the failure that it follows and whether it
         was allowed
     """
@@ -40,10 +42,12 @@
         allowance: Allowance,
         daemons: Callable[[], int],
         *,
+        slack_from: float = 0.0,
         note: Callable[[str, bool], None] = lambda reason, allowed: None,
     ) -> None:
         self._allowance = allowance
         self._daemons = daemons
+        self._slack_from = slack_from
         self._note = note
         self._requests: deque[float] = deque()
         self._resends: deque[float] = deque()
@@ -55,13 +59,15 @@
     @property
     def left(self) -> int:
         """Return how many resends may be made now."""
-        since = loop_time() - self._allowance.window_s
+        now = loop_time()
+        since = now - self._allowance.window_s
         for times in (self._requests, self._resends):
             while times and times[0] <= since:
                 times.popleft()
         earned = self._allowance.ratio * len(self._requests)
         daemons = self._daemons()
-        own = self._allowance.slack / daemons if daemons else 0.0
+        known = daemons and now >= self._slack_from
+        own = self._allowance.slack / daemons if known else 0.0
         return int(MARGIN * (earned + own)) - len(self._resends)
 
     def spend(self, reason: str) -> bool:
--- a/features/steps/choice.py
+++ b/features/steps/choice.py
@@ -209,6 +209,21 @@
     context.resends = Resends(Allowance(0.2, 100, 10.0), lambda: count)
 
 
+@given("the slack may be used {seconds:g} s after its start")
+def defer_slack(context, seconds):
+    allowance, slack_from = Allowance(0.2, 100, 10.0), context.loop.time() + seconds
+    context.resends = Resends(allowance, lambda: 10, slack_from=slack_from)
+
+
+@then("{count:d} are left {seconds:g} s later")
+def compare_left_later(context, count, seconds):
+    async def wait():
+        await asyncio.sleep(seconds)
+        return context.resends.left
+
+    assert context.loop.run_until_complete(wait()) == count
+
+
 @when("{count:d} requests are sent in 5 s and as many resends are asked for")
 def send_and_resend(context, count):
     async def send():
