Dispatch a forwarded call once, and repeat it where it came from

With 3 peers of 2 engines that break off at once, a call was dispatched 6 times where 3 are allowed; where they broke off later, the first peer ended the answer after 2 dispatches though others were free. Both scenarios failed before (6 and 2, for 3 of each) and pass.

A forwarded call is now one attempt of the daemon that forwards it. If it fails there the frames end without their end marker, which the other daemon takes for a broken attempt and resumes. An error that the engine itself ended the answer with is passed on as before.

--- a/auburnproxy/serving/models.py
+++ b/auburnproxy/serving/models.py
@@ -32,7 +32,7 @@
 from .placement import LocalReplica, ModelPlacement
 from .refusal import error_event
 from .spill import Spill
-from .stream import Stream
+from .stream import ENGINE_ERROR, Stream
 
 EVENT_STREAM = "text/event-stream"
 DONE_EVENT = b"data: [DONE]\n\n"
@@ -196,10 +196,12 @@
 
         try:
             await self.run(request, write)
-        except RefusalError:
+        except RefusalError as refusal:
             if not response.prepared:
                 raise
-            await response.write(frame(position, ChunkKind.ERROR))
+            if refusal.code == ENGINE_ERROR:
+                await response.write(frame(position, ChunkKind.ERROR))
+            # Without an end, the daemon that forwarded the call resumes it.
         else:
             if not response.prepared:
                 await response.prepare(http)
@@ -218,13 +220,17 @@
         """
         budget = self._budgets.budget(request.plan.name, request.target)
         budget.earn()
+        limits = self._limits
+        if not request.may_spill:
+            # The daemon that forwarded the call counts its attempts and repeats it.
+            limits = limits._replace(attempts=1)
         stream = Stream(
             request.call,
             lambda avoid: self._place(request, avoid),
             write,
             deadline=request.headers.deadline,
             budget=budget,
-            limits=self._limits,
+            limits=limits,
             between=self._telemetry.recorder(
                 Measure.BETWEEN_CHUNKS, request.plan.name, request.target
             ),
--- a/auburnproxy/serving/stream.py
+++ b/auburnproxy/serving/stream.py
@@ -28,6 +28,8 @@
 from .refusal import may_have_run
 
 RETRY_AFTER_S = 1.0
+ENGINE_ERROR = "engine_error"
+"""Code of an answer that its engine itself ended; it cannot be resumed."""
 
 log = logger.bind(part="serving")
 Place = Callable[[Collection[str]], AbstractAsyncContextManager[ModelPlacement]]
@@ -211,7 +213,7 @@
         if chunk.kind is _END:
             return
         raise RefusalError(
-            "engine_error",
+            ENGINE_ERROR,
             "The engine ended the answer with an error.",
             status=502,
             ran=Ran.UNKNOWN,
--- a/features/serving.feature
+++ b/features/serving.feature
@@ -46,6 +46,27 @@
     Then the stream has 5 chunks in order and ends with the done marker
     And only the peer ran it
 
+  Scenario Outline: A call is dispatched 3 times at most, at peers as well (BUDGET)
+    Given 3 peers with free slots and no slot here
+    When the engines break off after <chunks> chunks and a caller streams an answer
+    Then the engines of the peers got 3 calls
+
+    Examples:
+      | chunks |
+      | 0      |
+      | 2      |
+
+  Scenario Outline: A call that breaks off twice at peers is whole from the next
+    Given 3 peers with free slots and no slot here
+    When 2 calls break off after <chunks> chunks and a caller streams an answer
+    Then the engines of the peers got 3 calls
+    And the stream has 5 chunks in order and ends with the done marker
+
+    Examples:
+      | chunks |
+      | 0      |
+      | 2      |
+
   Scenario: A forwarded call is taken only as it was signed, and once
     Given a peer with a free slot and no slot here
     Then a forwarded call that was changed, repeated or sent on is forbidden
--- a/features/steps/serving.py
+++ b/features/steps/serving.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import time
+from contextlib import AsyncExitStack
 
 from aiohttp import ClientSession, ClientTimeout, web
 from behave import given, then, when
@@ -21,6 +22,7 @@
     make_plan,
     make_site,
 )
+from features.machines.streams import break_off
 
 LIMITS = Limits(body_bytes=4096, body_timeout_s=0.2)
 TIMEOUT = ClientTimeout(total=20)
@@ -88,6 +90,18 @@
             await asyncio.sleep(0.01)
 
 
+def meet(daemon, peers):
+    """Let a daemon know of peers that have free slots."""
+    members = [
+        Member(f"b{n}", "1", "d", "127.0.0.1:1", f"127.0.0.1:{peer.internal_port}")
+        for n, peer in enumerate(peers)
+    ]
+    daemon.site.peers.near_by_id = {member.id: member for member in members}
+    free = dict.fromkeys(daemon.site.peers.near_by_id, 4)
+    keys = ("plan/alpha", "model/m")
+    daemon.site.peers.free_by_key = dict.fromkeys(keys, free)
+
+
 def run(context, steps):
     """Run steps against the scenario's daemon, and its peer if it has one."""
 
@@ -96,12 +110,7 @@
             if not context.with_peer:
                 return await steps(daemon, None)
             async with Daemon(slots=4) as peer:
-                address = f"127.0.0.1:{peer.internal_port}"
-                member = Member("b", "1", "d", "127.0.0.1:1", address)
-                daemon.site.peers.near_by_id = {member.id: member}
-                free = {member.id: 4}
-                keys = ("plan/alpha", "model/m")
-                daemon.site.peers.free_by_key = dict.fromkeys(keys, free)
+                meet(daemon, [peer])
                 return await steps(daemon, peer)
 
     return asyncio.run(whole())
@@ -117,6 +126,44 @@
     context.options, context.with_peer = {"slots": 0}, True
 
 
+@given("3 peers with free slots and no slot here")
+def with_peers(context):
+    context.slots = (0, 4, 4, 4)
+
+
+@when("the engines break off after {at:d} chunks and a caller streams an answer")
+def stream_in_vain(context, at):
+    stream_among_peers(context, at, breaks=100)
+
+
+@when("{breaks:d} calls break off after {at:d} chunks and a caller streams an answer")
+def stream_among_peers(context, at, breaks):
+    def script(call, chunks):
+        nonlocal breaks
+        breaks -= 1
+        return break_off(chunks, at) if breaks >= 0 else chunks
+
+    async def steps():
+        async with AsyncExitStack() as stack:
+            daemon, *peers = [
+                await stack.enter_async_context(Daemon(slots=slots))
+                for slots in context.slots
+            ]
+            meet(daemon, peers)
+            engines = [engine for peer in peers for engine in peer.engines]
+            for engine in engines:
+                engine.script = script
+            context.answer = await daemon.read(chat(stream=True))
+            context.peer_calls = sum(len(engine.calls) for engine in engines)
+
+    asyncio.run(steps())
+
+
+@then("the engines of the peers got {count:d} calls")
+def compare_peer_calls(context, count):
+    assert context.peer_calls == count, context.peer_calls
+
+
 @given("a slow stream in flight")
 def slow_stream(context):
     context.options = {"length": 40, "gap_s": 0.01}
