Count in the soak on how many engines each request ran

The soak counts them as the rule does, from what engines ran, and leaves out engines that may have ended meanwhile; a new fault lets streams stall while registrations of living engines lapse.

--- a/features/fakes/platform.py
+++ b/features/fakes/platform.py
@@ -27,6 +27,8 @@
 """Time for which the whole process, and so each daemon in it, stands still."""
 STAMP = "3e1b.07.5a2"
 HOST = "works.example"
+ATTEMPTS = 2
+"""Engines that a request may run on, by the configuration."""
 STREAM_PATH, ONCE_PATH, SAFE_PATH, PUBLIC_PATH = "/s/", "/o/", "/i/", "/p/"
 KEY = "key-1"
 MODEL = "large"
@@ -169,6 +171,10 @@
         self.on_order: Callable[[dict], None] = lambda order: None
         self.ran: list[str] = []
         """Ids of the requests that it did not refuse."""
+        self.ran_at: list[float] = []
+        """Times at which it began to run them."""
+        self.ended_at: list[float] = []
+        """Times at which its process ended."""
         self.asked_at: list[float] = []
         """Times at which anything reached it, a probe or an order as well."""
         self.leaving_reports = False
@@ -186,6 +192,11 @@
         if self._server is not None:
             self._server.close()
             self._server = None
+            self.ended_at.append(time.monotonic())
+
+    def _run(self, headers: dict[str, str]) -> None:
+        self.ran.append(headers.get("attempt-id", ""))
+        self.ran_at.append(time.monotonic())
 
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
@@ -217,12 +228,12 @@
             else:
                 self.requests.append((method, path, headers, body))
                 if self.endless:
-                    self.ran.append(headers.get("attempt-id", ""))
+                    self._run(headers)
                     await play(self.endless, writer, headers.get("attempt-id", ""))
                     return
                 action = self.script.pop(0) if len(self.script) > 1 else self.script[0]
                 if action not in REFUSALS:
-                    self.ran.append(headers.get("attempt-id", ""))
+                    self._run(headers)
                 await self._act(action, reader, writer, path, headers)
             await writer.drain()
         writer.close()
@@ -370,7 +381,7 @@
             "target-latency-ms": 400,
             "priority": 1,
             "service": service,
-            "max-attempts": 2,
+            "max-attempts": ATTEMPTS,
             "public": False,
         } | values
 
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -10,6 +10,7 @@
 from aiohttp import ClientError, ClientSession, ClientTimeout, TCPConnector
 
 from features.fakes.platform import (
+    ATTEMPTS,
     EVENTS,
     HOST,
     KEY,
@@ -23,7 +24,8 @@
 from .site import SoakSite
 
 NOT_RUN = frozenset({408, 421, 429, 503})
-TIMEOUT = ClientTimeout(total=8.0, sock_connect=1.0)
+LONGEST_S = 8.0
+TIMEOUT = ClientTimeout(total=LONGEST_S, sock_connect=1.0)
 PAUSE_S = 0.05
 WHOLE_STREAM = b"".join(
     b"id: %d\ndata: token %d\n\n" % (n, n) for n in range(1, EVENTS + 1)
@@ -111,3 +113,18 @@
                 self.broken.append(f"{request_id}: ran {runs[request_id]} times")
             if request_id in self.refused_ids and runs[request_id]:
                 self.broken.append(f"{request_id}: told not run, and ran")
+        self._check_attempts()
+
+    def _check_attempts(self) -> None:
+        """Note requests that ran on more engines than their routes allow.
+
+        An engine that may have ended while a request was under way does not count.
+        """
+        names_by_id: dict[str, set[str]] = {}
+        for engine in self.site.engines.values():
+            for request_id, at in zip(engine.ran, engine.ran_at, strict=True):
+                if not any(at <= end <= at + LONGEST_S for end in engine.ended_at):
+                    names_by_id.setdefault(request_id, set()).add(engine.name)
+        for request_id, names in names_by_id.items():
+            if len(names) > ATTEMPTS:
+                self.broken.append(f"{request_id}: ran on {sorted(names)}")
--- a/soak/main.py
+++ b/soak/main.py
@@ -65,6 +65,7 @@
         self._drills = Random(f"drills {seed}")
         """Apart from the other faults, whose order by seed stays as it was."""
         self._losses = Random(f"losses {seed}")
+        self._cuts = Random(f"cuts {seed}")
         self._out: set[str] = set()
         self._version = 1
         self._away: set[str] = set()
@@ -75,6 +76,7 @@
         tasks = [
             asyncio.create_task(self._drill(seconds)),
             asyncio.create_task(self._lose_answers(seconds)),
+            asyncio.create_task(self._cut_from_store(seconds)),
         ]
         until = time.monotonic() + seconds
         kinds = (
@@ -226,6 +228,25 @@
             await asyncio.sleep(self._losses.uniform(0.2, 1.0))
             engine.script = ["ok"]
 
+    async def _cut_from_store(self, seconds: float) -> None:
+        """Let registrations lapse whose engines run on, while streams stall."""
+        until = time.monotonic() + seconds
+        while time.monotonic() < until:
+            await asyncio.sleep(self._cuts.uniform(0.3, 2.5))
+            heads = sorted(n for n in self._site.engines if n[0] == "e")
+            cut = self._cuts.sample(heads, 3)
+            self._note(f"streams stall, and {cut} do not reach the store")
+            for name in heads:
+                self._site.engines[name].script = ["stall"]
+            await asyncio.sleep(self._cuts.uniform(0.1, 0.5))
+            for name in cut:
+                self._site.platform.store.put("keyed.servers", name, None)
+            await asyncio.sleep(self._cuts.uniform(0.5, 2.0))
+            for name in heads:
+                self._site.engines[name].script = ["ok"]
+            for name in cut:
+                self._site.replicas.register(name)
+
     async def _configure(self) -> None:
         self._version += 1
         self._note(f"configuration {self._version}")
