--- a/auburnproxy/errors.py
+++ b/auburnproxy/errors.py
@@ -77,7 +77,7 @@
 
     @property
     def nothing_listens(self) -> bool:
-        """Return whether the connection was refused, not merely not made."""
+        """Return whether the other side refused the connection."""
         cause = self.__cause__
         return isinstance(cause, OSError) and cause.errno == ECONNREFUSED
 
--- a/features/attempts.feature
+++ b/features/attempts.feature
@@ -13,6 +13,9 @@
       | its replica is ended                   |
       | a probe is lost                        |
       | it answers no probe in time            |
+      | this daemon stands still               |
+      | no descriptor is left here             |
+      | another daemon hears from it           |
 
   Scenario Outline: A stream goes on past engines that have ended, as when <fate>
     Given a route that allows 2 engines, and 2 heads that stall
--- a/features/fakes/tries.py
+++ b/features/fakes/tries.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from errno import ECONNREFUSED
+from errno import ECONNREFUSED, EMFILE
 from typing import Any, cast
 
 from auburnproxy.clock import loop_time
@@ -30,6 +30,7 @@
 BEFALLS_S = 0.1
 """Time from a stall until something befalls its head."""
 CONNECT_S = 0.25
+STANDSTILL_S = 0.45
 SLOW_S = 0.3
 """Time in which a report of a slow engine does not come."""
 ROUTE = Route(
@@ -142,6 +143,15 @@
         if fate == "its host goes dark" or (fate == "a probe is lost" and count == 1):
             await asyncio.sleep(CONNECT_S)
             raise _unmade(TimeoutError())
+        if fate == "this daemon stands still":
+            await asyncio.sleep(STANDSTILL_S)
+            raise _unmade(TimeoutError())
+        if fate == "no descriptor is left here":
+            raise _unmade(OSError(EMFILE, "too many open files"))
+        if fate == "another daemon hears from it":
+            await asyncio.sleep(CONNECT_S)
+            self.chooser.heard[host.id] = loop_time()
+            raise _unmade(TimeoutError())
         if fate == "it answers no probe in time":
             await asyncio.sleep(SLOW_S)
             raise UpstreamError(f"{host.id} is slow", ran=Ran.UNKNOWN)
