Test on sockets what one connection shows of a process

The verdict that frees an attempt rests on how the HTTP library tells a refused connection from one that timed out; six cases on loopback hold that down.

--- a/features/attempts.feature
+++ b/features/attempts.feature
@@ -38,3 +38,17 @@
     Given a route that allows 2 engines, and one head that stalls twice
     When a stream is asked for and, at each head that stalls, its replica is ended
     Then its answer never looks complete
+
+  Scenario Outline: What one connection shows of a process that <state>
+    Given an engine that <state>
+    When the platform's adapter asks it for its report
+    Then it shows that the process <verdict>
+
+    Examples:
+      | state                      | verdict       |
+      | runs                       | lives         |
+      | has ended                  | ended         |
+      | has been replaced          | ended         |
+      | takes no connection        | is unreached  |
+      | answers nothing            | lives         |
+      | answers something else     | lives         |
