Measure what a caller waits for, and let the fake heads be looked at as the daemon does

The step compared the time of the whole stream with twice the bound that it names; it compares the longest wait with the bound now, which is stricter.

--- a/features/attempts.feature
+++ b/features/attempts.feature
@@ -22,7 +22,7 @@
     Given a route that allows 2 engines, and 2 heads that stall
     When a stream is asked for and, at each head that stalls, <fate>
     Then it is whole and in order, and 3 engines have run it
-    And none of its callers has had to wait 1.8 s for an event
+    And its caller has not waited 1.8 s for an event
 
     Examples:
       | fate                   |
--- a/features/fakes/tries.py
+++ b/features/fakes/tries.py
@@ -11,7 +11,7 @@
 from auburnproxy.gateway.call import Call
 from auburnproxy.gateway.dialect import Ask, Dispatch, Reply
 from auburnproxy.gateway.host import Host
-from auburnproxy.gateway.presence import Presence
+from auburnproxy.gateway.presence import Presence, Sighting, sighted
 from auburnproxy.gateway.resends import Allowance, Resends
 from auburnproxy.gateway.route import Route, RouteKind, Target
 from auburnproxy.gateway.sender import Sender, Sent
@@ -66,11 +66,12 @@
         self.fate_by_engine: dict[str, str] = {}
         self.written = b""
         self.whole = False
-        self.took_s = 0.0
+        self.longest_wait_s = 0.0
+        """Longest time in which its caller got no event."""
+        self._heard_at = loop_time()
         self._stalling = stalling
         self._fate = fate
         self._probes_by_engine: dict[str, int] = {}
-        self.chooser.probe = self._probe
         self.chooser.health._probe = self._probe
         self._streams = Streams(
             self,
@@ -99,11 +100,13 @@
             await self._streams.answer(call, resends)
             self.whole = True
         except StreamAbortedError:
-            pass
-        self.took_s = loop_time() - began
+            return
 
     def _take(self, block: bytes) -> None:
         self.written += block
+        now = loop_time()
+        self.longest_wait_s = max(self.longest_wait_s, now - self._heard_at)
+        self._heard_at = now
 
     async def send(self, call: Call, dispatch: Dispatch) -> Sent:
         """Run the stream at a head."""
@@ -111,8 +114,8 @@
         self.ran.append(engine)
         stalls = len(self.ran) <= self._stalling
         first = int(dispatch.resume_after or 0) + 1
-        last = first + STALLS_AFTER - 1 if stalls else EVENTS
-        for number in range(first, min(last, EVENTS - 1 if stalls else EVENTS) + 1):
+        last = min(first + STALLS_AFTER, EVENTS) - 1 if stalls else EVENTS
+        for number in range(first, last + 1):
             answer.put(b"id: %d\ndata: x\n\n" % number)
         if stalls:
             asyncio.get_running_loop().call_later(BEFALLS_S, self._befall, engine)
@@ -161,12 +164,7 @@
 
     async def _probe(self, engine: str) -> bool:
         host = self.chooser.directory.hosts.get(engine)
-        if host is None:
-            return False
-        try:
-            return (await self.report(host)).born == host.born
-        except UpstreamError:
-            return False
+        return host is not None and await sighted(host, self.report) is Sighting.LIVES
 
 
 def _unmade(cause: Any) -> UpstreamError:
--- a/features/steps/attempts.py
+++ b/features/steps/attempts.py
@@ -59,9 +59,9 @@
     assert len({*tries.ran}) == count, tries.ran
 
 
-@then("none of its callers has had to wait {seconds:g} s for an event")
+@then("its caller has not waited {seconds:g} s for an event")
 def compare_pause(context, seconds):
-    assert context.tries.took_s < 2 * seconds, context.tries.took_s
+    assert context.tries.longest_wait_s < seconds, context.tries.longest_wait_s
 
 
 @given("an engine that {state}")
