--- a/auburnproxy/daemon/routed.py
+++ b/auburnproxy/daemon/routed.py
@@ -24,8 +24,8 @@
 from ..gateway.directory import Directory
 from ..gateway.face import RoutedFace
 from ..gateway.health import Health
+from ..gateway.lookout import Lookout
 from ..gateway.plain import Plain
-from ..gateway.presence import Presence
 from ..gateway.rests import Rests
 from ..gateway.route import Bounds, Configuration
 from ..gateway.sender import Sender
@@ -282,7 +282,7 @@
             sender,
             choice,
             self.health,
-            Presence(self.orders.report, self.health.heard_at, self.decisions),
+            Lookout(self.orders.report, self.health.heard_at, self.decisions),
             lambda: (self.directory.engine or (None, None))[1],
             self.decisions,
             self.telemetry,
--- a/auburnproxy/gateway/attempts.py
+++ b/auburnproxy/gateway/attempts.py
@@ -7,22 +7,22 @@
 
 from ..clock import loop_time
 from .host import Host
-from .presence import Presence
+from .lookout import Lookout
 
 
 class Attempts:
     """Counts every upstream that was tried and has not been shown to be absent.
 
     :param allowed: upstreams that the request may run on
-    :param presence: looks whether a process is still there
+    :param lookout: looks whether a process is still there
     :param on_absent: called with each upstream that no longer counts
     """
 
     def __init__(
-        self, allowed: int, presence: Presence, *, on_absent: Callable[[Host], None]
+        self, allowed: int, lookout: Lookout, *, on_absent: Callable[[Host], None]
     ) -> None:
         self._allowed = allowed
-        self._presence = presence
+        self._lookout = lookout
         self._on_absent = on_absent
         self._counted: list[Host] = []
 
@@ -41,7 +41,7 @@
             return True
         host_by_life = {host.life: host for host in self._counted}
         looks = {
-            asyncio.create_task(self._presence.absent(host)): host
+            asyncio.create_task(self._lookout.absent(host)): host
             for host in host_by_life.values()
         }
         until = loop_time() + within_s
--- a/auburnproxy/gateway/presence.py
+++ b/auburnproxy/gateway/lookout.py
@@ -56,7 +56,7 @@
     return Sighting.LIVES
 
 
-class Presence:
+class Lookout:
     """Looks for processes by new connections to them.
 
     :param report: asks a process for its report over a new connection
--- a/auburnproxy/gateway/streams.py
+++ b/auburnproxy/gateway/streams.py
@@ -21,7 +21,7 @@
 from .events import EventReader, follows
 from .health import Health
 from .host import Host
-from .presence import Presence
+from .lookout import Lookout
 from .resends import Resends
 from .route import EngineSpec
 from .sender import Sender, check_head
@@ -69,7 +69,7 @@
     :param sender: sends each try
     :param choice: chooses replicas
     :param health: learns from each event
-    :param presence: looks for the heads that a stream failed at
+    :param lookout: looks for the heads that a stream failed at
     :param engine: returns how the engines batch, None while unknown
     :param decisions: takes a line for each try
     :param telemetry: histograms
@@ -81,7 +81,7 @@
         sender: Sender,
         choice: Choice,
         health: Health,
-        presence: Presence,
+        lookout: Lookout,
         engine: Callable[[], EngineSpec | None],
         decisions: Decisions,
         telemetry: Telemetry,
@@ -92,7 +92,7 @@
         self.answer_bytes = answer_bytes
         self.choice = choice
         self.health = health
-        self.presence = presence
+        self.lookout = lookout
         self.engine = engine
         self.decisions = decisions
         self.telemetry = telemetry
@@ -125,7 +125,7 @@
         self._ran = Ran.NO
         self._exclude: set[str] = set()
         self._attempts = Attempts(
-            call.route.attempts, parts.presence, on_absent=self._log_absent
+            call.route.attempts, parts.lookout, on_absent=self._log_absent
         )
         self._unsent = 0
         self._misdirected = 0
--- a/features/fakes/tries.py
+++ b/features/fakes/tries.py
@@ -11,7 +11,7 @@
 from auburnproxy.gateway.call import Call
 from auburnproxy.gateway.dialect import Ask, Dispatch, Reply
 from auburnproxy.gateway.host import Host
-from auburnproxy.gateway.presence import Presence, Sighting, sighted
+from auburnproxy.gateway.lookout import Lookout, Sighting, sighted
 from auburnproxy.gateway.resends import Allowance, Resends
 from auburnproxy.gateway.route import Route, RouteKind, Target
 from auburnproxy.gateway.sender import Sender, Sent
@@ -77,7 +77,7 @@
             self,
             self.chooser.choice,
             self.chooser.health,
-            Presence(self.report, self.chooser.health.heard_at, quiet()),
+            Lookout(self.report, self.chooser.health.heard_at, quiet()),
             lambda: ENGINE,
             quiet(),
             Telemetry(),
--- a/features/steps/attempts.py
+++ b/features/steps/attempts.py
@@ -8,7 +8,7 @@
 import async_solipsism
 from behave import given, then, when
 
-from auburnproxy.gateway.presence import sighted
+from auburnproxy.gateway.lookout import sighted
 from auburnproxy.platform.engine_orders import PlatformOrders
 from features.fakes.fleet import host
 from features.fakes.platform import EngineStandIn
