Log how far each request has got when its daemon stops

Each request in flight now has its phase, upstream and whether it may have run. Requests that are cut off each have a line with these, which is exempt from the limit per kind and is held back, not dropped, while standard output is full. A handler that fails leaves a line with the request id, and a caller that leaves one with the phase.

--- a/auburnproxy/daemon/gateway_daemon.py
+++ b/auburnproxy/daemon/gateway_daemon.py
@@ -95,6 +95,8 @@
 """Seconds after the stop signal for which the load balancer may still send requests."""
 CONNECTION_CLOSE_S = 0.5
 """Timeout for closing connections once all requests have been answered."""
+LOG_FLUSH_S = 0.2
+"""Longest wait for a slow reader of the log at the exit."""
 KILL_MARGIN_S = 1.0
 """Seconds before the process is killed at which it stops waiting for requests."""
 
@@ -406,7 +408,7 @@
         """Let the load balancer stop sending, drain requests and cancel all tasks."""
         started_at = loop_time()
         self.frontend.draining = True
-        self.decisions.belief("stopping", in_flight=self.frontend.requests.count)
+        self.decisions.final_belief("stopping", in_flight=self.frontend.requests.count)
         await self.leader_election.resign()
         await asyncio.sleep(BALANCER_DRAIN_S)
         self.frontend.closed = True
@@ -415,9 +417,10 @@
             async with asyncio.timeout_at(deadline):
                 await self.frontend.requests.wait_idle()
         except TimeoutError:
-            self.decisions.belief(
+            self.decisions.final_belief(
                 "requests_cut_off", count=self.frontend.requests.count
             )
+            self.frontend.log_cut_off()
         self.drained.set()
         self.health.close()
         self.peer_sync.close()
@@ -426,7 +429,8 @@
         if not self.frontend.requests.count:
             await self._session.close()
         await self._store.close()
-        self.decisions.belief("stopped")
+        self.decisions.final_belief("stopped")
+        self.decisions.flush(LOG_FLUSH_S)
 
     def callers_application(self) -> web.Application:
         """Return the application of the callers' listener."""
--- a/auburnproxy/gateway/call.py
+++ b/auburnproxy/gateway/call.py
@@ -8,9 +8,12 @@
 
 from ..clock import loop_time
 from ..errors import AuburnError, Ran
+from ..in_flight import InFlightRequest
 from .header_codec import RequestInfo
 from .route import Route
 
+IN_FLIGHT = web.RequestKey("in_flight", InFlightRequest)
+"""Key of how far a request has got, in the HTTP library's request."""
 CONNECT_TIMEOUT_S = 0.25
 """Forty round trips between failure domains; an upstream that takes longer to accept is
 down or unreachable."""
@@ -40,6 +43,11 @@
         """Return the caller's id of this request."""
         return self.info.request_id
 
+    @property
+    def progress(self) -> InFlightRequest:
+        """Return how far this request has got."""
+        return self.http[IN_FLIGHT]
+
     @property
     def remaining_s(self) -> float:
         """Return the seconds until the deadline."""
--- a/auburnproxy/gateway/frontend.py
+++ b/auburnproxy/gateway/frontend.py
@@ -11,10 +11,10 @@
 
 from ..clock import loop_time
 from ..errors import Ran, RefusalError
-from ..in_flight import InFlightRequests
+from ..in_flight import InFlightRequest, InFlightRequests, Phase
 from ..telemetry import Counter, Gauge, GaugeReading, Measure, Telemetry
 from ..telemetry.decisions import DecisionLog
-from .call import Call
+from .call import IN_FLIGHT, Call
 from .directory import Directory
 from .header_codec import HeaderCodec, RequestInfo
 from .plain_forwarder import PlainForwarder
@@ -98,41 +98,55 @@
 
     async def handle(self, http: web.Request) -> web.StreamResponse:
         """Handle one request."""
-        arrived_at = loop_time()
         info = self._header_codec.read_request(http.headers)
         if info.malformed:
             self._decisions.request(
                 "headers_ignored", info.request_id, names=info.malformed
             )
-        with self.requests.track():
+        with self.requests.track(info.request_id) as request:
+            http[IN_FLIGHT] = request
             try:
-                response = await self._process(http, info, arrived_at)
-            except RefusalError as refusal:
-                response = self._refusal_response(info, refusal, arrived_at)
-            except StreamAbortedError as aborted:
-                self._telemetry.count(Counter.UNKNOWN, "", "", aborted.reason)
-                return aborted.response
+                return await self._respond(http, info, request)
             except (asyncio.CancelledError, ConnectionError):
                 self._decisions.request(
-                    "caller_left", info.request_id, after_s=_elapsed_s(arrived_at)
+                    "caller_left",
+                    info.request_id,
+                    phase=request.phase,
+                    after_s=_elapsed_s(request.arrived_at),
                 )
                 self._telemetry.count(Counter.CANCELLED, "", "")
                 raise
-            if self.draining and not response.prepared:
-                response.force_close()
-            return response
+            except Exception as error:
+                self._log_failure(request, error)
+                raise
 
-    async def _process(
-        self, http: web.Request, info: RequestInfo, arrived_at: float
+    async def _respond(
+        self, http: web.Request, info: RequestInfo, request: InFlightRequest
     ) -> web.StreamResponse:
-        call = await self._route(http, info, arrived_at)
+        try:
+            call = await self._route(http, info, request)
+            response = await self._forward(call)
+        except RefusalError as refusal:
+            response = self._refusal_response(info, refusal, request.arrived_at)
+        except StreamAbortedError as aborted:
+            self._telemetry.count(Counter.UNKNOWN, "", "", aborted.reason)
+            return aborted.response
+        else:
+            self._record_answer(call, response)
+        if self.draining and not response.prepared:
+            response.force_close()
+        return response
+
+    async def _forward(self, call: Call) -> web.StreamResponse:
         self.served += 1
         retry_budget = self._retry_budget(call.service)
         retry_budget.record_request()
         if call.route.kind is RouteKind.STREAM:
-            response = await self._streams.forward(call, retry_budget)
-        else:
-            response = await self._plain.forward(call, retry_budget)
+            return await self._streams.forward(call, retry_budget)
+        return await self._plain.forward(call, retry_budget)
+
+    def _record_answer(self, call: Call, response: web.StreamResponse) -> None:
+        took_s = _elapsed_s(call.arrived_at)
         self._decisions.request(
             "answered",
             call.id,
@@ -140,25 +154,49 @@
             route=call.route.name,
             configuration=self._directory.configuration.version,
             status=response.status,
-            took_s=_elapsed_s(arrived_at),
+            took_s=took_s,
         )
         self._telemetry.observe(
-            Measure.WHOLE_ANSWER, call.account, call.service, _elapsed_s(arrived_at)
+            Measure.WHOLE_ANSWER, call.account, call.service, took_s
         )
         self._telemetry.count(Counter.ANSWERED, call.account, call.service)
-        return response
+
+    def log_cut_off(self) -> None:
+        """Log how far each request in flight has got when the daemon stops."""
+        for request in self.requests:
+            self._decisions.final_request(
+                "request_cut_off",
+                request.id,
+                phase=request.phase,
+                upstream=request.upstream,
+                ran=request.ran,
+                answer_begun=request.answer_begun,
+                age_s=_elapsed_s(request.arrived_at),
+                remaining_s=_remaining_s(request.deadline),
+            )
+
+    def _log_failure(self, request: InFlightRequest, error: Exception) -> None:
+        self._decisions.request(
+            "handler_failed",
+            request.id,
+            phase=request.phase,
+            upstream=request.upstream,
+            error=repr(error),
+            after_s=_elapsed_s(request.arrived_at),
+        )
 
     async def _route(
-        self, http: web.Request, info: RequestInfo, arrived_at: float
+        self, http: web.Request, info: RequestInfo, request: InFlightRequest
     ) -> Call:
         """Return a request with its route and account.
 
         :raises RefusalError: if it cannot be routed or authenticated
         """
+        arrived_at = request.arrived_at
         body = await self._read_body(http)
         if self.closed:
-            message = "This daemon is shutting down."
-            raise RefusalError("draining", message, retry_after_s=DRAINING_RETRY_S)
+            raise _draining_refusal()
+        request.phase = Phase.CONFIGURATION
         await self._wait_until_informed(arrived_at, info)
         configuration = self._directory.configuration
         if configuration.version < 0:
@@ -179,6 +217,8 @@
         timeout_s = route.timeout_s
         if info.deadline_s is not None:
             timeout_s = min(timeout_s, info.deadline_s)
+        request.phase = Phase.UPSTREAM
+        request.deadline = arrived_at + timeout_s
         return Call(
             http=http,
             info=info,
@@ -188,7 +228,7 @@
             urgency=min(max(urgency, 0), 9),
             body=body,
             arrived_at=arrived_at,
-            deadline=arrived_at + timeout_s,
+            deadline=request.deadline,
         )
 
     async def _wait_until_informed(self, arrived_at: float, info: RequestInfo) -> None:
@@ -279,5 +319,14 @@
             yield GaugeReading(Gauge.RETRIES_LEFT, retry_budget.remaining, service)
 
 
+def _draining_refusal() -> RefusalError:
+    message = "This daemon is shutting down."
+    return RefusalError("draining", message, retry_after_s=DRAINING_RETRY_S)
+
+
+def _remaining_s(deadline: float | None) -> float | None:
+    return None if deadline is None else round(deadline - loop_time(), 4)
+
+
 def _elapsed_s(arrived_at: float) -> float:
     return round(loop_time() - arrived_at, 4)
--- a/auburnproxy/gateway/plain_forwarder.py
+++ b/auburnproxy/gateway/plain_forwarder.py
@@ -144,6 +144,7 @@
         )
 
     def _log_failed_try(self, call: Call, host: Host, error: AttemptError) -> None:
+        call.progress.await_upstream()
         self._decisions.request(
             "try_failed",
             call.id,
--- a/auburnproxy/gateway/sender.py
+++ b/auburnproxy/gateway/sender.py
@@ -54,6 +54,7 @@
         """
         headers = self._header_codec.upstream_headers(call.http.headers, dispatch)
         url = f"http://{dispatch.host.address}{call.http.raw_path}"
+        call.progress.send_to(dispatch.host.id)
         try:
             with upstream_errors(dispatch.host.address):
                 answer = await self._session.request(
@@ -66,6 +67,7 @@
                 )
         except UpstreamError as error:
             if error.ran is Ran.NO:
+                call.progress.mark_not_run()
                 raise AttemptError("unreachable", ran=Ran.NO, sent=False) from error
             raise AttemptError("broken", ran=Ran.UNKNOWN) from error
         info = self._header_codec.read_response(answer.status, answer.headers)
@@ -86,6 +88,7 @@
     :raises AttemptError: if it does not
     """
     if info.not_run:
+        call.progress.mark_not_run()
         raise AttemptError(f"rejected_{info.status}", ran=Ran.NO)
     if info.request_id != call.id:
         raise AttemptError("foreign_answer", ran=Ran.UNKNOWN)
--- a/auburnproxy/gateway/stream_forwarder.py
+++ b/auburnproxy/gateway/stream_forwarder.py
@@ -383,6 +383,7 @@
         self._forwarder.telemetry.observe(
             Measure.FIRST_CHUNK, call.account, call.service, took_s
         )
+        call.progress.begin_answer()
         await self._response.prepare(call.http)
 
     async def _forward_failure(self, answer: ClientResponse) -> web.StreamResponse:
@@ -440,6 +441,7 @@
         )
 
     def _log_failed_try(self, replica: ServingReplica, error: AttemptError) -> None:
+        self._call.progress.await_upstream()
         self._forwarder.decisions.request(
             "try_failed",
             self._call.id,
--- a/auburnproxy/telemetry/decisions.py
+++ b/auburnproxy/telemetry/decisions.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import os
+import select
 import time
 from collections.abc import Callable
 from typing import Any
@@ -20,7 +21,8 @@
     Lines of a kind that exceeds its rate limit are omitted until the next second;
     the next line of that kind gives their number in ``omitted``. If the reader of
     the descriptor is too slow, lines are dropped and counted in ``dropped``, so
-    that writing never blocks the process.
+    that writing never blocks the process. Final lines are neither omitted nor dropped,
+    but held back until the descriptor is ready for writing.
 
     :param host: name of this daemon's host, included in every line
     :param descriptor: non-blocking file descriptor to write to
@@ -46,6 +48,7 @@
         self._line_count_by_kind: dict[str, int] = {}
         self._omitted_by_kind: dict[str, int] = {}
         self._unsent = b""
+        """The rest of a truncated line, and final lines that are held back."""
 
     def request(self, kind: str, request_id: str, **inputs: Any) -> None:
         """Log a decision about a request.
@@ -64,6 +67,39 @@
         """
         self._write(kind, inputs)
 
+    def final_request(self, kind: str, request_id: str, **inputs: Any) -> None:
+        """Log the end of a request at the stop of the daemon, as a final line.
+
+        :param kind: the decision
+        :param request_id: id of the request
+        :param inputs: the state that it was based on
+        """
+        self._write_final(kind, {"request": request_id, **inputs})
+
+    def final_belief(self, kind: str, **inputs: Any) -> None:
+        """Log a step of the daemon's stop, as a final line.
+
+        :param kind: the step
+        :param inputs: the state that it was based on
+        """
+        self._write_final(kind, inputs)
+
+    def flush(self, timeout_s: float) -> None:
+        """Write what is held back, and wait for a slow reader if necessary.
+
+        :param timeout_s: longest wait in seconds
+        """
+        until = time.monotonic() + timeout_s
+        while self._unsent:
+            wait_s = max(until - time.monotonic(), 0.0)
+            if not select.select([], [self._descriptor], [], wait_s)[1]:
+                return
+            self._unsent = self._unsent[self._write_some(self._unsent) :]
+
+    def _write_final(self, kind: str, fields: dict[str, Any]) -> None:
+        self._unsent += self._encode(self._clock(), kind, fields)
+        self._unsent = self._unsent[self._write_some(self._unsent) :]
+
     def _write(self, kind: str, fields: dict[str, Any]) -> None:
         now = self._clock()
         if int(now) != self._second:
@@ -74,23 +110,30 @@
         if count >= self._lines_per_s:
             self._omitted_by_kind[kind] = self._omitted_by_kind.get(kind, 0) + 1
             return
-        line = {"at": round(now, 3), "host": self._host, "kind": kind, **fields}
         omitted = self._omitted_by_kind.pop(kind, 0)
         if omitted:
-            line["omitted"] = omitted
-        self._send(msgspec.json.encode(line) + b"\n")
+            fields["omitted"] = omitted
+        self._send(self._encode(now, kind, fields))
+
+    def _encode(self, now: float, kind: str, fields: dict[str, Any]) -> bytes:
+        line = {"at": round(now, 3), "host": self._host, "kind": kind, **fields}
+        return msgspec.json.encode(line) + b"\n"
 
     def _send(self, line: bytes) -> None:
-        data = self._unsent + line
+        unsent = self._unsent
+        written = self._write_some(unsent + line)
+        if written <= len(unsent):
+            self.dropped += 1
+            line = b""
+        # The rest of a truncated line is kept, so that the reader sees complete lines.
+        self._unsent = (unsent + line)[written:]
+
+    def _write_some(self, data: bytes) -> int:
+        """Return the number of bytes that the descriptor took."""
         try:
-            written = os.write(self._descriptor, data)
+            return os.write(self._descriptor, data)
         except BlockingIOError:
-            self.dropped += 1
-            return
-        # After a partial write only the remainder of the truncated line is kept, so
-        # that the reader sees complete lines only.
-        remainder = data[written:]
-        self._unsent = remainder[: remainder.find(b"\n") + 1] if written else b""
+            return 0
 
 
 def open_decision_log(host: str) -> DecisionLog:
--- a/emulator/in_memory_request.py
+++ b/emulator/in_memory_request.py
@@ -15,6 +15,9 @@
 from multidict import CIMultiDict, CIMultiDictProxy
 from yarl import URL
 
+from auburnproxy.gateway.call import IN_FLIGHT
+from auburnproxy.in_flight import InFlightRequest
+
 
 class CallerWriter(AbstractStreamWriter):
     """Stream writer that passes the response body to a callback.
@@ -31,9 +34,7 @@
         self._on_block(bytes(chunk))
 
     async def write_eof(self, chunk: bytes = b"") -> None:
-        """Pass on the last block of the body, if there is one."""
-        if chunk:
-            self._on_block(chunk)
+        """Ignore a body in one block, which callers read from the response."""
 
     async def drain(self) -> None:
         """Return at once, since callers read without delay."""
@@ -65,11 +66,15 @@
         False,
         URL(path),
     )
-    transport = SimpleNamespace(close=lambda: None)
+    transport = SimpleNamespace(
+        close=lambda: None,
+        is_closing=lambda: False,
+        set_write_buffer_limits=lambda high: None,
+    )
     protocol = SimpleNamespace(
         ssl_context=None, peername=None, sockname=None, transport=transport
     )
-    return web.BaseRequest(
+    request = web.BaseRequest(
         message,
         EMPTY_PAYLOAD,
         cast(Any, protocol),
@@ -78,3 +83,5 @@
         asyncio.get_running_loop(),
         client_max_size=4_194_304,
     )
+    request[IN_FLIGHT] = InFlightRequest()
+    return request
