--- a/features/fakes/platform.py
+++ b/features/fakes/platform.py
@@ -11,6 +11,7 @@
 import time
 from collections.abc import AsyncIterator, Callable
 from pathlib import Path
+from urllib.parse import parse_qs, urlsplit
 
 import yaml
 from aiohttp import web
@@ -146,6 +147,11 @@
         )
 
 
+def _query_value(path: str, name: str, default: float) -> str | float:
+    query = parse_qs(urlsplit(path).query)
+    return query[name][0] if name in query else default
+
+
 def reset(writer: asyncio.StreamWriter) -> None:
     """Reset a connection, as a crashing engine does."""
     linger = struct.pack("ii", 1, 0)
@@ -184,6 +190,15 @@
         self.endless = ""
         """Kind of endless response that it sends; empty for none."""
         self.open_connections = 0
+        self.events = EVENTS
+        """Events of a stream, unless the query of its request has ``events``."""
+        self.event_interval_s = 0.01
+        """Pause after each event; the query ``interval`` overrides it."""
+        self.answer = b"the whole answer"
+        self.answer_delay_s = 0.0
+        """Time that a plain answer takes; the query ``delay`` overrides it."""
+        self.worked_until: dict[str, float] = {}
+        """Times at which it ended its work on requests, by request id."""
         self._server: asyncio.Server | None = None
 
     async def start(self) -> None:
@@ -238,7 +253,11 @@
                 action = self.script.pop(0) if len(self.script) > 1 else self.script[0]
                 if action not in NOT_EXECUTED_ACTIONS:
                     self._run(headers)
-                await self._act(action, reader, writer, path, headers)
+                try:
+                    await self._act(action, reader, writer, path, headers)
+                finally:
+                    request_id = headers.get("attempt-id", "")
+                    self.worked_until[request_id] = time.monotonic()
             await writer.drain()
         writer.close()
 
@@ -266,9 +285,11 @@
             "rest",
             "misdirect",
         ):
-            await self._stream(action, reader, writer, headers)
+            await self._stream(action, reader, writer, headers | {":path": path})
         elif action == "ok":
-            self._plain(writer, headers, b"the whole answer")
+            delay_s = float(_query_value(path, "delay", self.answer_delay_s))
+            if not await self._closed_within(reader, delay_s):
+                self._plain(writer, headers, self.answer)
         elif action == "failed":
             self._plain(writer, headers, b"boom", "500 Internal Server Error")
         elif action == "shed":
@@ -331,6 +352,9 @@
             await asyncio.sleep(0.05)
 
     async def _stream(self, action, reader, writer, headers) -> None:
+        path = headers[":path"]
+        events = int(_query_value(path, "events", self.events))
+        interval_s = float(_query_value(path, "interval", self.event_interval_s))
         start = int(headers.get("last-event-id", 0))
         head = f"HTTP/1.1 200 OK\r\nAttempt-Id: {headers['attempt-id']}\r\n"
         head += f"Engine-Stamp: {STAMP}.{self.name}\r\nTransfer-Encoding: chunked\r\n"
@@ -338,7 +362,7 @@
             head += "Server-Leaving: 1\r\n"
         head += "Content-Type: text/event-stream\r\nConnection: close\r\n\r\n"
         writer.write(head.encode())
-        for number in range(start + 1, EVENTS + 1):
+        for number in range(start + 1, events + 1):
             event = b"id: %d\ndata: token %d\n\n" % (number, number)
             if action == "trickle from start" or (
                 action == "trickle after event" and number == 4
@@ -361,12 +385,23 @@
             await writer.drain()
             if action == "freeze" and number == 4:
                 time.sleep(FREEZE_S)  # noqa: ASYNC251
-            await asyncio.sleep(0.2 if action == "slow" else 0.01)
+            await asyncio.sleep(0.2 if action == "slow" else interval_s)
             if reader.at_eof():
                 self.cancelled += 1
                 return
         writer.write(b"0\r\n\r\n")
 
+    async def _closed_within(self, reader, seconds: float) -> bool:
+        """Return whether the daemon closed the connection within some seconds."""
+        if not seconds:
+            return False
+        try:
+            async with asyncio.timeout(seconds):
+                await self._until_closed(reader)
+        except TimeoutError:
+            return False
+        return True
+
     async def _until_closed(self, reader: asyncio.StreamReader) -> None:
         await reader.read()
         self.cancelled += 1
