Keep the handlers of stop signals until the process exits

The process now installs its own handlers before it imports the daemon and replaces them by ones that request an ordinary stop; they stay until the event loop closes, and signals are ignored from then on. Further signals are logged. SIGTERM during the start cancels it and stops what was started. A task that ends unexpectedly requests the same stop instead of stopping the loop, which during a stop cut everything off. SIGHUP is ignored while stopping.

--- a/auburnproxy/daemon/__main__.py
+++ b/auburnproxy/daemon/__main__.py
@@ -4,6 +4,8 @@
 
 import signal
 
+from .stop_signals import exit_until_installed
+
 
 def main() -> None:
     """Run the command line.
@@ -12,6 +14,7 @@
     so that it does not end the process; the settings are read later in any case.
     """
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    exit_until_installed()
     from .main import main as run
 
     run()
--- a/auburnproxy/daemon/daemon.py
+++ b/auburnproxy/daemon/daemon.py
@@ -5,7 +5,7 @@
 import asyncio
 import math
 import time
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 
 from ..admission import Admission
 from ..configuration import Configuration
@@ -71,7 +71,9 @@
         self.me = create_member(settings)
         self.telemetry = Telemetry()
         self.drained = asyncio.Event()
-        self._tasks = Tasks(_log_task_end)
+        self.request_stop: Callable[[], None] = lambda: None
+        """Requests an ordinary stop of the process."""
+        self._tasks = Tasks(_log_task_end, lambda: self.request_stop())
         self._build_journal(settings)
         self._build_membership(settings)
         self._build_upstreams(settings)
@@ -220,6 +222,13 @@
         self._tasks.spawn("fitness", self._wait_until_restart_needed())
         log.info("{} started.", self.me.id)
 
+    def log_signal(self, name: str) -> None:
+        """Log that a stop signal arrived; all but the first change nothing.
+
+        :param name: name of the signal
+        """
+        log.info("{} arrived.", name)
+
     async def stop(self) -> None:
         """Drain requests, leave the group for peers to take over, cancel all tasks."""
         try:
--- a/auburnproxy/daemon/gateway_daemon.py
+++ b/auburnproxy/daemon/gateway_daemon.py
@@ -120,7 +120,9 @@
         self.decisions = decisions or open_decision_log(settings.name)
         self.telemetry = Telemetry()
         self._deployment = deployment
-        self.tasks = Tasks(self._log_task_end)
+        self.request_stop: Callable[[], None] = lambda: None
+        """Requests an ordinary stop of the process."""
+        self.tasks = Tasks(self._log_task_end, lambda: self.request_stop())
         self._store = CountedStore(deployment.store(settings), self.telemetry)
         self._session = open_session(
             reuse_connections=False,
@@ -384,8 +386,9 @@
             self.tasks.spawn(name, coroutine)
         self._registration_task = asyncio.create_task(self._register())
         self._started = True
+        # Handlers of the event loop are replaced by the default ones when it closes.
         loop = asyncio.get_running_loop()
-        loop.add_signal_handler(signal.SIGHUP, self.reload)
+        signal.signal(signal.SIGHUP, lambda *_: loop.call_soon_threadsafe(self.reload))
 
     def reload(self) -> None:
         """Reload the settings; changed addresses apply only after a restart."""
@@ -407,6 +410,7 @@
     async def stop(self) -> None:
         """Let the load balancer stop sending, drain requests and cancel all tasks."""
         started_at = loop_time()
+        signal.signal(signal.SIGHUP, signal.SIG_IGN)
         self.frontend.draining = True
         self.decisions.final_belief("stopping", in_flight=self.frontend.requests.count)
         await self.leader_election.resign()
@@ -424,7 +428,8 @@
         self.drained.set()
         self.health.close()
         self.peer_sync.close()
-        self._registration_task.cancel()
+        if self._started:
+            self._registration_task.cancel()
         await self.tasks.cancel()
         if not self.frontend.requests.count:
             await self._session.close()
@@ -432,6 +437,14 @@
         self.decisions.final_belief("stopped")
         self.decisions.flush(LOG_FLUSH_S)
 
+    def log_signal(self, name: str) -> None:
+        """Log that a stop signal arrived; all but the first change nothing.
+
+        :param name: name of the signal
+        """
+        repeated = self.frontend.draining
+        self.decisions.belief("stop_signal", name=name, repeated=repeated)
+
     def callers_application(self) -> web.Application:
         """Return the application of the callers' listener."""
         return self.frontend.application()
--- a/auburnproxy/daemon/listener.py
+++ b/auburnproxy/daemon/listener.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 from typing import Protocol
 
 from aiohttp import web
@@ -28,12 +29,21 @@
 class RunnableDaemon(DrainingDaemon, Protocol):
     """Interface of a daemon that can be started and stopped."""
 
+    request_stop: Callable[[], None]
+    """Requests an ordinary stop of the process."""
+
     def start(self) -> None:
         """Start the tasks of the components."""
 
     async def stop(self) -> None:
         """Drain requests and cancel the tasks."""
 
+    def log_signal(self, name: str) -> None:
+        """Log that a stop signal arrived; all but the first change nothing.
+
+        :param name: name of the signal
+        """
+
 
 class DaemonService(Service):
     """Runs the components of a daemon.
@@ -105,5 +115,14 @@
 
     async def stop(self, exception: Exception | None = None) -> None:
         """Close once no request is in flight."""
+        if not hasattr(self, "site"):
+            await self._stop_half_started()
+            return
         await self._daemon.drained.wait()
         await super().stop(exception)
+
+    async def _stop_half_started(self) -> None:
+        """Close a listener whose start was cancelled."""
+        if hasattr(self, "runner"):
+            await self.runner.cleanup()
+        self.socket.close()
--- a/auburnproxy/daemon/main.py
+++ b/auburnproxy/daemon/main.py
@@ -2,27 +2,31 @@
 
 from __future__ import annotations
 
+import asyncio
 import gc
 import sys
 from collections.abc import Callable
 from importlib import import_module
 from pathlib import Path
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING, Any, TypeVar
 
 import defopt
 import uvloop
 from aiomisc import entrypoint
 
 from ..errors import DocumentError
+from .stop_signals import StopSignals
 
 if TYPE_CHECKING:
+    from .listener import RunnableDaemon
     from .settings import Settings
 
+_Daemon = TypeVar("_Daemon", bound="RunnableDaemon")
+
 EXIT_FINDINGS = 2
-SHUTDOWN_MARGIN_S = 10.0
+STOP_REASON = RuntimeError("The process was asked to stop.")
 GC_YOUNG_THRESHOLD = 20_000
 """New objects after which the youngest generation is collected."""
-Services = Callable[[], list[Any]]
 
 
 def auburnproxyd(
@@ -67,7 +71,7 @@
     from .daemon import Daemon
 
     configure_logs(level=settings.log.level, json=settings.log.json)
-    return _run(lambda: services(Daemon(settings)), settings.drain_s)
+    return _run(lambda: Daemon(settings), services)
 
 
 def serve_deployment(package: str, *, check: bool) -> int:
@@ -81,29 +85,55 @@
     from .gateway_services import services
 
     adapter = import_module(package).adapter()
-    settings = adapter.settings()
+    adapter.settings()
     if check:
         print("no findings")
         return 0
-    return _run(lambda: services(GatewayDaemon(adapter)), settings.grace_s)
+    return _run(lambda: GatewayDaemon(adapter), services)
 
 
-def _run(services: Services, drain_s: float) -> int:
+def _run(
+    create: Callable[[], _Daemon], services: Callable[[_Daemon], list[Any]]
+) -> int:
     runtime = entrypoint(
-        loop_factory=uvloop.new_event_loop,
-        log_config=False,
-        shutdown_timeout=drain_s + SHUTDOWN_MARGIN_S,
+        loop_factory=uvloop.new_event_loop, log_config=False, catch_signals=()
     )
+    signals = StopSignals(runtime.loop)
+    signals.install()
     with runtime as loop:
-        loop.run_until_complete(_start(runtime, services))
-        loop.run_forever()
+        try:
+            loop.run_until_complete(_serve(runtime, signals, create, services))
+        finally:
+            signals.ignore_further()
     return 0
 
 
-async def _start(runtime: entrypoint, services: Services) -> None:
+async def _serve(
+    runtime: entrypoint,
+    signals: StopSignals,
+    create: Callable[[], _Daemon],
+    services: Callable[[_Daemon], list[Any]],
+) -> None:
     # The components bind to the running loop, so they are created on it.
-    await runtime.start_services(*services())
-    _tune_garbage_collection()
+    daemon = create()
+    daemon.request_stop = signals.request_stop
+    signals.on_signal = daemon.log_signal
+    requested = asyncio.create_task(signals.wait())
+    starting = asyncio.create_task(runtime.start_services(*services(daemon)))
+    try:
+        await asyncio.wait({requested, starting}, return_when=asyncio.FIRST_COMPLETED)
+        if starting.done():
+            await starting
+            _tune_garbage_collection()
+            await requested
+    finally:
+        await _cancel(starting)
+        await runtime.graceful_shutdown(STOP_REASON)
+
+
+async def _cancel(task: asyncio.Task[None]) -> None:
+    task.cancel()
+    await asyncio.wait({task})
 
 
 def _tune_garbage_collection() -> None:
--- a/auburnproxy/daemon/tasks.py
+++ b/auburnproxy/daemon/tasks.py
@@ -10,12 +10,18 @@
 class Tasks:
     """Runs background tasks that must all run for as long as the daemon does.
 
-    :param on_unexpected_end: called with a task that ended without being cancelled;
-        the daemon is then shut down, since a partly running daemon is worse than none
+    :param on_unexpected_end: called with a task that ended without being cancelled
+    :param request_stop: then called to stop the daemon, since a partly running daemon
+        is worse than none
     """
 
-    def __init__(self, on_unexpected_end: Callable[[asyncio.Task[None]], None]) -> None:
+    def __init__(
+        self,
+        on_unexpected_end: Callable[[asyncio.Task[None]], None],
+        request_stop: Callable[[], None],
+    ) -> None:
         self._on_unexpected_end = on_unexpected_end
+        self._request_stop = request_stop
         self._tasks: list[asyncio.Task[None]] = []
 
     def spawn(self, name: str, coroutine: Coroutine[Any, Any, None]) -> None:
@@ -37,4 +43,4 @@
         if task.cancelled():
             return
         self._on_unexpected_end(task)
-        asyncio.get_running_loop().stop()
+        self._request_stop()
