Count a request as in flight until its response is written

The handler now writes the response itself and ends when the kernel has taken all of it, and "answered" is logged after that. Listeners wait for unsent bytes before they close connections. A stream that ends while the daemon drains closes its connection, since its head could not announce it.

--- a/auburnproxy/daemon/listener.py
+++ b/auburnproxy/daemon/listener.py
@@ -10,8 +10,11 @@
 from aiomisc import Service
 from aiomisc.service.aiohttp import AIOHTTPService
 
+from ..clock import loop_time
+
 CONNECTION_CLOSE_S = 2
 """Timeout for closing connections once all calls have been answered."""
+FLUSH_POLL_S = 0.01
 IDLE_TIMEOUT_S = 75.0
 """Seconds after which a connection without a complete request head is closed."""
 MAX_LINE_BYTES = 65_536
@@ -98,6 +101,7 @@
         )
         self._application = application
         self._daemon = daemon
+        self._close_s = close_s
 
     async def create_application(self) -> web.Application:
         """Return the application to serve."""
@@ -114,15 +118,32 @@
             self.runner.server._kwargs["keepalive_timeout"] = idle_s
 
     async def stop(self, exception: Exception | None = None) -> None:
-        """Close once no request is in flight."""
+        """Close once no request is in flight and all that was written is sent."""
         if not hasattr(self, "site"):
             await self._stop_half_started()
             return
         await self._daemon.drained.wait()
-        await super().stop(exception)
+        await self.site.stop()
+        await self._flush()
+        await self.runner.cleanup()
 
     async def _stop_half_started(self) -> None:
         """Close a listener whose start was cancelled."""
         if hasattr(self, "runner"):
             await self.runner.cleanup()
         self.socket.close()
+
+    async def _flush(self) -> None:
+        """Wait until callers have taken what was written, unless they are too slow."""
+        closed_by = loop_time() + self._close_s
+        while loop_time() < closed_by:
+            if not self._unsent_bytes():
+                return
+            await asyncio.sleep(FLUSH_POLL_S)
+
+    def _unsent_bytes(self) -> int:
+        server = self.runner.server
+        if server is None:
+            return 0
+        transports = (connection.transport for connection in server.connections)
+        return sum(t.get_write_buffer_size() for t in transports if t is not None)
--- a/auburnproxy/gateway/frontend.py
+++ b/auburnproxy/gateway/frontend.py
@@ -97,12 +97,17 @@
         return app
 
     async def handle(self, http: web.Request) -> web.StreamResponse:
-        """Handle one request."""
+        """Handle one request and write its response.
+
+        It is in flight until the kernel has taken the whole response.
+        """
         info = self._header_codec.read_request(http.headers)
         if info.malformed:
             self._decisions.request(
                 "headers_ignored", info.request_id, names=info.malformed
             )
+        if http.transport is not None and not http.transport.is_closing():
+            http.transport.set_write_buffer_limits(high=0)
         with self.requests.track(info.request_id) as request:
             http[IN_FLIGHT] = request
             try:
@@ -128,13 +133,13 @@
             response = await self._forward(call)
         except RefusalError as refusal:
             response = self._refusal_response(info, refusal, request.arrived_at)
+            await self._write(http, response, request)
+            return response
         except StreamAbortedError as aborted:
             self._telemetry.count(Counter.UNKNOWN, "", "", aborted.reason)
             return aborted.response
-        else:
-            self._record_answer(call, response)
-        if self.draining and not response.prepared:
-            response.force_close()
+        await self._write(http, response, request)
+        self._record_answer(call, response)
         return response
 
     async def _forward(self, call: Call) -> web.StreamResponse:
@@ -145,6 +150,17 @@
             return await self._streams.forward(call, retry_budget)
         return await self._plain.forward(call, retry_budget)
 
+    async def _write(
+        self, http: web.Request, response: web.StreamResponse, request: InFlightRequest
+    ) -> None:
+        """Write a response until the kernel has taken all of it."""
+        if self.draining:
+            response.force_close()
+        request.phase = Phase.CALLER
+        request.begin_answer()
+        await response.prepare(http)
+        await response.write_eof()
+
     def _record_answer(self, call: Call, response: web.StreamResponse) -> None:
         took_s = _elapsed_s(call.arrived_at)
         self._decisions.request(
