Give a stop one budget, and answer the requests that are cut off

Each wait of the stop was counted from its own start: the resignation, the drain, and twice the timeout of the HTTP library.

All waits now end at the times of one StopBudget, which counts from the last time at which the process is known to have run before it noticed the signal. New requests are refused 3 s after that, whatever the store does. Requests in flight end 1 s before the grace does: a caller that has received nothing gets a 503 if its request cannot have run and else a 502; other responses are aborted. Connections, tasks and clients are closed after that, and a thread ends the process with a line if the event loop has not. A daemon that was never ready does not wait for the load balancer.

--- a/auburnproxy/daemon/daemon.py
+++ b/auburnproxy/daemon/daemon.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable, Iterator
 
 from ..admission import Admission
+from ..clock import loop_time
 from ..configuration import Configuration
 from ..external.http import connect_hosts, connect_log, connect_weights
 from ..journal import Journal
@@ -19,6 +20,7 @@
 from ..replicas import Downtime, Planner, Readiness, Reconciler, Repairs, Replicas
 from ..routing import Router
 from ..serving import Frontend, PeerSelector, RequestLimits
+from ..stop_budget import StopBudget, plan_stop
 from ..telemetry import Gauge, GaugeReading, Telemetry, component_logger
 from ..upstreams import Watcher
 from ..upstreams.http_engine import connect_engine
@@ -31,8 +33,11 @@
 from ._lost_daemons import LostDaemons
 from ._peers import AdvertisedCapacity, ForwardingPeers, TargetHosts
 from .settings import Calls, Settings
+from .stop_signals import StopRequest
 from .tasks import Tasks
 
+STOP_MARGIN_S = 10.0
+"""Time after the drain in which a stop ends."""
 LEAVE_TIMEOUT_S = 3.0
 """Longest wait at a shutdown for the journal to record that this daemon leaves."""
 WEIGHT_STORE_KEY = "plan/weight-store"
@@ -73,6 +78,8 @@
         self.drained = asyncio.Event()
         self.request_stop: Callable[[], None] = lambda: None
         """Requests an ordinary stop of the process."""
+        self.last_ran_at = loop_time()
+        """The loop's time at which this daemon was last known to run."""
         self._tasks = Tasks(_log_task_end, lambda: self.request_stop())
         self._build_journal(settings)
         self._build_membership(settings)
@@ -222,6 +229,17 @@
         self._tasks.spawn("fitness", self._wait_until_restart_needed())
         log.info("{} started.", self.me.id)
 
+    def begin_stop(self, request: StopRequest) -> StopBudget:
+        """Return the budget of the stop.
+
+        :param request: when the process was asked to stop
+        """
+        return plan_stop(
+            noticed_at=request.noticed_at,
+            last_ran_at=request.noticed_at,
+            grace_s=self.settings.drain_s + STOP_MARGIN_S,
+        )
+
     def log_signal(self, name: str) -> None:
         """Log that a stop signal arrived; all but the first change nothing.
 
@@ -229,6 +247,19 @@
         """
         log.info("{} arrived.", name)
 
+    def log_overrun(self, what: str) -> None:
+        """Log that something did not stop within the budget and was left as it is.
+
+        :param what: name of what did not stop
+        """
+        log.error("{} did not stop in time.", what)
+
+    def flush_logs(self, timeout_s: float) -> None:
+        """Write the log lines that are still held back; there are none.
+
+        :param timeout_s: longest wait in seconds for a slow reader of the log
+        """
+
     async def stop(self) -> None:
         """Drain requests, leave the group for peers to take over, cancel all tasks."""
         try:
--- a/auburnproxy/daemon/gateway_daemon.py
+++ b/auburnproxy/daemon/gateway_daemon.py
@@ -31,6 +31,7 @@
 from ..gateway.subsets import Subsets
 from ..gateway.upstream_selector import UpstreamSelector
 from ..heartbeats import DaemonRecord, Heartbeat, PeerGroup
+from ..stop_budget import StopBudget, plan_stop
 from ..store import (
     Change,
     CountedStore,
@@ -44,6 +45,7 @@
 from ..telemetry.decisions import DecisionLog, open_decision_log
 from ..upstreams.client import open_session
 from .deployment import Deployment, DomainMark
+from .stop_signals import StopRequest
 from .tasks import Tasks
 
 DAEMONS_TOPIC = "daemons"
@@ -93,12 +95,8 @@
 replicas."""
 BALANCER_DRAIN_S = 3.0
 """Seconds after the stop signal for which the load balancer may still send requests."""
-CONNECTION_CLOSE_S = 0.5
+CONNECTION_CLOSE_S = 0.2
 """Timeout for closing connections once all requests have been answered."""
-LOG_FLUSH_S = 0.2
-"""Longest wait for a slow reader of the log at the exit."""
-KILL_MARGIN_S = 1.0
-"""Seconds before the process is killed at which it stops waiting for requests."""
 
 
 class GatewayDaemon:
@@ -122,7 +120,11 @@
         self._deployment = deployment
         self.request_stop: Callable[[], None] = lambda: None
         """Requests an ordinary stop of the process."""
+        self.last_ran_at = loop_time()
+        """The loop's time at which this daemon was last known to run."""
+        self.stop_budget: StopBudget | None = None
         self.tasks = Tasks(self._log_task_end, lambda: self.request_stop())
+        self._was_ready = False
         self._store = CountedStore(deployment.store(settings), self.telemetry)
         self._session = open_session(
             reuse_connections=False,
@@ -407,43 +409,88 @@
         self.decisions.belief("reloaded", changed=changed)
         self.settings = settings
 
+    def begin_stop(self, request: StopRequest) -> StopBudget:
+        """Begin to drain and return the budget of the stop.
+
+        A daemon that never was ready gets no requests from the load balancer, so it
+        does not wait for it.
+
+        :param request: when the process was asked to stop
+        """
+        self.stop_budget = budget = plan_stop(
+            noticed_at=request.noticed_at,
+            last_ran_at=request.last_ran_at,
+            grace_s=self.settings.grace_s,
+            refuse_after_s=BALANCER_DRAIN_S if self._was_ready or self.ready else 0.0,
+        )
+        self.frontend.draining = True
+        self.frontend.refuse_at = budget.refuse_at
+        signal.signal(signal.SIGHUP, signal.SIG_IGN)
+        now = loop_time()
+        self.decisions.final_belief(
+            "stopping",
+            in_flight=self.frontend.requests.count,
+            noticed_after_s=round(now - budget.signalled_at, 3),
+            refuse_in_s=round(budget.refuse_at - now, 3),
+            cut_in_s=round(budget.cut_at - now, 3),
+        )
+        return budget
+
     async def stop(self) -> None:
         """Let the load balancer stop sending, drain requests and cancel all tasks."""
-        started_at = loop_time()
-        signal.signal(signal.SIGHUP, signal.SIG_IGN)
-        self.frontend.draining = True
-        self.decisions.final_belief("stopping", in_flight=self.frontend.requests.count)
-        await self.leader_election.resign()
-        await asyncio.sleep(BALANCER_DRAIN_S)
-        self.frontend.closed = True
-        deadline = started_at + self.settings.grace_s - KILL_MARGIN_S
-        try:
-            async with asyncio.timeout_at(deadline):
-                await self.frontend.requests.wait_idle()
-        except TimeoutError:
-            self.decisions.final_belief(
-                "requests_cut_off", count=self.frontend.requests.count
-            )
-            self.frontend.log_cut_off()
+        now = loop_time()
+        budget = self.stop_budget or self.begin_stop(StopRequest(now, now))
+        resigning = asyncio.create_task(self.leader_election.resign())
+        await asyncio.sleep(budget.refuse_at - loop_time())
+        requests = self.frontend.requests
+        if not await requests.wait_idle(budget.cut_at):
+            self.decisions.final_belief("requests_cut_off", count=requests.count)
+            self.frontend.cut_off()
+            await requests.wait_idle(budget.answered_at)
         self.drained.set()
+        await self._close(budget.close_at)
+        resigning.cancel()
+        self.decisions.final_belief("stopped", in_flight=requests.count)
+
+    async def _close(self, until: float) -> None:
+        """Cancel all tasks and close all clients.
+
+        :param until: the loop's time at which what is not closed is left as it is
+        """
         self.health.close()
         self.peer_sync.close()
         if self._started:
             self._registration_task.cancel()
-        await self.tasks.cancel()
-        if not self.frontend.requests.count:
-            await self._session.close()
-        await self._store.close()
-        self.decisions.final_belief("stopped")
-        self.decisions.flush(LOG_FLUSH_S)
+        try:
+            async with asyncio.timeout_at(until):
+                await self.tasks.cancel()
+                if not self.frontend.requests.count:
+                    await self._session.close()
+                await self._store.close()
+        except TimeoutError:
+            self.log_overrun("tasks")
 
     def log_signal(self, name: str) -> None:
         """Log that a stop signal arrived; all but the first change nothing.
 
         :param name: name of the signal
         """
-        repeated = self.frontend.draining
-        self.decisions.belief("stop_signal", name=name, repeated=repeated)
+        self.decisions.belief("stop_signal", name=name, repeated=self.frontend.draining)
+
+    def log_overrun(self, what: str) -> None:
+        """Log that something did not stop within the budget and was left as it is.
+
+        :param what: name of what did not stop
+        """
+        count = self.frontend.requests.count
+        self.decisions.final_belief("stop_overrun", what=what, in_flight=count)
+
+    def flush_logs(self, timeout_s: float) -> None:
+        """Write the log lines that are still held back.
+
+        :param timeout_s: longest wait in seconds for a slow reader of the log
+        """
+        self.decisions.flush(timeout_s)
 
     def callers_application(self) -> web.Application:
         """Return the application of the callers' listener."""
@@ -454,6 +501,7 @@
         application = web.Application()
 
         async def readiness(http: web.Request) -> web.Response:
+            self._was_ready |= self.ready
             return web.Response(status=200 if self.ready else 503)
 
         application.router.add_get("/{path:.*}", readiness)
@@ -508,6 +556,7 @@
 
     async def _sync_from_peers(self) -> None:
         while True:
+            self.last_ran_at = loop_time()
             self.peer_sync.fetch_missing(self.peer_group.progress_by_peer)
             await asyncio.sleep(PEER_SYNC_INTERVAL_S)
 
--- a/auburnproxy/daemon/listener.py
+++ b/auburnproxy/daemon/listener.py
@@ -11,9 +11,14 @@
 from aiomisc.service.aiohttp import AIOHTTPService
 
 from ..clock import loop_time
+from ..stop_budget import StopBudget
+from .stop_signals import StopRequest
 
 CONNECTION_CLOSE_S = 2
 """Timeout for closing connections once all calls have been answered."""
+HANDLER_CLOSE_S = 0.05
+"""Time in which a handler that is still running may end by itself, and once more the
+time in which it may end after its connection has been closed."""
 FLUSH_POLL_S = 0.01
 IDLE_TIMEOUT_S = 75.0
 """Seconds after which a connection without a complete request head is closed."""
@@ -34,12 +39,20 @@
 
     request_stop: Callable[[], None]
     """Requests an ordinary stop of the process."""
+    last_ran_at: float
+    """The loop's time at which the daemon was last known to run."""
 
     def start(self) -> None:
         """Start the tasks of the components."""
 
+    def begin_stop(self, request: StopRequest) -> StopBudget:
+        """Begin to drain and return the budget of the stop.
+
+        :param request: when the process was asked to stop
+        """
+
     async def stop(self) -> None:
-        """Drain requests and cancel the tasks."""
+        """Drain requests and cancel the tasks, within the budget."""
 
     def log_signal(self, name: str) -> None:
         """Log that a stop signal arrived; all but the first change nothing.
@@ -47,6 +60,18 @@
         :param name: name of the signal
         """
 
+    def log_overrun(self, what: str) -> None:
+        """Log that something did not stop within the budget and was left as it is.
+
+        :param what: name of what did not stop
+        """
+
+    def flush_logs(self, timeout_s: float) -> None:
+        """Write the log lines that are still held back.
+
+        :param timeout_s: longest wait in seconds for a slow reader of the log
+        """
+
 
 class DaemonService(Service):
     """Runs the components of a daemon.
@@ -90,7 +115,7 @@
         super().__init__(
             host.strip("[]"),
             int(port),
-            shutdown_timeout=close_s,  # type: ignore[arg-type]
+            shutdown_timeout=HANDLER_CLOSE_S,  # type: ignore[arg-type]
             handler_cancellation=True,
             runner_kwargs={
                 "access_log": None,
--- a/auburnproxy/daemon/main.py
+++ b/auburnproxy/daemon/main.py
@@ -4,7 +4,9 @@
 
 import asyncio
 import gc
+import os
 import sys
+import threading
 from collections.abc import Callable
 from importlib import import_module
 from pathlib import Path
@@ -14,8 +16,9 @@
 import uvloop
 from aiomisc import entrypoint
 
+from ..clock import loop_time
 from ..errors import DocumentError
-from .stop_signals import StopSignals
+from .stop_signals import StopRequest, StopSignals
 
 if TYPE_CHECKING:
     from .listener import RunnableDaemon
@@ -118,6 +121,7 @@
     daemon = create()
     daemon.request_stop = signals.request_stop
     signals.on_signal = daemon.log_signal
+    signals.last_ran_at = lambda: daemon.last_ran_at
     requested = asyncio.create_task(signals.wait())
     starting = asyncio.create_task(runtime.start_services(*services(daemon)))
     try:
@@ -128,7 +132,9 @@
             await requested
     finally:
         await _cancel(starting)
-        await runtime.graceful_shutdown(STOP_REASON)
+        now = loop_time()
+        request = requested.result() if requested.done() else StopRequest(now, now)
+        await _stop(runtime, daemon, request)
 
 
 async def _cancel(task: asyncio.Task[None]) -> None:
@@ -136,6 +142,32 @@
     await asyncio.wait({task})
 
 
+async def _stop(
+    runtime: entrypoint, daemon: RunnableDaemon, request: StopRequest
+) -> None:
+    """Stop all services within the daemon's budget."""
+    budget = daemon.begin_stop(request)
+    _end_process_after(budget.exit_at - loop_time(), daemon)
+    try:
+        async with asyncio.timeout_at(budget.close_at):
+            await runtime.graceful_shutdown(STOP_REASON)
+    except TimeoutError:
+        daemon.log_overrun("services")
+    daemon.flush_logs(budget.exit_at - loop_time())
+
+
+def _end_process_after(seconds: float, daemon: RunnableDaemon) -> None:
+    """End the process after some time even if its event loop hangs."""
+
+    def end() -> None:
+        daemon.log_overrun("process")
+        os._exit(os.EX_SOFTWARE)
+
+    timer = threading.Timer(max(seconds, 0.0), end)
+    timer.daemon = True
+    timer.start()
+
+
 def _tune_garbage_collection() -> None:
     """Keep long-lived objects out of garbage collection, which pauses requests."""
     gc.collect()
--- a/auburnproxy/daemon/stop_signals.py
+++ b/auburnproxy/daemon/stop_signals.py
@@ -7,10 +7,19 @@
 import signal
 from collections.abc import Callable
 from types import FrameType
+from typing import NamedTuple
 
 STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 
 
+class StopRequest(NamedTuple):
+    """When the process was first asked to stop, as times of the event loop."""
+
+    noticed_at: float
+    last_ran_at: float
+    """Last time before that at which the process is known to have run."""
+
+
 class StopSignals:
     """Turns the first stop signal into a request to stop, and reports each signal.
 
@@ -23,7 +32,10 @@
     def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
         self.on_signal: Callable[[str], None] = _ignore
         """Called on the event loop with the name of each signal."""
+        self.last_ran_at: Callable[[], float] = loop.time
+        """Returns the last time at which the process is known to have run."""
         self._loop = loop
+        self._request: StopRequest | None = None
         self._requested = asyncio.Event()
 
     def install(self) -> None:
@@ -38,19 +50,29 @@
 
     def request_stop(self) -> None:
         """Request a stop for another reason than a signal."""
-        self._requested.set()
+        now = self._loop.time()
+        self._record(StopRequest(now, now))
 
-    async def wait(self) -> None:
+    async def wait(self) -> StopRequest:
         """Wait until the process is asked to stop."""
         await self._requested.wait()
+        assert self._request is not None
+        return self._request
 
     def _handle(self, number: int, frame: FrameType | None) -> None:
+        # Read here: a process that was suspended would else be noticed to run first.
+        last_ran_at = self.last_ran_at()
         name = signal.Signals(number).name
-        self._loop.call_soon_threadsafe(self._notice, name)
+        self._loop.call_soon_threadsafe(self._notice, name, last_ran_at)
 
-    def _notice(self, name: str) -> None:
+    def _notice(self, name: str, last_ran_at: float) -> None:
         self.on_signal(name)
-        self._requested.set()
+        self._record(StopRequest(self._loop.time(), last_ran_at))
+
+    def _record(self, request: StopRequest) -> None:
+        if self._request is None:
+            self._request = request
+            self._requested.set()
 
 
 def exit_until_installed() -> None:
--- a/auburnproxy/formation/leader_election.py
+++ b/auburnproxy/formation/leader_election.py
@@ -102,7 +102,7 @@
             # Most daemons get the registry from peers, which may lag behind the store;
             # a new leader needs the current records.
             await follower.read_once(wait=False)
-            if self._registry.leader == leader:
+            if self._registry.leader == leader and not self._resigned:
                 await self._registry.record_leader(self._name)
 
     async def resign(self) -> None:
--- a/auburnproxy/gateway/frontend.py
+++ b/auburnproxy/gateway/frontend.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from collections import Counter as Counts
 from collections.abc import Callable, Iterator
 from functools import partial
@@ -21,6 +22,7 @@
 from .retry_budget import RetryAllowance, RetryBudget
 from .route import RouteKind
 from .stream_forwarder import StreamAbortedError, StreamForwarder
+from .unfinished_response import abort_response
 
 MAX_RETRY_AFTER_FRACTION = 0.25
 """Upper bound of Retry-After as a fraction of the caller's deadline; the rest is needed
@@ -69,9 +71,9 @@
     ) -> None:
         self.draining = False
         """Whether connections are closed after their next response."""
-        self.closed = False
-        """Whether new requests are refused, since they might not finish before the
-        exit."""
+        self.refuse_at = math.inf
+        """The loop's time from which new requests are refused, since they might not
+        finish before the exit."""
         self.served = 0
         """Requests routed to a service since the start."""
         self._directory = directory
@@ -113,6 +115,8 @@
             try:
                 return await self._respond(http, info, request)
             except (asyncio.CancelledError, ConnectionError):
+                if request.cut_off:
+                    return await self._respond_cut_off(http, info, request)
                 self._decisions.request(
                     "caller_left",
                     info.request_id,
@@ -177,8 +181,12 @@
         )
         self._telemetry.count(Counter.ANSWERED, call.account, call.service)
 
-    def log_cut_off(self) -> None:
-        """Log how far each request in flight has got when the daemon stops."""
+    def cut_off(self) -> None:
+        """End all requests in flight, with a log line for each.
+
+        A caller that has received nothing is answered; any other response is aborted,
+        so that it does not look complete.
+        """
         for request in self.requests:
             self._decisions.final_request(
                 "request_cut_off",
@@ -190,6 +198,28 @@
                 age_s=_elapsed_s(request.arrived_at),
                 remaining_s=_remaining_s(request.deadline),
             )
+            request.cut()
+
+    async def _respond_cut_off(
+        self, http: web.Request, info: RequestInfo, request: InFlightRequest
+    ) -> web.StreamResponse:
+        """Answer a request that was cut off, or abort the response that has begun.
+
+        :raises CancelledError: if the response was aborted
+        """
+        if request.answer_begun:
+            abort_response(http)
+            raise asyncio.CancelledError
+        task = asyncio.current_task()
+        assert task is not None
+        task.uncancel()
+        refusal = _draining_refusal()
+        if request.ran is Ran.UNKNOWN:
+            message = "The daemon stopped before the upstream had answered."
+            refusal = RefusalError("cut_off", message, status=502, ran=Ran.UNKNOWN)
+        response = self._refusal_response(info, refusal, request.arrived_at)
+        await self._write(http, response, request)
+        return response
 
     def _log_failure(self, request: InFlightRequest, error: Exception) -> None:
         self._decisions.request(
@@ -210,7 +240,7 @@
         """
         arrived_at = request.arrived_at
         body = await self._read_body(http)
-        if self.closed:
+        if loop_time() >= self.refuse_at:
             raise _draining_refusal()
         request.phase = Phase.CONFIGURATION
         await self._wait_until_informed(arrived_at, info)
