--- a/features/fakes/shutdown.py
+++ b/features/fakes/shutdown.py
@@ -30,7 +30,7 @@
 )
 from features.loopback import free_addresses
 from soak.proxy import Proxy
-from soak.site import GRACE_S, DaemonProcess
+from soak.site import GRACE_S, LOOPBACK_HOSTS, DaemonProcess
 
 ACCEPT_S = 3.0
 """Seconds after SIGTERM within which a sent request may still be passed on."""
@@ -42,12 +42,12 @@
 DEADLINE_S = 15.0
 START_TIMEOUT_S = 15.0
 ENGINES = 2
+SLOTS = 100
 ENGINE_END_S = 1.0
 """Maximum seconds until an engine notices that its daemon has gone."""
-ADDRESSES_PER_PROCESS = 10
-FIRST_ADDRESS = 60
-"""Processes of one address share a metrics port, so each daemon has its own address;
-those of the soak begin at 0."""
+NETWORKS = 200
+"""Networks of loopback addresses, of which each test process uses one: daemons share a
+metrics port, so each needs an address of its own. The soak uses the first one."""
 PROGRESS_KINDS = frozenset({"headers_ignored", "try_failed", "attempt_not_counted"})
 """Kinds of log lines that name a request and do not say how it ended."""
 NOT_EXECUTED_STATUSES = frozenset({408, 421, 429, 503})
@@ -56,12 +56,63 @@
 _address_numbers = count()
 
 
+class Life:
+    """One run of a daemon process, from its start to its exit."""
+
+    def __init__(self, name: str, log: Path) -> None:
+        self.name = name
+        self.terminated_at = 0.0
+        """Time of the first SIGTERM, 0 before it."""
+        self.exited_at = 0.0
+        self.code: int | None = None
+        self.killed = False
+        self._log = log
+        self._start = log.stat().st_size
+        self._end: int | None = None
+
+    def __repr__(self) -> str:
+        after_s = self.exited_at - self.terminated_at
+        return f"{self.name} that exits with {self.code} after {after_s:.2f} s"
+
+    def end(self, code: int | None) -> None:
+        """Record the exit of the process."""
+        self.code, self.exited_at = code, time.monotonic()
+        self._end = self._log.stat().st_size
+
+    def text(self) -> str:
+        """Return everything that the process has printed."""
+        return self._log.read_bytes()[self._start : self._end].decode()
+
+    def lines(self) -> list[dict]:
+        """Return the lines of its log."""
+        return [json.loads(x) for x in self.text().splitlines() if x.startswith("{")]
+
+    def kinds(self) -> list[str]:
+        """Return the kinds of the lines of its log."""
+        return [line["kind"] for line in self.lines()]
+
+    def faults(self) -> list[str]:
+        """Return how its exit differs from that of a daemon that is stopped."""
+        if not self.terminated_at:
+            return [f"exited without SIGTERM: {self}"] if self.exited_at else []
+        faults, kinds = [], self.kinds()
+        if self.killed:
+            faults.append(f"killed: {self}")
+        elif self.code != 0:
+            faults.append(f"wrong code: {self}")
+        if "started" in kinds and kinds[-1] != "stopped":
+            faults.append(f"no last line: {self}, {kinds[-3:]}")
+        if "Traceback" in self.text():
+            faults.append(f"traceback: {self}, {self.text()}")
+        return faults
+
+
 class Exchange:
     """One request and what its caller saw of the answer."""
 
-    def __init__(self, daemon: StoppableDaemon, path: str) -> None:
+    def __init__(self, life: Life, path: str) -> None:
         self.id = uuid4().hex[:16]
-        self.daemon = daemon
+        self.life = life
         self.path = path
         self.sent_at = 0.0
         """Time at which the last byte was sent, 0 if it was not."""
@@ -70,37 +121,36 @@
         self.body = b""
         self.outcome = ""
         self.expected_body = b""
-        self.engine_broke = False
-        """Whether every engine that ran it broke off."""
+        self.connected = False
 
     def __repr__(self) -> str:
         after = [
-            f"{at - self.daemon.terminated_at:.2f}" if at else "-"
+            f"{at - self.life.terminated_at:.2f}" if at else "-"
             for at in (self.sent_at, self.ended_at)
         ]
         return (
-            f"{self.path} {self.id} at {self.daemon.name}: {self.outcome} "
+            f"{self.path} {self.id} at {self.life.name}: {self.outcome} "
             f"{self.status}, sent and ended {' and '.join(after)} s after SIGTERM"
         )
 
 
 class StoppableDaemon(DaemonProcess):
-    """A daemon process that records its stop signal and how it ended."""
+    """A daemon process that records its stop signals and how it ended."""
 
     def __init__(self, name_number: int, store: str, folder: Path) -> None:
-        block = os.getpid() % ((250 - FIRST_ADDRESS) // ADDRESSES_PER_PROCESS)
-        number = next(_address_numbers) % ADDRESSES_PER_PROCESS
-        number += FIRST_ADDRESS + block * ADDRESSES_PER_PROCESS
+        network = 1 + os.getpid() % NETWORKS
+        number = network * LOOPBACK_HOSTS + next(_address_numbers) % LOOPBACK_HOSTS
         super().__init__(number, f"z{name_number % 2}", store, folder)
+        self._readiness = yaml.safe_load(self._settings.read_text())["listen"][
+            "readiness"
+        ]
         self._log_path = folder / f"{self.name}.log"
-        self.terminated_at = 0.0
-        self.exited_at = 0.0
-        self.killed = False
+        self.lives: list[Life] = []
 
     @property
-    def settings(self) -> dict:
-        """Return the settings that its process has read."""
-        return yaml.safe_load(self._settings.read_text())
+    def life(self) -> Life:
+        """Return its current run."""
+        return self.lives[-1]
 
     @property
     def pid(self) -> int:
@@ -108,51 +158,67 @@
         return self._process.pid
 
     @property
-    def code(self) -> int | None:
-        """Return the exit code of its process, None while it runs."""
-        return self._process.returncode
+    def terminated_at(self) -> float:
+        """Return the time of the first SIGTERM, 0 before it."""
+        return self.life.terminated_at
+
+    async def start(self) -> None:
+        """Start the process."""
+        self.lives.append(Life(self.name, self._log_path))
+        await super().start()
+        self._end = asyncio.create_task(self._record_end(self.life))
+
+    async def _record_end(self, life: Life) -> None:
+        await self.ended()
+        life.end(self._process.returncode)
 
     def terminate(self) -> None:
         """Send SIGTERM; the grace counts from the first one."""
-        self.terminated_at = self.terminated_at or time.monotonic()
+        self.life.terminated_at = self.life.terminated_at or time.monotonic()
         self.send(signal.SIGTERM)
 
     async def exit(self) -> None:
         """Wait for the exit, and kill the process at the end of its grace."""
         left_s = self.terminated_at + GRACE_S - time.monotonic()
-        try:
-            async with asyncio.timeout(left_s):
-                await self.ended()
-        except TimeoutError:
-            self.killed = True
+        done, _ = await asyncio.wait([self._end], timeout=left_s)
+        if not done:
+            self.life.killed = True
             self.send(signal.SIGCONT)
             self.send(signal.SIGKILL)
-            await self.ended()
-        self.exited_at = time.monotonic()
-
-    async def restart(self) -> None:
-        """Start the process again after its exit."""
-        self.terminated_at = 0.0
-        await self.start()
-        await self.until_ready()
+        await self._end
 
     async def until_ready(self) -> None:
         """Wait until it answers the readiness check with 200."""
         async with asyncio.timeout(START_TIMEOUT_S):
             while not await self.is_ready():
-                assert self.runs, self.text()
+                assert self.runs, self.life.text()
                 await asyncio.sleep(0.02)
 
+    async def until_main(self) -> None:
+        """Wait until its program begins, which ignores SIGHUP first."""
+        async with asyncio.timeout(START_TIMEOUT_S):
+            while True:
+                if self._ignores_hangup():
+                    return
+                await asyncio.sleep(0.002)
+
+    def _ignores_hangup(self) -> bool:
+        lines = Path(f"/proc/{self.pid}/status").read_text().splitlines()
+        (mask,) = [x.split()[1] for x in lines if x.startswith("SigIgn")]
+        return bool(int(mask, 16) & 1 << (signal.SIGHUP - 1))
+
     async def is_ready(self) -> bool:
         """Return whether it answers the readiness check with 200."""
         with contextlib.suppress(OSError, asyncio.IncompleteReadError, TimeoutError):
             async with asyncio.timeout(1.0):
-                address = self.settings["listen"]["readiness"]
-                reader, writer = await _connect(address)
-                writer.write(b"GET / HTTP/1.1\r\nHost: r\r\nConnection: close\r\n\r\n")
-                status = await reader.readuntil(b"\r\n")
-                writer.close()
-                return b" 200 " in status
+                reader, writer = await _connect(self._readiness)
+                try:
+                    writer.write(
+                        b"GET / HTTP/1.1\r\nHost: r\r\nConnection: close\r\n\r\n"
+                    )
+                    return b" 200 " in await reader.readuntil(b"\r\n")
+                finally:
+                    writer.transport.abort()
         return False
 
     async def accepts(self) -> bool:
@@ -161,17 +227,9 @@
             _, writer = await _connect(self.callers)
         except OSError:
             return False
-        writer.close()
+        writer.transport.abort()
         return True
 
-    def text(self) -> str:
-        """Return everything that the process has printed."""
-        return self._log_path.read_text()
-
-    def lines(self) -> list[dict]:
-        """Return the lines of its log."""
-        return [json.loads(x) for x in self.text().splitlines() if x.startswith("{")]
-
 
 class Connection:
     """A caller's kept connection to a daemon.
@@ -189,9 +247,15 @@
         self._receive_bytes = receive_bytes
         self._streams: tuple[asyncio.StreamReader, asyncio.StreamWriter] | None = None
 
+    @property
+    def is_open(self) -> bool:
+        """Return whether it is connected, as far as this side knows."""
+        return self._streams is not None and not self._streams[0].at_eof()
+
     async def open(self) -> None:
         """Connect, unless the connection is open."""
-        if self._streams is None:
+        if not self.is_open:
+            self.close()
             self._streams = await _connect(
                 self._daemon.callers, receive_bytes=self._receive_bytes
             )
@@ -219,13 +283,14 @@
         :param unsent: bytes of the body that are never sent
         :param stall_s: time after the answer's head during which nothing is read
         """
-        exchange = Exchange(self._daemon, path)
+        exchange = Exchange(self._daemon.life, path)
         self._site.exchanges.append(exchange)
         exchange.expected_body = self._site.expected_body(path)
         try:
             await self.open()
             assert self._streams is not None
             reader, writer = self._streams
+            exchange.connected = True
             await _send(exchange, writer, body, body_pause_s, unsent)
             await _read_answer(exchange, reader, stall_s, on_event)
         except (OSError, asyncio.IncompleteReadError):
@@ -251,6 +316,8 @@
         self.daemons: list[StoppableDaemon] = []
         self.exchanges: list[Exchange] = []
         self.tasks: list[asyncio.Task] = []
+        self.broken_ids: set[str] = set()
+        """Ids of the requests that every engine broke off."""
         self.version = 1
         self._folder = folder
 
@@ -293,10 +360,11 @@
         if not leads:
             self.platform.store.put_raw("keyed.replicas", "duty", b"elsewhere")
         for number in range(ENGINES):
-            await self.platform.add_engine(f"e{number}")
-            await self.platform.add_engine(f"p{number}", service="plain")
+            await self.platform.add_engine(f"e{number}", slots=SLOTS)
+            await self.platform.add_engine(f"p{number}", service="plain", slots=SLOTS)
         for _ in range(daemons):
-            await (await self.add_daemon()).start()
+            daemon = await self.add_daemon()
+            await daemon.start()
         async with asyncio.timeout(START_TIMEOUT_S):
             await asyncio.gather(*(self._until_serving(each) for each in self.daemons))
         self.exchanges.clear()
@@ -369,6 +437,7 @@
             await proxy.stop()
         await self.until_engines_idle()
         await self.platform.stop()
+        await asyncio.sleep(0)
 
     async def until_engines_idle(self) -> None:
         """Wait for engines to notice that their daemons have gone."""
@@ -395,40 +464,49 @@
         return faults
 
     def _counts_as_lost(self, exchange: Exchange, run_ids: set[str]) -> bool:
-        if not exchange.sent_at or not exchange.daemon.terminated_at:
+        """Return whether a request without a whole answer counts as lost.
+
+        It does if it was passed on, or read whole and held for longer than the slack.
+        """
+        if not exchange.sent_at:
             return False
-        was_run = exchange.id in run_ids
         elapsed_s = exchange.ended_at - exchange.sent_at
-        if not was_run and elapsed_s <= LOSS_SLACK_S:
+        if exchange.id not in run_ids:
+            return elapsed_s > LOSS_SLACK_S
+        if exchange.id in self.broken_ids or elapsed_s >= DEADLINE_S:
             return False
-        if exchange.engine_broke or elapsed_s >= DEADLINE_S:
+        return not self._at_work_too_long(exchange)
+
+    def _at_work_too_long(self, exchange: Exchange) -> bool:
+        """Return whether an engine was at work on a request as its daemon had to go."""
+        terminated_at = exchange.life.terminated_at
+        if not terminated_at or exchange.sent_at > terminated_at + ACCEPT_S:
             return False
-        terminated_at = exchange.daemon.terminated_at
         worked_until = max(
-            (
-                engine.worked_until.get(exchange.id, math.inf)
-                for engine in self.engines.values()
-                if exchange.id in engine.ran
-            ),
-            default=0.0,
-        )
-        excused = (
-            was_run
-            and exchange.sent_at <= terminated_at + ACCEPT_S
-            and min(worked_until, exchange.ended_at) >= terminated_at + LAST_SIXTH_S
+            engine.worked_until.get(exchange.id, math.inf)
+            for engine in self.engines.values()
+            if exchange.id in engine.ran
         )
-        return not excused
+        ended_at = min(worked_until, exchange.ended_at)
+        return ended_at >= terminated_at + LAST_SIXTH_S
+
+    def unanswered(self) -> list[str]:
+        """Return the requests whose connection was closed before an answer began."""
+        run_ids = self._run_ids()
+        return [
+            f"no answer: {each}"
+            for each in self.exchanges
+            if each.outcome == CUT and not each.status and each.id in run_ids
+        ]
 
     def late_runs(self) -> list[str]:
-        """Return the requests that engines were sent too late after SIGTERM."""
-        faults = []
+        """Return the requests that were run although they were sent too late."""
+        faults, run_ids = [], self._run_ids()
         for each in self.exchanges:
-            latest = each.daemon.terminated_at + ACCEPT_S + ACCEPT_SLACK_S
-            for name, engine in self.engines.items():
-                for request_id, at in zip(engine.ran, engine.ran_at, strict=True):
-                    if request_id == each.id and each.sent_at and at > latest:
-                        after_s = at - each.daemon.terminated_at
-                        faults.append(f"run at {name} {after_s:.2f} s late: {each}")
+            terminated_at = each.life.terminated_at
+            latest = terminated_at + ACCEPT_S + ACCEPT_SLACK_S
+            if terminated_at and each.sent_at > latest and each.id in run_ids:
+                faults.append(f"run: {each}")
         return faults
 
     def unexplained(self) -> list[str]:
@@ -436,7 +514,8 @@
         explained = {
             line["request"]
             for daemon in self.daemons
-            for line in daemon.lines()
+            for life in daemon.lives
+            for line in life.lines()
             if "request" in line and line["kind"] not in PROGRESS_KINDS
         }
         run_ids = self._run_ids()
@@ -448,21 +527,8 @@
 
     def late_exits(self) -> list[str]:
         """Return the daemons that did not end by themselves in time, as they should."""
-        faults = []
-        for daemon in self.daemons:
-            if not daemon.terminated_at:
-                continue
-            kinds = [line["kind"] for line in daemon.lines()]
-            after_s = daemon.exited_at - daemon.terminated_at
-            if daemon.killed:
-                faults.append(f"{daemon.name} was killed after {after_s:.2f} s")
-            elif daemon.code != 0:
-                faults.append(f"{daemon.name} exits with {daemon.code}")
-            if kinds and kinds[-1] != "stopped":
-                faults.append(f"{daemon.name} ends with {kinds[-3:]}")
-            if "Traceback" in daemon.text():
-                faults.append(f"{daemon.name} prints a traceback: {daemon.text()}")
-        return faults
+        lives = [life for daemon in self.daemons for life in daemon.lives]
+        return [fault for life in lives for fault in life.faults()]
 
 
 @contextlib.asynccontextmanager
--- a/features/steps/shutdown.py
+++ b/features/steps/shutdown.py
@@ -1,10 +1,16 @@
 """Steps for gateway daemons that are stopped by signals."""
 
 import asyncio
+import contextlib
+import os
+import signal
+import sys
 import time
+from random import Random
 
 from behave import given, then, when
 
+from features.fakes.platform import config
 from features.fakes.shutdown import (
     Connection,
     plain,
@@ -12,9 +18,26 @@
     stream,
 )
 from soak.proxy import Mode
+from soak.site import GRACE_S
 
 ARRIVAL_INTERVAL_S = 0.1
 ARRIVALS_UNTIL_S = 7.8
+STARVING_PROCESSES = 3
+BODY = b"b" * 20_000
+BODY_PAUSE_S = 0.5
+"""Time before SIGTERM at which the first half of each body is sent."""
+LARGE_BYTES = 6_000_000
+LONG_STREAM_EVENTS = 20_000
+RECEIVE_BYTES = 16_384
+START_SWEEP = 16
+START_S = 1.6
+CONCURRENT_STARTS = 3
+READINESS_INTERVAL_S = 0.2
+SHOWN_FAULTS = 8
+ROLL_SEED = 30
+ROLL_INTERVAL_S = 1.5
+ROLL_STOPS = 6
+ROLL_CALLERS = 8
 
 
 def play(context, script, *, daemons=1, leads=False):
@@ -27,7 +50,7 @@
             context.lost = site.lost()
             context.late_runs = site.late_runs()
             context.unexplained = site.unexplained()
-            context.logs = [daemon.text() for daemon in site.daemons]
+            context.unanswered = site.unanswered()
 
     asyncio.run(run())
 
@@ -36,6 +59,7 @@
     """Wait for the exit of every daemon that was stopped and for each answer."""
     await asyncio.gather(*(each.exit() for each in site.daemons if each.terminated_at))
     await asyncio.gather(*site.tasks)
+    await site.until_engines_idle()
 
 
 @given("a gateway daemon that leads")
@@ -104,14 +128,306 @@
     play(context, script, leads=True)
 
 
+@when("they get SIGHUP before, after and around SIGTERM, then a configuration")
+def stop_with_reloads(context):
+    async def stop(daemon, pauses):
+        numbers = (signal.SIGHUP, signal.SIGTERM, signal.SIGHUP)
+        for number, pause_s in zip(numbers, pauses, strict=True):
+            if pause_s is not None:
+                await asyncio.sleep(pause_s)
+                if number is signal.SIGTERM:
+                    daemon.terminate()
+                else:
+                    daemon.send(number)
+
+    async def script(site):
+        for daemon in site.daemons:
+            site.begin(daemon, stream(45))
+            site.begin(daemon, plain(4.5))
+        await site.until_run(6)
+        pauses = ((0.0, 0.05, None), (None, 0.05, 0.01), (0.0, 0.01, 1.0))
+        stops = zip(site.daemons, pauses, strict=True)
+        await asyncio.gather(*(stop(*each) for each in stops))
+        site.configure(**{"timeout-ms": 1500})
+        await asyncio.sleep(0.7)
+        document = config()
+        site.write(document | {"routes": document["routes"][2:3], "tenants": []})
+        await finish(site)
+
+    play(context, script, daemons=3)
+
+
+@when("they get SIGTERM before, during and late in a freeze")
+def stop_frozen(context):
+    async def freeze(daemon, before_s, after_s):
+        """Freeze a daemon from one time to another, relative to SIGTERM."""
+        events = sorted(
+            [
+                (before_s, lambda: daemon.send(signal.SIGSTOP)),
+                (0.0, daemon.terminate),
+                (after_s, lambda: daemon.send(signal.SIGCONT)),
+            ],
+            key=lambda event: event[0],
+        )
+        now_s = min(before_s, 0.0)
+        for at_s, act in events:
+            await asyncio.sleep(at_s - now_s)
+            act()
+            now_s = at_s
+
+    async def script(site):
+        for daemon in site.daemons:
+            site.begin(daemon, stream(95))
+            site.begin(daemon, plain(9.5))
+            site.begin(daemon, stream(30))
+        await site.until_run(9)
+        spans = zip(site.daemons, (-0.3, 1.0, 5.0), (2.0, 3.0, 7.0), strict=True)
+        await asyncio.gather(*(freeze(*each) for each in spans))
+        await finish(site)
+
+    play(context, script, daemons=3)
+
+
+@contextlib.asynccontextmanager
+async def starving(daemon, competitors=STARVING_PROCESSES):
+    """Pin busy processes to the core on which a daemon runs."""
+    core = {min(os.sched_getaffinity(0))}
+    os.sched_setaffinity(daemon.pid, core)
+    processes = []
+    try:
+        for _ in range(competitors):
+            process = await asyncio.create_subprocess_exec(
+                sys.executable, "-c", "while True: pass"
+            )
+            processes.append(process)
+            os.sched_setaffinity(process.pid, core)
+        yield
+    finally:
+        for process in processes:
+            process.kill()
+            await process.wait()
+
+
+@when("it gets SIGTERM on a busy core with 40 requests in flight")
+def stop_starved(context):
+    async def script(site):
+        (daemon,) = site.daemons
+        for _ in range(10):
+            site.begin(daemon, stream(95))
+            site.begin(daemon, plain(9.5))
+            site.begin(daemon, stream(40))
+            site.begin(daemon, plain(4.0))
+        await site.until_run(40)
+        async with starving(daemon):
+            daemon.terminate()
+            await finish(site)
+
+    play(context, script)
+
+
+@when("it gets SIGTERM with 120 requests that take longer than the grace")
+def stop_with_many(context):
+    async def script(site):
+        (daemon,) = site.daemons
+        for _ in range(60):
+            site.begin(daemon, stream(95))
+            site.begin(daemon, plain(9.5))
+        await site.until_run(120)
+        daemon.terminate()
+        await finish(site)
+
+    play(context, script)
+
+
+@when("they get SIGTERM while bodies, kept connections and slow readers are open")
+def stop_with_open_connections(context):
+    async def keep(site, daemon):
+        kept = Connection(site, daemon)
+        for pause_s in (0.0, 0.5, 1.0, 1.2, 1.0, 1.0, 1.0):
+            await asyncio.sleep(pause_s)
+            await kept.request(stream(3))
+        kept.close()
+
+    async def read_slowly(site, daemon, path, stall_s):
+        connection = Connection(site, daemon, receive_bytes=RECEIVE_BYTES)
+        await connection.request(path, stall_s=stall_s)
+        connection.close()
+
+    async def script(site):
+        for engine in ("p0", "p1"):
+            site.engines[engine].answer = b"a" * LARGE_BYTES
+        bodies, kept, answers, streams = site.daemons
+        late = BODY_PAUSE_S
+        for pause_s in (0.5, 1.5, 2.5, 4.0, 5.5):
+            site.begin(bodies, plain(0.5), body=BODY, body_pause_s=pause_s + late)
+        site.begin(bodies, plain(0.5), body=BODY, unsent=10)
+        for _ in range(4):
+            site.tasks.append(asyncio.create_task(keep(site, kept)))
+        for stall_s in (1.5, 4.0, 6.0):
+            path = stream(LONG_STREAM_EVENTS, 0)
+            for reading in (
+                read_slowly(site, answers, plain(0.0), stall_s),
+                read_slowly(site, streams, path, stall_s),
+            ):
+                site.tasks.append(asyncio.create_task(reading))
+        await asyncio.sleep(late)
+        for daemon in site.daemons:
+            daemon.terminate()
+        await finish(site)
+
+    play(context, script, daemons=4)
+
+
+@when("they get SIGTERM while a stream is resumed, a request retried and none runs")
+def stop_with_retries(context):
+    async def script(site):
+        resuming, retrying, breaking = site.daemons
+        streams = [site.engines["e0"], site.engines["e1"]]
+        calls = [site.engines["p0"], site.engines["p1"]]
+
+        def set_script(engines, actions):
+            for engine in engines:
+                engine.script = actions
+
+        set_script(streams, ["break", "break", "ok"])
+        for _ in range(2):
+            site.begin(resuming, stream(12, 0.25))
+        set_script(calls, ["silent", "ok"])
+        site.begin(retrying, plain(0.0, once=False))
+        await site.until_run(3)
+        for daemon in site.daemons:
+            daemon.terminate()
+        site.begin(retrying, plain(20.0, once=False))
+        await asyncio.sleep(1.5)
+        site.begin(retrying, plain(20.0, once=False))
+        set_script(streams, ["shed"])
+        await site.begin(breaking, stream(12, 0.25))
+        set_script(streams, ["silent", "ok"])
+        site.begin(breaking, stream(12, 0.25))
+        await asyncio.sleep(1.0)
+        set_script(streams, ["break"])
+        broken = site.begin(breaking, stream(12, 0.25))
+        site.broken_ids.add((await broken).id)
+        await finish(site)
+
+    play(context, script, daemons=3)
+
+
+@when("it gets SIGTERM and engines pause for 1.2 s between events")
+def stop_with_pauses(context):
+    async def script(site):
+        (daemon,) = site.daemons
+        for _ in range(4):
+            site.begin(daemon, stream(5, 1.2))
+        await site.until_run(4)
+        daemon.terminate()
+        await finish(site)
+
+    play(context, script)
+
+
+@given("gateway daemons that are about to be started")
+def none_started(context):
+    context.pauses = [round(0.1 * n, 1) for n in range(START_SWEEP)]
+
+
+@when("each gets SIGTERM up to 1.5 s after its program begins, with callers waiting")
+def stop_at_start(context):
+    async def keep_trying(site, daemon):
+        while daemon.runs:
+            await site.call(daemon, stream(3, 0.05))
+            await asyncio.sleep(0.01)
+
+    async def start_and_stop(site, pause_s, gate):
+        async with gate:
+            daemon = await site.add_daemon()
+            await daemon.start()
+            caller = asyncio.create_task(keep_trying(site, daemon))
+            await daemon.until_main()
+            await asyncio.sleep(pause_s)
+            daemon.terminate()
+            # The drain needs no processor time, so that the next one may start.
+            await asyncio.sleep(START_S - pause_s)
+        await daemon.exit()
+        context.accepting += [daemon.name] if await daemon.accepts() else []
+        await caller
+
+    async def script(site):
+        gate = asyncio.Semaphore(CONCURRENT_STARTS)
+        stops = (start_and_stop(site, pause_s, gate) for pause_s in context.pauses)
+        await asyncio.gather(*stops)
+        await site.until_engines_idle()
+
+    context.accepting = []
+    play(context, script, daemons=0)
+
+
+@when("they are stopped in turn, some twice, while callers follow their readiness")
+def roll(context):
+    async def follow(site, ready):
+        while True:
+            for daemon in site.daemons:
+                ready[daemon.name] = await daemon.is_ready()
+            await asyncio.sleep(READINESS_INTERVAL_S)
+
+    async def call(site, ready, number, ends_at):
+        random = Random(f"{ROLL_SEED}/{number}")
+        kept = {daemon.name: Connection(site, daemon) for daemon in site.daemons}
+        while time.monotonic() < ends_at:
+            usable = [x for x in site.daemons if ready[x.name] or kept[x.name].is_open]
+            if usable:
+                seconds = random.choice((0.2, 0.2, 0.5, 1.0, 2.0, 4.0))
+                path = random.choice((stream(int(seconds * 10)), plain(seconds)))
+                await kept[random.choice(usable).name].request(path)
+            await asyncio.sleep(0.02)
+        for connection in kept.values():
+            connection.close()
+
+    async def stop_and_start(daemon, number):
+        daemon.terminate()
+        if number % 2:
+            await asyncio.sleep(0.7)
+            daemon.terminate()
+        await daemon.exit()
+        await daemon.start()
+
+    async def script(site):
+        ready = dict.fromkeys((daemon.name for daemon in site.daemons), True)
+        follower = asyncio.create_task(follow(site, ready))
+        ends_at = time.monotonic() + ROLL_INTERVAL_S * ROLL_STOPS + GRACE_S
+        for number in range(ROLL_CALLERS):
+            site.tasks.append(asyncio.create_task(call(site, ready, number, ends_at)))
+        await asyncio.sleep(0.5)
+        stops = []
+        for number in range(ROLL_STOPS):
+            daemon = site.daemons[number % len(site.daemons)]
+            while not await daemon.is_ready():  # noqa: ASYNC110
+                await asyncio.sleep(0.05)
+            stops.append(asyncio.create_task(stop_and_start(daemon, number)))
+            await asyncio.sleep(ROLL_INTERVAL_S)
+        await asyncio.gather(*stops)
+        await asyncio.gather(*site.tasks)
+        follower.cancel()
+
+    play(context, script, daemons=3)
+
+
 def describe(faults):
-    return "\n".join(str(fault) for fault in faults)
+    more = (
+        [f"and {len(faults) - SHOWN_FAULTS} more"] if len(faults) > SHOWN_FAULTS else []
+    )
+    return "\n".join(faults[:SHOWN_FAULTS] + more)
 
 
 def check(context, faults):
-    assert not faults, describe(
-        [*context.late_exits, *context.lost, *context.late_runs, *context.unexplained]
+    every = (
+        context.late_exits,
+        context.lost,
+        context.late_runs,
+        context.unexplained,
+        context.unanswered,
     )
+    assert not faults, "\n".join(describe(each) for each in every)
 
 
 @then("each stopped daemon exits by itself within its grace")
@@ -132,3 +448,13 @@
 @then("the logs show how each request ended")
 def check_logs(context):
     check(context, context.unexplained)
+
+
+@then("each request that an engine got has an answer")
+def check_answered(context):
+    check(context, context.unanswered)
+
+
+@then("no port of a stopped daemon accepts connections")
+def check_ports(context):
+    assert not context.accepting, context.accepting
--- a/soak/site.py
+++ b/soak/site.py
@@ -22,6 +22,8 @@
 PLAIN_ENGINES = 4
 FIRST_LOOPBACK_HOST = 2
 """Last octet of the first daemon's address; all daemons use one metrics port."""
+LOOPBACK_HOSTS = 250
+"""Daemons whose addresses differ only in the last octet."""
 
 
 class DaemonProcess:
@@ -148,7 +150,8 @@
 
 def _address(number: int) -> str:
     port = _port(free_addresses(1)[0])
-    return f"127.0.0.{FIRST_LOOPBACK_HOST + number}:{port}"
+    network, host = divmod(number, LOOPBACK_HOSTS)
+    return f"127.0.{network}.{FIRST_LOOPBACK_HOST + host}:{port}"
 
 
 def _port(address: str) -> int:
