--- a/auburnproxy/daemon/__main__.py
+++ b/auburnproxy/daemon/__main__.py
@@ -2,23 +2,30 @@
 
 from __future__ import annotations
 
+import os
 import signal
-
-from .stop_signals import exit_until_installed
+from types import FrameType
 
 
 def main() -> None:
     """Run the command line.
 
-    SIGHUP may arrive before the reload handler is installed. It is ignored until then,
-    so that it does not end the process; the settings are read later in any case.
+    Until the handlers of the daemon are installed, a stop signal ends the process at
+    once, since nothing has been opened, and SIGHUP is ignored; the settings are read
+    later in any case.
     """
+    signal.signal(signal.SIGTERM, _exit)
+    signal.signal(signal.SIGINT, _exit)
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
-    exit_until_installed()
     from .main import main as run
 
     run()
 
 
+def _exit(number: int, frame: FrameType | None) -> None:
+    # An exception could be caught by the module that is being imported.
+    os._exit(0)
+
+
 if __name__ == "__main__":
     main()
--- a/auburnproxy/daemon/gateway_daemon.py
+++ b/auburnproxy/daemon/gateway_daemon.py
@@ -46,6 +46,7 @@
 from ..upstreams.client import open_session
 from .deployment import Deployment, DomainMark
 from .stop_signals import StopRequest
+from .suspension_detector import SuspensionDetector
 from .tasks import Tasks
 
 DAEMONS_TOPIC = "daemons"
@@ -120,8 +121,7 @@
         self._deployment = deployment
         self.request_stop: Callable[[], None] = lambda: None
         """Requests an ordinary stop of the process."""
-        self.last_ran_at = loop_time()
-        """The loop's time at which this daemon was last known to run."""
+        self._suspension = SuspensionDetector()
         self.stop_budget: StopBudget | None = None
         self.tasks = Tasks(self._log_task_end, lambda: self.request_stop())
         self._was_ready = False
@@ -409,6 +409,11 @@
         self.decisions.belief("reloaded", changed=changed)
         self.settings = settings
 
+    @property
+    def last_ran_at(self) -> float:
+        """Return the loop's time before which a signal noticed now was not sent."""
+        return self._suspension.last_ran_at()
+
     def begin_stop(self, request: StopRequest) -> StopBudget:
         """Begin to drain and return the budget of the stop.
 
@@ -556,7 +561,7 @@
 
     async def _sync_from_peers(self) -> None:
         while True:
-            self.last_ran_at = loop_time()
+            self._suspension.tick()
             self.peer_sync.fetch_missing(self.peer_group.progress_by_peer)
             await asyncio.sleep(PEER_SYNC_INTERVAL_S)
 
--- a/auburnproxy/daemon/listener.py
+++ b/auburnproxy/daemon/listener.py
@@ -39,12 +39,14 @@
 
     request_stop: Callable[[], None]
     """Requests an ordinary stop of the process."""
-    last_ran_at: float
-    """The loop's time at which the daemon was last known to run."""
 
     def start(self) -> None:
         """Start the tasks of the components."""
 
+    @property
+    def last_ran_at(self) -> float:
+        """Return the loop's time before which a signal noticed now was not sent."""
+
     def begin_stop(self, request: StopRequest) -> StopBudget:
         """Begin to drain and return the budget of the stop.
 
--- a/auburnproxy/daemon/main.py
+++ b/auburnproxy/daemon/main.py
@@ -27,6 +27,8 @@
 _Daemon = TypeVar("_Daemon", bound="RunnableDaemon")
 
 EXIT_FINDINGS = 2
+LAST_FLUSH_S = 0.1
+"""Longest wait for a slow reader of the log before a process that hangs is ended."""
 STOP_REASON = RuntimeError("The process was asked to stop.")
 GC_YOUNG_THRESHOLD = 20_000
 """New objects after which the youngest generation is collected."""
@@ -161,6 +163,7 @@
 
     def end() -> None:
         daemon.log_overrun("process")
+        daemon.flush_logs(LAST_FLUSH_S)
         os._exit(os.EX_SOFTWARE)
 
     timer = threading.Timer(max(seconds, 0.0), end)
--- a/auburnproxy/daemon/stop_signals.py
+++ b/auburnproxy/daemon/stop_signals.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import os
 import signal
 from collections.abc import Callable
 from types import FrameType
@@ -75,18 +74,5 @@
             self._requested.set()
 
 
-def exit_until_installed() -> None:
-    """End the process at a stop signal until the handlers above are installed.
-
-    Nothing has been opened by then, and an exception could be caught by an import.
-    """
-    for number in STOP_SIGNALS:
-        signal.signal(number, _exit)
-
-
-def _exit(number: int, frame: FrameType | None) -> None:
-    os._exit(0)
-
-
 def _ignore(name: str) -> None:
     """Do nothing with the name of a signal; default of ``on_signal``."""
--- a/auburnproxy/stop_budget.py
+++ b/auburnproxy/stop_budget.py
@@ -4,9 +4,9 @@
 
 from typing import NamedTuple
 
-CUT_MARGIN_S = 1.0
+CUT_MARGIN_S = 0.8
 """Time before the end of the grace period at which requests in flight are ended."""
-ANSWERED_MARGIN_S = 0.75
+ANSWERED_MARGIN_S = 0.6
 """The same, for the answers to these requests; connections are closed after that."""
 CLOSE_MARGIN_S = 0.4
 """The same, for closing connections, tasks and clients."""
