Keep answering when the log's reader has gone, and log unsent bytes

A daemon whose log reader ended first, as when a service manager signals a whole group, failed every request at its next log line: the broken pipe was raised in the handler. Lines are dropped and counted instead.

The line of a request that is cut off gives the bytes that its caller has not taken.

--- a/auburnproxy/daemon/main.py
+++ b/auburnproxy/daemon/main.py
@@ -155,7 +155,8 @@
             await runtime.graceful_shutdown(STOP_REASON)
     except TimeoutError:
         daemon.log_overrun("services")
-    daemon.flush_logs(budget.exit_at - loop_time())
+    finally:
+        daemon.flush_logs(budget.exit_at - loop_time())
 
 
 def _end_process_after(seconds: float, daemon: RunnableDaemon) -> None:
--- a/auburnproxy/gateway/frontend.py
+++ b/auburnproxy/gateway/frontend.py
@@ -112,6 +112,7 @@
             http.transport.set_write_buffer_limits(high=0)
         with self.requests.track(info.request_id) as request:
             http[IN_FLIGHT] = request
+            request.transport = http.transport
             try:
                 return await self._respond(http, info, request)
             except (asyncio.CancelledError, ConnectionError):
@@ -164,6 +165,7 @@
         request.begin_answer()
         await response.prepare(http)
         await response.write_eof()
+        await http.writer.drain()
 
     def _record_answer(self, call: Call, response: web.StreamResponse) -> None:
         took_s = _elapsed_s(call.arrived_at)
@@ -195,6 +197,7 @@
                 upstream=request.upstream,
                 ran=request.ran,
                 answer_begun=request.answer_begun,
+                unsent_bytes=request.unsent_bytes,
                 age_s=_elapsed_s(request.arrived_at),
                 remaining_s=_remaining_s(request.deadline),
             )
--- a/auburnproxy/in_flight.py
+++ b/auburnproxy/in_flight.py
@@ -45,11 +45,19 @@
         """Whether an upstream may have run it."""
         self.answer_begun = False
         """Whether its caller may have received a part of the answer."""
+        self.transport: asyncio.Transport | None = None
+        """Connection of its caller, None if unknown or closed."""
         self.cut_off = False
         """Whether it was ended because the daemon stops."""
         self._ran_before = Ran.NO
         self._task = asyncio.current_task()
 
+    @property
+    def unsent_bytes(self) -> int:
+        """Return the bytes of the answer that its caller is too slow to take."""
+        transport = self.transport
+        return transport.get_write_buffer_size() if transport is not None else 0
+
     def send_to(self, upstream: str) -> None:
         """Record that it is being sent to an upstream.
 
--- a/auburnproxy/telemetry/decisions.py
+++ b/auburnproxy/telemetry/decisions.py
@@ -39,7 +39,8 @@
         clock: Callable[[], float] = time.time,
     ) -> None:
         self.dropped = 0
-        """Number of lines dropped because the descriptor was not ready for writing."""
+        """Number of lines dropped because the descriptor was not ready for writing or
+        its reader has gone."""
         self._host = host
         self._descriptor = descriptor
         self._lines_per_s = lines_per_s
@@ -129,11 +130,15 @@
         self._unsent = (unsent + line)[written:]
 
     def _write_some(self, data: bytes) -> int:
-        """Return the number of bytes that the descriptor took."""
+        """Return the number of bytes that need not be written again."""
         try:
             return os.write(self._descriptor, data)
         except BlockingIOError:
             return 0
+        except OSError:
+            # The reader has gone. Callers must not lose their answers with the log.
+            self.dropped += 1
+            return len(data)
 
 
 def open_decision_log(host: str) -> DecisionLog:
