--- a/features/shutdown.feature
+++ b/features/shutdown.feature
@@ -99,6 +99,14 @@
     And no answer is lost
     And the logs show how each request ended
 
+  # Guards against signals that meet a process whose handlers are gone.
+  Scenario: Signals until the exit change nothing
+    Given three gateway daemons as processes
+    When they get SIGTERM, then SIGHUP, SIGTERM or both every 20 ms until they end
+    Then each stopped daemon exits by itself within its grace
+    And no answer is lost
+    And the logs show how each request ended
+
   # Guards against losses that only some order of signals and requests shows.
   Scenario: Random signals lose no answer
     Given three gateway daemons as processes
--- a/features/steps/shutdown.py
+++ b/features/steps/shutdown.py
@@ -40,6 +40,7 @@
 ROLL_STOPS = 6
 ROLL_CALLERS = 8
 RANDOM_CALLERS = 10
+FLOOD_INTERVAL_S = 0.02
 LONGEST_FREEZE_S = 0.6
 
 
@@ -415,6 +416,29 @@
     play(context, script, daemons=3)
 
 
+@when("they get SIGTERM, then SIGHUP, SIGTERM or both every 20 ms until they end")
+def flood_with_signals(context):
+    async def flood(daemon, numbers):
+        daemon.terminate()
+        ends_at = time.monotonic() + GRACE_S
+        while daemon.runs and time.monotonic() < ends_at:
+            for number in numbers:
+                daemon.send(number)
+            await asyncio.sleep(FLOOD_INTERVAL_S)
+
+    async def script(site):
+        for daemon in site.daemons:
+            site.begin(daemon, stream(35))
+        await site.until_run(3)
+        hangup, terminate = signal.SIGHUP, signal.SIGTERM
+        numbers = ((hangup,), (terminate,), (hangup, terminate))
+        floods = zip(site.daemons, numbers, strict=True)
+        await asyncio.gather(*(flood(*each) for each in floods))
+        await finish(site)
+
+    play(context, script, daemons=3)
+
+
 def random_request(random):
     """Return the path and options of a request of a random kind."""
     kind = random.choice(("stream", "plain", "large", "large stream", "body"))
