--- a/features/fakes/shutdown.py
+++ b/features/fakes/shutdown.py
@@ -57,6 +57,8 @@
 """What aiohttp prints, with a traceback, when a caller has left."""
 CHAINED = "During handling of the above exception"
 NOT_EXECUTED_STATUSES = frozenset({408, 421, 429, 503})
+SIGNAL_KINDS = frozenset({"stop_signal", "reloaded"})
+"""Kinds of lines about signals, which may come after the last line of a stop."""
 WHOLE, REFUSED, FAILED, CUT, LEFT = "whole", "refused", "failed", "cut", "left"
 
 _address_numbers = count()
@@ -107,7 +109,8 @@
         """Return how its exit differs from that of a daemon that is stopped."""
         if not self.terminated_at:
             return [f"exited without SIGTERM: {self}"] if self.exited_at else []
-        faults, kinds = [], self.kinds()
+        faults = []
+        kinds = [kind for kind in self.kinds() if kind not in SIGNAL_KINDS]
         if self.killed:
             faults.append(f"killed: {self}")
         elif self.code != 0:
