--- a/features/serving.feature
+++ b/features/serving.feature
@@ -80,3 +80,9 @@
     Given a daemon with 2 engines and 1 plain service
     When a call is made without an API key and without a request id
     Then the request id in the refusal is the one in the log
+
+  # The head of a second answer was written into a stream that failed
+  Scenario: A stream that fails unexpectedly ends with an error event and a log line
+    When an engine's answer raises an unexpected error after 2 chunks
+    Then the stream has 2 chunks and ends with an error event that names it
+    And the log names the request with the error
--- a/features/steps/serving.py
+++ b/features/steps/serving.py
@@ -415,3 +415,43 @@
 def check_request_id(context):
     wanted = f" [{context.refusal['request_id']}]"
     assert wanted in [line.rstrip("\n") for line in context.logged], context.logged
+
+
+@when("an engine's answer raises an unexpected error after {count:d} chunks")
+def fail_unexpectedly(context, count):
+    def script(call, chunks):
+        return [*chunks[:count], ValueError("unexpected")]
+
+    context.logged = []
+    sink = logger.add(
+        context.logged.append, level="ERROR", format="{message}{extra[request]}"
+    )
+
+    async def steps(daemon, _):
+        for engine in daemon.engines:
+            engine.script = script
+        context.answer = await daemon.read(
+            chat(stream=True), **{"X-Request-Id": "failing"}
+        )
+
+    try:
+        run(context, steps)
+    finally:
+        logger.remove(sink)
+
+
+@then("the stream has {count:d} chunks and ends with an error event that names it")
+def check_error_event(context, count):
+    status, text, _ = context.answer
+    *events, last, rest = text.split("\n\n")
+    assert status == 200, text
+    assert events == [f"data: t{i}" for i in range(count)], text
+    assert last.startswith("event: error\ndata: ") and rest == "", text
+    error = json.loads(last.partition("data: ")[2])["error"]
+    assert error["request_id"] == "failing" and error["ran"] == "unknown", error
+
+
+@then("the log names the request with the error")
+def check_failure_logged(context):
+    (line,) = context.logged
+    assert "[failing]" in line and "ValueError: unexpected" in line, line
