Tests: an upstream's silence ends no answer that nothing else can finish

A stream whose last allowed attempt sends nothing for its pause objective is closed seconds before its deadline, and one that has not begun is answered 502.

--- /dev/null
+++ b/features/steps/silence.py
@@ -0,0 +1,157 @@
+"""Steps for requests whose upstream pauses in the middle of its answer."""
+
+import asyncio
+import re
+
+import async_solipsism
+from behave import given, then, when
+
+from auburnproxy.gateway.route import RouteKind
+from features.fakes.pausing_sender import EVENTS, ROUTE, Pause, PausingSender
+from features.machines.runner import close_loop
+
+SETTLE_S = 1.0
+"""Time for which the log goes on after the request has ended."""
+SLACK_S = 0.1
+LOOKUP = ROUTE._replace(kind=RouteKind.IDEMPOTENT, resumable=False)
+OPTIONS_BY_OBSTACLE = {
+    "its route allows one engine": {"attempts": 1},
+    "a second engine is silent too": {"pausing": 2},
+    "the retry budget is spent": {"retries": 0},
+    "there is no other replica": {"heads": 1},
+    "it may run only once": {"resumable": False},
+}
+
+
+@given("a stream whose engine pauses for {seconds:g} s after {event:d} events")
+def set_pause_between_events(context, seconds, event):
+    context.pause, context.route = Pause(seconds, event), ROUTE
+
+
+@given("a stream whose engine pauses for {seconds:g} s before its first event")
+def set_pause_before_first_event(context, seconds):
+    context.pause, context.route = Pause(seconds), ROUTE
+
+
+@given("a stream whose engine pauses for {seconds:g} s and then loses its connection")
+def set_pause_before_break(context, seconds):
+    context.pause, context.route = Pause(seconds, 3, then_breaks=True), ROUTE
+
+
+@given("a lookup whose host pauses for {seconds:g} s")
+def set_lookup_pause(context, seconds):
+    context.pause, context.route = Pause(seconds), LOOKUP
+
+
+def play(context, during=None, **options):
+    """Make the request on a virtual clock, beside another coroutine if one is given."""
+    changes = {k: options.pop(k) for k in ("attempts", "resumable") if k in options}
+    route = context.route._replace(**changes)
+    loop = async_solipsism.EventLoop()
+
+    async def run():
+        context.sender = PausingSender(context.pause, route=route, **options)
+        requesting = asyncio.create_task(context.sender.request())
+        if during is not None:
+            await during(requesting)
+        await asyncio.gather(requesting, return_exceptions=True)
+        await asyncio.sleep(SETTLE_S)
+        context.spent = context.sender.spent
+
+    try:
+        loop.run_until_complete(run())
+    finally:
+        close_loop(loop)
+
+
+@when("it is requested while {obstacle}")
+def request_with_obstacle(context, obstacle):
+    play(context, **OPTIONS_BY_OBSTACLE[obstacle])
+
+
+@when("it is requested and another replica registers after {seconds:g} s")
+def request_and_register(context, seconds):
+    async def register(requesting):
+        await asyncio.sleep(seconds)
+        context.sender.add_replica()
+
+    play(context, register, heads=1)
+
+
+@when("it is requested and its caller leaves after {seconds:g} s")
+def request_and_leave(context, seconds):
+    async def leave(requesting):
+        await asyncio.sleep(seconds)
+        requesting.cancel()
+        context.left_at = asyncio.get_running_loop().time()
+
+    play(context, leave, attempts=1)
+
+
+@then("it is whole, and {count:d} engines have run it")
+def check_whole(context, count):
+    sender = context.sender
+    ids = [int(n) for n in re.findall(rb"id: (\d+)", sender.written)]
+    assert sender.whole, (sender.status, sender.took_s, sender.decisions.lines)
+    assert ids == list(range(1, EVENTS + 1)), ids
+    assert len({*sender.ran}) == count, sender.ran
+
+
+@then("it has the host's answer, and {count:d} hosts have run it")
+def check_lookup(context, count):
+    sender = context.sender
+    assert sender.whole and sender.status == 200, (sender.status, sender.took_s)
+    assert len({*sender.ran}) == count, sender.ran
+
+
+@then("the log names the obstacle {name} once")
+def check_obstacle(context, name):
+    lines = context.sender.lines("waiting_at_silent_upstream")
+    assert [line["obstacle"] for line in lines] == [name], lines
+
+
+@then("the answer took less than {seconds:g} s")
+def check_took(context, seconds):
+    assert context.sender.took_s < seconds, context.sender.took_s
+
+
+@then("{count:d} retry was spent")
+@then("{count:d} retries were spent")
+def check_spent(context, count):
+    assert context.spent == count, context.spent
+
+
+def check_ended_at(context, seconds):
+    sender = context.sender
+    assert not sender.whole
+    assert seconds <= sender.took_s < seconds + SLACK_S, sender.took_s
+
+
+@then("it is aborted at its deadline of {seconds:g} s")
+def check_aborted_at(context, seconds):
+    check_ended_at(context, seconds)
+    assert context.sender.status == 200, context.sender.status
+
+
+@then("it is answered with status {status:d} at its deadline of {seconds:g} s")
+def check_answered_at(context, status, seconds):
+    check_ended_at(context, seconds)
+    assert context.sender.status == status, context.sender.status
+
+
+@then("the log line of the abort names the obstacle {name}")
+def check_abort_line(context, name):
+    (line,) = context.sender.lines("stream_aborted")
+    assert (line["code"], line["obstacle"]) == ("deadline", name), line
+
+
+@then("its engine was excluded once, until it sent data again")
+def check_excluded(context):
+    sender = context.sender
+    for kind in ("upstream_excluded", "upstream_back"):
+        assert len(sender.lines(kind)) == 1, sender.decisions.lines
+
+
+@then("its engine was disconnected at once")
+def check_disconnected(context):
+    assert context.sender.disconnected_at == [context.left_at]
