Give a silent upstream up only for another one

Callers saw streams closed 0.3 s after their last event, and answers of 502 "stalled" or "silent", seconds before their deadline, whenever the engine paused and the stream had no other attempt left.

Cause: a try was ended for silence first, and only then was it asked whether attempts, retry budget, liveness and a replica allowed another. If they did not, the answer was lost though the engine would have gone on.

SilenceTimeout now ends a wait only once a replacement is reserved, and keeps looking for one while the silence lasts; the retry budget is spent at that moment. Otherwise the request listens on until the engine goes on or ends, the deadline passes or the caller leaves. The stall is still recorded once per silence, so the head is excluded for others. Used-up attempts and a lone replica are checked for liveness once a second. The log has a line for a request that waits, and each abort names its obstacle: attempts, retry_budget, no_replica, not_repeatable, unreachable or deadline.

A stream that has begun and loses its connection still closes after 1.8 s without a replica, so that its caller can resume it elsewhere; one whose caller has stayed for a silent head is given that time anew.

--- a/auburnproxy/gateway/attempts.py
+++ b/auburnproxy/gateway/attempts.py
@@ -34,6 +34,20 @@
         """Count an upstream that received the request."""
         self._counted.append(host)
 
+    @property
+    def used_up(self) -> bool:
+        """Return whether one more upstream is allowed only if one counted has ended."""
+        return len(self._counted) >= self._allowed
+
+    def counts(self, host: Host) -> bool:
+        """Return whether an upstream was tried and is not known to have ended."""
+        return any(h.incarnation == host.incarnation for h in self._counted)
+
+    async def discount_if_absent(self, host: Host) -> None:
+        """Check an upstream, which no longer counts if it ended or is unreachable."""
+        if await self._liveness_checker.confirm_absent(host):
+            self._discount(host)
+
     async def any_remaining(self, *, within_s: float) -> bool:
         """Return whether the request may be sent to one more upstream.
 
@@ -42,7 +56,7 @@
 
         :param within_s: time limit of the check in seconds
         """
-        if len(self._counted) < self._allowed:
+        if not self.used_up:
             return True
         host_by_incarnation = {host.incarnation: host for host in self._counted}
         checks = {
--- a/auburnproxy/gateway/call.py
+++ b/auburnproxy/gateway/call.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from enum import StrEnum
 from typing import NamedTuple
 
 from aiohttp import web
@@ -46,6 +47,23 @@
         return self.deadline - loop_time()
 
 
+class Obstacle(StrEnum):
+    """Why a request can't be sent to another upstream, for the log."""
+
+    NOT_REPEATABLE = "not_repeatable"
+    """It may have run, and its route allows it to run only once."""
+    ATTEMPTS = "attempts"
+    """It may be running on as many upstreams as its route allows."""
+    RETRY_BUDGET = "retry_budget"
+    """The retry budget of its service is spent."""
+    NO_REPLICA = "no_replica"
+    """No other upstream can take it."""
+    UNREACHABLE = "unreachable"
+    """Too many upstreams accepted no connection."""
+    DEADLINE = "deadline"
+    """Its deadline has passed."""
+
+
 class AttemptError(AuburnError):
     """A try of a request at an upstream failed.
 
--- a/auburnproxy/gateway/plain_forwarder.py
+++ b/auburnproxy/gateway/plain_forwarder.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Set
 
 from aiohttp import ClientError, web
 
@@ -13,7 +14,7 @@
 from ..clock import loop_time
 from ..errors import Ran, RefusalError
 from ..telemetry.decisions import DecisionLog
-from .call import MAX_UNREACHABLE, UNSENT_RETRY_S, AttemptError, Call
+from .call import MAX_UNREACHABLE, UNSENT_RETRY_S, AttemptError, Call, Obstacle
 from .header_codec import Dispatch, without_hop_by_hop
 from .health import Health
 from .host import Host
@@ -23,11 +24,12 @@
 from .upstream_selector import UpstreamSelector
 
 PATIENCE_FRACTION = 0.45
-"""Fraction of the remaining time after which a silent host is given up for another
-one."""
+"""Fraction of the remaining time after which a silent host is given up, if another one
+can take its place."""
 MIN_PATIENCE_S = 0.2
 """Lower bound of that wait; hosts take a quarter of it on average."""
 SERVER_ERROR = 500
+SILENT = "silent"
 
 
 class PlainForwarder:
@@ -64,9 +66,14 @@
         tried: set[str] = set()
         sent = unreachable = 0
         failure: web.Response | None = None
+        replacement = _Replacement(
+            self._selector, self._decisions, call, retry_budget, tried
+        )
         while True:
             try:
-                host = self._selector.select_host(call.service, tried=tried)
+                host = replacement.take() or self._selector.select_host(
+                    call.service, tried=tried
+                )
             except RefusalError as refusal:
                 if failure is not None:
                     return failure
@@ -76,7 +83,7 @@
             tried.add(host.id)
             last = sent + 1 >= call.route.attempts or not call.route.repeatable
             try:
-                response = await self._try(call, host, last=last)
+                response = await self._try(call, host, replacement, last=last)
                 if response.status < SERVER_ERROR or last:
                     return response
                 error = AttemptError(f"answered_{response.status}", ran=Ran.UNKNOWN)
@@ -100,10 +107,14 @@
                 if failure is not None:
                     return failure
                 raise _build_refusal(error.code, ran)
+            if replacement.host is not None:
+                continue
             if failure is None and not retry_budget.spend(error.code):
                 raise _build_refusal(error.code, ran)
 
-    async def _try(self, call: Call, host: Host, *, last: bool) -> web.Response:
+    async def _try(
+        self, call: Call, host: Host, replacement: _Replacement, *, last: bool
+    ) -> web.Response:
         remaining_s = call.remaining_s
         if remaining_s <= 0:
             raise AttemptError("deadline", ran=Ran.NO, sent=False)
@@ -113,15 +124,27 @@
             else max(PATIENCE_FRACTION * remaining_s, MIN_PATIENCE_S)
         )
         dispatch = Dispatch(host, remaining_s, call.account, call.urgency)
+
+        def record_stall() -> None:
+            self._health.record_stall(host.id, silence_s=patience_s, reason="no answer")
+
         try:
             with self._health.track_request(host.id, _do_nothing):
                 async with asyncio.timeout(remaining_s) as limit:
+                    if last:
+                        return await self._exchange(call, dispatch)
                     given_up_at = loop_time() + patience_s
-                    with SilenceTimeout(limit, lambda: given_up_at):
+                    with SilenceTimeout(
+                        limit,
+                        lambda: given_up_at,
+                        on_silent=record_stall,
+                        replace=replacement.reserve,
+                    ):
                         return await self._exchange(call, dispatch)
         except TimeoutError:
-            self._health.record_stall(host.id, silence_s=patience_s, reason="no answer")
-            raise AttemptError("silent", ran=Ran.UNKNOWN) from None
+            if last:
+                record_stall()
+            raise AttemptError(SILENT, ran=Ran.UNKNOWN) from None
         except AttemptError as error:
             if not error.sent:
                 self._health.record_failure(host.id, reason=error.code)
@@ -154,6 +177,66 @@
         )
 
 
+class _Replacement:
+    """Host reserved for a request in place of a silent one.
+
+    The retry budget is spent only for a host that is going to get the request.
+
+    :param selector: selects hosts
+    :param decisions: log, with a line for a request that waits at a silent host
+    :param call: the request
+    :param retry_budget: retry budget of the service
+    :param tried: hosts that already got the request
+    """
+
+    def __init__(
+        self,
+        selector: UpstreamSelector,
+        decisions: DecisionLog,
+        call: Call,
+        retry_budget: RetryBudget,
+        tried: Set[str],
+    ) -> None:
+        self.host: Host | None = None
+        """The reserved host, which is charged to the retry budget."""
+        self._selector = selector
+        self._decisions = decisions
+        self._call = call
+        self._retry_budget = retry_budget
+        self._tried = tried
+        self._obstacle_logged = False
+
+    def take(self) -> Host | None:
+        """Return the reserved host, which is no longer reserved afterwards."""
+        host, self.host = self.host, None
+        return host
+
+    async def reserve(self) -> bool:
+        """Reserve a host if there is one, and return whether there is."""
+        if self._retry_budget.remaining < 1:
+            self._log_waiting(Obstacle.RETRY_BUDGET)
+            return False
+        try:
+            host = self._selector.select_host(self._call.service, tried=self._tried)
+        except RefusalError:
+            self._log_waiting(Obstacle.NO_REPLICA)
+            return False
+        if self._retry_budget.spend(SILENT):
+            self.host = host
+        return self.host is not None
+
+    def _log_waiting(self, obstacle: Obstacle) -> None:
+        if self._obstacle_logged:
+            return
+        self._obstacle_logged = True
+        self._decisions.request(
+            "waiting_at_silent_upstream",
+            self._call.id,
+            obstacle=obstacle,
+            remaining_s=round(self._call.remaining_s, 3),
+        )
+
+
 def _build_refusal(code: str, ran: Ran) -> RefusalError:
     if ran is Ran.NO:
         message = "No upstream took the request."
--- a/auburnproxy/gateway/stream_forwarder.py
+++ b/auburnproxy/gateway/stream_forwarder.py
@@ -18,7 +18,7 @@
 from ..telemetry.decisions import DecisionLog
 from ..upstreams.client import TrackedResponse
 from .attempts import AttemptCounter
-from .call import MAX_UNREACHABLE, UNSENT_RETRY_S, AttemptError, Call
+from .call import MAX_UNREACHABLE, UNSENT_RETRY_S, AttemptError, Call, Obstacle
 from .events import EventReader, follows
 from .header_codec import Dispatch, without_hop_by_hop
 from .health import Health
@@ -43,9 +43,14 @@
 MAX_FIRST_EVENT_S = 1.5
 """Upper bound of the wait for the first event at a head that sends events to others."""
 CALLER_PATIENCE_S = 1.8
-"""Pause of a stream that has begun after which its caller is expected to disconnect."""
+"""Pause of a stream that has begun after which its caller is expected to disconnect. If
+its caller has stayed for a silent head, the time starts again when that head fails."""
 REPLICA_POLL_S = 0.1
+LIVENESS_INTERVAL_S = 1.0
+"""Interval between two liveness checks of the heads of a stream that waits at a silent
+one."""
 FULL, MISDIRECTED = "rejected_503", "rejected_421"
+STALLED, DEADLINE = "stalled", "deadline"
 MAX_MISDIRECTED = 2
 """Misdirected tries that are not counted as attempts: the heads may have left their
 replica before their registrations show it."""
@@ -135,6 +140,19 @@
         self._attempts = AttemptCounter(
             call.route.attempts, forwarder.liveness_checker, on_absent=self._log_absent
         )
+        self._attempt_counted = False
+        """Whether the current try is counted as an attempt."""
+        self._replacement: ServingReplica | None = None
+        """The replica reserved for the next try, which is charged to the retry
+        budget."""
+        self._obstacle: Obstacle | None = None
+        """What last kept the current try from being replaced or retried."""
+        self._next_liveness_check_at = 0.0
+        self._head_silent_at = -1.0
+        """The loop's time at which the current head was found silent on all
+        streams."""
+        self._waited_until = 0.0
+        """The loop's time at which a try at a silent head failed."""
         self._unreachable = 0
         self._misdirected = 0
         self._tries = 0
@@ -148,15 +166,12 @@
     async def run(self) -> web.StreamResponse:
         while True:
             try:
-                replica = self._forwarder.selector.select_replica(
-                    self._call.info.model,
-                    tried=self._failed_heads,
-                    include_excluded=self._response is not None,
-                )
+                replica = self._take_replica()
             except RefusalError as refusal:
                 if self._may_wait_for_replica():
                     await asyncio.sleep(REPLICA_POLL_S)
                     continue
+                self._obstacle = Obstacle.NO_REPLICA
                 self._give_up(refusal.code, refusal.retry_after_s, refusal.inputs)
             self._record_try(replica)
             try:
@@ -165,9 +180,22 @@
                 return response
             except AttemptError as error:
                 self._log_failed_try(replica, error)
-                if not await self._may_retry(replica, error):
+                self._obstacle = await self._obstacle_to_retry(replica, error)
+                if self._obstacle is not None:
                     self._give_up(error.code, None, {})
 
+    def _take_replica(self) -> ServingReplica:
+        """Return the replica for the next try.
+
+        :raises RefusalError: if no replica can take the request now
+        """
+        replacement, self._replacement = self._replacement, None
+        return replacement or self._forwarder.selector.select_replica(
+            self._call.info.model,
+            tried=self._failed_heads,
+            include_excluded=self._response is not None,
+        )
+
     def _record_try(self, replica: ServingReplica) -> None:
         call, telemetry = self._call, self._forwarder.telemetry
         self._load_when_selected = self._forwarder.selector.load(replica.head)
@@ -189,29 +217,121 @@
         self._failed_heads.clear()
         return self._call.remaining_s > REPLICA_POLL_S
 
-    async def _may_retry(self, replica: ServingReplica, error: AttemptError) -> bool:
-        """Count a failed try and return whether another one is allowed."""
+    async def _obstacle_to_retry(
+        self, replica: ServingReplica, error: AttemptError
+    ) -> Obstacle | None:
+        """Count a failed try and return what rules out another one, if anything."""
         self._failed_heads.add(replica.head.id)
         if error.ran is Ran.UNKNOWN:
             self._ran = Ran.UNKNOWN
-        if self._call.remaining_s <= 0:
-            return False
+        if error.code == DEADLINE or self._call.remaining_s <= 0:
+            return self._obstacle or Obstacle.DEADLINE
+        if self._replacement is not None:
+            return None
+        if self._obstacle is not None:
+            self._waited_until = loop_time()
         if not error.sent:
             self._unreachable += 1
-            return self._unreachable < MAX_UNREACHABLE or self._may_wait_for_replica()
+            if self._unreachable < MAX_UNREACHABLE or self._may_wait_for_replica():
+                return None
+            return Obstacle.UNREACHABLE
         if error.code == MISDIRECTED and self._misdirected < MAX_MISDIRECTED:
             self._misdirected += 1
-            return self._retry_budget.spend(error.code)
-        self._attempts.count(replica.head)
+            return self._spend_retry(error.code)
+        self._count_attempt(replica.head)
         if self._ran is Ran.UNKNOWN and not self._call.route.repeatable:
-            return False
+            return Obstacle.NOT_REPEATABLE
         if not await self._attempts.any_remaining(within_s=self._patience_s()):
+            return Obstacle.ATTEMPTS
+        return self._spend_retry(error.code)
+
+    def _spend_retry(self, code: str) -> Obstacle | None:
+        return None if self._retry_budget.spend(code) else Obstacle.RETRY_BUDGET
+
+    def _count_attempt(self, head: Host) -> None:
+        """Count the current try as an attempt, once."""
+        if not self._attempt_counted:
+            self._attempt_counted = True
+            self._attempts.count(head)
+
+    async def _replace_silent(
+        self, replica: ServingReplica, is_silent: Callable[[], bool]
+    ) -> bool:
+        """Reserve a replica in place of a silent one, and return whether there is one.
+
+        The retry budget is spent only for a replica that is going to get the request.
+
+        :param is_silent: returns whether the head is still silent
+        """
+        head = replica.head
+        obstacle = await self._obstacle_to_replacement(head)
+        if not is_silent():
             return False
-        return self._retry_budget.spend(error.code)
+        if obstacle is None:
+            replacement = self._select_replacement(head)
+            if replacement is None:
+                obstacle = Obstacle.NO_REPLICA
+            else:
+                obstacle = self._spend_retry(STALLED)
+            if obstacle is None:
+                self._replacement = replacement
+                return True
+        if self._obstacle is None:
+            self._log_waiting(replica, obstacle)
+        self._obstacle = obstacle
+        begun = self._response is not None
+        if obstacle is Obstacle.NO_REPLICA and begun and self._may_check_liveness():
+            await self._attempts.discount_if_absent(head)
+        return False
+
+    async def _obstacle_to_replacement(self, head: Host) -> Obstacle | None:
+        """Return what rules out another try while a head is silent, if anything."""
+        if not self._call.route.repeatable:
+            return Obstacle.NOT_REPEATABLE
+        if self._retry_budget.remaining < 1:
+            return Obstacle.RETRY_BUDGET
+        self._count_attempt(head)
+        if not self._attempts.used_up:
+            return None
+        if not self._may_check_liveness():
+            return Obstacle.ATTEMPTS
+        if await self._attempts.any_remaining(within_s=self._call.remaining_s):
+            return None
+        return Obstacle.ATTEMPTS
+
+    def _select_replacement(self, head: Host) -> ServingReplica | None:
+        """Return a replica that can take over from a silent head now, if any.
+
+        A stream that has begun may return to heads that failed before, and to the
+        silent one if its process has ended.
+        """
+        options: list[tuple[set[str], bool]] = [({*self._failed_heads, head.id}, False)]
+        if self._response is not None:
+            options.append(({head.id}, False))
+            if not self._attempts.counts(head):
+                options.append((set(), True))
+        for tried, include_excluded in options:
+            try:
+                return self._forwarder.selector.select_replica(
+                    self._call.info.model,
+                    tried=tried,
+                    include_excluded=include_excluded,
+                )
+            except RefusalError:
+                continue
+        return None
+
+    def _may_check_liveness(self) -> bool:
+        """Return whether a check is due, and schedule the next one if it is."""
+        now = loop_time()
+        if now < self._next_liveness_check_at:
+            return False
+        self._next_liveness_check_at = now + LIVENESS_INTERVAL_S
+        return True
 
     def _patience_s(self) -> float:
         """Return the seconds until this stream's caller is expected to disconnect."""
-        heard_at = self._last_event_at or self._call.arrived_at
+        heard_at = max(self._last_event_at or self._call.arrived_at, self._waited_until)
         left_s = heard_at + CALLER_PATIENCE_S - loop_time()
         return min(left_s, self._call.remaining_s)
 
@@ -227,6 +347,7 @@
                 "stream_aborted",
                 self._call.id,
                 code=code,
+                obstacle=self._obstacle,
                 last_event=self._last_id,
                 silent_s=round(now - self._last_event_at, 3),
                 remaining_s=round(self._call.remaining_s, 3),
@@ -239,49 +360,62 @@
             refusal = RefusalError(
                 code, message, retry_after_s=retry_after_s or UNSENT_RETRY_S
             )
-            refusal.inputs = inputs
+            refusal.inputs = {**inputs, "obstacle": self._obstacle}
             raise refusal
-        status = 504 if self._call.remaining_s <= 0 else 502
+        late = code == DEADLINE or self._call.remaining_s <= 0
         message = "A replica may have run the request and gave no whole answer."
-        raise RefusalError(code, message, status=status, ran=Ran.UNKNOWN)
+        refusal = RefusalError(
+            code, message, status=504 if late else 502, ran=Ran.UNKNOWN
+        )
+        refusal.inputs = {"obstacle": self._obstacle}
+        raise refusal
 
     async def _try(self, replica: ServingReplica) -> web.StreamResponse:
         head, health = replica.head, self._forwarder.health
         now = loop_time()
         remaining_s = self._call.deadline - now
+        self._obstacle = None
         if remaining_s <= 0:
-            raise AttemptError("deadline", ran=Ran.NO, sent=False)
+            raise AttemptError(DEADLINE, ran=Ran.NO, sent=False)
         first_event_timeout_s = self._first_event_timeout_s(replica)
         dispatch = Dispatch(
             head, remaining_s, self._call.account, self._call.urgency, self._last_id
         )
-        self._event_received = self._writing = False
-        try:
-            async with asyncio.timeout_at(self._call.deadline) as limit:
-
-                def silent_at() -> float:
-                    return self._silence_deadline(head.id, now, first_event_timeout_s)
+        self._event_received = self._writing = self._attempt_counted = False
+        self._head_silent_at = -1.0
 
-                def end_stream() -> None:
-                    if not limit.expired():
-                        limit.reschedule(loop_time())
+        def silent_at() -> float:
+            return self._silence_deadline(head.id, now, first_event_timeout_s)
 
-                with (
-                    SilenceTimeout(limit, silent_at),
-                    health.track_request(head.id, end_stream) as begin,
-                ):
-                    self._mark_begun = begin
-                    return await self._exchange(dispatch, replica)
-        except TimeoutError:
-            if self._call.remaining_s <= 0:
-                raise AttemptError("deadline", ran=Ran.UNKNOWN) from None
+        def record_stall() -> None:
             silence_s = (
                 self._pause_timeout_s()
                 if self._event_received
                 else first_event_timeout_s
             )
             health.record_stall(head.id, silence_s=silence_s, reason="no event")
-            raise AttemptError("stalled", ran=Ran.UNKNOWN) from None
+
+        try:
+            async with asyncio.timeout_at(self._call.deadline) as limit:
+                silence = SilenceTimeout(
+                    limit,
+                    silent_at,
+                    on_silent=record_stall,
+                    replace=lambda: self._replace_silent(
+                        replica, lambda: silence.silent
+                    ),
+                )
+
+                def begin_silence() -> None:
+                    self._head_silent_at = loop_time()
+                    silence.begin_silence()
+
+                with silence, health.track_request(head.id, begin_silence) as begin:
+                    self._mark_begun = begin
+                    return await self._exchange(dispatch, replica)
+        except TimeoutError:
+            code = STALLED if self._replacement is not None else DEADLINE
+            raise AttemptError(code, ran=Ran.UNKNOWN) from None
         except AttemptError as error:
             if not error.sent or error.code in (FULL, MISDIRECTED):
                 health.record_failure(head.id, reason=error.code)
@@ -292,12 +426,15 @@
     ) -> float:
         """Return the loop's time after which the head's silence counts as a stall.
 
-        Before the first event a head may be busy with other streams, so data that it
-        sends on any stream counts as activity. Time that the caller takes to read never
-        counts as silence.
+        That is the case at once if the head was found silent on all streams. Before the
+        first event a head may be busy with other streams, so data that it sends on any
+        stream counts as activity. Time that the caller takes to read never counts as
+        silence.
         """
         if self._writing:
             return loop_time() + self._pause_timeout_s()
+        if self._forwarder.health.heard_at(head) < self._head_silent_at:
+            return self._head_silent_at
         if self._event_received:
             return self._written_at + self._pause_timeout_s()
         heard_at = max(self._forwarder.health.heard_at(head), began)
@@ -439,6 +576,17 @@
             "attempt_not_counted", self._call.id, upstream=host.id
         )
 
+    def _log_waiting(self, replica: ServingReplica, obstacle: Obstacle) -> None:
+        self._forwarder.decisions.request(
+            "waiting_at_silent_upstream",
+            self._call.id,
+            upstream=replica.head.id,
+            replica=replica.name,
+            obstacle=obstacle,
+            last_event=self._last_id,
+            remaining_s=round(self._call.remaining_s, 3),
+        )
+
     def _log_failed_try(self, replica: ServingReplica, error: AttemptError) -> None:
         self._forwarder.decisions.request(
             "try_failed",
