Test an excluded head again though its last test still waits

After an exclusion a single request tests the head, and no other is sent until it ends. Since a silent try may now go on to its deadline, a head that swallowed that one request would have been excluded for as long. A test that finds the head silent has given its result: it no longer holds up the next one, which the longer exclusion schedules.

Found by reading; the new scenario of silence.feature fails without the change: the head still got no request 0.1 s after its exclusion of 1 s.

--- a/auburnproxy/gateway/health.py
+++ b/auburnproxy/gateway/health.py
@@ -49,7 +49,8 @@
         self.heard_at = -1.0
         self.excluded_until = -1.0
         self.exclusion_s = 0.0
-        self.probing = False
+        self.test_request: object | None = None
+        """The request that tests it after an exclusion, until it shows something."""
         self.stall_callbacks: set[Callable[[], None]] = set()
 
 
@@ -132,7 +133,7 @@
         state = self._states.get(host)
         if state is None or not state.exclusion_s:
             return False
-        return state.excluded_until > loop_time() or state.probing
+        return state.excluded_until > loop_time() or state.test_request is not None
 
     @contextmanager
     def track_request(
@@ -144,10 +145,11 @@
         :return: a function to call when the answer has begun
         """
         state = self._states.setdefault(host, _UpstreamState())
-        probe = bool(state.exclusion_s)
+        request = object()
+        if state.exclusion_s:
+            state.test_request = request
         state.in_flight += 1
         state.unanswered += 1
-        state.probing |= probe
         state.stall_callbacks.add(on_lost)
         began = False
 
@@ -165,8 +167,8 @@
             begin()
             state.in_flight -= 1
             state.stall_callbacks.discard(on_lost)
-            if probe:
-                state.probing = False
+            if state.test_request is request:
+                state.test_request = None
             self.on_requests_changed(host)
 
     def record_data(self, host: str) -> None:
@@ -175,7 +177,7 @@
         state.heard_at = loop_time()
         if state.exclusion_s:
             state.exclusion_s = 0.0
-            state.probing = False
+            state.test_request = None
             state.excluded_until = -1.0
             self._decisions.belief("upstream_back", upstream=host)
 
@@ -201,6 +203,7 @@
         now = loop_time()
         if state.excluded_until > now:
             return
+        state.test_request = None
         recovered = now - state.excluded_until > BACKOFF_RESET_S
         state.exclusion_s = (
             MIN_EXCLUSION_S
--- a/features/silence.feature
+++ b/features/silence.feature
@@ -92,3 +92,9 @@
     Then it has the host's answer, and 2 hosts have run it
     And the answer took less than 4.5 s
     And 1 retry was spent
+
+  # Guards against a head that stays excluded because one request still waits for it.
+  Scenario: A waiting stream does not keep its head from being tested again
+    Given a head whose exclusion has ended
+    When the stream that tests it finds it silent and goes on waiting
+    Then the head is excluded for 1 s and then gets another stream
--- a/features/steps/silence.py
+++ b/features/steps/silence.py
@@ -8,11 +8,13 @@
 
 from auburnproxy.gateway.route import RouteKind
 from features.fakes.pausing_sender import EVENTS, ROUTE, Pause, PausingSender
+from features.fakes.selection import SelectionFixture
 from features.machines.runner import close_loop
 
 SETTLE_S = 1.0
 """Time for which the log goes on after the request has ended."""
 SLACK_S = 0.1
+FIRST_EXCLUSION_S, SILENCE_S = 0.5, 0.3
 LOOKUP = ROUTE._replace(kind=RouteKind.IDEMPOTENT, resumable=False)
 OPTIONS_BY_OBSTACLE = {
     "its route allows one engine": {"attempts": 1},
@@ -155,3 +157,40 @@
 @then("its engine was disconnected at once")
 def check_disconnected(context):
     assert context.sender.disconnected_at == [context.left_at]
+
+
+@given("a head whose exclusion has ended")
+def exclude_head(context):
+    context.loop = async_solipsism.EventLoop()
+    context.add_cleanup(lambda: close_loop(context.loop))
+
+    async def exclude():
+        context.fixture = SelectionFixture(1, 0, 9)
+        context.fixture.health.record_failure("n0", reason="no event")
+        await asyncio.sleep(FIRST_EXCLUSION_S)
+
+    context.loop.run_until_complete(exclude())
+
+
+@when("the stream that tests it finds it silent and goes on waiting")
+def test_head(context):
+    async def select():
+        fixture = context.fixture
+        assert fixture.select(begun=False) == "n0"
+        await asyncio.sleep(SILENCE_S)
+        assert fixture.select(begun=False) is None
+        fixture.health.record_stall("n0", silence_s=SILENCE_S, reason="no event")
+
+    context.loop.run_until_complete(select())
+
+
+@then("the head is excluded for {seconds:g} s and then gets another stream")
+def check_tested_again(context, seconds):
+    async def select():
+        await asyncio.sleep(seconds - SLACK_S)
+        early = context.fixture.select(begun=False)
+        await asyncio.sleep(2 * SLACK_S)
+        return early, context.fixture.select(begun=False)
+
+    taken = context.loop.run_until_complete(select())
+    assert taken == (None, "n0"), taken
