Tests: a pause of an engine ends no call of the own daemon

A call that the own daemon may not make again is ended after 5 s without a chunk, however much time it has left.

--- a/features/fakes/serving.py
+++ b/features/fakes/serving.py
@@ -207,6 +207,9 @@
                 if chunk == "stall":
                     await asyncio.sleep(STALL_S)
                     continue
+                if isinstance(chunk, float):
+                    await asyncio.sleep(chunk)
+                    continue
                 yield chunk
                 await asyncio.sleep(self.gap_s)
             complete = True
--- a/features/silence.feature
+++ b/features/silence.feature
@@ -98,3 +98,15 @@
     Given a head whose exclusion has ended
     When the stream that tests it finds it silent and goes on waiting
     Then the head is excluded for 1 s and then gets another stream
+
+  # Guards against answers of the own daemon that are lost long before their deadline.
+  Scenario Outline: A call that cannot be moved outlives a pause of its engine, as when <obstacle>
+    Given engines that pause for 8 s after 2 chunks
+    When a call of 5 chunks is made while <obstacle>
+    Then all its chunks have arrived, and <count> calls have reached the engines
+
+    Examples:
+      | obstacle                    | count |
+      | it may be made only once    | 1     |
+      | its second engine pauses too| 2     |
+      | its retry budget is empty   | 1     |
--- a/features/steps/silence.py
+++ b/features/steps/silence.py
@@ -2,14 +2,24 @@
 
 import asyncio
 import re
+from contextlib import suppress
 
 import async_solipsism
 from behave import given, then, when
 
+from auburnproxy.errors import RefusalError
 from auburnproxy.gateway.route import RouteKind
+from auburnproxy.serving import RequestLimits
 from features.fakes.pausing_sender import EVENTS, ROUTE, Pause, PausingSender
 from features.fakes.selection import SelectionFixture
-from features.machines.runner import close_loop
+from features.fakes.serving import (
+    FakeEngine,
+    FakeUpstreams,
+    make_model_request,
+    make_plan,
+    make_site,
+)
+from features.machines.runner import close_loop, run_virtual
 
 SETTLE_S = 1.0
 """Time for which the log goes on after the request has ended."""
@@ -194,3 +204,43 @@
 
     taken = context.loop.run_until_complete(select())
     assert taken == (None, "n0"), taken
+
+
+@given("engines that pause for {seconds:g} s after {count:d} chunks")
+def set_pausing_engines(context, seconds, count):
+    def pause(call, chunks):
+        return [*chunks[:count], seconds, *chunks[count:]]
+
+    context.script = pause
+
+
+@when("a call of 5 chunks is made while {obstacle}")
+def call_with_obstacle(context, obstacle):
+    attempts = {"it may be made only once": 1, "its second engine pauses too": 2}
+    limits = RequestLimits(max_attempts=attempts.get(obstacle, 3))
+
+    async def run():
+        engines = [FakeEngine(script=context.script, length=5) for _ in range(3)]
+        upstreams = FakeUpstreams({f"e{i}": e for i, e in enumerate(engines)}, slots=4)
+        plan = make_plan("alpha", concurrent=8, queue=200)
+        site = make_site([plan], upstreams, limits=limits)
+        request = make_model_request(plan, "r")
+        budget = site.model_calls._budgets.budget(plan.name, request.target)
+        while obstacle == "its retry budget is empty" and budget.try_withdraw():
+            pass
+        context.parts = []
+
+        async def write(data):
+            context.parts.append(data)
+
+        with suppress(RefusalError):
+            await site.model_calls.run(request, write)
+        context.calls = sum(len(engine.calls) for engine in engines)
+
+    run_virtual(run())
+
+
+@then("all its chunks have arrived, and {count:d} calls have reached the engines")
+def check_chunks(context, count):
+    assert context.parts == [b"t%d" % i for i in range(5)], context.parts
+    assert context.calls == count, context.calls
