Let a call of the own daemon wait for a stalled engine that nothing can replace

Callers of /v1/chat/completions got upstream_stalled after 5 s without a chunk (30 s without a first one) though their deadline was a minute away, also when attempts or retry budget allowed no other engine.

Cause: the watchdog ended the attempt before anyone asked whether another was allowed. It now asks first, and otherwise looks again every second until the engine goes on or the deadline passes. A call that a peer forwarded has one attempt, so it is no longer cut here: the daemon that forwarded it decides.

Not covered: whether another endpoint has a free slot is still found out only after the stalled attempt has ended.

Measured: the three scenarios for it in silence.feature fail without the change and pass with it; streams, serving, replicas and isolation pass (73 scenarios with these).

--- a/auburnproxy/serving/_watchdog.py
+++ b/auburnproxy/serving/_watchdog.py
@@ -30,9 +30,13 @@
 class AttemptWatchdog:
     """Expires the timeout of an attempt as soon as it can't be completed.
 
+    An engine that stalls may go on later, so its attempt is ended only if another one
+    is allowed.
+
     :param lost: completes when the replica stops serving
     :param stall_time: returns the time of the event loop, in seconds, at which the
         engine counts as stalled; infinite while data is written to the caller
+    :param may_retry: returns whether another attempt is allowed after this one
     :param timeout: timeout around the attempt
     """
 
@@ -40,10 +44,12 @@
         self,
         lost: Coroutine[Any, Any, None],
         stall_time: Callable[[], float],
+        may_retry: Callable[[], bool],
         timeout: asyncio.Timeout,
     ) -> None:
         self.cause: AttemptFailure | None = None
         self._stall_time = stall_time
+        self._may_retry = may_retry
         self._timeout = timeout
         self._loop = asyncio.get_running_loop()
         self._lost = asyncio.create_task(lost)
@@ -63,10 +69,13 @@
 
     def _on_timer(self) -> None:
         now, stall_time = self._loop.time(), self._stall_time()
-        if stall_time <= now:
+        stalled = stall_time <= now
+        if stalled and self._may_retry():
             self._expire(AttemptFailure.STALLED)
             return
-        wait_s = min(max(stall_time - now, MIN_CHECK_INTERVAL_S), MAX_CHECK_INTERVAL_S)
+        wait_s = MAX_CHECK_INTERVAL_S
+        if not stalled:
+            wait_s = min(max(stall_time - now, MIN_CHECK_INTERVAL_S), wait_s)
         self._timer = self._loop.call_later(wait_s, self._on_timer)
 
     def _expire(self, cause: AttemptFailure) -> None:
--- a/auburnproxy/serving/retry_budget.py
+++ b/auburnproxy/serving/retry_budget.py
@@ -20,9 +20,14 @@
         """Credit the budget for a call."""
         self._balance = min(self._balance + RETRIES_PER_CALL, MAX_BALANCE)
 
+    @property
+    def available(self) -> bool:
+        """Return whether a retry can be withdrawn."""
+        return self._balance >= 1.0
+
     def try_withdraw(self) -> bool:
         """Withdraw one retry; return False if none is left."""
-        if self._balance < 1.0:
+        if not self.available:
             return False
         self._balance -= 1.0
         return True
--- a/auburnproxy/serving/stream_relay.py
+++ b/auburnproxy/serving/stream_relay.py
@@ -104,6 +104,7 @@
         self._waiting_since = inf
         self._attempt_first_at: float | None = None
         self._may_have_run = False
+        self._attempts_made = 0
         self._excluded: set[str] = set()
 
     async def run(self) -> None:
@@ -117,7 +118,6 @@
             self._chunk_intervals.flush(self._record_interval)
 
     async def _run(self) -> None:
-        attempts_made = 0
         while True:
             try:
                 async with self._reserve(frozenset(self._excluded)) as endpoint:
@@ -129,8 +129,8 @@
                     self._call.request_id,
                     error.cause,
                 )
-                attempts_made += error.counts_as_attempt
-                if attempts_made == self._limits.max_attempts:
+                self._attempts_made += error.counts_as_attempt
+                if self._attempts_made == self._limits.max_attempts:
                     raise self._final_refusal(error.cause) from error
                 if not error.free_retry and not self._budget.try_withdraw():
                     raise self._final_refusal(error.cause) from error
@@ -189,7 +189,10 @@
         try:
             async with asyncio.timeout_at(self._deadline) as timeout:
                 watchdog = AttemptWatchdog(
-                    endpoint.wait_until_lost(), self._stall_time, timeout
+                    endpoint.wait_until_lost(),
+                    self._stall_time,
+                    self._may_retry,
+                    timeout,
                 )
                 with closing(watchdog):
                     # In a separate task, each chunk resumes fewer coroutines.
@@ -247,6 +250,11 @@
             return self._waiting_since + self._limits.first_chunk_s
         return self._waiting_since + self._limits.next_chunk_s
 
+    def _may_retry(self) -> bool:
+        """Return whether another attempt is allowed if the current one stalls."""
+        attempts_left = self._limits.max_attempts - self._attempts_made - 1
+        return attempts_left > 0 and self._budget.available
+
     def _observation(self, result: Result, started: float) -> Observation:
         first_at = self._attempt_first_at
         return Observation(result, None if first_at is None else first_at - started)
