--- a/auburnproxy/gateway/stream_forwarder.py
+++ b/auburnproxy/gateway/stream_forwarder.py
@@ -347,6 +347,7 @@
                 "stream_aborted",
                 self._call.id,
                 code=code,
+                phase="between events",
                 obstacle=self._obstacle,
                 last_event=self._last_id,
                 silent_s=round(now - self._last_event_at, 3),
@@ -367,7 +368,10 @@
         refusal = RefusalError(
             code, message, status=504 if late else 502, ran=Ran.UNKNOWN
         )
-        refusal.inputs = {"obstacle": self._obstacle}
+        refusal.inputs = {
+            "phase": "before the first event",
+            "obstacle": self._obstacle,
+        }
         raise refusal
 
     async def _try(self, replica: ServingReplica) -> web.StreamResponse:
