--- a/features/fakes/pausing_sender.py
+++ b/features/fakes/pausing_sender.py
@@ -25,7 +25,7 @@
 from features.fakes.selection import SelectionFixture
 from features.fakes.store import devnull
 
-EVENTS = 6
+EVENTS, SERVER_ERROR = 6, 500
 DEADLINE_S = 6.0
 ROUTE = Route(
     "steps",
@@ -70,6 +70,7 @@
     :param pausing: number of tries that pause
     :param heads: number of engines
     :param retries: number of retries in the budget
+    :param first_status: status of the first answer; a failure has no pause
     """
 
     def __init__(
@@ -80,6 +81,7 @@
         pausing: int = 1,
         heads: int = 3,
         retries: int = 10,
+        first_status: int = 200,
     ) -> None:
         self.fixture = SelectionFixture(heads, 0, 9)
         self.ran: list[str] = []
@@ -99,6 +101,7 @@
         self._allowed_retries = self.retry_budget.remaining
         self._pause = pause
         self._pausing = pausing
+        self._first_status = first_status
         common = (self.fixture.selector, self.fixture.health)
         self._streams = StreamForwarder(
             self,
@@ -158,7 +161,9 @@
         """Run the request at an engine."""
         answer = EmulatedResponse()
         self.ran.append(dispatch.host.id)
-        pauses = len(self.ran) <= self._pausing
+        if len(self.ran) == 1:
+            answer.status = self._first_status
+        pauses = len(self.ran) <= self._pausing and answer.status < SERVER_ERROR
         first = int(dispatch.resume_after or 0) + 1
         task = asyncio.create_task(self._answer(answer, first, pauses=pauses))
 
--- a/features/silence.feature
+++ b/features/silence.feature
@@ -110,3 +110,10 @@
       | it may be made only once    | 1     |
       | its second engine pauses too| 2     |
       | its retry budget is empty   | 1     |
+
+  # Guards against retries beyond the retry budget (BUDGET).
+  Scenario: Each further attempt of a lookup is paid for, also after a failure that was answered
+    Given a lookup whose first host answers 500 and whose second one breaks off
+    When it is requested and its route allows three hosts
+    Then it has the host's answer, and 3 hosts have run it
+    And 2 retries were spent
--- a/features/steps/silence.py
+++ b/features/steps/silence.py
@@ -55,6 +55,17 @@
     context.pause, context.route = Pause(seconds), LOOKUP
 
 
+@given("a lookup whose first host answers 500 and whose second one breaks off")
+def set_failing_hosts(context):
+    context.pause, context.route = Pause(0.1, then_breaks=True), LOOKUP
+    context.first_status = 500
+
+
+@when("it is requested and its route allows three hosts")
+def request_three_times(context):
+    play(context, attempts=3, pausing=2, first_status=context.first_status)
+
+
 def play(context, during=None, **options):
     """Make the request on a virtual clock, beside another coroutine if one is given."""
     changes = {k: options.pop(k) for k in ("attempts", "resumable") if k in options}
