Pay for each retry of a plain request

After an answered 5xx, a further try that broke off was repeated without asking the retry budget: the payment for the answered failure was taken for its own. Only routes that allow three attempts or more are affected.

Measured: the scenario for it in silence.feature fails without the change (1 retry spent for 3 hosts) and passes with it (2).

--- a/auburnproxy/gateway/plain_forwarder.py
+++ b/auburnproxy/gateway/plain_forwarder.py
@@ -82,12 +82,14 @@
                 raise _build_refusal(refusal.code, ran) from refusal
             tried.add(host.id)
             last = sent + 1 >= call.route.attempts or not call.route.repeatable
+            paid = False
             try:
                 response = await self._try(call, host, replacement, last=last)
                 if response.status < SERVER_ERROR or last:
                     return response
                 error = AttemptError(f"answered_{response.status}", ran=Ran.UNKNOWN)
-                if not retry_budget.spend(error.code):
+                paid = retry_budget.spend(error.code)
+                if not paid:
                     return response
                 failure = response
             except AttemptError as caught:
@@ -107,10 +109,11 @@
                 if failure is not None:
                     return failure
                 raise _build_refusal(error.code, ran)
-            if replacement.host is not None:
+            if paid or replacement.host is not None or retry_budget.spend(error.code):
                 continue
-            if failure is None and not retry_budget.spend(error.code):
-                raise _build_refusal(error.code, ran)
+            if failure is not None:
+                return failure
+            raise _build_refusal(error.code, ran)
 
     async def _try(
         self, call: Call, host: Host, replacement: _Replacement, *, last: bool
