--- a/features/silence.feature
+++ b/features/silence.feature
@@ -92,3 +92,28 @@
     Then it has the host's answer, and 2 hosts have run it
     And the answer took less than 4.5 s
     And 1 retry was spent
+
+  # Guards against a head that stays excluded because one request still waits for it.
+  Scenario: A waiting stream does not keep its head from being tested again
+    Given a head whose exclusion has ended
+    When the stream that tests it finds it silent and goes on waiting
+    Then the head is excluded for 1 s and then gets another stream
+
+  # Guards against answers of the own daemon that are lost long before their deadline.
+  Scenario Outline: A call that cannot be moved outlives a pause of its engine, as when <obstacle>
+    Given engines that pause for 8 s after 2 chunks
+    When a call of 5 chunks is made while <obstacle>
+    Then all its chunks have arrived, and <count> calls have reached the engines
+
+    Examples:
+      | obstacle                    | count |
+      | it may be made only once    | 1     |
+      | its second engine pauses too| 2     |
+      | its retry budget is empty   | 1     |
+
+  # Guards against retries beyond the retry budget (BUDGET).
+  Scenario: Each further attempt of a lookup is paid for, also after a failure that was answered
+    Given a lookup whose first host answers 500 and whose second one breaks off
+    When it is requested and its route allows three hosts
+    Then it has the host's answer, and 3 hosts have run it
+    And 2 retries were spent
--- a/features/steps/silence.py
+++ b/features/steps/silence.py
@@ -2,17 +2,29 @@
 
 import asyncio
 import re
+from contextlib import suppress
 
 import async_solipsism
 from behave import given, then, when
 
+from auburnproxy.errors import RefusalError
 from auburnproxy.gateway.route import RouteKind
+from auburnproxy.serving import RequestLimits
 from features.fakes.pausing_sender import EVENTS, ROUTE, Pause, PausingSender
-from features.machines.runner import close_loop
+from features.fakes.selection import SelectionFixture
+from features.fakes.serving import (
+    FakeEngine,
+    FakeUpstreams,
+    make_model_request,
+    make_plan,
+    make_site,
+)
+from features.machines.runner import close_loop, run_virtual
 
 SETTLE_S = 1.0
 """Time for which the log goes on after the request has ended."""
 SLACK_S = 0.1
+FIRST_EXCLUSION_S, SILENCE_S = 0.5, 0.3
 LOOKUP = ROUTE._replace(kind=RouteKind.IDEMPOTENT, resumable=False)
 OPTIONS_BY_OBSTACLE = {
     "its route allows one engine": {"attempts": 1},
@@ -43,6 +55,17 @@
     context.pause, context.route = Pause(seconds), LOOKUP
 
 
+@given("a lookup whose first host answers 500 and whose second one breaks off")
+def set_failing_hosts(context):
+    context.pause, context.route = Pause(0.1, then_breaks=True), LOOKUP
+    context.first_status = 500
+
+
+@when("it is requested and its route allows three hosts")
+def request_three_times(context):
+    play(context, attempts=3, pausing=2, first_status=context.first_status)
+
+
 def play(context, during=None, **options):
     """Make the request on a virtual clock, beside another coroutine if one is given."""
     changes = {k: options.pop(k) for k in ("attempts", "resumable") if k in options}
@@ -155,3 +178,80 @@
 @then("its engine was disconnected at once")
 def check_disconnected(context):
     assert context.sender.disconnected_at == [context.left_at]
+
+
+@given("a head whose exclusion has ended")
+def exclude_head(context):
+    context.loop = async_solipsism.EventLoop()
+    context.add_cleanup(lambda: close_loop(context.loop))
+
+    async def exclude():
+        context.fixture = SelectionFixture(1, 0, 9)
+        context.fixture.health.record_failure("n0", reason="no event")
+        await asyncio.sleep(FIRST_EXCLUSION_S)
+
+    context.loop.run_until_complete(exclude())
+
+
+@when("the stream that tests it finds it silent and goes on waiting")
+def test_head(context):
+    async def select():
+        fixture = context.fixture
+        assert fixture.select(begun=False) == "n0"
+        await asyncio.sleep(SILENCE_S)
+        assert fixture.select(begun=False) is None
+        fixture.health.record_stall("n0", silence_s=SILENCE_S, reason="no event")
+
+    context.loop.run_until_complete(select())
+
+
+@then("the head is excluded for {seconds:g} s and then gets another stream")
+def check_tested_again(context, seconds):
+    async def select():
+        await asyncio.sleep(seconds - SLACK_S)
+        early = context.fixture.select(begun=False)
+        await asyncio.sleep(2 * SLACK_S)
+        return early, context.fixture.select(begun=False)
+
+    taken = context.loop.run_until_complete(select())
+    assert taken == (None, "n0"), taken
+
+
+@given("engines that pause for {seconds:g} s after {count:d} chunks")
+def set_pausing_engines(context, seconds, count):
+    def pause(call, chunks):
+        return [*chunks[:count], seconds, *chunks[count:]]
+
+    context.script = pause
+
+
+@when("a call of 5 chunks is made while {obstacle}")
+def call_with_obstacle(context, obstacle):
+    attempts = {"it may be made only once": 1, "its second engine pauses too": 2}
+    limits = RequestLimits(max_attempts=attempts.get(obstacle, 3))
+
+    async def run():
+        engines = [FakeEngine(script=context.script, length=5) for _ in range(3)]
+        upstreams = FakeUpstreams({f"e{i}": e for i, e in enumerate(engines)}, slots=4)
+        plan = make_plan("alpha", concurrent=8, queue=200)
+        site = make_site([plan], upstreams, limits=limits)
+        request = make_model_request(plan, "r")
+        budget = site.model_calls._budgets.budget(plan.name, request.target)
+        while obstacle == "its retry budget is empty" and budget.try_withdraw():
+            pass
+        context.parts = []
+
+        async def write(data):
+            context.parts.append(data)
+
+        with suppress(RefusalError):
+            await site.model_calls.run(request, write)
+        context.calls = sum(len(engine.calls) for engine in engines)
+
+    run_virtual(run())
+
+
+@then("all its chunks have arrived, and {count:d} calls have reached the engines")
+def check_chunks(context, count):
+    assert context.parts == [b"t%d" % i for i in range(5)], context.parts
+    assert context.calls == count, context.calls
