--- a/standins/deployment.py
+++ b/standins/deployment.py
@@ -6,6 +6,7 @@
 import socket
 from hashlib import sha256
 from pathlib import Path
+from random import Random
 from typing import Any, NamedTuple
 
 import msgspec
@@ -15,6 +16,9 @@
 SECRET = "a-secret-of-the-trial-daemons"
 OPERATOR_KEY = "a-key-of-the-trial-operators"
 DAEMON_MODULE = "auburnproxy.daemon"
+LISTENER_PORTS = range(10_000, 32_000)
+"""Below the ports that the kernel gives to outgoing connections, any of which could
+take an address before its listener is started."""
 
 
 class ModelShape(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -82,18 +86,27 @@
 
     def __init__(self) -> None:
         self._used: set[str] = set()
+        self._random = Random()
 
     def take(self) -> str:
         """Return an address on which nothing listens."""
         while True:
-            with contextlib.closing(socket.socket()) as probe:
-                probe.bind(("127.0.0.1", 0))
-                address = f"127.0.0.1:{probe.getsockname()[1]}"
-            if address not in self._used:
+            port = self._random.choice(LISTENER_PORTS)
+            address = f"127.0.0.1:{port}"
+            if address not in self._used and _is_free(port):
                 self._used.add(address)
                 return address
 
 
+def _is_free(port: int) -> bool:
+    with contextlib.closing(socket.socket()) as probe:
+        try:
+            probe.bind(("127.0.0.1", port))
+        except OSError:
+            return False
+    return True
+
+
 class Deployment:
     """Deployment and its settings files.
 
