--- a/features/fakes/platform.py
+++ b/features/fakes/platform.py
@@ -36,6 +36,8 @@
 EVENTS = 6
 NOT_EXECUTED_ACTIONS = frozenset({"shed", "rest", "leaving refusal", "misdirect"})
 """Actions that answer without executing the request."""
+SOUND_ACTIONS = NOT_EXECUTED_ACTIONS | {"ok", "leaving success", "leaving failure"}
+"""Actions that send a complete response without delay."""
 
 
 class StoreStandIn:
@@ -152,6 +154,11 @@
     return query[name][0] if name in query else default
 
 
+def event(number: int, size: int = 0) -> bytes:
+    """Return an event of a stream, padded by some bytes."""
+    return b"id: %d\ndata: token %d%b\n\n" % (number, number, b"." * size)
+
+
 def reset(writer: asyncio.StreamWriter) -> None:
     """Reset a connection, as a crashing engine does."""
     linger = struct.pack("ii", 1, 0)
@@ -199,6 +206,8 @@
         """Time that a plain answer takes; the query ``delay`` overrides it."""
         self.worked_until: dict[str, float] = {}
         """Times at which it ended its work on requests, by request id."""
+        self.unsound_ids: set[str] = set()
+        """Ids of the requests whose responses it broke off or held back."""
         self._server: asyncio.Server | None = None
 
     async def start(self) -> None:
@@ -244,13 +253,15 @@
                 self._plain(writer, headers, b"", "202 Accepted")
             else:
                 self.requests.append((method, path, headers, body))
+                action = self.script.pop(0) if len(self.script) > 1 else self.script[0]
+                if self.endless or action not in SOUND_ACTIONS:
+                    self.unsound_ids.add(headers.get("attempt-id", ""))
                 if self.endless:
                     self._run(headers)
                     await send_endless_response(
                         self.endless, writer, headers.get("attempt-id", "")
                     )
                     return
-                action = self.script.pop(0) if len(self.script) > 1 else self.script[0]
                 if action not in NOT_EXECUTED_ACTIONS:
                     self._run(headers)
                 try:
@@ -362,8 +373,10 @@
             head += "Server-Leaving: 1\r\n"
         head += "Content-Type: text/event-stream\r\nConnection: close\r\n\r\n"
         writer.write(head.encode())
+        pause_s = float(_query_value(path, "pause", 0.0))
+        size = int(_query_value(path, "size", 0))
         for number in range(start + 1, events + 1):
-            event = b"id: %d\ndata: token %d\n\n" % (number, number)
+            block = event(number, size)
             if action == "trickle from start" or (
                 action == "trickle after event" and number == 4
             ):
@@ -372,7 +385,7 @@
             if action == "close halfway" and number == 4:
                 return
             if action in ("stall", "break") and number == 4:
-                half = event[:9]
+                half = block[:9]
                 writer.write(b"%x\r\n%b\r\n" % (len(half), half))
                 await writer.drain()
                 if action == "stall":
@@ -381,11 +394,13 @@
                     await asyncio.sleep(0.05)
                     reset(writer)
                 return
-            writer.write(b"%x\r\n%b\r\n" % (len(event), event))
+            writer.write(b"%x\r\n%b\r\n" % (len(block), block))
             await writer.drain()
             if action == "freeze" and number == 4:
                 time.sleep(FREEZE_S)  # noqa: ASYNC251
             await asyncio.sleep(0.2 if action == "slow" else interval_s)
+            if number == events // 2:
+                await asyncio.sleep(pause_s)
             if reader.at_eof():
                 self.cancelled += 1
                 return
--- a/soak/main.py
+++ b/soak/main.py
@@ -8,30 +8,26 @@
 import sys
 import tempfile
 import time
+from enum import Enum
 from functools import partial
 from pathlib import Path
 from random import Random
 
 import defopt
-from aiohttp import ClientSession
 
 from features.fakes.endless import ENDLESS
-from features.fakes.platform import (
-    MODEL,
-    ONCE_PATH,
-    SAFE_PATH,
-    STREAM_PATH,
-    config,
-)
-
-from .callers import Callers
+from features.fakes.platform import MODEL, ONCE_PATH, SAFE_PATH, STREAM_PATH, config
+
+from .callers import Callers, short_request
+from .judge import LossJudge
 from .proxy import Mode
 from .replicas import HOSTS_PER_REPLICA
-from .site import SoakSite
+from .site import DaemonProcess, SoakSite
 
-CALLER_COUNT = 12
+CALLER_COUNT = 16
 STARTUP_S = 4.0
 """Time for the daemons to start and join their group."""
+ROUTE_TIMEOUT_MS = 8000
 RECOVERY_S = 6.0
 """Time without faults after which all requests have to be served again."""
 RECOVERY_CALLS = 30
@@ -45,6 +41,8 @@
     service["engine"]["models"] = [
         {"name": MODEL, "size": HOSTS_PER_REPLICA, "share": 1.0}
     ]
+    for route in configuration["routes"]:
+        route["timeout-ms"] = ROUTE_TIMEOUT_MS
     return configuration
 
 
@@ -53,21 +51,35 @@
 REPLICA_ENGINE_FAULTS = ("break", "close halfway", "reset")
 
 
+class Plan(Enum):
+    """Which faults a seed plays."""
+
+    ALTERNATE = "alternate"
+    """All faults for odd seeds, planned work for even ones."""
+    FAULTS = "faults"
+    """Every kind of fault, overlapping with planned work."""
+    PLANNED = "planned"
+    """Only stops, reloads and changes, which excuse no lost request."""
+
+
 class FaultInjector:
     """Consecutive and overlapping faults, all chosen by a seed.
 
     :param site: the deployment under test
     :param seed: seed of the choice of faults
+    :param planned: whether only planned work is played
     """
 
-    def __init__(self, site: SoakSite, seed: int) -> None:
+    def __init__(self, site: SoakSite, seed: int, *, planned: bool) -> None:
         self.injected: list[str] = []
         self._site = site
+        self._planned = planned
         self._random = Random(seed)
         self._restore_random = Random(f"drills {seed}")
         """A separate generator, so that a seed keeps the order of the other faults."""
         self._response_random = Random(f"losses {seed}")
         self._expiry_random = Random(f"cuts {seed}")
+        self._stop_random = Random(f"stops {seed}")
         self._evacuated_zones: set[str] = set()
         self._version = 1
         self._stopped_engines: set[str] = set()
@@ -75,26 +87,34 @@
 
     async def run(self, seconds: float) -> None:
         """Inject faults for some seconds, and return when all of them have ended."""
-        tasks = [
-            asyncio.create_task(self._restore_older_store(seconds)),
-            asyncio.create_task(self._break_responses(seconds)),
-            asyncio.create_task(self._expire_registrations(seconds)),
-        ]
-        until = time.monotonic() + seconds
-        kinds = (
-            self._kill,
-            self._pause,
-            self._terminate,
+        tasks = [asyncio.create_task(self._stop_in_series(seconds))]
+        kinds = [
             self._reload,
-            self._degrade_store,
-            self._engine_crash,
-            self._engine_drains,
-            self._engine_announces_draining,
-            self._engine_sends_retry_after,
-            self._engine_sends_endless_data,
             self._configure,
             self._evacuate_zone,
-        )
+            self._engine_drains,
+        ]
+        if not self._planned:
+            tasks += [
+                asyncio.create_task(self._restore_older_store(seconds)),
+                asyncio.create_task(self._break_responses(seconds)),
+                asyncio.create_task(self._expire_registrations(seconds)),
+            ]
+            kinds = [
+                self._kill,
+                self._pause,
+                self._terminate,
+                self._reload,
+                self._degrade_store,
+                self._engine_crash,
+                self._engine_drains,
+                self._engine_announces_draining,
+                self._engine_sends_retry_after,
+                self._engine_sends_endless_data,
+                self._configure,
+                self._evacuate_zone,
+            ]
+        until = time.monotonic() + seconds
         while time.monotonic() < until:
             fault = self._random.choice(kinds)
             tasks.append(asyncio.create_task(fault()))
@@ -108,36 +128,78 @@
         daemon = self._random.choice(self._site.daemons)
         self._record(f"kill {daemon.name}")
         daemon.send(signal.SIGKILL)
+        self._site.disrupt(daemon.name, 0.0)
         await daemon.ended()
         await asyncio.sleep(self._random.uniform(0.0, 1.0))
         await daemon.start()
+        self._site.disrupt(daemon.name, 0.0)
 
     async def _pause(self) -> None:
         daemon = self._random.choice(self._site.daemons)
         seconds = self._random.uniform(0.2, 3.0)
         self._record(f"pause {daemon.name} {seconds:.1f} s")
         daemon.send(signal.SIGSTOP)
+        self._site.disrupt(daemon.name, seconds)
         await asyncio.sleep(seconds)
         daemon.send(signal.SIGCONT)
 
     async def _terminate(self) -> None:
         daemon = self._random.choice(self._site.daemons)
-        self._record(f"terminate {daemon.name}")
-        daemon.send(signal.SIGTERM)
-        await daemon.ended()
-        await daemon.start()
+        await self._stop(daemon)
 
     async def _reload(self) -> None:
         daemon = self._random.choice(self._site.daemons)
         self._record(f"reload {daemon.name}")
-        daemon.send(signal.SIGHUP)
+        daemon.reload()
+
+    async def _stop(self, daemon: DaemonProcess) -> None:
+        self._record(f"terminate {daemon.name}")
+        await daemon.terminate()
+        await daemon.start()
+
+    async def _stop_in_series(self, seconds: float) -> None:
+        """Stop daemons in turn, twice, early, and beside reloads and configurations."""
+        until, random = time.monotonic() + seconds, self._stop_random
+        async with asyncio.TaskGroup() as tasks:
+            while time.monotonic() < until:
+                daemons = random.sample(self._site.daemons, len(self._site.daemons))
+                kind = random.choice(("in turn", "twice", "early", "reload", "change"))
+                if kind != "in turn":
+                    del daemons[1:]
+                for daemon in daemons:
+                    tasks.create_task(self._stop_beside(kind, daemon))
+                    await asyncio.sleep(random.uniform(0.5, 2.0))
+                await asyncio.sleep(random.uniform(0.0, 3.0))
+
+    async def _stop_beside(self, kind: str, daemon: DaemonProcess) -> None:
+        random = self._stop_random
+        if kind == "reload":
+            daemon.reload()
+        elif kind == "change":
+            await self._configure()
+        stop = asyncio.create_task(self._stop(daemon))
+        if kind == "early":
+            await stop
+            await asyncio.sleep(random.uniform(0.0, 1.5))
+            stop = asyncio.create_task(self._stop(daemon))
+        await asyncio.sleep(random.uniform(0.1, 3.0))
+        if kind == "twice":
+            await self._stop(daemon)
+        elif kind == "reload":
+            daemon.reload()
+        elif kind == "change":
+            await self._configure()
+        await stop
 
     async def _degrade_store(self) -> None:
         proxy = self._random.choice(self._site.proxies)
         mode = self._random.choice([mode for mode in Mode if mode is not Mode.PASS])
         self._record(f"store {mode} at {self._site.proxies.index(proxy)}")
         proxy.set(mode, delay_s=self._random.uniform(0.1, 1.0))
-        await asyncio.sleep(self._random.uniform(0.5, 4.0))
+        seconds = self._random.uniform(0.5, 4.0)
+        daemon = self._site.daemons[self._site.proxies.index(proxy)]
+        self._site.disrupt(f"store of {daemon.name}", seconds)
+        await asyncio.sleep(seconds)
         proxy.set(Mode.PASS)
 
     async def _restore_older_store(self, seconds: float) -> None:
@@ -151,8 +213,10 @@
             }
             self._record(f"store is restored from an older copy: {kept}")
             store.restore_older_copy(kept)
-            await asyncio.sleep(self._restore_random.uniform(0.0, 1.0))
-            store.put("keyed.op", "config", replica_config(self._version))
+            seconds = self._restore_random.uniform(0.0, 1.0)
+            self._site.disrupt("store", seconds)
+            await asyncio.sleep(seconds)
+            self._site.configure(replica_config(self._version))
             for zone in ("z0", "z1"):
                 mark = {} if zone in self._evacuated_zones else None
                 store.put("keyed.op", f"evacuate/{zone}", mark)
@@ -174,7 +238,9 @@
         engine, replicas = self._site.engines[name], self._site.replicas
         formed = name[0] == "e"
         await (replicas.crash(name) if formed else engine.stop())
-        await asyncio.sleep(self._random.uniform(0.2, 2.0))
+        seconds = self._random.uniform(0.2, 2.0)
+        self._site.disrupt(name, seconds)
+        await asyncio.sleep(seconds)
         await (replicas.restart(name) if formed else engine.start())
         self._stopped_engines.discard(name)
 
@@ -245,7 +311,10 @@
             await asyncio.sleep(self._expiry_random.uniform(0.1, 0.5))
             for name in expired:
                 self._site.platform.store.put("keyed.servers", name, None)
-            await asyncio.sleep(self._expiry_random.uniform(0.5, 2.0))
+            seconds = self._expiry_random.uniform(0.5, 2.0)
+            for name in expired:
+                self._site.disrupt(name, seconds)
+            await asyncio.sleep(seconds)
             for name in heads:
                 self._site.engines[name].script = ["ok"]
             for name in expired:
@@ -254,8 +323,7 @@
     async def _configure(self) -> None:
         self._version += 1
         self._record(f"configuration {self._version}")
-        store = self._site.platform.store
-        store.put("keyed.op", "config", replica_config(self._version))
+        self._site.configure(replica_config(self._version))
 
     async def _evacuate_zone(self) -> None:
         zone = self._random.choice(("z0", "z1"))
@@ -272,11 +340,10 @@
     """Check that the daemons serve again once all faults have ended."""
     await asyncio.sleep(RECOVERY_S)
     served = 0
-    async with ClientSession() as session:
-        for number in range(RECOVERY_CALLS):
-            daemon = site.daemons[number % len(site.daemons)]
-            path = (STREAM_PATH, ONCE_PATH, SAFE_PATH)[number % 3]
-            served += await callers.call(session, daemon.callers, path) == "200"
+    for number in range(RECOVERY_CALLS):
+        daemon = site.daemons[number % len(site.daemons)]
+        request = short_request((STREAM_PATH, ONCE_PATH, SAFE_PATH)[number % 3])
+        served += await callers.call({}, daemon, request) == "200"
     if served < MIN_SERVED_CALLS:
         callers.violations.append(
             f"{served} of {RECOVERY_CALLS} calls served after the faults ended"
@@ -296,26 +363,33 @@
     return [f"{name} serves but is not recorded in era {store.era}" for name in lost]
 
 
-async def run_seed(seed: int, seconds: float, daemons: int, folder: Path) -> list[str]:
+async def run_seed(
+    seed: int, seconds: float, daemons: int, folder: Path, plan: Plan = Plan.ALTERNATE
+) -> list[str]:
     """Run one seed and return the guarantees that were violated."""
     site = SoakSite(folder, daemons=daemons)
-    callers, faults = Callers(site, seed), FaultInjector(site, seed)
+    planned = plan is Plan.PLANNED or (plan is Plan.ALTERNATE and seed % 2 == 0)
+    faults = FaultInjector(site, seed, planned=planned)
     site.platform.store.era = "1"
     try:
         await site.start(replica_config(1))
+        callers = Callers(site, seed)
+        balancing = asyncio.create_task(callers.balancer.run())
         await asyncio.sleep(STARTUP_S)
         clients = [asyncio.create_task(callers.run(n)) for n in range(CALLER_COUNT)]
         await faults.run(seconds)
-        for task in clients:
+        for task in (*clients, balancing):
             task.cancel()
-        await asyncio.gather(*clients, return_exceptions=True)
+        await asyncio.gather(*clients, balancing, return_exceptions=True)
         await _check_recovery(callers, site)
         callers.check_executions()
         callers.violations += site.replicas.violations + _check_recorded_replicas(site)
+        callers.violations += LossJudge(site, callers.exchanges).violations()
     finally:
         await site.stop()
     outcomes = ", ".join(f"{k}: {n}" for k, n in sorted(callers.outcomes.items()))
-    print(f"seed {seed}: {len(faults.injected)} faults; {outcomes}")
+    kind = "planned work" if planned else "faults"
+    print(f"seed {seed}: {len(faults.injected)} x {kind}; {outcomes}")
     for violation in callers.violations:
         print(f"  broken: {violation}")
     if callers.violations:
@@ -325,7 +399,12 @@
 
 
 def soak(
-    *, seed: int = 1, seeds: int = 1, seconds: float = 20.0, daemons: int = 4
+    *,
+    seed: int = 1,
+    seeds: int = 1,
+    seconds: float = 20.0,
+    daemons: int = 4,
+    plan: Plan = Plan.ALTERNATE,
 ) -> int:
     """Run consecutive seeds; exits with 1 if a guarantee was violated.
 
@@ -333,11 +412,12 @@
     :param seeds: number of seeds
     :param seconds: how long faults are injected for each seed
     :param daemons: number of daemon processes
+    :param plan: which faults are played
     """
     failed = 0
     for number in range(seed, seed + seeds):
         folder = Path(tempfile.mkdtemp(prefix=f"soak-{number}-"))
-        if asyncio.run(run_seed(number, seconds, daemons, folder)):
+        if asyncio.run(run_seed(number, seconds, daemons, folder, plan)):
             failed += 1
         else:
             shutil.rmtree(folder)
--- a/soak/site.py
+++ b/soak/site.py
@@ -6,7 +6,9 @@
 import os
 import signal
 import sys
+import time
 from pathlib import Path
+from typing import NamedTuple
 
 import yaml
 
@@ -24,6 +26,14 @@
 """Last octet of the first daemon's address; all daemons use one metrics port."""
 
 
+class Disruption(NamedTuple):
+    """Unplanned disruption of a daemon, an engine or the path to the store."""
+
+    subject: str
+    begin: float
+    end: float
+
+
 class DaemonProcess:
     """One daemon process, started by this soak test.
 
@@ -37,14 +47,25 @@
         self.name = f"d{number}"
         self.callers = _address(number)
         self._ip = self.callers.rpartition(":")[0]
+        self.log_path = folder / f"{self.name}.log"
+        self.starts: list[float] = []
+        """Times at which each process was started."""
+        self.stops: list[float] = []
+        """Times of the first SIGTERM of each process."""
+        self.stop_signals: list[float] = []
+        """Times of every SIGTERM."""
+        self.reloads: list[float] = []
+        """Times of each SIGHUP."""
+        self.overdue_stops: list[float] = []
+        """Times of the SIGTERM after which a process had to be killed."""
         self._settings = folder / f"{self.name}.yaml"
-        self._log = (folder / f"{self.name}.log").open("ab")
-        heartbeats, internal, readiness = (_address(number) for _ in range(3))
+        self._log = self.log_path.open("ab")
+        heartbeats, internal, self.readiness = (_address(number) for _ in range(3))
         settings = {
             "node-name": self.name,
             "ip": self._ip,
             "zone": zone,
-            "listen": {"front": self.callers, "readiness": readiness},
+            "listen": {"front": self.callers, "readiness": self.readiness},
             "internal-ports": [_port(heartbeats), _port(internal)],
             "platform": {"address": store},
             "bounds": {
@@ -57,6 +78,7 @@
         self._settings.write_text(yaml.safe_dump(settings))
         self._process: asyncio.subprocess.Process | None = None
         self._starting = asyncio.Lock()
+        self._stopping = False
 
     @property
     def runs(self) -> bool:
@@ -67,6 +89,8 @@
         """Start the process unless it runs; overlapping faults may both restart it."""
         async with self._starting:
             if not self.runs:
+                self._stopping = False
+                self.starts.append(time.monotonic())
                 self._process = await self._spawn()
 
     async def _spawn(self) -> asyncio.subprocess.Process:
@@ -86,6 +110,29 @@
         if self._process is not None and self.runs:
             self._process.send_signal(number)
 
+    def reload(self) -> None:
+        """Send SIGHUP."""
+        self.reloads.append(time.monotonic())
+        self.send(signal.SIGHUP)
+
+    async def terminate(self) -> None:
+        """Send SIGTERM, wait for the end, and kill the process after its grace."""
+        process, sent_at = self._process, time.monotonic()
+        if process is None or not self.runs:
+            return
+        self.stop_signals.append(sent_at)
+        if not self._stopping:
+            self.stops.append(sent_at)
+        first, self._stopping = not self._stopping, True
+        process.send_signal(signal.SIGTERM)
+        try:
+            async with asyncio.timeout(GRACE_S if first else None):
+                await process.wait()
+        except TimeoutError:
+            self.overdue_stops.append(sent_at)
+            process.kill()
+            await process.wait()
+
     async def ended(self) -> None:
         """Wait until the process has ended."""
         if self._process is not None:
@@ -111,6 +158,9 @@
         self.replicas = ReplicaEngines(self.platform)
         self.daemons: list[DaemonProcess] = []
         self.proxies: list[Proxy] = []
+        self.disruptions: list[Disruption] = []
+        self.configured_at: list[float] = []
+        """Times at which a configuration was written."""
         self._folder = folder
         self._daemon_count = daemons
 
@@ -137,6 +187,20 @@
             await daemon.start()
             self.daemons.append(daemon)
 
+    def configure(self, configuration: dict[str, object]) -> None:
+        """Write a configuration to the store."""
+        self.configured_at.append(time.monotonic())
+        self.platform.store.put("keyed.op", "config", configuration)
+
+    def disrupt(self, subject: str, seconds: float) -> None:
+        """Record a disruption that begins now.
+
+        :param subject: name of a daemon or an engine, or ``store``
+        :param seconds: how long it lasts
+        """
+        now = time.monotonic()
+        self.disruptions.append(Disruption(subject, now, now + seconds))
+
     async def stop(self) -> None:
         """Stop every process that was started, and close every connection."""
         for daemon in self.daemons:
