--- a/soak/callers.py
+++ b/soak/callers.py
@@ -110,13 +110,17 @@
         random = Random(f"{self._seed}/{caller_number}")
         slow, balanced = caller_number % 8 == 1, caller_number % 3 == 0
         connection_by_daemon: dict[str, Connection] = {}
-        while True:
-            await asyncio.sleep(MAX_PAUSE_S * random.random())
-            request = random_request(random, slow=slow)
-            daemons = self.balancer.rotation if balanced else self.site.daemons
-            if daemons:
-                daemon = random.choice(daemons)
-                await self.call(connection_by_daemon, daemon, request, slow=slow)
+        try:
+            while True:
+                await asyncio.sleep(MAX_PAUSE_S * random.random())
+                request = random_request(random, slow=slow)
+                daemons = self.balancer.rotation if balanced else self.site.daemons
+                if daemons:
+                    daemon = random.choice(daemons)
+                    await self.call(connection_by_daemon, daemon, request, slow=slow)
+        finally:
+            for connection in connection_by_daemon.values():
+                connection.close()
 
     async def call(
         self,
@@ -130,17 +134,17 @@
 
         Returns the status code, or how the request ended without one.
         """
-        connection = connection_by_daemon.pop(daemon.name, None)
         try:
-            connection = connection or await Connection.open(daemon.callers, slow=slow)
+            if daemon.name not in connection_by_daemon:
+                connection = await Connection.open(daemon.callers, slow=slow)
+                connection_by_daemon[daemon.name] = connection
+            connection = connection_by_daemon[daemon.name]
             outcome = await self._exchange(connection, daemon, request)
         except OSError:
             outcome = "unconnected"
         else:
-            if connection.reusable:
-                connection_by_daemon[daemon.name] = connection
-            else:
-                connection.close()
+            if not connection.reusable:
+                connection_by_daemon.pop(daemon.name).close()
         self.outcomes[f"{request.path.strip('/')} {outcome}"] += 1
         return outcome
 
@@ -196,8 +200,9 @@
                 self.violations.append(
                     f"{request_id}: response body is {answer.body[:500]!r}"
                 )
-            if not answer.headers.get("engine-stamp", "").startswith(STAMP):
-                self.violations.append(f"{request_id}: no stamp of an engine")
+            stamp = answer.headers.get("engine-stamp", "")
+            if not stamp.startswith(STAMP):
+                self.violations.append(f"{request_id}: stamp is {stamp!r}")
             if answer.headers.get("attempt-id") != request_id:
                 self.violations.append(f"{request_id}: response to another request")
 
--- a/soak/connection.py
+++ b/soak/connection.py
@@ -9,7 +9,7 @@
 
 CONNECT_TIMEOUT_S = 1.0
 SLOW_BUFFER_BYTES = 4096
-SLOW_READ_PAUSE_S = 0.03
+SLOW_READ_PAUSE_S = 0.01
 
 
 class Answer(NamedTuple):
--- a/soak/main.py
+++ b/soak/main.py
@@ -339,11 +339,14 @@
 async def _check_recovery(callers: Callers, site: SoakSite) -> None:
     """Check that the daemons serve again once all faults have ended."""
     await asyncio.sleep(RECOVERY_S)
-    served = 0
+    served, connection_by_daemon = 0, {}
     for number in range(RECOVERY_CALLS):
         daemon = site.daemons[number % len(site.daemons)]
         request = short_request((STREAM_PATH, ONCE_PATH, SAFE_PATH)[number % 3])
-        served += await callers.call({}, daemon, request) == "200"
+        outcome = await callers.call(connection_by_daemon, daemon, request)
+        served += outcome == "200"
+    for connection in connection_by_daemon.values():
+        connection.close()
     if served < MIN_SERVED_CALLS:
         callers.violations.append(
             f"{served} of {RECOVERY_CALLS} calls served after the faults ended"
