--- a/features/fakes/endless.py
+++ b/features/fakes/endless.py
@@ -9,6 +9,7 @@
 
 BLOCK = b"x" * 65_536
 MAX_BYTES = 500_000_000
+STAMP = "3e1b.07.5a2"
 
 
 ENDLESS = (
@@ -25,7 +26,8 @@
 
 
 def head(status: str, request_id: str, *more: str) -> bytes:
-    lines = [f"HTTP/1.1 {status}", f"Attempt-Id: {request_id}", "Engine-Stamp: 3e1b"]
+    lines = [f"HTTP/1.1 {status}", f"Attempt-Id: {request_id}"]
+    lines.append(f"Engine-Stamp: {STAMP}")
     return ("\r\n".join([*lines, *more]) + "\r\n").encode()
 
 
--- a/features/fakes/platform.py
+++ b/features/fakes/platform.py
@@ -20,13 +20,12 @@
 from auburnproxy.daemon.gateway_services import callers_listener
 from auburnproxy.daemon.listener import Listener
 from auburnproxy.platform.adapter import PlatformAdapter
-from features.fakes.endless import send_endless_response
+from features.fakes.endless import STAMP, send_endless_response
 from features.fakes.store import null_decisions
 from features.loopback import free_addresses
 
 FREEZE_S = 0.6
 """Time for which the whole process, with every daemon in it, is blocked."""
-STAMP = "3e1b.07.5a2"
 HOST = "works.example"
 ATTEMPTS = 2
 """Maximum attempts per request in the configuration."""
