--- a/soak/judge.py
+++ b/soak/judge.py
@@ -26,7 +26,14 @@
 """Requests on kept connections that a daemon may leave without an answer."""
 CUT, UNANSWERED = "cut", "unanswered"
 """Outcomes of a connection that ended within a response, and before any."""
-INTERIM_KINDS = frozenset({"try_failed", "attempt_not_counted", "headers_ignored"})
+INTERIM_KINDS = frozenset(
+    {
+        "attempt_not_counted",
+        "headers_ignored",
+        "try_failed",
+        "waiting_at_silent_upstream",
+    }
+)
 """Kinds of log lines that do not tell how a request ended."""
 
 
--- a/soak/main.py
+++ b/soak/main.py
@@ -147,8 +147,8 @@
         daemon = self._random.choice(self._site.daemons)
         await self._stop(daemon)
 
-    async def _reload(self) -> None:
-        daemon = self._random.choice(self._site.daemons)
+    async def _reload(self, daemon: DaemonProcess | None = None) -> None:
+        daemon = daemon or self._random.choice(self._site.daemons)
         self._record(f"reload {daemon.name}")
         daemon.reload()
 
@@ -164,31 +164,31 @@
             while time.monotonic() < until:
                 daemons = random.sample(self._site.daemons, len(self._site.daemons))
                 kind = random.choice(("in turn", "twice", "early", "reload", "change"))
-                if kind != "in turn":
+                if kind not in ("in turn", "reload"):
                     del daemons[1:]
                 for daemon in daemons:
-                    tasks.create_task(self._stop_beside(kind, daemon))
+                    gap_s = random.uniform(0.1, 3.0)
+                    tasks.create_task(self._stop_beside(kind, daemon, gap_s))
                     await asyncio.sleep(random.uniform(0.5, 2.0))
                 await asyncio.sleep(random.uniform(0.0, 3.0))
 
-    async def _stop_beside(self, kind: str, daemon: DaemonProcess) -> None:
-        random = self._stop_random
-        if kind == "reload":
-            daemon.reload()
-        elif kind == "change":
-            await self._configure()
+    async def _stop_beside(
+        self, kind: str, daemon: DaemonProcess, gap_s: float
+    ) -> None:
+        """Stop a daemon, with what else the kind says a gap before and after it."""
+        beside = {
+            "twice": partial(self._stop, daemon),
+            "early": partial(self._stop, daemon),
+            "reload": partial(self._reload, daemon),
+            "change": self._configure,
+        }.get(kind)
+        if beside is not None and kind != "twice":
+            await beside()
+            await asyncio.sleep(gap_s / 2)
         stop = asyncio.create_task(self._stop(daemon))
-        if kind == "early":
-            await stop
-            await asyncio.sleep(random.uniform(0.0, 1.5))
-            stop = asyncio.create_task(self._stop(daemon))
-        await asyncio.sleep(random.uniform(0.1, 3.0))
-        if kind == "twice":
-            await self._stop(daemon)
-        elif kind == "reload":
-            daemon.reload()
-        elif kind == "change":
-            await self._configure()
+        await asyncio.sleep(gap_s)
+        if beside is not None and kind != "early":
+            await beside()
         await stop
 
     async def _degrade_store(self) -> None:
