--- a/features/steps/shutdown.py
+++ b/features/steps/shutdown.py
@@ -266,7 +266,7 @@
         for _ in range(4):
             site.tasks.append(asyncio.create_task(keep(site, kept)))
         for stall_s in (1.5, 4.0, 6.0):
-            path = stream(LARGE_EVENTS, 0, padding=LARGE_BYTES // LARGE_EVENTS)
+            path = stream(LARGE_EVENTS, 0, size=LARGE_BYTES // LARGE_EVENTS)
             for reading in (
                 read_slowly(site, answers, plain(0.0, size=LARGE_BYTES), stall_s),
                 read_slowly(site, streams, path, stall_s),
@@ -426,7 +426,7 @@
     if kind == "large":
         return plain(0.0, size=random.randrange(LARGE_BYTES)), {"stall_s": stall_s}
     if kind == "large stream":
-        return stream(100, 0.0, padding=LARGE_BYTES // 100), {"stall_s": stall_s}
+        return stream(100, 0.0, size=LARGE_BYTES // 100), {"stall_s": stall_s}
     return plain(seconds), {"body": BODY, "body_pause_s": random.uniform(0.0, 2.0)}
 
 
