End streams that fail unexpectedly with an error event

Callers saw a stream that neither went on nor ended when the daemon failed on it after the first chunk. The frontend wrote a second response into the body of the first, which a client cannot read as a chunk.

With an engine whose answer raises ValueError after two chunks the caller hung for the client's 20 s; it now gets both chunks and the error event (bin/test features/serving.feature: 19 passed).

--- a/auburnproxy/serving/frontend.py
+++ b/auburnproxy/serving/frontend.py
@@ -25,7 +25,7 @@
 from .limits import RequestLimits
 from .model_calls import ModelCallHandler
 from .peer_selector import PeerSelector
-from .refusal import findings_response, refusal_response
+from .refusal import failure_refusal, findings_response, refusal_response
 from .request_parsing import bearer_key, request_id
 from .service_calls import ServiceCallHandler
 from .signature import Signer
@@ -220,8 +220,7 @@
             raise
         except Exception:
             log.exception("Unhandled error in a request handler.")
-            message = "The daemon failed on the request."
-            refusal = RefusalError("internal", message, status=500, ran=Ran.UNKNOWN)
+            refusal = failure_refusal()
         self._count_refusal(http, refusal)
         return refusal_response(refusal, http[REQUEST])
 
--- a/auburnproxy/serving/model_calls.py
+++ b/auburnproxy/serving/model_calls.py
@@ -13,6 +13,7 @@
 from typing import NamedTuple
 
 from aiohttp import web
+from loguru import logger
 
 from ..admission import Admission
 from ..configuration import Plan, TargetKind
@@ -29,7 +30,7 @@
 from .forward import Forwarder, PeerEndpoint
 from .limits import RequestLimits
 from .peer_selector import PeerSelector
-from .refusal import error_event
+from .refusal import error_event, failure_refusal
 from .request_parsing import (
     RequestHeaders,
     may_wait,
@@ -45,6 +46,8 @@
 DONE_EVENT = b"data: [DONE]\n\n"
 NO_LOCAL_SLOT_CODES = frozenset({"no_slot", "no_replica", "no_service"})
 
+log = logger.bind(part="serving")
+
 
 class ModelRequest(NamedTuple):
     """A model call with the data needed to place and answer it."""
@@ -248,7 +251,7 @@
                 Measure.BETWEEN_CHUNKS, request.plan.name, request.target
             ),
         )
-        await stream.run()
+        await _run_reporting_failures(stream)
         self._observe_elapsed(Measure.WHOLE_ANSWER, request)
         self._count(Counter.ANSWERED, request, "")
 
@@ -335,5 +338,22 @@
         self._telemetry.count(counter, request.plan.name, request.target, code)
 
 
+async def _run_reporting_failures(stream: StreamRelay) -> None:
+    """Relay an answer; an unexpected error is logged and becomes a refusal.
+
+    The caller may have received a part of the answer, so that no response which
+    reports the error can follow it.
+
+    :raises RefusalError: if the answer can't be completed
+    """
+    try:
+        await stream.run()
+    except (RefusalError, ConnectionError):
+        raise
+    except Exception as error:
+        log.exception("Unhandled error while relaying an answer.")
+        raise failure_refusal() from error
+
+
 def _request_id(request: ModelRequest) -> str:
     return request.headers.request_id
--- a/auburnproxy/serving/refusal.py
+++ b/auburnproxy/serving/refusal.py
@@ -42,6 +42,12 @@
     )
 
 
+def failure_refusal() -> RefusalError:
+    """Return the refusal of a request on which the daemon itself has failed."""
+    message = "The daemon failed on the request."
+    return RefusalError("internal", message, status=500, ran=Ran.UNKNOWN)
+
+
 def error_event(refusal: RefusalError, request_id: str) -> bytes:
     """Return the server-sent event that ends a stream which can't be completed."""
     body = msgspec.json.encode(error_body(refusal, request_id))
