Tell callers of the own daemon how requests end that outlast its stop

Callers whose requests outlasted drain_s saw a closed connection or a refusal with a wrong reason (no_replica), and no line named them. The daemon ended its tasks and connections around the running handlers. It waited drain_s, then 3 s for the log and up to 4 s for connections, beyond the grace of a supervisor that is set to drain_s.

drain_s is now the time from the stop signal to the exit, and each wait ends at a time of one budget. What is still in flight a second before its end is cut off: a line names the request, its age and phase and the upstream, and the caller gets 503 draining if it was not run, 502 stopped if it may have been, or an error event in a stream. Orders whose callers have left are named too. Outcomes are recorded while the daemon leaves its group.

Before, with drain_s 4 and a log that hangs, a half-read request got no answer; with a stream in flight the process exited 4.05 s after SIGTERM.

--- a/auburnproxy/daemon/daemon.py
+++ b/auburnproxy/daemon/daemon.py
@@ -36,10 +36,10 @@
 from .stop_signals import StopRequest
 from .tasks import Tasks
 
-STOP_MARGIN_S = 10.0
-"""Time after the drain in which a stop ends."""
 LEAVE_TIMEOUT_S = 3.0
-"""Longest wait at a shutdown for the journal to record that this daemon leaves."""
+"""Longest wait at a shutdown for the journal to record outcomes and the leave."""
+RECORD_MARGIN_S = 0.05
+"""Time for ending the background tasks after that."""
 WEIGHT_STORE_KEY = "plan/weight-store"
 """Quota key of the weight store's loads, which is divided like a plan's limit."""
 CHECKPOINT_RANK_KEY = "checkpoint"
@@ -80,6 +80,7 @@
         """Requests an ordinary stop of the process."""
         self.last_ran_at = loop_time()
         """The loop's time at which this daemon was last known to run."""
+        self._stop_budget: StopBudget | None = None
         self._tasks = Tasks(_log_task_end, lambda: self.request_stop())
         self._build_journal(settings)
         self._build_membership(settings)
@@ -234,11 +235,12 @@
 
         :param request: when the process was asked to stop
         """
-        return plan_stop(
+        self._stop_budget = plan_stop(
             noticed_at=request.noticed_at,
             last_ran_at=request.noticed_at,
-            grace_s=self.settings.drain_s + STOP_MARGIN_S,
+            grace_s=self.settings.drain_s,
         )
+        return self._stop_budget
 
     def log_signal(self, name: str) -> None:
         """Log that a stop signal arrived; all but the first change nothing.
@@ -262,19 +264,28 @@
 
     async def stop(self) -> None:
         """Drain requests, leave the group for peers to take over, cancel all tasks."""
-        try:
-            async with asyncio.timeout(self.settings.drain_s):
-                await self.frontend.drain()
-        except TimeoutError:
-            log.warning(
-                "Drain timed out; aborting {} requests.", self.frontend.in_flight
-            )
-        await self.membership.leave(timeout_s=LEAVE_TIMEOUT_S)
+        now = loop_time()
+        budget = self._stop_budget or self.begin_stop(StopRequest(now, now))
+        await self.frontend.drain(cut_at=budget.cut_at, answered_at=budget.answered_at)
+        leaving = asyncio.create_task(self._leave(budget.close_at - RECORD_MARGIN_S))
+        await asyncio.wait({leaving}, timeout=budget.answered_at - loop_time())
         self.drained.set()
+        await leaving
         await self._tasks.cancel()
         await self._close()
         log.info("{} stopped.", self.me.id)
 
+    async def _leave(self, until: float) -> None:
+        """Record the outcomes of calls, and that this daemon leaves its group.
+
+        :param until: the loop's time at which the log is no longer waited for
+        """
+        timeout_s = min(LEAVE_TIMEOUT_S, until - loop_time())
+        await asyncio.gather(
+            self.frontend.wait_recorded(timeout_s=timeout_s),
+            self.membership.leave(timeout_s=timeout_s),
+        )
+
     async def _close(self) -> None:
         await self.frontend.close()
         for service in (self.log_service, self.hosts, self.weights):
--- a/auburnproxy/serving/_labels.py
+++ b/auburnproxy/serving/_labels.py
@@ -1,9 +1,13 @@
-"""Keys of the metric labels of a request, set as soon as each is known."""
+"""Keys of what is known of a request; labels are set as soon as each is known."""
 
 from __future__ import annotations
 
 from aiohttp import web
 
+from ..in_flight import InFlightRequest
+
+IN_FLIGHT = web.RequestKey("in_flight", InFlightRequest)
+"""How far the request has got."""
 PLAN = web.RequestKey("plan", str)
 """Name of the caller's plan."""
 REQUEST = web.RequestKey("request", str)
--- a/auburnproxy/serving/frontend.py
+++ b/auburnproxy/serving/frontend.py
@@ -20,7 +20,12 @@
 from ..routing import Router
 from ..routing._protocols import Readiness, Watcher
 from ..telemetry import Counter, Telemetry
-from ._labels import PLAN, REQUEST, TARGET
+from ._cut_off import (
+    cut_off_refusal,
+    draining_refusal,
+    log_cut_off,
+)
+from ._labels import IN_FLIGHT, PLAN, REQUEST, TARGET
 from .forward import MODEL_PATH, SERVICE_PATH, Forwarder
 from .limits import RequestLimits
 from .model_calls import ModelCallHandler
@@ -32,7 +37,7 @@
 
 REFRESH_INTERVAL_S = 0.5
 """Seconds between two updates of the concurrency limits."""
-DRAIN_RETRY_AFTER_S = 1.0
+RETRY_AFTER_S = 1.0
 
 log = logger.bind(part="serving")
 Handler = Callable[[web.Request, Plan], Awaitable[web.StreamResponse]]
@@ -149,14 +154,40 @@
             ),
         ]
 
-    async def drain(self) -> None:
-        """Refuse new requests and wait for those in flight to complete."""
+    async def drain(
+        self, *, cut_at: float | None = None, answered_at: float | None = None
+    ) -> None:
+        """Refuse new requests and wait for those in flight to complete.
+
+        :param cut_at: the loop's time at which requests that are not complete are
+            ended and their callers told so, None for no limit
+        :param answered_at: the loop's time until which these answers are waited for
+        """
         self.draining = True
         log.info("Draining: waiting for {} requests in flight.", self.in_flight)
-        await self._requests.wait_idle()
-        await self._service_calls.wait_finished()
+        if not await self._wait_idle(cut_at):
+            self._cut_off()
+            await self._wait_idle(answered_at)
         log.info("Drained.")
 
+    async def wait_recorded(self, *, timeout_s: float) -> None:
+        """Wait until the outcomes of calls that run at most once are recorded.
+
+        :param timeout_s: longest wait in seconds; outcomes that the log has not taken
+            by then stay unknown
+        """
+        await self._service_calls.wait_recorded(timeout_s=timeout_s)
+
+    async def _wait_idle(self, until: float | None) -> bool:
+        idle = await self._requests.wait_idle(until)
+        return await self._service_calls.wait_finished(until) and idle
+
+    def _cut_off(self) -> None:
+        for request in self._requests:
+            log_cut_off(request)
+            request.cut()
+        self._service_calls.cut_off()
+
     async def close(self) -> None:
         """Close every connection to a peer."""
         await self._forwarder.close()
@@ -190,7 +221,8 @@
         async def tracked(http: web.Request) -> web.StreamResponse:
             http[REQUEST] = request_id(http.headers)
             log_context = logger.contextualize(request=f" [{http[REQUEST]}]")
-            with self._requests.track(), log_context:
+            with self._requests.track(http[REQUEST]) as request, log_context:
+                http[IN_FLIGHT] = request
                 response = await self._respond(handler, http)
                 if self.draining:
                     response.force_close()
@@ -215,9 +247,12 @@
         except DocumentError as error:
             return findings_response(error, http[REQUEST])
         except (asyncio.CancelledError, ConnectionError):
-            plan, target = http.get(PLAN, ""), http.get(TARGET, "")
-            self._telemetry.count(Counter.CANCELLED, plan, target)
-            raise
+            request = http[IN_FLIGHT]
+            if not request.cut_off or request.answer_begun:
+                plan, target = http.get(PLAN, ""), http.get(TARGET, "")
+                self._telemetry.count(Counter.CANCELLED, plan, target)
+                raise
+            refusal = cut_off_refusal(request)
         except Exception:
             log.exception("Unhandled error in a request handler.")
             refusal = failure_refusal()
@@ -231,10 +266,11 @@
         self._telemetry.count(counter, plan, target, refusal.code)
 
     def _refuse_unless_ready(self) -> None:
-        if self.draining or not self._ready():
-            code = "draining" if self.draining else "not_ready"
+        if self.draining:
+            raise draining_refusal()
+        if not self._ready():
             message = "This daemon takes no requests now."
-            raise RefusalError(code, message, retry_after_s=DRAIN_RETRY_AFTER_S)
+            raise RefusalError("not_ready", message, retry_after_s=RETRY_AFTER_S)
 
     async def _list_models(self, http: web.Request, plan: Plan) -> web.Response:
         grants = self._configuration.lists.grants
--- a/auburnproxy/serving/model_calls.py
+++ b/auburnproxy/serving/model_calls.py
@@ -18,6 +18,7 @@
 from ..admission import Admission
 from ..configuration import Plan, TargetKind
 from ..errors import RefusalError
+from ..in_flight import InFlightRequest
 from ..membership import Member
 from ..replicas import Replica
 from ..routing import Router, prefix_digests
@@ -25,7 +26,9 @@
 from ..telemetry import Counter, Measure, Telemetry
 from ..upstreams.engine import ChunkKind, ModelCall
 from ._chunk_encoding import encode_chunk
-from ._labels import TARGET
+from ._cut_off import cut_off_refusal
+from ._labels import IN_FLIGHT, TARGET
+from ._watchdog import AttemptFailure
 from .endpoints import ModelEndpoint, ReplicaEndpoint
 from .forward import Forwarder, PeerEndpoint
 from .limits import RequestLimits
@@ -40,7 +43,7 @@
     read_request_body,
 )
 from .retry_budget import RetryBudgets
-from .stream_relay import ENGINE_ERROR, StreamRelay
+from .stream_relay import ENGINE_ERROR, AttemptError, StreamRelay
 
 EVENT_STREAM = "text/event-stream"
 DONE_EVENT = b"data: [DONE]\n\n"
@@ -61,6 +64,8 @@
     """Time of the event loop, in seconds, at which the call arrived."""
     may_forward: bool
     """Whether it may be forwarded; False for a call that a peer forwarded."""
+    in_flight: InFlightRequest
+    """How far it has got."""
     may_wait: bool = True
     """Whether it may queue for a slot on this daemon."""
 
@@ -120,7 +125,9 @@
             deadline_s=0.0,
         )
         prefixes = prefix_digests(body.prompt)
-        request = ModelRequest(plan, headers, call, body.stream, prefixes, now, True)
+        request = ModelRequest(
+            plan, headers, call, body.stream, prefixes, now, True, http[IN_FLIGHT]
+        )
         http[TARGET] = request.target
         if body.stream:
             return await self._respond_streaming(http, request)
@@ -150,7 +157,15 @@
         prefixes = prefix_digests(body.prompt)
         wait = may_wait(http.headers)
         request = ModelRequest(
-            plan, headers, call, body.stream, prefixes, now, False, wait
+            plan,
+            headers,
+            call,
+            body.stream,
+            prefixes,
+            now,
+            False,
+            http[IN_FLIGHT],
+            wait,
         )
         return await self._respond_to_peer(http, request)
 
@@ -164,6 +179,7 @@
         async def write(data: bytes) -> None:
             if not response.prepared:
                 self._observe_first_chunk(request)
+                request.in_flight.begin_answer()
                 await response.prepare(http)
             await response.write(b"data: %b\n\n" % data)
 
@@ -206,6 +222,7 @@
         async def write(data: bytes) -> None:
             nonlocal position
             if not response.prepared:
+                request.in_flight.begin_answer()
                 await response.prepare(http)
             chunk_position, position = position, position + 1
             await response.write(encode_chunk(chunk_position, ChunkKind.TOKEN, data))
@@ -251,7 +268,7 @@
                 Measure.BETWEEN_CHUNKS, request.plan.name, request.target
             ),
         )
-        await _run_reporting_failures(stream)
+        await _run_reporting_failures(stream, request.in_flight)
         self._observe_elapsed(Measure.WHOLE_ANSWER, request)
         self._count(Counter.ANSWERED, request, "")
 
@@ -260,6 +277,7 @@
         self, request: ModelRequest, excluded: Collection[str]
     ) -> AsyncIterator[ModelEndpoint]:
         """Yield a free local slot, a peer, or a local slot after queueing."""
+        request.in_flight.await_upstream()
         peer, queueing_peer = self._choose_peers(request, excluded)
         wait = peer is None and queueing_peer is None and self._may_queue_here(request)
         async with AsyncExitStack() as stack:
@@ -277,7 +295,13 @@
                 if destination is None:
                     raise
                 endpoint = self._peer_endpoint(destination, request, wait=peer is None)
-            yield endpoint
+            request.in_flight.send_to(endpoint.host)
+            try:
+                yield endpoint
+            except AttemptError as error:
+                if error.cause is AttemptFailure.REFUSED:
+                    request.in_flight.mark_not_run()
+                raise
 
     def _may_queue_here(self, request: ModelRequest) -> bool:
         plan, target = request.plan.name, request.target
@@ -338,8 +362,10 @@
         self._telemetry.count(counter, request.plan.name, request.target, code)
 
 
-async def _run_reporting_failures(stream: StreamRelay) -> None:
-    """Relay an answer; an unexpected error is logged and becomes a refusal.
+async def _run_reporting_failures(
+    stream: StreamRelay, in_flight: InFlightRequest
+) -> None:
+    """Relay an answer; being cut off, or an unexpected error, becomes a refusal.
 
     The caller may have received a part of the answer, so that no response which
     reports the error can follow it.
@@ -350,6 +376,10 @@
         await stream.run()
     except (RefusalError, ConnectionError):
         raise
+    except asyncio.CancelledError:
+        if in_flight.cut_off:
+            raise cut_off_refusal(in_flight) from None
+        raise
     except Exception as error:
         log.exception("Unhandled error while relaying an answer.")
         raise failure_refusal() from error
--- a/auburnproxy/serving/service_calls.py
+++ b/auburnproxy/serving/service_calls.py
@@ -13,6 +13,7 @@
 from ..admission import Admission
 from ..configuration import Grant, Plan, TargetKind
 from ..errors import CallTimeoutError, Ran, RefusalError, UpstreamError
+from ..in_flight import InFlightRequest
 from ..ledger import AtMostOnceRunner
 from ..membership import Member
 from ..routing import Router
@@ -20,7 +21,8 @@
 from ..telemetry import Counter, Measure, Telemetry
 from ..upstreams.observation import Observation, Result
 from ..upstreams.service import PlainAnswer, PlainCall
-from ._labels import TARGET
+from ._cut_off import log_cut_off
+from ._labels import IN_FLIGHT, TARGET
 from .endpoints import ServiceEndpoint
 from .forward import Forwarder
 from .limits import RequestLimits
@@ -39,8 +41,6 @@
 BUSY_STATUSES = frozenset({429, 503})
 SAFE_METHODS = frozenset({"GET", "HEAD", "OPTIONS"})
 RETRY_AFTER_S = 1.0
-OUTCOME_FLUSH_TIMEOUT_S = 5.0
-"""Seconds that a shutdown waits for outcomes of calls to be appended to the log."""
 UseEndpoint = Callable[[ServiceEndpoint], Awaitable[PlainAnswer]]
 
 
@@ -54,6 +54,8 @@
     call: PlainCall
     may_forward: bool
     """Whether it may be forwarded; False for a call that a peer forwarded."""
+    in_flight: InFlightRequest
+    """How far it has got."""
     may_wait: bool = True
     """Whether it may queue for a slot on this daemon."""
 
@@ -102,7 +104,7 @@
         self._telemetry = telemetry
         self._limits = limits
         self._budgets = RetryBudgets()
-        self._tasks: set[asyncio.Task[PlainAnswer]] = set()
+        self._request_by_task: dict[asyncio.Task[PlainAnswer], InFlightRequest] = {}
 
     async def handle_call(self, http: web.Request, plan: Plan) -> web.Response:
         """Answer a caller's ``/v1/services/NAME/...``.
@@ -127,7 +129,9 @@
             headers.idempotency_key,
             headers.deadline - now,
         )
-        request = ServiceRequest(plan, grant, headers.deadline, call, True)
+        request = ServiceRequest(
+            plan, grant, headers.deadline, call, True, http[IN_FLIGHT]
+        )
         http[TARGET] = request.target
         answer = await self.run(request)
         took_s = asyncio.get_running_loop().time() - now
@@ -156,21 +160,43 @@
             headers.deadline - now,
         )
         wait = may_wait(http.headers)
-        request = ServiceRequest(plan, grant, headers.deadline, call, False, wait)
+        request = ServiceRequest(
+            plan, grant, headers.deadline, call, False, http[IN_FLIGHT], wait
+        )
         answer = await self.run(request)
         return web.Response(body=msgspec.msgpack.encode(answer))
 
-    async def wait_finished(self) -> None:
-        """Wait until non-repeatable calls have finished and are recorded as such.
+    async def wait_finished(self, until: float | None = None) -> bool:
+        """Wait for calls that run at most once, and return whether all have ended.
+
+        They go on when their callers disconnect.
+
+        :param until: the loop's time at which the wait ends, None for no limit
+        """
+        try:
+            async with asyncio.timeout_at(until):
+                while self._request_by_task:
+                    await asyncio.wait(self._request_by_task)
+        except TimeoutError:
+            return False
+        return True
+
+    async def wait_recorded(self, *, timeout_s: float) -> None:
+        """Wait until the outcomes of calls that run at most once are recorded.
 
-        The wait for the records is bounded by ``OUTCOME_FLUSH_TIMEOUT_S``.
+        :param timeout_s: longest wait in seconds
         """
-        while self._tasks:
-            await asyncio.wait(self._tasks)
         with suppress(TimeoutError):
-            async with asyncio.timeout(OUTCOME_FLUSH_TIMEOUT_S):
+            async with asyncio.timeout(timeout_s):
                 await self._ledger.wait_settled()
 
+    def cut_off(self) -> None:
+        """End calls that run at most once; what may have run stays unknown."""
+        for task, request in self._request_by_task.items():
+            if not request.cut_off:  # its caller has disconnected
+                log_cut_off(request)
+            task.cancel()
+
     async def run(self, request: ServiceRequest) -> PlainAnswer:
         """Return the answer of a call.
 
@@ -179,7 +205,7 @@
         if request.repeatable:
             return await self._run_with_retries(request)
         task = asyncio.create_task(self._run_at_most_once(request))
-        self._tasks.add(task)
+        self._request_by_task[task] = request.in_flight
         task.add_done_callback(self._discard_task)
         return await asyncio.shield(task)
 
@@ -189,7 +215,7 @@
         Its exception is retrieved here, since nobody awaits it after the caller
         has disconnected.
         """
-        self._tasks.discard(task)
+        self._request_by_task.pop(task, None)
         if not task.cancelled():
             task.exception()
 
@@ -221,7 +247,7 @@
         async def use_endpoint(endpoint: ServiceEndpoint) -> PlainAnswer:
             excluded.add(endpoint.host)
             timeout_s = remaining_s if last else remaining_s / 2
-            return await self._send(endpoint, request.call, timeout_s)
+            return await self._send(endpoint, request, timeout_s)
 
         return await self._run_on_slot(request, excluded, use_endpoint)
 
@@ -234,12 +260,15 @@
         """
 
         async def use_endpoint(endpoint: ServiceEndpoint) -> PlainAnswer:
-            return await self._send(endpoint, request.call, _remaining_s(request))
+            return await self._send(endpoint, request, _remaining_s(request))
 
         async def dispatch(call: PlainCall) -> PlainAnswer:
             return await self._run_on_slot(request, (), use_endpoint)
 
         if request.may_forward:
+            if request.call.idempotency_key:
+                # An earlier call with the key may have run, also at another daemon.
+                request.in_flight.ran = Ran.UNKNOWN
             plan, service = request.plan.name, request.grant.target
             return await self._ledger.run(plan, request.call, dispatch, service=service)
         try:
@@ -254,6 +283,7 @@
         use_endpoint: UseEndpoint,
     ) -> PlainAnswer:
         """Run a call on a free local slot, at a peer, or here after queueing."""
+        request.in_flight.await_upstream()
         plan = request.plan.name
         peer = (
             self._peer_selector.choose_for_forwarding(plan, request.target)
@@ -329,15 +359,18 @@
         plan, service = request.plan.name, request.grant.target
         self._telemetry.count(Counter.FORWARDED, plan, request.target)
         call = request.call._replace(deadline_s=_remaining_s(request))
+        request.in_flight.send_to(peer.name)
         try:
             return await self._forwarder.call(peer, plan, service, call, wait=wait)
         except RefusalError as refusal:
             if refusal.ran is Ran.NO and refusal.status in BUSY_STATUSES:
+                request.in_flight.mark_not_run()
                 self._peer_selector.record_refusal(peer, plan, request.target)
                 raise _NoSlotError(refusal) from None
             raise
         except UpstreamError as error:
             if error.ran is Ran.NO:
+                request.in_flight.mark_not_run()
                 self._peer_selector.record_refusal(peer, plan, request.target)
                 raise _NoSlotError(_final_refusal(error.ran)) from error
             raise
@@ -365,7 +398,7 @@
             yield endpoint
 
     async def _send(
-        self, endpoint: ServiceEndpoint, call: PlainCall, timeout_s: float
+        self, endpoint: ServiceEndpoint, request: ServiceRequest, timeout_s: float
     ) -> PlainAnswer:
         """Send a call to a host, once.
 
@@ -374,9 +407,11 @@
         loop = asyncio.get_running_loop()
         started = loop.time()
         result = Result.FAILED
+        request.in_flight.send_to(endpoint.host)
         try:
             async with asyncio.timeout(timeout_s):
-                answer = await endpoint.call(call._replace(deadline_s=timeout_s))
+                call = request.call._replace(deadline_s=timeout_s)
+                answer = await endpoint.call(call)
             result = Result.COMPLETED
             return answer
         except TimeoutError:
@@ -387,6 +422,7 @@
             if error.ran is Ran.NO:
                 closed = error.connection_refused
                 result = Result.CLOSED if closed else Result.REFUSED
+                request.in_flight.mark_not_run()
             raise
         finally:
             endpoint.observe(Observation(result, loop.time() - started))
--- a/bench/isolation.py
+++ b/bench/isolation.py
@@ -19,6 +19,7 @@
 
 from auburnproxy.configuration import Grant, TargetKind
 from auburnproxy.errors import RefusalError, UpstreamError
+from auburnproxy.in_flight import InFlightRequest
 from auburnproxy.serving import RequestLimits
 from auburnproxy.serving.service_calls import ServiceRequest
 from auburnproxy.upstreams.service import PlainCall
@@ -171,7 +172,8 @@
         call = PlainCall(number, "GET", "/stock", b"", "", "", DEADLINE_S)
         grant = Grant(plan, TargetKind.SERVICE, service)
         deadline = asyncio.get_running_loop().time() + DEADLINE_S
-        return ServiceRequest(self.plans[plan], grant, deadline, call, True)
+        in_flight = InFlightRequest(number)
+        return ServiceRequest(self.plans[plan], grant, deadline, call, True, in_flight)
 
 
 def measure(fault: str, *, seed: int, length_s: float) -> dict[str, Outcome]:
--- a/features/fakes/serving.py
+++ b/features/fakes/serving.py
@@ -11,6 +11,7 @@
 from auburnproxy.configuration import Grant, Lists, Plan, TargetKind
 from auburnproxy.errors import Ran, UpstreamError
 from auburnproxy.external import HostEntry, HostKind, Presence
+from auburnproxy.in_flight import InFlightRequest
 from auburnproxy.ledger import AtMostOnceRunner, Ledger
 from auburnproxy.replicas import Replica
 from auburnproxy.routing import Router
@@ -337,7 +338,8 @@
     now = asyncio.get_running_loop().time()
     call = ModelCall(request_id, model, b"{}", plan.weight, deadline_s)
     headers = RequestHeaders(request_id, now + deadline_s, "")
-    return ModelRequest(plan, headers, call, True, prefixes, now, True)
+    in_flight = InFlightRequest(request_id)
+    return ModelRequest(plan, headers, call, True, prefixes, now, True, in_flight)
 
 
 def make_service_request(
@@ -347,4 +349,5 @@
     grant = Grant(plan.name, TargetKind.SERVICE, "s")
     call = PlainCall(request_id, method, path, body, "", key, PLAIN_DEADLINE_S)
     deadline = asyncio.get_running_loop().time() + PLAIN_DEADLINE_S
-    return ServiceRequest(plan, grant, deadline, call, True)
+    in_flight = InFlightRequest(request_id)
+    return ServiceRequest(plan, grant, deadline, call, True, in_flight)
