Take calls until the load balancer has seen that a daemon stops

Callers got 503 draining from the moment of SIGTERM, while /readyz changed at the same moment: no load balancer could know yet. The frontend of the own daemon refused new requests as soon as it counted as draining.

It now counts as not ready and closes connections after their next response at once, and refuses requests 3 s later, or after a quarter of drain_s if that is shorter. A daemon that is not ready does not wait. Before, each call in the first second after SIGTERM was refused; now they run, and later ones are refused and never run (bin/test features/daemon_stop.feature). The streams of 'A graceful shutdown completes all streams in flight' last 5 s instead of 3 s, so that calls still arrive when they are refused.

--- a/auburnproxy/daemon/daemon.py
+++ b/auburnproxy/daemon/daemon.py
@@ -36,6 +36,10 @@
 from .stop_signals import StopRequest
 from .tasks import Tasks
 
+BALANCER_DRAIN_S = 3.0
+"""Seconds after the stop signal for which the load balancer may still send requests."""
+BALANCER_DRAIN_FRACTION = 0.25
+"""Upper bound of the same, as a fraction of the time in which the daemon must stop."""
 LEAVE_TIMEOUT_S = 3.0
 """Longest wait at a shutdown for the journal to record outcomes and the leave."""
 RECORD_MARGIN_S = 0.05
@@ -231,15 +235,22 @@
         log.info("{} started.", self.me.id)
 
     def begin_stop(self, request: StopRequest) -> StopBudget:
-        """Return the budget of the stop.
+        """Begin to drain and return the budget of the stop.
+
+        A daemon that is not ready gets no requests from the load balancer, so it does
+        not wait for it.
 
         :param request: when the process was asked to stop
         """
+        drain_s = self.settings.drain_s
+        balancer_s = min(BALANCER_DRAIN_S, BALANCER_DRAIN_FRACTION * drain_s)
         self._stop_budget = plan_stop(
             noticed_at=request.noticed_at,
             last_ran_at=request.noticed_at,
-            grace_s=self.settings.drain_s,
+            grace_s=drain_s,
+            refuse_after_s=balancer_s if self.ready else 0.0,
         )
+        self.frontend.announce_stop()
         return self._stop_budget
 
     def log_signal(self, name: str) -> None:
@@ -266,6 +277,7 @@
         """Drain requests, leave the group for peers to take over, cancel all tasks."""
         now = loop_time()
         budget = self._stop_budget or self.begin_stop(StopRequest(now, now))
+        await asyncio.sleep(budget.refuse_at - loop_time())
         await self.frontend.drain(cut_at=budget.cut_at, answered_at=budget.answered_at)
         leaving = asyncio.create_task(self._leave(budget.close_at - RECORD_MARGIN_S))
         await asyncio.wait({leaving}, timeout=budget.answered_at - loop_time())
--- a/auburnproxy/serving/frontend.py
+++ b/auburnproxy/serving/frontend.py
@@ -79,6 +79,11 @@
     ) -> None:
         limits = limits or RequestLimits()
         self.draining = False
+        """Whether the daemon stops: it is not ready, and closes each connection after
+        its next response."""
+        self.closed = False
+        """Whether new requests are refused, since they might not finish before the
+        exit."""
         self._configuration = configuration
         self._admission = admission
         self._router = router
@@ -154,6 +159,10 @@
             ),
         ]
 
+    def announce_stop(self) -> None:
+        """Count as not ready from now on; new requests are still accepted."""
+        self.draining = True
+
     async def drain(
         self, *, cut_at: float | None = None, answered_at: float | None = None
     ) -> None:
@@ -163,7 +172,7 @@
             ended and their callers told so, None for no limit
         :param answered_at: the loop's time until which these answers are waited for
         """
-        self.draining = True
+        self.draining = self.closed = True
         log.info("Draining: waiting for {} requests in flight.", self.in_flight)
         if not await self._wait_idle(cut_at):
             self._cut_off()
@@ -266,7 +275,7 @@
         self._telemetry.count(counter, plan, target, refusal.code)
 
     def _refuse_unless_ready(self) -> None:
-        if self.draining:
+        if self.closed:
             raise draining_refusal()
         if not self._ready():
             message = "This daemon takes no requests now."
--- a/features/steps/processes.py
+++ b/features/steps/processes.py
@@ -16,7 +16,7 @@
 from standins.log import LogFault
 
 MODEL, KEY, SERVICE, PLAN = "quilt", "a-key", "depot", "p"
-STREAM_TOKENS = 150
+STREAM_TOKENS = 250
 SHORT_TOKENS = 3
 SLOTS = 4
 """Maximum concurrent calls of an engine; one more overloads it."""
