Count the stop of a suspended daemon from its signal

A daemon that was suspended when SIGTERM came exited 6.06 s after it with drain_s 4, where its supervisor had killed it at 4 s: it began to count when it ran again. It now notes every 0.1 s that it runs, and takes the signal to have been sent when it last did. With a suspension of 2 s it cuts its stream off with an error event and exits in time (bin/test features/daemon_stop.feature).

--- a/auburnproxy/daemon/daemon.py
+++ b/auburnproxy/daemon/daemon.py
@@ -49,6 +49,8 @@
 CHECKPOINT_RANK_KEY = "checkpoint"
 """Rendezvous hash key that ranks the daemons that may write checkpoints."""
 RESTART_CHECK_INTERVAL_S = 1.0
+RUNNING_NOTE_INTERVAL_S = 0.1
+"""A stop signal is taken to be up to this much older than it is."""
 
 log = component_logger("daemon")
 
@@ -231,6 +233,7 @@
         self._tasks.spawn("serving", self.frontend.run())
         self._tasks.spawn("orphans", self.orphaned_calls.run())
         self._tasks.spawn("moves", self.domain_transitions.run())
+        self._tasks.spawn("clock", self._note_running())
         self._tasks.spawn("fitness", self._wait_until_restart_needed())
         log.info("{} started.", self.me.id)
 
@@ -246,7 +249,7 @@
         balancer_s = min(BALANCER_DRAIN_S, BALANCER_DRAIN_FRACTION * drain_s)
         self._stop_budget = plan_stop(
             noticed_at=request.noticed_at,
-            last_ran_at=request.noticed_at,
+            last_ran_at=request.last_ran_at,
             grace_s=drain_s,
             refuse_after_s=balancer_s if self.ready else 0.0,
         )
@@ -303,6 +306,11 @@
         for service in (self.log_service, self.hosts, self.weights):
             await service.close()
 
+    async def _note_running(self) -> None:
+        while True:
+            self.last_ran_at = loop_time()
+            await asyncio.sleep(RUNNING_NOTE_INTERVAL_S)
+
     async def _wait_until_restart_needed(self) -> None:
         """Return once only a restart helps; the end of this task stops the daemon."""
         while True:
