Count a call as in flight until its answer is in the kernel

The transport now pauses its writer until the kernel has taken everything, so that a drain waits for it.

--- a/auburnproxy/serving/frontend.py
+++ b/auburnproxy/serving/frontend.py
@@ -15,7 +15,7 @@
 from ..admission._protocols import Configuration
 from ..configuration import Plan, TargetKind
 from ..errors import DocumentError, Ran, RefusalError
-from ..in_flight import InFlightRequests
+from ..in_flight import InFlightRequests, Phase
 from ..ledger import AtMostOnceRunner
 from ..routing import Router
 from ..routing._protocols import Readiness, Watcher
@@ -225,16 +225,23 @@
         return self._tracked(handle)
 
     def _tracked(self, handler: RawHandler) -> RawHandler:
-        """Wrap a handler: track requests in flight and turn errors into responses."""
+        """Wrap a handler: track requests in flight and turn errors into responses.
+
+        A request is in flight until the kernel has taken its whole response.
+        """
 
         async def tracked(http: web.Request) -> web.StreamResponse:
             http[REQUEST] = request_id(http.headers)
+            if http.transport is not None and not http.transport.is_closing():
+                http.transport.set_write_buffer_limits(high=0)
             log_context = logger.contextualize(request=f" [{http[REQUEST]}]")
             with self._requests.track(http[REQUEST]) as request, log_context:
                 http[IN_FLIGHT] = request
                 response = await self._respond(handler, http)
                 if self.draining:
                     response.force_close()
+                request.phase = Phase.CALLER
+                request.begin_answer()
                 # The caller may have disconnected before reading the response.
                 with suppress(ConnectionError):
                     if not response.prepared:
--- a/features/serving.feature
+++ b/features/serving.feature
@@ -86,3 +86,13 @@
     When an engine's answer raises an unexpected error after 2 chunks
     Then the stream has 2 chunks and ends with an error event that names it
     And the log names the request with the error
+
+  # The end of an answer that its caller had yet to read was lost at the exit
+  Scenario Outline: A request is in flight until its whole answer has been sent
+    When a caller slowly reads an answer of 40000 bytes that is <kind>
+    Then no bytes are unsent once its request is not in flight
+
+    Examples:
+      | kind         |
+      | streamed     |
+      | not streamed |
--- a/features/steps/serving.py
+++ b/features/steps/serving.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import socket
 import time
 from contextlib import AsyncExitStack
 
@@ -26,6 +27,7 @@
 
 LIMITS = RequestLimits(body_bytes=4096, body_timeout_s=0.2)
 TIMEOUT = ClientTimeout(total=20)
+SLOW_READ_PAUSE_S = 0.05
 
 
 class Daemon:
@@ -455,3 +457,58 @@
 def check_failure_logged(context):
     (line,) = context.logged
     assert "[failing]" in line and "ValueError: unexpected" in line, line
+
+
+def unsent_bytes(daemon):
+    transports = [
+        connection.transport
+        for runner in daemon.runners
+        for connection in runner.server.connections
+    ]
+    return sum(each.get_write_buffer_size() for each in transports if each)
+
+
+async def connect_slowly(daemon):
+    """Return a connection whose buffers in the kernel are as small as possible."""
+    sock = socket.socket()
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 1)
+    sock.setblocking(False)
+    address = ("127.0.0.1", daemon.caller_port)
+    await asyncio.get_running_loop().sock_connect(sock, address)
+    server = daemon.runners[0].server
+    await wait_until(lambda: server.connections)
+    (connection,) = server.connections
+    accepted = connection.transport.get_extra_info("socket")
+    accepted.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 1)
+    return await asyncio.open_connection(sock=sock, limit=1)
+
+
+@when("a caller slowly reads an answer of {size:d} bytes that is {kind}")
+def read_slowly(context, size, kind):
+    def script(call, chunks):
+        return [chunks[0]._replace(data=b"x" * size), chunks[-1]._replace(position=1)]
+
+    async def steps(daemon, _):
+        for engine in daemon.engines:
+            engine.script = script
+        body = json.dumps(chat(stream=kind == "streamed")).encode()
+        head = "POST /v1/chat/completions HTTP/1.1\r\nHost: a\r\n"
+        head += f"Authorization: Bearer alpha\r\nContent-Length: {len(body)}\r\n\r\n"
+        reader, writer = await connect_slowly(daemon)
+        writer.write(head.encode() + body)
+        await wait_until(lambda: unsent_bytes(daemon))
+        await asyncio.sleep(SLOW_READ_PAUSE_S)
+        context.seen, received = [], 0
+        while received < size:
+            context.seen.append((daemon.frontend.in_flight, unsent_bytes(daemon)))
+            received += len(await reader.read(size))
+        writer.close()
+
+    run(context, steps)
+
+
+@then("no bytes are unsent once its request is not in flight")
+def check_sent(context):
+    assert any(unsent for _, unsent in context.seen), context.seen
+    early = [seen for seen in context.seen if not seen[0] and seen[1]]
+    assert not early, early[:5]
