Answer operators' requests in flight before the exit

An operator whose change was under way when the own daemon was stopped saw its connection closed: only calls counted as in flight, so the listener closed once the last call was answered. Requests of the operators' API now count too.

A change whose second half was sent 2 s after the first was cut off at the drain of the last call; it is now answered as accepted (bin/test features/daemon_stop.feature).

--- a/auburnproxy/daemon/applications.py
+++ b/auburnproxy/daemon/applications.py
@@ -30,10 +30,25 @@
     body_bytes = daemon.settings.calls.body_bytes
     application = web.Application(client_max_size=2 * body_bytes)
     application.add_routes(daemon.frontend.forward_routes())
-    application.add_routes(operator_routes(daemon))
+    application.add_routes([_tracked(daemon, r) for r in operator_routes(daemon)])
     return application
 
 
+def _tracked(daemon: Daemon, route: web.RouteDef) -> web.RouteDef:
+    """Return a route whose requests are in flight until they are answered."""
+
+    async def handle(http: web.Request) -> web.StreamResponse:
+        with daemon.frontend.track(f"{http.method} {http.path}"):
+            response = await route.handler(http)
+            if daemon.frontend.draining:
+                response.force_close()
+            await response.prepare(http)
+            await response.write_eof()
+            return response
+
+    return web.route(route.method, route.path, handle)
+
+
 def operator_routes(daemon: Daemon) -> list[web.RouteDef]:
     """Return the routes of the operators' API."""
     return routes(
--- a/auburnproxy/serving/frontend.py
+++ b/auburnproxy/serving/frontend.py
@@ -5,7 +5,7 @@
 import asyncio
 import time
 from collections.abc import Awaitable, Callable
-from contextlib import suppress
+from contextlib import AbstractContextManager, suppress
 
 import msgspec
 from aiohttp import web
@@ -15,7 +15,7 @@
 from ..admission._protocols import Configuration
 from ..configuration import Plan, TargetKind
 from ..errors import DocumentError, Ran, RefusalError
-from ..in_flight import InFlightRequests, Phase
+from ..in_flight import InFlightRequest, InFlightRequests, Phase
 from ..ledger import AtMostOnceRunner
 from ..routing import Router
 from ..routing._protocols import Readiness, Watcher
@@ -159,6 +159,13 @@
             ),
         ]
 
+    def track(self, request_id: str) -> AbstractContextManager[InFlightRequest]:
+        """Count a request that this frontend does not serve as in flight.
+
+        :param request_id: name of the request in logs
+        """
+        return self._requests.track(request_id)
+
     def announce_stop(self) -> None:
         """Count as not ready from now on; new requests are still accepted."""
         self.draining = True
--- a/features/daemon_stop.feature
+++ b/features/daemon_stop.feature
@@ -21,11 +21,12 @@
     And the log names each of them with its age and how far it had come
     And it exits with 0 in time
 
-  # An order that ends while its daemon stops was recorded too late
-  Scenario: An order that ends while its daemon stops is recorded
-    Given daemons that must exit within 4 s of a stop signal
-    When one gets SIGTERM while it runs an order and the log is slow
+  # The outcome of an order was lost, and an operator not told about a change
+  Scenario: Orders and changes that end while their daemon stops are recorded
+    Given daemons that must exit within 6 s of a stop signal
+    When one gets SIGTERM while an order and an operator's change are under way
     Then the order is answered whole, and again by the other daemon, and ran once
+    And the operator is told that the change is in force
 
   # A daemon that is stopped broke off calls that a peer had forwarded to it
   Scenario: Streams through a peer are complete when both daemons are stopped
--- a/features/steps/daemon_stop.py
+++ b/features/steps/daemon_stop.py
@@ -30,6 +30,7 @@
 from standins.callers import Result
 from standins.deployment import (
     DAEMON_MODULE,
+    OPERATOR_KEY,
     ModelShape,
     PlanShape,
     Shape,
@@ -44,6 +45,8 @@
 LONG_ORDER_MS = 10_000.0
 HUNG_LOG_MS = 20_000.0
 SLOW_LOG_MS = 300.0
+CHANGE_SENT_S = 2.0
+"""Time after which an operator's change has been sent completely."""
 SETTLE_S = 0.3
 """Time for requests that were just sent to be in flight."""
 SIGNAL_PAUSE_S = 0.3
@@ -135,6 +138,19 @@
             error = msgspec.json.decode(await response.read())["error"]
             return Refusal(response.status, error["code"], error["ran"])
 
+    async def mark_out(self, daemon, host, resume):
+        """Take a host out of service, and return the status and the verdict.
+
+        The second half of the request is sent after an event.
+        """
+        url = f"http://{daemon.internal}/operator/mark"
+        headers = {"Authorization": f"Bearer {OPERATOR_KEY}"}
+        body = msgspec.json.encode({"out": True, "host": host})
+        async with self.running.session.post(
+            url, data=in_two_parts(body, resume), headers=headers
+        ) as response:
+            return response.status, (await response.json())["verdict"]
+
     async def is_ready(self, daemon):
         url = f"http://{daemon.callers}/readyz"
         try:
@@ -386,16 +402,21 @@
     assert_stopped(context, context.seen[2])
 
 
-@when("one gets SIGTERM while it runs an order and the log is slow")
+@when("one gets SIGTERM while an order and an operator's change are under way")
 def order_while_stopping(context):
     async def scene(site):
         order = site.order(site.first, "ordered")
         await site.until_run("ordered")
         await site.slow_log(SLOW_LOG_MS)
+        resume = asyncio.Event()
+        asyncio.get_running_loop().call_later(CHANGE_SENT_S, resume.set)
+        change = asyncio.create_task(site.mark_out(site.first, "fd1-e04", resume))
+        await asyncio.sleep(SETTLE_S)
         site.terminate(site.first)
         stopped = await site.until_exit(site.first)
         await site.slow_log(0.0)
         again = await site.order(site.second, "ordered")
+        (context.change,) = await asyncio.gather(change, return_exceptions=True)
         return await order, again, stopped, await site.runs()
 
     play(context, scene)
@@ -410,6 +431,11 @@
     assert_stopped(context, stopped)
 
 
+@then("the operator is told that the change is in force")
+def check_change(context):
+    assert context.change == (200, "accepted"), context.change
+
+
 @when("a daemon and the peer that runs some of its streams get SIGTERM")
 def stop_with_peer(context):
     async def scene(site):
