Document the stop of a daemon for operators

The settings named drain_s a wait for calls, and no page told operators which grace a supervisor needs, what a caller sees of a stop, or which line names a request that was cut off.

--- a/auburnproxy/daemon/settings.py
+++ b/auburnproxy/daemon/settings.py
@@ -69,7 +69,7 @@
     calls: Calls
     log: Log
     drain_s: float
-    """Maximum wait for calls in flight at a shutdown."""
+    """Seconds from the stop signal until the process has exited."""
 
 
 def _object(required: dict[str, Any], optional: dict[str, Any] | None = None) -> Any:
