--- a/auburnproxy/daemon/daemon.py
+++ b/auburnproxy/daemon/daemon.py
@@ -34,6 +34,7 @@
 from ._peers import AdvertisedCapacity, ForwardingPeers, TargetHosts
 from .settings import Calls, Settings
 from .stop_signals import StopRequest
+from .suspension_detector import SuspensionDetector
 from .tasks import Tasks
 
 BALANCER_DRAIN_S = 3.0
@@ -49,7 +50,7 @@
 CHECKPOINT_RANK_KEY = "checkpoint"
 """Rendezvous hash key that ranks the daemons that may write checkpoints."""
 RESTART_CHECK_INTERVAL_S = 1.0
-RUNNING_NOTE_INTERVAL_S = 0.1
+SUSPENSION_TICK_S = 0.1
 """A stop signal is taken to be up to this much older than it is."""
 
 log = component_logger("daemon")
@@ -84,8 +85,7 @@
         self.drained = asyncio.Event()
         self.request_stop: Callable[[], None] = lambda: None
         """Requests an ordinary stop of the process."""
-        self.last_ran_at = loop_time()
-        """The loop's time at which this daemon was last known to run."""
+        self._suspension = SuspensionDetector()
         self._stop_budget: StopBudget | None = None
         self._tasks = Tasks(_log_task_end, lambda: self.request_stop())
         self._build_journal(settings)
@@ -233,10 +233,15 @@
         self._tasks.spawn("serving", self.frontend.run())
         self._tasks.spawn("orphans", self.orphaned_calls.run())
         self._tasks.spawn("moves", self.domain_transitions.run())
-        self._tasks.spawn("clock", self._note_running())
+        self._tasks.spawn("suspension", self._detect_suspension())
         self._tasks.spawn("fitness", self._wait_until_restart_needed())
         log.info("{} started.", self.me.id)
 
+    @property
+    def last_ran_at(self) -> float:
+        """Return the loop's time before which a signal noticed now was not sent."""
+        return self._suspension.last_ran_at()
+
     def begin_stop(self, request: StopRequest) -> StopBudget:
         """Begin to drain and return the budget of the stop.
 
@@ -306,10 +311,10 @@
         for service in (self.log_service, self.hosts, self.weights):
             await service.close()
 
-    async def _note_running(self) -> None:
+    async def _detect_suspension(self) -> None:
         while True:
-            self.last_ran_at = loop_time()
-            await asyncio.sleep(RUNNING_NOTE_INTERVAL_S)
+            self._suspension.tick()
+            await asyncio.sleep(SUSPENSION_TICK_S)
 
     async def _wait_until_restart_needed(self) -> None:
         """Return once only a restart helps; the end of this task stops the daemon."""
--- a/auburnproxy/serving/_cut_off.py
+++ b/auburnproxy/serving/_cut_off.py
@@ -33,10 +33,10 @@
 def log_cut_off(request: InFlightRequest) -> None:
     """Log how far a request had come when it was cut off."""
     log.bind(request=f" [{request.id}]").warning(
-        "Request cut off after {:.2f} s, {} {}; ran: {}, answer begun: {}.",
+        "Request cut off after {:.2f} s, {}; upstream: {}, ran: {}, answer begun: {}.",
         loop_time() - request.arrived_at,
         request.phase,
-        request.upstream,
+        request.upstream or "none",
         request.ran,
-        request.answer_begun,
+        "yes" if request.answer_begun else "no",
     )
