--- a/features/steps/daemon_stop.py
+++ b/features/steps/daemon_stop.py
@@ -212,7 +212,11 @@
     async def run():
         shape = make_shape(context.stop_s, **options)
         async with loopback.serving(shape) as running:
-            return await scene(StoppingSite(running))
+            site = StoppingSite(running)
+            seen = await scene(site)
+            for daemon in (site.first, site.second):
+                site.signal(daemon, signal.SIGKILL)
+            return seen
 
     context.seen = asyncio.run(run())
 
