Log how an order ended whose caller had left

An unexpected error in such an order was retrieved and dropped, and no line told whether the order was answered or refused: nobody awaits its task. It is now logged with the request id. In the new scenario of features/serving.feature no line came within 2 s before; the error and the id are logged now.

--- a/auburnproxy/serving/service_calls.py
+++ b/auburnproxy/serving/service_calls.py
@@ -9,6 +9,7 @@
 
 import msgspec
 from aiohttp import web
+from loguru import logger
 
 from ..admission import Admission
 from ..configuration import Grant, Plan, TargetKind
@@ -41,6 +42,7 @@
 BUSY_STATUSES = frozenset({429, 503})
 SAFE_METHODS = frozenset({"GET", "HEAD", "OPTIONS"})
 RETRY_AFTER_S = 1.0
+log = logger.bind(part="serving")
 UseEndpoint = Callable[[ServiceEndpoint], Awaitable[PlainAnswer]]
 
 
@@ -207,13 +209,18 @@
         task = asyncio.create_task(self._run_at_most_once(request))
         self._request_by_task[task] = request.in_flight
         task.add_done_callback(self._discard_task)
-        return await asyncio.shield(task)
+        try:
+            return await asyncio.shield(task)
+        except asyncio.CancelledError:
+            if not request.in_flight.cut_off:
+                task.add_done_callback(_log_end)
+            raise
 
     def _discard_task(self, task: asyncio.Task[PlainAnswer]) -> None:
         """Remove a finished task.
 
         Its exception is retrieved here, since nobody awaits it after the caller
-        has disconnected.
+        has disconnected; ``_log_end`` logs it.
         """
         self._request_by_task.pop(task, None)
         if not task.cancelled():
@@ -443,6 +450,19 @@
         self.refusal = refusal
 
 
+def _log_end(task: asyncio.Task[PlainAnswer]) -> None:
+    """Log how a call ended whose caller had disconnected."""
+    if task.cancelled():
+        return
+    error = task.exception()
+    if error is None:
+        log.info("Call answered with {} after its caller left.", task.result().status)
+    elif isinstance(error, RefusalError):
+        log.info("Call ended as {} after its caller left.", error.code)
+    else:
+        log.opt(exception=error).error("Unhandled error after the caller left.")
+
+
 def _remaining_s(request: ServiceRequest) -> float:
     return max(request.deadline - asyncio.get_running_loop().time(), 0.0)
 
--- a/features/serving.feature
+++ b/features/serving.feature
@@ -96,3 +96,8 @@
       | kind         |
       | streamed     |
       | not streamed |
+
+  # An error in an order whose caller had left was dropped without a line
+  Scenario: An order whose caller has left leaves a line that says how it ended
+    When a caller leaves while its order runs, which then fails unexpectedly
+    Then the log names the request with the error
--- a/features/steps/serving.py
+++ b/features/steps/serving.py
@@ -453,6 +453,40 @@
     assert error["request_id"] == "failing" and error["ran"] == "unknown", error
 
 
+@when("a caller leaves while its order runs, which then fails unexpectedly")
+def leave_failing_order(context):
+    context.logged = []
+    sink = logger.add(
+        context.logged.append, level="ERROR", format="{message}{extra[request]}"
+    )
+
+    async def steps(daemon, _):
+        service = daemon.site.upstreams.services_by_host["p0"]
+        running, resume = asyncio.Event(), asyncio.Event()
+
+        async def fail(call):
+            running.set()
+            await resume.wait()
+            raise ValueError("unexpected")
+
+        service.call = fail
+        url = f"{daemon.url}/v1/services/s/orders"
+        headers = {"Authorization": "Bearer alpha", "X-Request-Id": "failing"}
+        sending = asyncio.create_task(daemon.session.post(url, headers=headers))
+        await running.wait()
+        sending.cancel()
+        await wait_until(lambda: not daemon.frontend.in_flight)
+        resume.set()
+        await wait_until(lambda: context.logged, within_s=2.0)
+
+    try:
+        run(context, steps)
+    except TimeoutError:
+        pass
+    finally:
+        logger.remove(sink)
+
+
 @then("the log names the request with the error")
 def check_failure_logged(context):
     (line,) = context.logged
