--- a/features/silence.feature
+++ b/features/silence.feature
@@ -117,3 +117,10 @@
     When it is requested and its route allows three hosts
     Then it has the host's answer, and 3 hosts have run it
     And 2 retries were spent
+
+  # Guards against retries that are paid for when no time is left for them.
+  Scenario: A lookup whose host stays silent ends at its deadline and spends no retry
+    Given a lookup whose host pauses for 60 s
+    When it is requested while there is no other replica
+    Then it is answered with status 504 at its deadline of 6 s
+    And 0 retries were spent
