End a silent plain request at its deadline without another try

A lookup whose host was silent until the deadline spent a retry, though no time was left for it, and was answered 502. It is answered 504 at once, as a stream is, and spends none.

Measured: the scenario for it in silence.feature fails without the change and passes with it; routed passes.

--- a/auburnproxy/gateway/plain_forwarder.py
+++ b/auburnproxy/gateway/plain_forwarder.py
@@ -103,12 +103,13 @@
                 if unreachable < MAX_UNREACHABLE:
                     continue
                 raise _build_refusal(error.code, ran)
-            if sent >= call.route.attempts or (
-                ran is Ran.UNKNOWN and not call.route.repeatable
-            ):
+            # Without a replacement, only the deadline ends a wait at a silent host.
+            late = error.code == SILENT and replacement.host is None
+            used_up = sent >= call.route.attempts
+            if late or used_up or (ran is Ran.UNKNOWN and not call.route.repeatable):
                 if failure is not None:
                     return failure
-                raise _build_refusal(error.code, ran)
+                raise _build_refusal(error.code, ran, late=late)
             if paid or replacement.host is not None or retry_budget.spend(error.code):
                 continue
             if failure is not None:
@@ -240,12 +241,12 @@
         )
 
 
-def _build_refusal(code: str, ran: Ran) -> RefusalError:
+def _build_refusal(code: str, ran: Ran, *, late: bool = False) -> RefusalError:
     if ran is Ran.NO:
         message = "No upstream took the request."
         return RefusalError(code, message, retry_after_s=UNSENT_RETRY_S)
     message = "An upstream may have run the request and gave no whole answer."
-    return RefusalError(code, message, status=502, ran=ran)
+    return RefusalError(code, message, status=504 if late else 502, ran=ran)
 
 
 def _do_nothing() -> None:
