--- a/soak/judge.py
+++ b/soak/judge.py
@@ -27,12 +27,8 @@
 CUT, UNANSWERED = "cut", "unanswered"
 """Outcomes of a connection that ended within a response, and before any."""
 INTERIM_KINDS = frozenset(
-    {
-        "attempt_not_counted",
-        "headers_ignored",
-        "try_failed",
-        "waiting_at_silent_upstream",
-    }
+    {"attempt_not_counted", "headers_ignored", "try_failed"}
+    | {"waiting_at_silent_upstream"}
 )
 """Kinds of log lines that do not tell how a request ended."""
 
@@ -88,7 +84,12 @@
         found: list[str] = []
         for daemon in self._site.daemons:
             exchanges = [x for x in self._exchanges if x.daemon == daemon.name]
-            cuts = [x for x in exchanges if self._counts(x)]
+            cuts = [
+                x
+                for x in exchanges
+                if self._was_cut(x, store_excuses=x.stream)
+                and not self._was_due(daemon, x)
+            ]
             situations: dict[Exchange, list[str]] = defaultdict(list)
             for exchange, situation in (
                 *self._lost_beside_signals(daemon, cuts),
@@ -103,7 +104,7 @@
 
     def _overdue_stops(self, daemon: DaemonProcess) -> Iterator[str]:
         for at in daemon.overdue_stops:
-            if not self._disrupted(daemon.name, at, at + GRACE_S):
+            if not self._disrupted({daemon.name}, at, at + GRACE_S):
                 yield f"{daemon.name}: killed {GRACE_S} s after SIGTERM at {at:.2f}"
 
     def _lost_beside_signals(
@@ -127,26 +128,24 @@
         count = sum(map(self._beside_configuration, exchanges))
         others = len(exchanges) - count
         ratio = (len(cuts) - len(beside)) / others if others else 0.0
-        if len(beside) <= MAX_CUT_RATIO * ratio * count:
-            return []
-        return [(cut, "a configuration") for cut in beside]
+        more = len(beside) > MAX_CUT_RATIO * ratio * count
+        return [(cut, "a configuration") for cut in beside] if more else []
 
     def _unanswered(
         self, daemon: DaemonProcess, exchanges: list[Exchange]
     ) -> list[tuple[Exchange, str]]:
         """Return requests on kept connections that ended so while in touch."""
+        changes = daemon.stops + daemon.starts
         found = [
             x
             for x in exchanges
             if x.kept
-            and self._counts(x, in_touch=True)
-            and not any(
-                x.ended_at - SETTLE_S <= at <= x.ended_at
-                for at in daemon.stops + daemon.starts
-            )
+            and x.outcome == UNANSWERED
+            and self._engines_by_id[x.request_id]
+            and self._was_cut(x, store_excuses=True)
+            and not any(x.ended_at - SETTLE_S <= at <= x.ended_at for at in changes)
         ]
-        if len(found) <= MAX_UNANSWERED:
-            return []
+        found = found if len(found) > MAX_UNANSWERED else []
         return [(cut, "a kept connection") for cut in found]
 
     def _unlogged(
@@ -157,7 +156,7 @@
             begin, end = exchange.sent_at, exchange.ended_at
             stopped = any(0 < end - at <= GRACE_S + 1 for at in daemon.stop_signals)
             unread = exchange.incomplete and not self._was_read(exchange)
-            if not stopped or unread or self._disrupted(daemon.name, begin, end):
+            if not stopped or unread or self._disrupted({daemon.name}, begin, end):
                 continue
             lines = self._lines_by_id[exchange.request_id]
             second = int(end + self._clock_offset_s)
@@ -167,39 +166,37 @@
             if not full and all(line["kind"] in INTERIM_KINDS for line in lines):
                 yield exchange, "a SIGTERM, with no line in the log on its end"
 
-    def _counts(self, exchange: Exchange, *, in_touch: bool = False) -> bool:
-        """Return whether a request was cut and nothing but planned work explains it.
+    def _was_cut(self, exchange: Exchange, *, store_excuses: bool) -> bool:
+        """Return whether a request was cut without a disruption or an engine's fault.
 
-        :param in_touch: whether planned work and disruptions of the store excuse it
+        :param store_excuses: whether a disruption of the store is an excuse
         """
-        begin, end, daemon = exchange.sent_at, exchange.ended_at, exchange.daemon
         if not exchange.incomplete or not self._was_read(exchange):
             return False
         engines = self._engines_by_id[exchange.request_id]
-        subjects = [daemon, *(engine.name for engine in engines)]
-        if exchange.stream:
-            subjects += [n for n in self._site.engines if n.startswith("e")]
-        if exchange.stream or in_touch:
-            subjects += ["store", f"store of {daemon}"]
-        if any(self._disrupted(subject, begin, end) for subject in subjects):
-            return False
         if any(exchange.request_id in engine.unsound_ids for engine in engines):
             return False
-        if in_touch:
-            return exchange.outcome == UNANSWERED and bool(engines)
-        (process,) = (d for d in self._site.daemons if d.name == daemon)
-        in_time = end - begin < exchange.budget_s - TIMER_SLACK_S
-        return in_time and not any(
-            self._lasted_to_last_sixth(exchange, at) for at in process.stops
+        subjects = {exchange.daemon, *(engine.name for engine in engines)}
+        if exchange.stream:
+            subjects |= {n for n in self._site.engines if n.startswith("e")}
+        if store_excuses:
+            subjects |= {"store", f"store of {exchange.daemon}"}
+        return not self._disrupted(subjects, exchange.sent_at, exchange.ended_at)
+
+    def _was_due(self, daemon: DaemonProcess, cut: Exchange) -> bool:
+        """Return whether a request was cut at its deadline or the grace's end."""
+        took_s = cut.ended_at - cut.sent_at
+        return took_s >= cut.budget_s - TIMER_SLACK_S or any(
+            self._lasted_to_last_sixth(cut, at) for at in daemon.stops
         )
 
     def _was_read(self, exchange: Exchange) -> bool:
         passed_on = bool(self._engines_by_id[exchange.request_id])
         return passed_on or exchange.ended_at - exchange.sent_at > LOSS_SLACK_S
 
-    def _disrupted(self, subject: str, begin: float, end: float) -> bool:
+    def _disrupted(self, subjects: set[str], begin: float, end: float) -> bool:
         return any(
-            disruption.subject == subject
+            disruption.subject in subjects
             and disruption.begin <= end
             and disruption.end >= begin - SETTLE_S
             for disruption in self._site.disruptions
--- a/soak/main.py
+++ b/soak/main.py
@@ -87,34 +87,36 @@
 
     async def run(self, seconds: float) -> None:
         """Inject faults for some seconds, and return when all of them have ended."""
-        tasks = [asyncio.create_task(self._stop_in_series(seconds))]
-        kinds = [
+        series = [self._stop_in_series]
+        if not self._planned:
+            series += [
+                self._restore_older_store,
+                self._break_responses,
+                self._expire_registrations,
+            ]
+        tasks = [asyncio.create_task(play(seconds)) for play in series]
+        until = time.monotonic() + seconds
+        kinds = (
+            self._kill,
+            self._pause,
+            self._terminate,
             self._reload,
+            self._degrade_store,
+            self._engine_crash,
+            self._engine_drains,
+            self._engine_announces_draining,
+            self._engine_sends_retry_after,
+            self._engine_sends_endless_data,
             self._configure,
             self._evacuate_zone,
-            self._engine_drains,
-        ]
-        if not self._planned:
-            tasks += [
-                asyncio.create_task(self._restore_older_store(seconds)),
-                asyncio.create_task(self._break_responses(seconds)),
-                asyncio.create_task(self._expire_registrations(seconds)),
-            ]
-            kinds = [
-                self._kill,
-                self._pause,
-                self._terminate,
+        )
+        if self._planned:
+            kinds = (
                 self._reload,
-                self._degrade_store,
-                self._engine_crash,
-                self._engine_drains,
-                self._engine_announces_draining,
-                self._engine_sends_retry_after,
-                self._engine_sends_endless_data,
                 self._configure,
                 self._evacuate_zone,
-            ]
-        until = time.monotonic() + seconds
+                self._engine_drains,
+            )
         while time.monotonic() < until:
             fault = self._random.choice(kinds)
             tasks.append(asyncio.create_task(fault()))
@@ -144,8 +146,7 @@
         daemon.send(signal.SIGCONT)
 
     async def _terminate(self) -> None:
-        daemon = self._random.choice(self._site.daemons)
-        await self._stop(daemon)
+        await self._stop(self._random.choice(self._site.daemons))
 
     async def _reload(self, daemon: DaemonProcess | None = None) -> None:
         daemon = daemon or self._random.choice(self._site.daemons)
