Refuse queued calls at once that can't be answered before a stop

Callers of a stopping daemon that was full waited in its queue until they were cut off, or got a slot so late that their streams were: admission knew the deadline of each call, and not the time at which its daemon would cut it off.

From the stop signal on, calls that wait or would have to are measured against that time as against their deadline. What can't be answered goes to a peer with a share, or is refused as draining, not run.

The new scenarios of features/admission.feature fail without the change.

--- a/auburnproxy/admission/admission.py
+++ b/auburnproxy/admission/admission.py
@@ -22,6 +22,8 @@
 """Seconds between checks for slots that were freed elsewhere."""
 MAX_RETRY_AFTER_S = 30
 """Greatest ``Retry-After`` in seconds."""
+STOP_RETRY_AFTER_S = 1.0
+"""``Retry-After`` of a daemon that stops; another one takes the request."""
 
 log = logger.bind(part="admission")
 P = TypeVar("P", bound=UpstreamSlot)
@@ -46,6 +48,7 @@
         self._bulkheads_by_plan = Bulkheads()
         self._bulkheads_by_target = Bulkheads()
         self._timer: asyncio.TimerHandle | None = None
+        self._stops_at = math.inf
 
     def authenticate(self, bearer: str) -> Plan:
         """Return the plan of an API key.
@@ -74,6 +77,15 @@
         for plan in self._configuration.plans_by_name.values():
             self._plan_limiter(plan)
 
+    def stop_by(self, at: float) -> None:
+        """Refuse calls that can't be answered before a stop, also those that wait.
+
+        :param at: the loop's time in seconds by which each call must be answered
+        """
+        self._stops_at = at
+        for queue in self._queues_by_target.values():
+            self._refuse_all(queue, _QueuedBeforeStopError())
+
     @asynccontextmanager
     async def reserve_slots(
         self,
@@ -138,6 +150,7 @@
         wait: bool,
     ) -> P:
         loop = asyncio.get_running_loop()
+        deadline = min(deadline, self._stops_at)
         if target not in self._queues_by_target:
             slot = self._try_acquire(plan, target, acquire)
             if slot is not None:
@@ -152,7 +165,10 @@
             if refusal:
                 waiter.slot_future.cancel()
                 raise refusal
-        return await self._wait_for_slot(waiter, target)
+        try:
+            return await self._wait_for_slot(waiter, target)
+        except _QueuedBeforeStopError:
+            return await self._obtain_slot(plan, target, deadline, acquire, wait=wait)
 
     async def _wait_for_slot(self, waiter: Waiter, target: str) -> P:
         self._start_timer()
@@ -161,7 +177,7 @@
                 slot: P = await waiter.slot_future
         except TimeoutError:
             self._release_unused(waiter, target)
-            raise self._deadline_refusal(waiter.plan, target) from None
+            raise self._deadline_refusal(waiter.plan, target, waiter.deadline) from None
         except asyncio.CancelledError:
             self._release_unused(waiter, target)
             raise
@@ -209,10 +225,15 @@
         calls_per_s = self._freed_per_s(plan, target)
         wait_s = (ahead + 1) / calls_per_s if calls_per_s else 0.0
         if now + wait_s + self._throughput(target).mean_service_s(plan.name) > deadline:
-            return self._deadline_refusal(plan, target)
+            return self._deadline_refusal(plan, target, deadline)
         return None
 
-    def _deadline_refusal(self, plan: Plan, target: str) -> RefusalError:
+    def _deadline_refusal(
+        self, plan: Plan, target: str, deadline: float
+    ) -> RefusalError:
+        if deadline >= self._stops_at:
+            message = "The request can't be answered before this daemon stops."
+            return RefusalError("draining", message, retry_after_s=STOP_RETRY_AFTER_S)
         plan_is_busy = self._plan_limiter(plan).free == 0
         return RefusalError(
             "plan_busy" if plan_is_busy else "target_busy",
@@ -317,3 +338,10 @@
         self._timer = None
         self.dispatch_waiting()
         self._start_timer()
+
+
+class _QueuedBeforeStopError(RefusalError):
+    """A call waited when the stop began; it must be decided anew whether it may."""
+
+    def __init__(self) -> None:
+        super().__init__("draining", "This daemon stops.")
--- a/auburnproxy/daemon/daemon.py
+++ b/auburnproxy/daemon/daemon.py
@@ -258,7 +258,7 @@
             grace_s=drain_s,
             refuse_after_s=balancer_s if self.ready else 0.0,
         )
-        self.frontend.announce_stop()
+        self.frontend.announce_stop(self._stop_budget.cut_at)
         return self._stop_budget
 
     def log_signal(self, name: str) -> None:
--- a/auburnproxy/serving/frontend.py
+++ b/auburnproxy/serving/frontend.py
@@ -166,9 +166,14 @@
         """
         return self._requests.track(request_id)
 
-    def announce_stop(self) -> None:
-        """Count as not ready from now on; new requests are still accepted."""
+    def announce_stop(self, cut_at: float) -> None:
+        """Count as not ready from now on; new requests are still accepted.
+
+        :param cut_at: the loop's time at which requests will be cut off; those that
+            can't be answered by then go to peers or are refused
+        """
         self.draining = True
+        self._admission.stop_by(cut_at)
 
     async def drain(
         self, *, cut_at: float | None = None, answered_at: float | None = None
--- a/auburnproxy/serving/model_calls.py
+++ b/auburnproxy/serving/model_calls.py
@@ -47,7 +47,7 @@
 
 EVENT_STREAM = "text/event-stream"
 DONE_EVENT = b"data: [DONE]\n\n"
-NO_LOCAL_SLOT_CODES = frozenset({"no_slot", "no_replica", "no_service"})
+NO_LOCAL_SLOT_CODES = frozenset({"no_slot", "no_replica", "no_service", "draining"})
 
 log = logger.bind(part="serving")
 
--- a/auburnproxy/serving/service_calls.py
+++ b/auburnproxy/serving/service_calls.py
@@ -38,7 +38,7 @@
 )
 from .retry_budget import RetryBudgets
 
-NO_LOCAL_SLOT_CODES = frozenset({"no_slot", "no_service"})
+NO_LOCAL_SLOT_CODES = frozenset({"no_slot", "no_service", "draining"})
 BUSY_STATUSES = frozenset({429, 503})
 SAFE_METHODS = frozenset({"GET", "HEAD", "OPTIONS"})
 RETRY_AFTER_S = 1.0
--- a/features/admission.feature
+++ b/features/admission.feature
@@ -17,3 +17,14 @@
     When 2 calls arrive, 20 s pass, and 4 calls with deadlines in 9 s arrive
     Then between 0 and 0 of the later calls are answered
     And the others are refused within 0.05 s, with Retry-After of 10 to 30 s
+
+  # Calls waited for slots until their daemon cut them off, or after they had run in part
+  Scenario Outline: Calls that a stopping daemon can't answer are refused at once
+    When 4 calls arrive, 1 s pass, and 60 calls arrive <when> a stop within 1.12 s begins
+    Then between 18 and 24 of the later calls are answered
+    And the others are refused within 0.05 s as draining
+
+    Examples:
+      | when   |
+      | before |
+      | after  |
--- a/features/steps/admission.py
+++ b/features/steps/admission.py
@@ -78,6 +78,45 @@
     run_virtual(send_both())
 
 
+@when(
+    "{first:d} calls arrive, {pause:d} s pass, "
+    "and {second:d} calls arrive {when} a stop within {stop_s:g} s begins"
+)
+def send_calls_around_stop(context, first, pause, second, when, stop_s):
+    async def send_both():
+        admission = Admission(
+            FakeConfiguration([context.plan]), FakeSlotLimiters(), FreeTargets()
+        )
+        tasks = [
+            asyncio.create_task(call(context, admission, LONG_DEADLINE_S))
+            for _ in range(first)
+        ]
+        await asyncio.sleep(pause)
+        stops_at = asyncio.get_running_loop().time() + stop_s
+        if when == "after":
+            admission.stop_by(stops_at)
+        later = [
+            asyncio.create_task(call(context, admission, LONG_DEADLINE_S))
+            for _ in range(second)
+        ]
+        await asyncio.sleep(0)
+        if when == "before":
+            admission.stop_by(stops_at)
+        context.later = await asyncio.gather(*later)
+        await asyncio.gather(*tasks)
+
+    run_virtual(send_both())
+
+
+@then("the others are refused within {within:g} s as draining")
+def refused_as_draining(context, within):
+    refused = [outcome for outcome in context.later if outcome[1] is not None]
+    assert refused
+    for took_s, refusal in refused:
+        assert took_s <= within, took_s
+        assert refusal.code == "draining" and refusal.ran == "no", refusal
+
+
 @then("all {count:d} calls are answered")
 def all_answered(context, count):
     outcomes = context.earlier + context.later
