--- a/features/fakes/shutdown.py
+++ b/features/fakes/shutdown.py
@@ -28,6 +28,7 @@
     STREAM_PATH,
     Site,
     config,
+    event,
 )
 from features.loopback import free_addresses
 from soak.proxy import Proxy
@@ -353,11 +354,8 @@
         query = dict(parse_qsl(urlsplit(path).query))
         if not path.startswith(STREAM_PATH):
             return b"a" * int(query.get("size", 0)) or self.engines["p0"].answer
-        padding = b"." * int(query["padding"])
-        return b"".join(
-            b"id: %d\ndata: token %d%b\n\n" % (n, n, padding)
-            for n in range(1, int(query["events"]) + 1)
-        )
+        size = int(query["size"])
+        return b"".join(event(n, size) for n in range(1, int(query["events"]) + 1))
 
     def configure(self, **changes) -> None:
         """Write a configuration with routes that allow the longest answers.
@@ -577,9 +575,9 @@
             await site.stop()
 
 
-def stream(events: int, interval_s: float = 0.1, *, padding: int = 0) -> str:
+def stream(events: int, interval_s: float = 0.1, *, size: int = 0) -> str:
     """Return the path of a stream."""
-    return f"{STREAM_PATH}x?events={events}&interval={interval_s}&padding={padding}"
+    return f"{STREAM_PATH}x?events={events}&interval={interval_s}&size={size}"
 
 
 def plain(delay_s: float, *, once: bool = True, size: int = 0) -> str:
