Keep every line of the decision log while a daemon stops

Callers' requests that ended in the usual way while a daemon drained had no line in a second with more than 50 of a kind, so that such a log could not tell a lost request from an answered one. Only the lines of requests that were cut off were kept.

--- a/auburnproxy/daemon/gateway_daemon.py
+++ b/auburnproxy/daemon/gateway_daemon.py
@@ -431,8 +431,9 @@
         self.frontend.draining = True
         self.frontend.refuse_at = budget.refuse_at
         signal.signal(signal.SIGHUP, signal.SIG_IGN)
+        self.decisions.begin_final_lines()
         now = loop_time()
-        self.decisions.final_belief(
+        self.decisions.belief(
             "stopping",
             in_flight=self.frontend.requests.count,
             noticed_after_s=round(now - budget.signalled_at, 3),
@@ -449,13 +450,13 @@
         await asyncio.sleep(budget.refuse_at - loop_time())
         requests = self.frontend.requests
         if not await requests.wait_idle(budget.cut_at):
-            self.decisions.final_belief("requests_cut_off", count=requests.count)
+            self.decisions.belief("requests_cut_off", count=requests.count)
             self.frontend.cut_off()
             await requests.wait_idle(budget.answered_at)
         self.drained.set()
         await self._close(budget.close_at)
         resigning.cancel()
-        self.decisions.final_belief("stopped", in_flight=requests.count)
+        self.decisions.belief("stopped", in_flight=requests.count)
 
     async def _close(self, until: float) -> None:
         """Cancel all tasks and close all clients.
@@ -488,7 +489,7 @@
         :param what: name of what did not stop
         """
         count = self.frontend.requests.count
-        self.decisions.final_belief("stop_overrun", what=what, in_flight=count)
+        self.decisions.belief("stop_overrun", what=what, in_flight=count)
 
     def flush_logs(self, timeout_s: float) -> None:
         """Write the log lines that are still held back.
--- a/auburnproxy/gateway/frontend.py
+++ b/auburnproxy/gateway/frontend.py
@@ -190,7 +190,7 @@
         so that it does not look complete.
         """
         for request in self.requests:
-            self._decisions.final_request(
+            self._decisions.request(
                 "request_cut_off",
                 request.id,
                 phase=request.phase,
--- a/auburnproxy/telemetry/decisions.py
+++ b/auburnproxy/telemetry/decisions.py
@@ -21,8 +21,9 @@
     Lines of a kind that exceeds its rate limit are omitted until the next second;
     the next line of that kind gives their number in ``omitted``. If the reader of
     the descriptor is too slow, lines are dropped and counted in ``dropped``, so
-    that writing never blocks the process. Final lines are neither omitted nor dropped,
-    but held back until the descriptor is ready for writing.
+    that writing never blocks the process. Final lines, those of a process that is
+    stopping, are neither omitted nor dropped, but held back until the descriptor is
+    ready for writing.
 
     :param host: name of this daemon's host, included in every line
     :param descriptor: non-blocking file descriptor to write to
@@ -48,6 +49,7 @@
         self._second = 0
         self._line_count_by_kind: dict[str, int] = {}
         self._omitted_by_kind: dict[str, int] = {}
+        self._final = False
         self._unsent = b""
         """The rest of a truncated line, and final lines that are held back."""
 
@@ -68,22 +70,9 @@
         """
         self._write(kind, inputs)
 
-    def final_request(self, kind: str, request_id: str, **inputs: Any) -> None:
-        """Log the end of a request at the stop of the daemon, as a final line.
-
-        :param kind: the decision
-        :param request_id: id of the request
-        :param inputs: the state that it was based on
-        """
-        self._write_final(kind, {"request": request_id, **inputs})
-
-    def final_belief(self, kind: str, **inputs: Any) -> None:
-        """Log a step of the daemon's stop, as a final line.
-
-        :param kind: the step
-        :param inputs: the state that it was based on
-        """
-        self._write_final(kind, inputs)
+    def begin_final_lines(self) -> None:
+        """Keep every line from now on, since the process is stopping."""
+        self._final = True
 
     def flush(self, timeout_s: float) -> None:
         """Write what is held back, and wait for a slow reader if necessary.
@@ -97,12 +86,12 @@
                 return
             self._unsent = self._unsent[self._write_some(self._unsent) :]
 
-    def _write_final(self, kind: str, fields: dict[str, Any]) -> None:
-        self._unsent += self._encode(self._clock(), kind, fields)
-        self._unsent = self._unsent[self._write_some(self._unsent) :]
-
     def _write(self, kind: str, fields: dict[str, Any]) -> None:
         now = self._clock()
+        if self._final:
+            self._unsent += self._encode(now, kind, fields)
+            self._unsent = self._unsent[self._write_some(self._unsent) :]
+            return
         if int(now) != self._second:
             self._second = int(now)
             self._line_count_by_kind.clear()
--- a/features/fakes/stopping_daemon.py
+++ b/features/fakes/stopping_daemon.py
@@ -44,6 +44,7 @@
 
     def begin_stop(self, request: StopRequest) -> StopBudget:
         """Return the budget of the stop."""
+        self._decisions.begin_final_lines()
         now = request.noticed_at
         return plan_stop(noticed_at=now, last_ran_at=now, grace_s=self._grace_s)
 
@@ -52,7 +53,7 @@
         if self._mode == "block":
             time.sleep(BLOCK_S)  # noqa: ASYNC251
         await self._tasks.cancel()
-        self._decisions.final_belief("stopped")
+        self._decisions.belief("stopped")
 
     def log_signal(self, name: str) -> None:
         """Log a stop signal."""
@@ -60,7 +61,7 @@
 
     def log_overrun(self, what: str) -> None:
         """Log what did not stop."""
-        self._decisions.final_belief("stop_overrun", what=what)
+        self._decisions.belief("stop_overrun", what=what)
 
     def flush_logs(self, timeout_s: float) -> None:
         """Write the lines that are held back."""
--- a/features/steps/stop_budget.py
+++ b/features/steps/stop_budget.py
@@ -156,11 +156,13 @@
         context.decisions._send(f'{{"kind":"{padding}"}}\n'.encode())
 
 
-@when("{count:d} final lines and as many others are logged, and the reader resumes")
+@when("{count:d} lines are logged before a stop and during it, and the reader resumes")
 def log_final_lines(context, count):
     for number in range(count):
-        context.decisions.final_request("cut", f"q{number}")
         context.decisions.request("answered", f"q{number}")
+    context.decisions.begin_final_lines()
+    for number in range(count):
+        context.decisions.request("cut", f"q{number}")
     data = []
 
     def read():
--- a/features/stop_budget.feature
+++ b/features/stop_budget.feature
@@ -39,5 +39,5 @@
 
   Scenario: Final lines are neither omitted nor dropped
     Given a decision log limited to 1 line of a kind, whose reader is busy
-    When 300 final lines and as many others are logged, and the reader resumes
+    When 300 lines are logged before a stop and during it, and the reader resumes
     Then it reads all 300 final lines, each complete
