Tests: what ends a wait for a silent engine

Three scenarios: a stream whose engine has gone on is not moved; one that finds its engine silent on all streams moves the others at once; one that moves to an unreachable replica is not aborted.

--- a/features/fakes/pausing_sender.py
+++ b/features/fakes/pausing_sender.py
@@ -6,8 +6,8 @@
 from typing import Any, NamedTuple, cast
 
 from auburnproxy.clock import loop_time
-from auburnproxy.errors import RefusalError
-from auburnproxy.gateway.call import Call
+from auburnproxy.errors import Ran, RefusalError
+from auburnproxy.gateway.call import AttemptError, Call
 from auburnproxy.gateway.header_codec import Dispatch, RequestInfo, ResponseInfo
 from auburnproxy.gateway.host import Host, ReplicaPart, ReplicaPartState
 from auburnproxy.gateway.liveness import LivenessChecker
@@ -70,6 +70,7 @@
     :param pausing: number of tries that pause
     :param heads: number of engines
     :param retries: number of retries in the budget
+    :param fixture: engines that it shares with another sender, None for its own
     :param first_status: status of the first answer; a failure has no pause
     """
 
@@ -82,10 +83,13 @@
         heads: int = 3,
         retries: int = 10,
         first_status: int = 200,
+        fixture: SelectionFixture | None = None,
     ) -> None:
-        self.fixture = SelectionFixture(heads, 0, 9)
+        self.fixture = fixture or SelectionFixture(heads, 0, 9)
         self.ran: list[str] = []
         """Engines that have begun to run the request, in order."""
+        self.unreachable: set[str] = set()
+        """Engines to which no connection can be made."""
         self.disconnected_at: list[float] = []
         """Times at which an unfinished try was closed."""
         self.written = b""
@@ -159,6 +163,8 @@
 
     async def send(self, call: Call, dispatch: Dispatch) -> UpstreamResponse:
         """Run the request at an engine."""
+        if dispatch.host.id in self.unreachable:
+            raise AttemptError("unreachable", ran=Ran.NO, sent=False)
         answer = EmulatedResponse()
         self.ran.append(dispatch.host.id)
         if len(self.ran) == 1:
--- a/features/silence.feature
+++ b/features/silence.feature
@@ -124,3 +124,23 @@
     When it is requested while there is no other replica
     Then it is answered with status 504 at its deadline of 6 s
     And 0 retries were spent
+
+  # Guards against a stream that is moved, and paid for, although its engine goes on.
+  Scenario: A stream whose engine has gone on is not moved any more
+    Given a stream whose engine pauses for 2 s after 1 events
+    When it is requested and another replica registers after 1.98 s
+    Then it is whole, and 1 engines have run it
+    And no retry was spent
+
+  # Guards against streams that find out one by one that their engine is silent.
+  Scenario: A stream that finds its engine silent on all streams moves the others at once
+    Given a stream whose engine pauses for 5 s after 3 events
+    When a stream without a first event is requested there 0.2 s later and two replicas register
+    Then it is whole, and 2 engines have run it
+    And it moved in the same 0.01 s as the other one
+
+  # Guards against a stream that leaves a silent engine for one that can't be reached.
+  Scenario: A waiting stream that moves to an unreachable replica is not aborted at once
+    Given a stream whose engine pauses for 5 s after 3 events
+    When it is requested and an unreachable replica registers after 3 s, another 1 s later
+    Then all its events have arrived
--- a/features/steps/silence.py
+++ b/features/steps/silence.py
@@ -101,6 +101,21 @@
     play(context, register, heads=1)
 
 
+@when(
+    "it is requested and an unreachable replica registers after {seconds:g} s, another"
+    " {more:g} s later"
+)
+def request_and_register_unreachable(context, seconds, more):
+    async def register(requesting):
+        await asyncio.sleep(seconds)
+        context.sender.unreachable = {"n0", "n1"}
+        context.sender.add_replica()
+        await asyncio.sleep(more)
+        context.sender.add_replica()
+
+    play(context, register, heads=1)
+
+
 @when("it is requested and its caller leaves after {seconds:g} s")
 def request_and_leave(context, seconds):
     async def leave(requesting):
@@ -111,13 +126,55 @@
     play(context, leave, attempts=1)
 
 
+@when(
+    "a stream without a first event is requested there {seconds:g} s later and two"
+    " replicas register"
+)
+def request_second(context, seconds):
+    loop = async_solipsism.EventLoop()
+
+    async def run():
+        context.other = PausingSender(context.pause, route=context.route, heads=1)
+        context.sender = PausingSender(
+            Pause(context.pause.length_s),
+            route=context.route,
+            fixture=context.other.fixture,
+        )
+        requests = [asyncio.create_task(context.other.request())]
+        await asyncio.sleep(seconds)
+        requests.append(asyncio.create_task(context.sender.request()))
+        await asyncio.sleep(0)
+        for _ in range(2):
+            context.sender.add_replica()
+        await asyncio.gather(*requests)
+
+    try:
+        loop.run_until_complete(run())
+    finally:
+        close_loop(loop)
+
+
+@then("it moved in the same {seconds:g} s as the other one")
+def check_moved_together(context, seconds):
+    ((first, *_), (second, *_)) = (
+        [at for at, kind, _ in sender.decisions.lines if kind == "try_failed"]
+        for sender in (context.other, context.sender)
+    )
+    assert abs(first - second) < seconds, (first, second)
+
+
 @then("it is whole, and {count:d} engines have run it")
 def check_whole(context, count):
+    check_events(context)
+    assert len({*context.sender.ran}) == count, context.sender.ran
+
+
+@then("all its events have arrived")
+def check_events(context):
     sender = context.sender
     ids = [int(n) for n in re.findall(rb"id: (\d+)", sender.written)]
     assert sender.whole, (sender.status, sender.took_s, sender.decisions.lines)
     assert ids == list(range(1, EVENTS + 1)), ids
-    assert len({*sender.ran}) == count, sender.ran
 
 
 @then("it has the host's answer, and {count:d} hosts have run it")
@@ -138,6 +195,11 @@
     assert context.sender.took_s < seconds, context.sender.took_s
 
 
+@then("no retry was spent")
+def check_none_spent(context):
+    check_spent(context, 0)
+
+
 @then("{count:d} retry was spent")
 @then("{count:d} retries were spent")
 def check_spent(context, count):
