--- a/auburnproxy/gateway/call.py
+++ b/auburnproxy/gateway/call.py
@@ -2,15 +2,19 @@
 
 from __future__ import annotations
 
+from enum import StrEnum
 from typing import NamedTuple
 
 from aiohttp import web
 
 from ..clock import loop_time
 from ..errors import AuburnError, Ran
+from ..in_flight import InFlightRequest
 from .header_codec import RequestInfo
 from .route import Route
 
+IN_FLIGHT = web.RequestKey("in_flight", InFlightRequest)
+"""Key of how far a request has got, in the HTTP library's request."""
 CONNECT_TIMEOUT_S = 0.25
 """Forty round trips between failure domains; an upstream that takes longer to accept is
 down or unreachable."""
@@ -40,12 +44,34 @@
         """Return the caller's id of this request."""
         return self.info.request_id
 
+    @property
+    def progress(self) -> InFlightRequest:
+        """Return how far this request has got."""
+        return self.http[IN_FLIGHT]
+
     @property
     def remaining_s(self) -> float:
         """Return the seconds until the deadline."""
         return self.deadline - loop_time()
 
 
+class Obstacle(StrEnum):
+    """Why a request can't be sent to another upstream, for the log."""
+
+    NOT_REPEATABLE = "not_repeatable"
+    """It may have run, and its route allows it to run only once."""
+    ATTEMPTS = "attempts"
+    """It may be running on as many upstreams as its route allows."""
+    RETRY_BUDGET = "retry_budget"
+    """The retry budget of its service is spent."""
+    NO_REPLICA = "no_replica"
+    """No other upstream can take it."""
+    UNREACHABLE = "unreachable"
+    """Too many upstreams accepted no connection."""
+    DEADLINE = "deadline"
+    """Its deadline has passed."""
+
+
 class AttemptError(AuburnError):
     """A try of a request at an upstream failed.
 
--- a/features/fakes/platform.py
+++ b/features/fakes/platform.py
@@ -153,9 +153,9 @@
     return query[name][0] if name in query else default
 
 
-def event(number: int, size: int = 0) -> bytes:
+def event(number: int, padding: int = 0) -> bytes:
     """Return an event of a stream, padded by some bytes."""
-    return b"id: %d\ndata: token %d%b\n\n" % (number, number, b"." * size)
+    return b"id: %d\ndata: token %d%b\n\n" % (number, number, b"." * padding)
 
 
 def reset(writer: asyncio.StreamWriter) -> None:
@@ -231,6 +231,7 @@
             await self._serve_one(reader, writer)
         finally:
             self.open_connections -= 1
+            writer.close()
 
     async def _serve_one(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
@@ -298,8 +299,9 @@
             await self._stream(action, reader, writer, headers | {":path": path})
         elif action == "ok":
             delay_s = float(_query_value(path, "delay", self.answer_delay_s))
+            size = int(_query_value(path, "size", 0))
             if not await self._closed_within(reader, delay_s):
-                self._plain(writer, headers, self.answer)
+                self._plain(writer, headers, b"a" * size or self.answer)
         elif action == "failed":
             self._plain(writer, headers, b"boom", "500 Internal Server Error")
         elif action == "shed":
@@ -365,6 +367,7 @@
         path = headers[":path"]
         events = int(_query_value(path, "events", self.events))
         interval_s = float(_query_value(path, "interval", self.event_interval_s))
+        padding = int(_query_value(path, "padding", 0))
         start = int(headers.get("last-event-id", 0))
         head = f"HTTP/1.1 200 OK\r\nAttempt-Id: {headers['attempt-id']}\r\n"
         head += f"Engine-Stamp: {STAMP}.{self.name}\r\nTransfer-Encoding: chunked\r\n"
@@ -373,9 +376,8 @@
         head += "Content-Type: text/event-stream\r\nConnection: close\r\n\r\n"
         writer.write(head.encode())
         pause_s = float(_query_value(path, "pause", 0.0))
-        size = int(_query_value(path, "size", 0))
         for number in range(start + 1, events + 1):
-            block = event(number, size)
+            block = event(number, padding)
             if action == "trickle from start" or (
                 action == "trickle after event" and number == 4
             ):
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -266,14 +266,14 @@
         interval_s = random.uniform(0.03, 0.2)
         events += int(seconds / interval_s)
         pause_s = random.choice((0.0, 0.0, 0.0, random.uniform(0.3, 1.5)))
-    size = LARGE_EVENT_BYTES if slow else 0
+    padding = LARGE_EVENT_BYTES if slow else 0
     query = f"?events={events}&interval={interval_s:.3f}"
-    query += f"&pause={pause_s:.2f}&size={size}"
-    return Request(path, query, _stream_body(events, size), budget_s)
+    query += f"&pause={pause_s:.2f}&padding={padding}"
+    return Request(path, query, _stream_body(events, padding), budget_s)
 
 
-def _stream_body(events: int, size: int = 0) -> bytes:
-    return b"".join(event(number, size) for number in range(1, events + 1))
+def _stream_body(events: int, padding: int = 0) -> bytes:
+    return b"".join(event(number, padding) for number in range(1, events + 1))
 
 
 EXPECTED_STREAM = _stream_body(EVENTS)
