--- a/auburnproxy/daemon/daemon.py
+++ b/auburnproxy/daemon/daemon.py
@@ -34,17 +34,24 @@
 from ._peers import AdvertisedCapacity, ForwardingPeers, TargetHosts
 from .settings import Calls, Settings
 from .stop_signals import StopRequest
+from .suspension_detector import SuspensionDetector
 from .tasks import Tasks
 
-STOP_MARGIN_S = 10.0
-"""Time after the drain in which a stop ends."""
+BALANCER_DRAIN_S = 3.0
+"""Seconds after the stop signal for which the load balancer may still send requests."""
+BALANCER_DRAIN_FRACTION = 0.25
+"""Upper bound of the same, as a fraction of the time in which the daemon must stop."""
 LEAVE_TIMEOUT_S = 3.0
-"""Longest wait at a shutdown for the journal to record that this daemon leaves."""
+"""Longest wait at a shutdown for the journal to record outcomes and the leave."""
+RECORD_MARGIN_S = 0.05
+"""Time for ending the background tasks after that."""
 WEIGHT_STORE_KEY = "plan/weight-store"
 """Quota key of the weight store's loads, which is divided like a plan's limit."""
 CHECKPOINT_RANK_KEY = "checkpoint"
 """Rendezvous hash key that ranks the daemons that may write checkpoints."""
 RESTART_CHECK_INTERVAL_S = 1.0
+SUSPENSION_TICK_S = 0.1
+"""A stop signal is taken to be up to this much older than it is."""
 
 log = component_logger("daemon")
 
@@ -78,8 +85,8 @@
         self.drained = asyncio.Event()
         self.request_stop: Callable[[], None] = lambda: None
         """Requests an ordinary stop of the process."""
-        self.last_ran_at = loop_time()
-        """The loop's time at which this daemon was last known to run."""
+        self._suspension = SuspensionDetector()
+        self._stop_budget: StopBudget | None = None
         self._tasks = Tasks(_log_task_end, lambda: self.request_stop())
         self._build_journal(settings)
         self._build_membership(settings)
@@ -226,19 +233,33 @@
         self._tasks.spawn("serving", self.frontend.run())
         self._tasks.spawn("orphans", self.orphaned_calls.run())
         self._tasks.spawn("moves", self.domain_transitions.run())
+        self._tasks.spawn("suspension", self._detect_suspension())
         self._tasks.spawn("fitness", self._wait_until_restart_needed())
         log.info("{} started.", self.me.id)
 
+    @property
+    def last_ran_at(self) -> float:
+        """Return the loop's time before which a signal noticed now was not sent."""
+        return self._suspension.last_ran_at()
+
     def begin_stop(self, request: StopRequest) -> StopBudget:
-        """Return the budget of the stop.
+        """Begin to drain and return the budget of the stop.
+
+        A daemon that is not ready gets no requests from the load balancer, so it does
+        not wait for it.
 
         :param request: when the process was asked to stop
         """
-        return plan_stop(
+        drain_s = self.settings.drain_s
+        balancer_s = min(BALANCER_DRAIN_S, BALANCER_DRAIN_FRACTION * drain_s)
+        self._stop_budget = plan_stop(
             noticed_at=request.noticed_at,
-            last_ran_at=request.noticed_at,
-            grace_s=self.settings.drain_s + STOP_MARGIN_S,
+            last_ran_at=request.last_ran_at,
+            grace_s=drain_s,
+            refuse_after_s=balancer_s if self.ready else 0.0,
         )
+        self.frontend.announce_stop(self._stop_budget.cut_at)
+        return self._stop_budget
 
     def log_signal(self, name: str) -> None:
         """Log that a stop signal arrived; all but the first change nothing.
@@ -262,24 +283,39 @@
 
     async def stop(self) -> None:
         """Drain requests, leave the group for peers to take over, cancel all tasks."""
-        try:
-            async with asyncio.timeout(self.settings.drain_s):
-                await self.frontend.drain()
-        except TimeoutError:
-            log.warning(
-                "Drain timed out; aborting {} requests.", self.frontend.in_flight
-            )
-        await self.membership.leave(timeout_s=LEAVE_TIMEOUT_S)
+        now = loop_time()
+        budget = self._stop_budget or self.begin_stop(StopRequest(now, now))
+        await asyncio.sleep(budget.refuse_at - loop_time())
+        await self.frontend.drain(cut_at=budget.cut_at, answered_at=budget.answered_at)
+        leaving = asyncio.create_task(self._leave(budget.close_at - RECORD_MARGIN_S))
+        await asyncio.wait({leaving}, timeout=budget.answered_at - loop_time())
         self.drained.set()
+        await leaving
         await self._tasks.cancel()
         await self._close()
         log.info("{} stopped.", self.me.id)
 
+    async def _leave(self, until: float) -> None:
+        """Record the outcomes of calls, and that this daemon leaves its group.
+
+        :param until: the loop's time at which the log is no longer waited for
+        """
+        timeout_s = min(LEAVE_TIMEOUT_S, until - loop_time())
+        await asyncio.gather(
+            self.frontend.wait_recorded(timeout_s=timeout_s),
+            self.membership.leave(timeout_s=timeout_s),
+        )
+
     async def _close(self) -> None:
         await self.frontend.close()
         for service in (self.log_service, self.hosts, self.weights):
             await service.close()
 
+    async def _detect_suspension(self) -> None:
+        while True:
+            self._suspension.tick()
+            await asyncio.sleep(SUSPENSION_TICK_S)
+
     async def _wait_until_restart_needed(self) -> None:
         """Return once only a restart helps; the end of this task stops the daemon."""
         while True:
--- a/features/steps/shutdown.py
+++ b/features/steps/shutdown.py
@@ -40,6 +40,7 @@
 ROLL_STOPS = 6
 ROLL_CALLERS = 8
 RANDOM_CALLERS = 10
+FLOOD_INTERVAL_S = 0.02
 LONGEST_FREEZE_S = 0.6
 
 
@@ -173,6 +174,7 @@
             key=lambda event: event[0],
         )
         now_s = min(before_s, 0.0)
+        daemon.life.frozen_before_s = -now_s
         for at_s, act in events:
             await asyncio.sleep(at_s - now_s)
             act()
@@ -266,7 +268,7 @@
         for _ in range(4):
             site.tasks.append(asyncio.create_task(keep(site, kept)))
         for stall_s in (1.5, 4.0, 6.0):
-            path = stream(LARGE_EVENTS, 0, padding=LARGE_BYTES // LARGE_EVENTS)
+            path = stream(LARGE_EVENTS, 0, size=LARGE_BYTES // LARGE_EVENTS)
             for reading in (
                 read_slowly(site, answers, plain(0.0, size=LARGE_BYTES), stall_s),
                 read_slowly(site, streams, path, stall_s),
@@ -414,6 +416,29 @@
     play(context, script, daemons=3)
 
 
+@when("they get SIGTERM, then SIGHUP, SIGTERM or both every 20 ms until they end")
+def flood_with_signals(context):
+    async def flood(daemon, numbers):
+        daemon.terminate()
+        ends_at = time.monotonic() + GRACE_S
+        while daemon.runs and time.monotonic() < ends_at:
+            for number in numbers:
+                daemon.send(number)
+            await asyncio.sleep(FLOOD_INTERVAL_S)
+
+    async def script(site):
+        for daemon in site.daemons:
+            site.begin(daemon, stream(35))
+        await site.until_run(3)
+        hangup, terminate = signal.SIGHUP, signal.SIGTERM
+        numbers = ((hangup,), (terminate,), (hangup, terminate))
+        floods = zip(site.daemons, numbers, strict=True)
+        await asyncio.gather(*(flood(*each) for each in floods))
+        await finish(site)
+
+    play(context, script, daemons=3)
+
+
 def random_request(random):
     """Return the path and options of a request of a random kind."""
     kind = random.choice(("stream", "plain", "large", "large stream", "body"))
@@ -426,7 +451,7 @@
     if kind == "large":
         return plain(0.0, size=random.randrange(LARGE_BYTES)), {"stall_s": stall_s}
     if kind == "large stream":
-        return stream(100, 0.0, padding=LARGE_BYTES // 100), {"stall_s": stall_s}
+        return stream(100, 0.0, size=LARGE_BYTES // 100), {"stall_s": stall_s}
     return plain(seconds), {"body": BODY, "body_pause_s": random.uniform(0.0, 2.0)}
 
 
--- a/soak/main.py
+++ b/soak/main.py
@@ -214,9 +214,9 @@
             }
             self._record(f"store is restored from an older copy: {kept}")
             store.restore_older_copy(kept)
-            seconds = self._restore_random.uniform(0.0, 1.0)
-            self._site.disrupt("store", seconds)
-            await asyncio.sleep(seconds)
+            pause_s = self._restore_random.uniform(0.0, 1.0)
+            self._site.disrupt("store", pause_s)
+            await asyncio.sleep(pause_s)
             self._site.configure(replica_config(self._version))
             for zone in ("z0", "z1"):
                 mark = {} if zone in self._evacuated_zones else None
