--- a/soak/callers.py
+++ b/soak/callers.py
@@ -263,6 +263,7 @@
     events, interval_s, pause_s = EVENTS, 0.01, 0.0
     if share > 0.7:
         seconds = random.uniform(0.3, 1.5) if share < 0.85 else random.uniform(2.0, 8.0)
+        budget_s = max(budget_s, round(seconds, 3))
         interval_s = random.uniform(0.03, 0.2)
         events += int(seconds / interval_s)
         pause_s = random.choice((0.0, 0.0, 0.0, random.uniform(0.3, 1.5)))
