--- a/features/fakes/shutdown.py
+++ b/features/fakes/shutdown.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import functools
 import json
 import math
 import os
@@ -55,6 +56,7 @@
 """Kinds of log lines that name a request and do not say how it ended."""
 CALLER_GONE = "ClientConnectionResetError: Cannot write to closing transport"
 """What aiohttp prints, with a traceback, when a caller has left."""
+LAST_LINES = 12
 CHAINED = "During handling of the above exception"
 NOT_EXECUTED_STATUSES = frozenset({408, 421, 429, 503})
 SIGNAL_KINDS = frozenset({"stop_signal", "reloaded"})
@@ -353,11 +355,7 @@
         query = dict(parse_qsl(urlsplit(path).query))
         if not path.startswith(STREAM_PATH):
             return b"a" * int(query.get("size", 0)) or self.engines["p0"].answer
-        padding = b"." * int(query["padding"])
-        return b"".join(
-            b"id: %d\ndata: token %d%b\n\n" % (n, n, padding)
-            for n in range(1, int(query["events"]) + 1)
-        )
+        return _stream_body(int(query["events"]), int(query["padding"]))
 
     def configure(self, **changes) -> None:
         """Write a configuration with routes that allow the longest answers.
@@ -487,7 +485,8 @@
             if each.status in NOT_EXECUTED_STATUSES and each.id in run_ids:
                 faults.append(f"refused, but was run: {each}")
             if each.outcome in (CUT, FAILED) and self._counts_as_lost(each, run_ids):
-                faults.append(f"lost: {each}, {each.life.lines_of(each.id)}")
+                lines = each.life.lines_of(each.id) or each.life.lines()[-LAST_LINES:]
+                faults.append(f"lost: {each}, {lines}, {each.life}")
         return faults
 
     def _counts_as_lost(self, exchange: Exchange, run_ids: set[str]) -> bool:
@@ -577,6 +576,13 @@
             await site.stop()
 
 
+@functools.cache
+def _stream_body(events: int, padding: int) -> bytes:
+    dots = b"." * padding
+    numbers = range(1, events + 1)
+    return b"".join(b"id: %d\ndata: token %d%b\n\n" % (n, n, dots) for n in numbers)
+
+
 def stream(events: int, interval_s: float = 0.1, *, padding: int = 0) -> str:
     """Return the path of a stream."""
     return f"{STREAM_PATH}x?events={events}&interval={interval_s}&padding={padding}"
@@ -630,9 +636,11 @@
     if stall_s:
         await asyncio.sleep(stall_s)
     if headers.get("transfer-encoding") == "chunked":
+        chunks = []
         while size := int(await reader.readuntil(b"\r\n"), 16):
-            exchange.body += (await reader.readexactly(size + 2))[:-2]
+            chunks.append((await reader.readexactly(size + 2))[:-2])
         await reader.readexactly(2)
+        exchange.body = b"".join(chunks)
     else:
         length = int(headers["content-length"])
         exchange.body = await reader.readexactly(length)
