--- a/features/fakes/shutdown.py
+++ b/features/fakes/shutdown.py
@@ -315,7 +315,8 @@
             reader, writer = self._streams
             exchange.connected = True
             await _send(exchange, writer, body, body_pause_s, unsent)
-            await _read_answer(exchange, reader, stall_s, on_event)
+            if not await _read_answer(exchange, reader, stall_s, on_event):
+                self.close()
         except (OSError, asyncio.IncompleteReadError) as error:
             exchange.outcome = CUT
             exchange.reset = isinstance(error, ConnectionResetError)
@@ -627,7 +628,8 @@
         exchange.sent_at = time.monotonic()
 
 
-async def _read_answer(exchange, reader, stall_s, on_event) -> None:
+async def _read_answer(exchange, reader, stall_s, on_event) -> bool:
+    """Read an answer and return whether the connection may be used again."""
     head = (await reader.readuntil(b"\r\n\r\n")).decode()
     first, *lines = head.strip().split("\r\n")
     headers = {k.lower(): v for k, v in (x.split(": ", 1) for x in lines)}
@@ -648,3 +650,4 @@
     exchange.outcome = REFUSED if refused else FAILED
     if exchange.status == 200:
         exchange.outcome = WHOLE
+    return headers.get("connection") != "close"
