--- a/features/fakes/shutdown.py
+++ b/features/fakes/shutdown.py
@@ -29,6 +29,7 @@
     STREAM_PATH,
     Site,
     config,
+    event,
 )
 from features.loopback import free_addresses
 from soak.proxy import Proxy
@@ -356,7 +357,7 @@
         query = dict(parse_qsl(urlsplit(path).query))
         if not path.startswith(STREAM_PATH):
             return b"a" * int(query.get("size", 0)) or self.engines["p0"].answer
-        return _stream_body(int(query["events"]), int(query["padding"]))
+        return _stream_body(int(query["events"]), int(query["size"]))
 
     def configure(self, **changes) -> None:
         """Write a configuration with routes that allow the longest answers.
@@ -578,15 +579,13 @@
 
 
 @functools.cache
-def _stream_body(events: int, padding: int) -> bytes:
-    dots = b"." * padding
-    numbers = range(1, events + 1)
-    return b"".join(b"id: %d\ndata: token %d%b\n\n" % (n, n, dots) for n in numbers)
+def _stream_body(events: int, size: int) -> bytes:
+    return b"".join(event(number, size) for number in range(1, events + 1))
 
 
-def stream(events: int, interval_s: float = 0.1, *, padding: int = 0) -> str:
+def stream(events: int, interval_s: float = 0.1, *, size: int = 0) -> str:
     """Return the path of a stream."""
-    return f"{STREAM_PATH}x?events={events}&interval={interval_s}&padding={padding}"
+    return f"{STREAM_PATH}x?events={events}&interval={interval_s}&size={size}"
 
 
 def plain(delay_s: float, *, once: bool = True, size: int = 0) -> str:
