--- a/features/review.feature
+++ b/features/review.feature
@@ -17,3 +17,15 @@
     Given a decision log whose reader has ended
     When lines and final lines are logged, and it is flushed
     Then nothing is raised
+
+  # Guards against answers of the own daemon that end though nothing can finish them.
+  Scenario: A call outlives a pause of the only engine
+    Given one engine that pauses for 8 s after 2 chunks
+    When a call of 5 chunks is made to it
+    Then the call has all chunks
+
+  # Guards against responses of HTTP/1.0 that look complete when they are aborted (ORDER).
+  Scenario: A caller of HTTP/1.0 can tell that a stream was aborted
+    Given a gateway daemon whose caller speaks HTTP/1.0
+    When a stream of 8 s is requested with a deadline of 1 s
+    Then its connection is reset
