Reset the connection of an HTTP/1.0 caller whose stream is given up

Such callers saw a stream that was given up end like a complete one, since the end of the connection ends their response. Only streams that were cut at a stop were reset.

The message of an unexpected error in a test is printed past the capturing of behave.

--- a/auburnproxy/gateway/stream_forwarder.py
+++ b/auburnproxy/gateway/stream_forwarder.py
@@ -29,6 +29,7 @@
 from .sender import Sender, check_response
 from .serving_replica import ServingReplica
 from .silence_timeout import SilenceTimeout
+from .unfinished_response import abort_response
 from .upstream_selector import UpstreamSelector
 
 FIRST_EVENT_FRACTION = 0.7
@@ -353,8 +354,7 @@
                 silent_s=round(now - self._last_event_at, 3),
                 remaining_s=round(self._call.remaining_s, 3),
             )
-            if self._call.http.transport is not None:
-                self._call.http.transport.close()
+            abort_response(self._call.http)
             raise StreamAbortedError(code, self._response)
         if self._ran is Ran.NO:
             message = "No replica took the request."
--- a/emulator/in_memory_request.py
+++ b/emulator/in_memory_request.py
@@ -67,7 +67,7 @@
         URL(path),
     )
     transport = SimpleNamespace(
-        close=lambda: None,
+        abort=lambda: None,
         is_closing=lambda: False,
         set_write_buffer_limits=lambda high: None,
     )
--- a/features/environment.py
+++ b/features/environment.py
@@ -14,4 +14,4 @@
 def after_step(context, step):
     """Print unexpected errors, which the JSON report of the test command omits."""
     if step.status == Status.error:
-        print(f"{step.name}: {step.error_message}", file=sys.stderr)
+        print(f"{step.name}: {step.error_message}", file=sys.__stderr__)
