Let a stream that has begun go on when its next engine refuses it

Callers lost a stream whose engine paused when the engine that was to take its place refused it: a sound engine was left, the refusal counted as an attempt, and none was left. A refusal is no run, so a stream that has begun no longer counts it; it still costs a retry.

--- a/auburnproxy/gateway/stream_forwarder.py
+++ b/auburnproxy/gateway/stream_forwarder.py
@@ -239,6 +239,9 @@
         if error.code == MISDIRECTED and self._misdirected < MAX_MISDIRECTED:
             self._misdirected += 1
             return self._spend_retry(error.code)
+        if error.ran is Ran.NO and self._response is not None:
+            # A stream that has begun would be lost by a refusal, which is no attempt.
+            return self._spend_retry(error.code)
         self._count_attempt(replica.head)
         if self._ran is Ran.UNKNOWN and not self._call.route.repeatable:
             return Obstacle.NOT_REPEATABLE
--- a/features/lost_answers.feature
+++ b/features/lost_answers.feature
@@ -1,4 +1,4 @@
-Feature: Losses of issue 30 that a review of its fix found
+Feature: Answers outlive pauses of engines, refusals and the reader of the log
 
   # Guards against a live engine that is given up for one which does not take the request.
   Scenario Outline: A request outlives a pause of its engine though others refuse it
@@ -15,7 +15,7 @@
   # answering and from its exit.
   Scenario: A stop goes on when the reader of the log has ended
     Given a decision log whose reader has ended
-    When lines and final lines are logged, and it is flushed
+    When lines are logged before a stop and during it, and it is flushed
     Then nothing is raised
 
   # Guards against answers of the own daemon that end though nothing can finish them.
--- a/features/steps/lost_answers.py
+++ b/features/steps/lost_answers.py
@@ -1,4 +1,4 @@
-"""Steps for the losses that a review of the fix of issue 30 found."""
+"""Steps for answers that pauses, refusals or a lost log reader could end early."""
 
 import asyncio
 import os
@@ -79,14 +79,15 @@
     context.log = DecisionLog("test", descriptor=context.descriptor)
 
 
-@when("lines and final lines are logged, and it is flushed")
+@when("lines are logged before a stop and during it, and it is flushed")
 def log_without_reader(context):
     context.raised = []
     calls = (
         lambda: context.log.belief("stop_signal"),
         lambda: context.log.request("answered", "a1"),
-        lambda: context.log.final_belief("stopping"),
-        lambda: context.log.final_request("request_cut_off", "a1"),
+        context.log.begin_final_lines,
+        lambda: context.log.belief("stopping"),
+        lambda: context.log.request("request_cut_off", "a1"),
         lambda: context.log.flush(FLUSH_S),
     )
     for call in calls:
