--- a/features/steps/shutdown.py
+++ b/features/steps/shutdown.py
@@ -441,13 +441,16 @@
 
 def random_request(random):
     """Return the path and options of a request of a random kind."""
-    kind = random.choice(("stream", "plain", "large", "large stream", "body"))
+    kinds = ("stream", "plain", "large", "large stream", "body", "pauses")
+    kind = random.choice(kinds)
     seconds = random.choice((0.1, 0.2, 0.5, 1.0, 2.0, 4.0))
     stall_s = random.uniform(0.0, 1.5)
     if kind == "stream":
         return stream(max(round(seconds * 10), 1)), {}
     if kind == "plain":
         return plain(seconds, once=random.random() < 0.5), {}
+    if kind == "pauses":
+        return stream(random.randint(2, 4), random.uniform(0.4, 1.2)), {}
     if kind == "large":
         return plain(0.0, size=random.randrange(LARGE_BYTES)), {"stall_s": stall_s}
     if kind == "large stream":
@@ -473,6 +476,13 @@
         connection.close()
 
 
+async def configure_randomly(site, random):
+    """Write configurations that allow every request."""
+    while True:
+        await asyncio.sleep(random.uniform(0.5, 3.0))
+        site.configure(**{"gap-aim-ms": random.choice((300, 400, 500))})
+
+
 async def signal_randomly(daemon, random, ends_at):
     """Send random signals to a daemon while it serves, drains and starts."""
 
@@ -511,6 +521,7 @@
             for number in range(RANDOM_CALLERS)
         )
         site.tasks += [asyncio.create_task(each) for each in callers]
+        configuring = asyncio.create_task(configure_randomly(site, Random(seed)))
         await asyncio.sleep(0.5)
         signals = (
             signal_randomly(daemon, Random(f"{seed}/signals/{number}"), ends_at)
@@ -518,6 +529,7 @@
         )
         await asyncio.gather(*signals)
         await asyncio.gather(*site.tasks)
+        configuring.cancel()
         await site.until_engines_idle()
 
     play(context, script, daemons=3)
