--- a/features/shutdown.feature
+++ b/features/shutdown.feature
@@ -99,6 +99,14 @@
     And no answer is lost
     And the logs show how each request ended
 
+  # Guards against a close that meets a caller's next request on a kept connection.
+  Scenario: A kept connection stays open after a stream that did not announce its close
+    Given a gateway daemon as a process
+    When it gets SIGTERM while streams on kept connections end
+    Then each stopped daemon exits by itself within its grace
+    And no answer is lost
+    And no connection is closed that was not announced to close
+
   # Guards against signals that meet a process whose handlers are gone.
   Scenario: Signals until the exit change nothing
     Given three gateway daemons as processes
--- a/features/steps/shutdown.py
+++ b/features/steps/shutdown.py
@@ -439,6 +439,36 @@
     play(context, script, daemons=3)
 
 
+@when("it gets SIGTERM while streams on kept connections end")
+def stop_with_kept_streams(context):
+    async def keep(site, daemon, seconds):
+        kept = Connection(site, daemon)
+        await kept.request(stream(int(seconds * 10)))
+        await asyncio.sleep(0.1)
+        if not kept.is_open:
+            context.unannounced.append(f"after a stream of {seconds} s")
+        await kept.request(stream(2))
+        kept.close()
+
+    async def script(site):
+        (daemon,) = site.daemons
+        for seconds in (1.0, 1.5, 2.0, 3.5, 4.0):
+            keeping = asyncio.create_task(keep(site, daemon, seconds))
+            site.tasks.append(keeping)
+        site.begin(daemon, stream(55))
+        await site.until_run(6)
+        daemon.terminate()
+        await finish(site)
+
+    context.unannounced = []
+    play(context, script)
+
+
+@then("no connection is closed that was not announced to close")
+def check_announced(context):
+    assert not context.unannounced, context.unannounced
+
+
 def random_request(random):
     """Return the path and options of a request of a random kind."""
     kinds = ("stream", "plain", "large", "large stream", "body", "pauses")
