--- a/auburnproxy/gateway/frontend.py
+++ b/auburnproxy/gateway/frontend.py
@@ -159,7 +159,7 @@
         self, http: web.Request, response: web.StreamResponse, request: InFlightRequest
     ) -> None:
         """Write a response until the kernel has taken all of it."""
-        if self.draining:
+        if self.draining and not response.prepared:
             response.force_close()
         request.phase = Phase.CALLER
         request.begin_answer()
