Give a moved stream time to reach a replica

A stream that waited at a silent engine and moved to a replica that accepted no connection was aborted at once: its caller's patience was counted from the last event. It starts again when the wait ends, as it already did when the silent engine failed.

After three replicas that accept no connection a stream now waits 0.1 s before the next: refused connections alone would repeat without a pause until its caller's patience ends.

Measured: the scenario for it in silence.feature fails without the change and passes with it. Without the pause that scenario never ends on its virtual clock.

--- a/auburnproxy/gateway/stream_forwarder.py
+++ b/auburnproxy/gateway/stream_forwarder.py
@@ -44,7 +44,7 @@
 """Upper bound of the wait for the first event at a head that sends events to others."""
 CALLER_PATIENCE_S = 1.8
 """Pause of a stream that has begun after which its caller is expected to disconnect. If
-its caller has stayed for a silent head, the time starts again when that head fails."""
+its caller has stayed for a silent head, the time starts again when that try ends."""
 REPLICA_POLL_S = 0.1
 LIVENESS_INTERVAL_S = 1.0
 """Interval between two liveness checks of the heads of a stream that waits at a silent
@@ -152,7 +152,7 @@
         """The loop's time at which the current head was found silent on all
         streams."""
         self._waited_until = 0.0
-        """The loop's time at which a try at a silent head failed."""
+        """The loop's time at which a try that waited for a silent head ended."""
         self._unreachable = 0
         self._misdirected = 0
         self._tries = 0
@@ -226,15 +226,18 @@
             self._ran = Ran.UNKNOWN
         if error.code == DEADLINE or self._call.remaining_s <= 0:
             return self._obstacle or Obstacle.DEADLINE
-        if self._replacement is not None:
-            return None
         if self._obstacle is not None:
             self._waited_until = loop_time()
+        if self._replacement is not None:
+            return None
         if not error.sent:
             self._unreachable += 1
-            if self._unreachable < MAX_UNREACHABLE or self._may_wait_for_replica():
+            if self._unreachable < MAX_UNREACHABLE:
                 return None
-            return Obstacle.UNREACHABLE
+            if not self._may_wait_for_replica():
+                return Obstacle.UNREACHABLE
+            await asyncio.sleep(REPLICA_POLL_S)
+            return None
         if error.code == MISDIRECTED and self._misdirected < MAX_MISDIRECTED:
             self._misdirected += 1
             return self._spend_retry(error.code)
