--- a/auburnproxy/daemon/listener.py
+++ b/auburnproxy/daemon/listener.py
@@ -3,14 +3,23 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 from typing import Protocol
 
 from aiohttp import web
 from aiomisc import Service
 from aiomisc.service.aiohttp import AIOHTTPService
 
+from ..clock import loop_time
+from ..stop_budget import StopBudget
+from .stop_signals import StopRequest
+
 CONNECTION_CLOSE_S = 2
 """Timeout for closing connections once all calls have been answered."""
+HANDLER_CLOSE_S = 0.05
+"""Time in which a handler that is still running may end by itself, and once more the
+time in which it may end after its connection has been closed."""
+FLUSH_POLL_S = 0.01
 IDLE_TIMEOUT_S = 75.0
 """Seconds after which a connection without a complete request head is closed."""
 MAX_LINE_BYTES = 65_536
@@ -28,11 +37,42 @@
 class RunnableDaemon(DrainingDaemon, Protocol):
     """Interface of a daemon that can be started and stopped."""
 
+    request_stop: Callable[[], None]
+    """Requests an ordinary stop of the process."""
+
     def start(self) -> None:
         """Start the tasks of the components."""
 
+    @property
+    def last_ran_at(self) -> float:
+        """Return the loop's time before which a signal noticed now was not sent."""
+
+    def begin_stop(self, request: StopRequest) -> StopBudget:
+        """Begin to drain and return the budget of the stop.
+
+        :param request: when the process was asked to stop
+        """
+
     async def stop(self) -> None:
-        """Drain requests and cancel the tasks."""
+        """Drain requests and cancel the tasks, within the budget."""
+
+    def log_signal(self, name: str) -> None:
+        """Log that a stop signal arrived; all but the first change nothing.
+
+        :param name: name of the signal
+        """
+
+    def log_overrun(self, what: str) -> None:
+        """Log that something did not stop within the budget and was left as it is.
+
+        :param what: name of what did not stop
+        """
+
+    def flush_logs(self, timeout_s: float) -> None:
+        """Write the log lines that are still held back.
+
+        :param timeout_s: longest wait in seconds for a slow reader of the log
+        """
 
 
 class DaemonService(Service):
@@ -77,7 +117,7 @@
         super().__init__(
             host.strip("[]"),
             int(port),
-            shutdown_timeout=close_s,  # type: ignore[arg-type]
+            shutdown_timeout=HANDLER_CLOSE_S,  # type: ignore[arg-type]
             handler_cancellation=True,
             runner_kwargs={
                 "access_log": None,
@@ -88,6 +128,7 @@
         )
         self._application = application
         self._daemon = daemon
+        self._close_s = close_s
 
     async def create_application(self) -> web.Application:
         """Return the application to serve."""
@@ -104,6 +145,32 @@
             self.runner.server._kwargs["keepalive_timeout"] = idle_s
 
     async def stop(self, exception: Exception | None = None) -> None:
-        """Close once no request is in flight."""
+        """Close once no request is in flight and all that was written is sent."""
+        if not hasattr(self, "site"):
+            await self._stop_half_started()
+            return
         await self._daemon.drained.wait()
-        await super().stop(exception)
+        await self.site.stop()
+        await self._flush()
+        await self.runner.cleanup()
+
+    async def _stop_half_started(self) -> None:
+        """Close a listener whose start was cancelled."""
+        if hasattr(self, "runner"):
+            await self.runner.cleanup()
+        self.socket.close()
+
+    async def _flush(self) -> None:
+        """Wait until callers have taken what was written, unless they are too slow."""
+        closed_by = loop_time() + self._close_s
+        while loop_time() < closed_by:
+            if not self._unsent_bytes():
+                return
+            await asyncio.sleep(FLUSH_POLL_S)
+
+    def _unsent_bytes(self) -> int:
+        server = self.runner.server
+        if server is None:
+            return 0
+        transports = (connection.transport for connection in server.connections)
+        return sum(t.get_write_buffer_size() for t in transports if t is not None)
--- a/auburnproxy/gateway/frontend.py
+++ b/auburnproxy/gateway/frontend.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from collections import Counter as Counts
 from collections.abc import Callable, Iterator
 from functools import partial
@@ -11,16 +12,17 @@
 
 from ..clock import loop_time
 from ..errors import Ran, RefusalError
-from ..in_flight import InFlightRequests
+from ..in_flight import InFlightRequest, InFlightRequests, Phase
 from ..telemetry import Counter, Gauge, GaugeReading, Measure, Telemetry
 from ..telemetry.decisions import DecisionLog
-from .call import Call
+from .call import IN_FLIGHT, Call
 from .directory import Directory
 from .header_codec import HeaderCodec, RequestInfo
 from .plain_forwarder import PlainForwarder
 from .retry_budget import RetryAllowance, RetryBudget
 from .route import RouteKind
 from .stream_forwarder import StreamAbortedError, StreamForwarder
+from .unfinished_response import abort_response
 
 MAX_RETRY_AFTER_FRACTION = 0.25
 """Upper bound of Retry-After as a fraction of the caller's deadline; the rest is needed
@@ -69,9 +71,9 @@
     ) -> None:
         self.draining = False
         """Whether connections are closed after their next response."""
-        self.closed = False
-        """Whether new requests are refused, since they might not finish before the
-        exit."""
+        self.refuse_at = math.inf
+        """The loop's time from which new requests are refused, since they might not
+        finish before the exit."""
         self.served = 0
         """Requests routed to a service since the start."""
         self._directory = directory
@@ -97,42 +99,74 @@
         return app
 
     async def handle(self, http: web.Request) -> web.StreamResponse:
-        """Handle one request."""
-        arrived_at = loop_time()
+        """Handle one request and write its response.
+
+        It is in flight until the kernel has taken the whole response.
+        """
         info = self._header_codec.read_request(http.headers)
         if info.malformed:
             self._decisions.request(
                 "headers_ignored", info.request_id, names=info.malformed
             )
-        with self.requests.track():
+        if http.transport is not None and not http.transport.is_closing():
+            http.transport.set_write_buffer_limits(high=0)
+        with self.requests.track(info.request_id) as request:
+            http[IN_FLIGHT] = request
             try:
-                response = await self._process(http, info, arrived_at)
-            except RefusalError as refusal:
-                response = self._refusal_response(info, refusal, arrived_at)
-            except StreamAbortedError as aborted:
-                self._telemetry.count(Counter.UNKNOWN, "", "", aborted.reason)
-                return aborted.response
+                return await self._respond(http, info, request)
             except (asyncio.CancelledError, ConnectionError):
+                if request.cut_off:
+                    return await self._respond_cut_off(http, info, request)
                 self._decisions.request(
-                    "caller_left", info.request_id, after_s=_elapsed_s(arrived_at)
+                    "caller_left",
+                    info.request_id,
+                    phase=request.phase,
+                    after_s=_elapsed_s(request.arrived_at),
                 )
                 self._telemetry.count(Counter.CANCELLED, "", "")
                 raise
-            if self.draining and not response.prepared:
-                response.force_close()
-            return response
+            except Exception as error:
+                self._log_failure(request, error)
+                raise
 
-    async def _process(
-        self, http: web.Request, info: RequestInfo, arrived_at: float
+    async def _respond(
+        self, http: web.Request, info: RequestInfo, request: InFlightRequest
     ) -> web.StreamResponse:
-        call = await self._route(http, info, arrived_at)
+        try:
+            call = await self._route(http, info, request)
+            response = await self._forward(call)
+        except RefusalError as refusal:
+            response = self._refusal_response(info, refusal, request.arrived_at)
+            await self._write(http, response, request)
+            return response
+        except StreamAbortedError as aborted:
+            self._telemetry.count(Counter.UNKNOWN, "", "", aborted.reason)
+            return aborted.response
+        await self._write(http, response, request)
+        self._record_answer(call, response)
+        return response
+
+    async def _forward(self, call: Call) -> web.StreamResponse:
         self.served += 1
         retry_budget = self._retry_budget(call.service)
         retry_budget.record_request()
         if call.route.kind is RouteKind.STREAM:
-            response = await self._streams.forward(call, retry_budget)
-        else:
-            response = await self._plain.forward(call, retry_budget)
+            return await self._streams.forward(call, retry_budget)
+        return await self._plain.forward(call, retry_budget)
+
+    async def _write(
+        self, http: web.Request, response: web.StreamResponse, request: InFlightRequest
+    ) -> None:
+        """Write a response until the kernel has taken all of it."""
+        if self.draining:
+            response.force_close()
+        request.phase = Phase.CALLER
+        request.begin_answer()
+        await response.prepare(http)
+        await response.write_eof()
+
+    def _record_answer(self, call: Call, response: web.StreamResponse) -> None:
+        took_s = _elapsed_s(call.arrived_at)
         self._decisions.request(
             "answered",
             call.id,
@@ -140,25 +174,75 @@
             route=call.route.name,
             configuration=self._directory.configuration.version,
             status=response.status,
-            took_s=_elapsed_s(arrived_at),
+            took_s=took_s,
         )
         self._telemetry.observe(
-            Measure.WHOLE_ANSWER, call.account, call.service, _elapsed_s(arrived_at)
+            Measure.WHOLE_ANSWER, call.account, call.service, took_s
         )
         self._telemetry.count(Counter.ANSWERED, call.account, call.service)
+
+    def cut_off(self) -> None:
+        """End all requests in flight, with a log line for each.
+
+        A caller that has received nothing is answered; any other response is aborted,
+        so that it does not look complete.
+        """
+        for request in self.requests:
+            self._decisions.final_request(
+                "request_cut_off",
+                request.id,
+                phase=request.phase,
+                upstream=request.upstream,
+                ran=request.ran,
+                answer_begun=request.answer_begun,
+                age_s=_elapsed_s(request.arrived_at),
+                remaining_s=_remaining_s(request.deadline),
+            )
+            request.cut()
+
+    async def _respond_cut_off(
+        self, http: web.Request, info: RequestInfo, request: InFlightRequest
+    ) -> web.StreamResponse:
+        """Answer a request that was cut off, or abort the response that has begun.
+
+        :raises CancelledError: if the response was aborted
+        """
+        if request.answer_begun:
+            abort_response(http)
+            raise asyncio.CancelledError
+        task = asyncio.current_task()
+        assert task is not None
+        task.uncancel()
+        refusal = _draining_refusal()
+        if request.ran is Ran.UNKNOWN:
+            message = "The daemon stopped before the upstream had answered."
+            refusal = RefusalError("cut_off", message, status=502, ran=Ran.UNKNOWN)
+        response = self._refusal_response(info, refusal, request.arrived_at)
+        await self._write(http, response, request)
         return response
 
+    def _log_failure(self, request: InFlightRequest, error: Exception) -> None:
+        self._decisions.request(
+            "handler_failed",
+            request.id,
+            phase=request.phase,
+            upstream=request.upstream,
+            error=repr(error),
+            after_s=_elapsed_s(request.arrived_at),
+        )
+
     async def _route(
-        self, http: web.Request, info: RequestInfo, arrived_at: float
+        self, http: web.Request, info: RequestInfo, request: InFlightRequest
     ) -> Call:
         """Return a request with its route and account.
 
         :raises RefusalError: if it cannot be routed or authenticated
         """
+        arrived_at = request.arrived_at
         body = await self._read_body(http)
-        if self.closed:
-            message = "This daemon is shutting down."
-            raise RefusalError("draining", message, retry_after_s=DRAINING_RETRY_S)
+        if loop_time() >= self.refuse_at:
+            raise _draining_refusal()
+        request.phase = Phase.CONFIGURATION
         await self._wait_until_informed(arrived_at, info)
         configuration = self._directory.configuration
         if configuration.version < 0:
@@ -179,6 +263,8 @@
         timeout_s = route.timeout_s
         if info.deadline_s is not None:
             timeout_s = min(timeout_s, info.deadline_s)
+        request.phase = Phase.UPSTREAM
+        request.deadline = arrived_at + timeout_s
         return Call(
             http=http,
             info=info,
@@ -188,7 +274,7 @@
             urgency=min(max(urgency, 0), 9),
             body=body,
             arrived_at=arrived_at,
-            deadline=arrived_at + timeout_s,
+            deadline=request.deadline,
         )
 
     async def _wait_until_informed(self, arrived_at: float, info: RequestInfo) -> None:
@@ -279,5 +365,14 @@
             yield GaugeReading(Gauge.RETRIES_LEFT, retry_budget.remaining, service)
 
 
+def _draining_refusal() -> RefusalError:
+    message = "This daemon is shutting down."
+    return RefusalError("draining", message, retry_after_s=DRAINING_RETRY_S)
+
+
+def _remaining_s(deadline: float | None) -> float | None:
+    return None if deadline is None else round(deadline - loop_time(), 4)
+
+
 def _elapsed_s(arrived_at: float) -> float:
     return round(loop_time() - arrived_at, 4)
