--- a/auburnproxy/daemon/daemon.py
+++ b/auburnproxy/daemon/daemon.py
@@ -275,6 +275,10 @@
         """
         log.error("{} did not stop in time.", what)
 
+    def log_stopped(self) -> None:
+        """Log that the daemon has stopped, after everything else that it logs."""
+        log.info("{} stopped.", self.me.id)
+
     def flush_logs(self, timeout_s: float) -> None:
         """Write the log lines that are still held back; there are none.
 
@@ -293,7 +297,6 @@
         await leaving
         await self._tasks.cancel()
         await self._close()
-        log.info("{} stopped.", self.me.id)
 
     async def _leave(self, until: float) -> None:
         """Record the outcomes of calls, and that this daemon leaves its group.
--- a/auburnproxy/daemon/gateway_daemon.py
+++ b/auburnproxy/daemon/gateway_daemon.py
@@ -460,7 +460,6 @@
         self.drained.set()
         await self._close(budget.close_at)
         resigning.cancel()
-        self.decisions.belief("stopped", in_flight=requests.count)
 
     async def _close(self, until: float) -> None:
         """Cancel all tasks and close all clients.
@@ -495,6 +494,10 @@
         count = self.frontend.requests.count
         self.decisions.belief("stop_overrun", what=what, in_flight=count)
 
+    def log_stopped(self) -> None:
+        """Log that the daemon has stopped, after everything else that it logs."""
+        self.decisions.belief("stopped", in_flight=self.frontend.requests.count)
+
     def flush_logs(self, timeout_s: float) -> None:
         """Write the log lines that are still held back.
 
--- a/auburnproxy/daemon/listener.py
+++ b/auburnproxy/daemon/listener.py
@@ -68,6 +68,9 @@
         :param what: name of what did not stop
         """
 
+    def log_stopped(self) -> None:
+        """Log that the daemon has stopped, after everything else that it logs."""
+
     def flush_logs(self, timeout_s: float) -> None:
         """Write the log lines that are still held back.
 
--- a/auburnproxy/daemon/main.py
+++ b/auburnproxy/daemon/main.py
@@ -156,15 +156,21 @@
     except TimeoutError:
         daemon.log_overrun("services")
     finally:
+        daemon.log_stopped()
         daemon.flush_logs(budget.exit_at - loop_time())
 
 
 def _end_process_after(seconds: float, daemon: RunnableDaemon) -> None:
-    """End the process after some time even if its event loop hangs."""
+    """End the process after some time even if its event loop or its log hangs."""
 
-    def end() -> None:
+    def report() -> None:
         daemon.log_overrun("process")
         daemon.flush_logs(LAST_FLUSH_S)
+
+    def end() -> None:
+        reporting = threading.Thread(target=report, daemon=True)
+        reporting.start()
+        reporting.join(LAST_FLUSH_S)
         os._exit(os.EX_SOFTWARE)
 
     timer = threading.Timer(max(seconds, 0.0), end)
--- a/features/fakes/stopping_daemon.py
+++ b/features/fakes/stopping_daemon.py
@@ -53,7 +53,6 @@
         if self._mode == "block":
             time.sleep(BLOCK_S)  # noqa: ASYNC251
         await self._tasks.cancel()
-        self._decisions.belief("stopped")
 
     def log_signal(self, name: str) -> None:
         """Log a stop signal."""
@@ -63,6 +62,10 @@
         """Log what did not stop."""
         self._decisions.belief("stop_overrun", what=what)
 
+    def log_stopped(self) -> None:
+        """Log that the daemon has stopped."""
+        self._decisions.belief("stopped")
+
     def flush_logs(self, timeout_s: float) -> None:
         """Write the lines that are held back."""
         self._decisions.flush(timeout_s)
