--- a/auburnproxy/daemon/gateway_daemon.py
+++ b/auburnproxy/daemon/gateway_daemon.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable, Collection, Iterator
 from functools import partial
 from random import Random
+from types import FrameType
 
 from aiohttp import ClientTimeout, web
 
@@ -389,8 +390,12 @@
         self._registration_task = asyncio.create_task(self._register())
         self._started = True
         # Handlers of the event loop are replaced by the default ones when it closes.
-        loop = asyncio.get_running_loop()
-        signal.signal(signal.SIGHUP, lambda *_: loop.call_soon_threadsafe(self.reload))
+        self._loop = asyncio.get_running_loop()
+        signal.signal(signal.SIGHUP, self._handle_hangup)
+
+    def _handle_hangup(self, number: int, frame: FrameType | None) -> None:
+        if not self.frontend.draining:
+            self._loop.call_soon_threadsafe(self.reload)
 
     def reload(self) -> None:
         """Reload the settings; changed addresses apply only after a restart."""
@@ -430,9 +435,9 @@
         )
         self.frontend.draining = True
         self.frontend.refuse_at = budget.refuse_at
-        signal.signal(signal.SIGHUP, signal.SIG_IGN)
+        self.decisions.begin_final_lines()
         now = loop_time()
-        self.decisions.final_belief(
+        self.decisions.belief(
             "stopping",
             in_flight=self.frontend.requests.count,
             noticed_after_s=round(now - budget.signalled_at, 3),
@@ -449,13 +454,13 @@
         await asyncio.sleep(budget.refuse_at - loop_time())
         requests = self.frontend.requests
         if not await requests.wait_idle(budget.cut_at):
-            self.decisions.final_belief("requests_cut_off", count=requests.count)
+            self.decisions.belief("requests_cut_off", count=requests.count)
             self.frontend.cut_off()
             await requests.wait_idle(budget.answered_at)
         self.drained.set()
         await self._close(budget.close_at)
         resigning.cancel()
-        self.decisions.final_belief("stopped", in_flight=requests.count)
+        self.decisions.belief("stopped", in_flight=requests.count)
 
     async def _close(self, until: float) -> None:
         """Cancel all tasks and close all clients.
@@ -488,7 +493,7 @@
         :param what: name of what did not stop
         """
         count = self.frontend.requests.count
-        self.decisions.final_belief("stop_overrun", what=what, in_flight=count)
+        self.decisions.belief("stop_overrun", what=what, in_flight=count)
 
     def flush_logs(self, timeout_s: float) -> None:
         """Write the log lines that are still held back.
--- a/auburnproxy/daemon/main.py
+++ b/auburnproxy/daemon/main.py
@@ -109,7 +109,7 @@
         try:
             loop.run_until_complete(_serve(runtime, signals, create, services))
         finally:
-            signals.ignore_further()
+            signals.detach()
     return 0
 
 
@@ -155,7 +155,8 @@
             await runtime.graceful_shutdown(STOP_REASON)
     except TimeoutError:
         daemon.log_overrun("services")
-    daemon.flush_logs(budget.exit_at - loop_time())
+    finally:
+        daemon.flush_logs(budget.exit_at - loop_time())
 
 
 def _end_process_after(seconds: float, daemon: RunnableDaemon) -> None:
@@ -179,5 +180,12 @@
 
 
 def main() -> None:
-    """Run the command line."""
-    sys.exit(defopt.run(auburnproxyd))
+    """Run the command line.
+
+    The process ends without the cleanup of the interpreter, which restores the default
+    handlers of signals: one that arrives then would kill the process.
+    """
+    code = defopt.run(auburnproxyd)
+    sys.stdout.flush()
+    sys.stderr.flush()
+    os._exit(code)
--- a/auburnproxy/gateway/frontend.py
+++ b/auburnproxy/gateway/frontend.py
@@ -112,6 +112,7 @@
             http.transport.set_write_buffer_limits(high=0)
         with self.requests.track(info.request_id) as request:
             http[IN_FLIGHT] = request
+            request.transport = http.transport
             try:
                 return await self._respond(http, info, request)
             except (asyncio.CancelledError, ConnectionError):
@@ -158,12 +159,13 @@
         self, http: web.Request, response: web.StreamResponse, request: InFlightRequest
     ) -> None:
         """Write a response until the kernel has taken all of it."""
-        if self.draining:
+        if self.draining and not response.prepared:
             response.force_close()
         request.phase = Phase.CALLER
         request.begin_answer()
         await response.prepare(http)
         await response.write_eof()
+        await http.writer.drain()
 
     def _record_answer(self, call: Call, response: web.StreamResponse) -> None:
         took_s = _elapsed_s(call.arrived_at)
@@ -188,13 +190,14 @@
         so that it does not look complete.
         """
         for request in self.requests:
-            self._decisions.final_request(
+            self._decisions.request(
                 "request_cut_off",
                 request.id,
                 phase=request.phase,
                 upstream=request.upstream,
                 ran=request.ran,
                 answer_begun=request.answer_begun,
+                unsent_bytes=request.unsent_bytes,
                 age_s=_elapsed_s(request.arrived_at),
                 remaining_s=_remaining_s(request.deadline),
             )
--- a/auburnproxy/gateway/stream_forwarder.py
+++ b/auburnproxy/gateway/stream_forwarder.py
@@ -29,6 +29,7 @@
 from .sender import Sender, check_response
 from .serving_replica import ServingReplica
 from .silence_timeout import SilenceTimeout
+from .unfinished_response import abort_response
 from .upstream_selector import UpstreamSelector
 
 FIRST_EVENT_FRACTION = 0.7
@@ -238,6 +239,9 @@
         if error.code == MISDIRECTED and self._misdirected < MAX_MISDIRECTED:
             self._misdirected += 1
             return self._spend_retry(error.code)
+        if error.ran is Ran.NO and self._response is not None:
+            # A stream that has begun would be lost by a refusal, which is no attempt.
+            return self._spend_retry(error.code)
         self._count_attempt(replica.head)
         if self._ran is Ran.UNKNOWN and not self._call.route.repeatable:
             return Obstacle.NOT_REPEATABLE
@@ -353,8 +357,7 @@
                 silent_s=round(now - self._last_event_at, 3),
                 remaining_s=round(self._call.remaining_s, 3),
             )
-            if self._call.http.transport is not None:
-                self._call.http.transport.close()
+            abort_response(self._call.http)
             raise StreamAbortedError(code, self._response)
         if self._ran is Ran.NO:
             message = "No replica took the request."
--- a/features/steps/shutdown.py
+++ b/features/steps/shutdown.py
@@ -40,6 +40,7 @@
 ROLL_STOPS = 6
 ROLL_CALLERS = 8
 RANDOM_CALLERS = 10
+FLOOD_INTERVAL_S = 0.02
 LONGEST_FREEZE_S = 0.6
 
 
@@ -173,6 +174,7 @@
             key=lambda event: event[0],
         )
         now_s = min(before_s, 0.0)
+        daemon.life.frozen_before_s = -now_s
         for at_s, act in events:
             await asyncio.sleep(at_s - now_s)
             act()
@@ -414,15 +416,71 @@
     play(context, script, daemons=3)
 
 
+@when("they get SIGTERM, then SIGHUP, SIGTERM or both every 20 ms until they end")
+def flood_with_signals(context):
+    async def flood(daemon, numbers):
+        daemon.terminate()
+        ends_at = time.monotonic() + GRACE_S
+        while daemon.runs and time.monotonic() < ends_at:
+            for number in numbers:
+                daemon.send(number)
+            await asyncio.sleep(FLOOD_INTERVAL_S)
+
+    async def script(site):
+        for daemon in site.daemons:
+            site.begin(daemon, stream(35))
+        await site.until_run(3)
+        hangup, terminate = signal.SIGHUP, signal.SIGTERM
+        numbers = ((hangup,), (terminate,), (hangup, terminate))
+        floods = zip(site.daemons, numbers, strict=True)
+        await asyncio.gather(*(flood(*each) for each in floods))
+        await finish(site)
+
+    play(context, script, daemons=3)
+
+
+@when("it gets SIGTERM while streams on kept connections end")
+def stop_with_kept_streams(context):
+    async def keep(site, daemon, seconds):
+        kept = Connection(site, daemon)
+        await kept.request(stream(int(seconds * 10)))
+        await asyncio.sleep(0.1)
+        if not kept.is_open:
+            context.unannounced.append(f"after a stream of {seconds} s")
+        await kept.request(stream(2))
+        kept.close()
+
+    async def script(site):
+        (daemon,) = site.daemons
+        for seconds in (1.0, 1.5, 2.0, 3.5, 4.0):
+            keeping = asyncio.create_task(keep(site, daemon, seconds))
+            site.tasks.append(keeping)
+        site.begin(daemon, stream(55))
+        await site.until_run(6)
+        daemon.terminate()
+        await finish(site)
+
+    context.unannounced = []
+    play(context, script)
+
+
+@then("no connection is closed that was not announced to close")
+def check_announced(context):
+    assert not context.unannounced, context.unannounced
+
+
 def random_request(random):
     """Return the path and options of a request of a random kind."""
-    kind = random.choice(("stream", "plain", "large", "large stream", "body"))
+    kinds = ("stream", "plain", "large", "large stream", "body", "pauses")
+    kind = random.choice(kinds)
     seconds = random.choice((0.1, 0.2, 0.5, 1.0, 2.0, 4.0))
     stall_s = random.uniform(0.0, 1.5)
     if kind == "stream":
         return stream(max(round(seconds * 10), 1)), {}
     if kind == "plain":
         return plain(seconds, once=random.random() < 0.5), {}
+    if kind == "pauses":
+        return stream(random.randint(2, 4), random.uniform(0.4, 1.2)), {}
     if kind == "large":
         return plain(0.0, size=random.randrange(LARGE_BYTES)), {"stall_s": stall_s}
     if kind == "large stream":
@@ -448,6 +506,13 @@
         connection.close()
 
 
+async def configure_randomly(site, random):
+    """Write configurations that allow every request."""
+    while True:
+        await asyncio.sleep(random.uniform(0.5, 3.0))
+        site.configure(**{"gap-aim-ms": random.choice((300, 400, 500))})
+
+
 async def signal_randomly(daemon, random, ends_at):
     """Send random signals to a daemon while it serves, drains and starts."""
 
@@ -486,6 +551,7 @@
             for number in range(RANDOM_CALLERS)
         )
         site.tasks += [asyncio.create_task(each) for each in callers]
+        configuring = asyncio.create_task(configure_randomly(site, Random(seed)))
         await asyncio.sleep(0.5)
         signals = (
             signal_randomly(daemon, Random(f"{seed}/signals/{number}"), ends_at)
@@ -493,6 +559,7 @@
         )
         await asyncio.gather(*signals)
         await asyncio.gather(*site.tasks)
+        configuring.cancel()
         await site.until_engines_idle()
 
     play(context, script, daemons=3)
