--- a/soak/site.py
+++ b/soak/site.py
@@ -131,8 +131,9 @@
             async with asyncio.timeout(GRACE_S if first else None):
                 await process.wait()
         except TimeoutError:
-            self.overdue_stops.append(sent_at)
-            process.kill()
+            if not _has_exited(process.pid):
+                self.overdue_stops.append(sent_at)
+                process.kill()
             await process.wait()
 
     async def ended(self) -> None:
@@ -212,6 +213,15 @@
         await self.platform.stop()
 
 
+def _has_exited(pid: int) -> bool:
+    """Return whether a child has exited; asyncio's notice of it may be late."""
+    flags = os.WEXITED | os.WNOHANG | os.WNOWAIT
+    try:
+        return os.waitid(os.P_PID, pid, flags) is not None
+    except ChildProcessError:
+        return True
+
+
 def _address(number: int) -> str:
     port = _port(free_addresses(1)[0])
     network, host = divmod(number, LOOPBACK_HOSTS)
