--- a/auburnproxy/daemon/daemon.py
+++ b/auburnproxy/daemon/daemon.py
@@ -43,7 +43,7 @@
 """Upper bound of the same, as a fraction of the time in which the daemon must stop."""
 LEAVE_TIMEOUT_S = 3.0
 """Longest wait at a shutdown for the journal to record outcomes and the leave."""
-RECORD_MARGIN_S = 0.05
+RECORD_MARGIN_S = 0.1
 """Time for ending the background tasks after that."""
 WEIGHT_STORE_KEY = "plan/weight-store"
 """Quota key of the weight store's loads, which is divided like a plan's limit."""
@@ -275,6 +275,10 @@
         """
         log.error("{} did not stop in time.", what)
 
+    def log_stopped(self) -> None:
+        """Log that the daemon has stopped, after everything else that it logs."""
+        log.info("{} stopped.", self.me.id)
+
     def flush_logs(self, timeout_s: float) -> None:
         """Write the log lines that are still held back; there are none.
 
@@ -293,7 +297,6 @@
         await leaving
         await self._tasks.cancel()
         await self._close()
-        log.info("{} stopped.", self.me.id)
 
     async def _leave(self, until: float) -> None:
         """Record the outcomes of calls, and that this daemon leaves its group.
--- a/auburnproxy/daemon/main.py
+++ b/auburnproxy/daemon/main.py
@@ -109,7 +109,7 @@
         try:
             loop.run_until_complete(_serve(runtime, signals, create, services))
         finally:
-            signals.ignore_further()
+            signals.detach()
     return 0
 
 
@@ -156,15 +156,21 @@
     except TimeoutError:
         daemon.log_overrun("services")
     finally:
+        daemon.log_stopped()
         daemon.flush_logs(budget.exit_at - loop_time())
 
 
 def _end_process_after(seconds: float, daemon: RunnableDaemon) -> None:
-    """End the process after some time even if its event loop hangs."""
+    """End the process after some time even if its event loop or its log hangs."""
 
-    def end() -> None:
+    def report() -> None:
         daemon.log_overrun("process")
         daemon.flush_logs(LAST_FLUSH_S)
+
+    def end() -> None:
+        reporting = threading.Thread(target=report, daemon=True)
+        reporting.start()
+        reporting.join(LAST_FLUSH_S)
         os._exit(os.EX_SOFTWARE)
 
     timer = threading.Timer(max(seconds, 0.0), end)
@@ -180,5 +186,12 @@
 
 
 def main() -> None:
-    """Run the command line."""
-    sys.exit(defopt.run(auburnproxyd))
+    """Run the command line.
+
+    The process ends without the cleanup of the interpreter, which restores the default
+    handlers of signals: one that arrives then would kill the process.
+    """
+    code = defopt.run(auburnproxyd)
+    sys.stdout.flush()
+    sys.stderr.flush()
+    os._exit(code)
--- a/features/fakes/platform.py
+++ b/features/fakes/platform.py
@@ -231,6 +231,7 @@
             await self._serve_one(reader, writer)
         finally:
             self.open_connections -= 1
+            writer.close()
 
     async def _serve_one(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
--- a/soak/site.py
+++ b/soak/site.py
@@ -14,6 +14,7 @@
 
 from features.fakes.platform import EngineStandIn, Site
 from features.loopback import free_addresses
+from standins.processes import send_signal
 
 from .proxy import Proxy
 from .replicas import ReplicaEngines
@@ -109,8 +110,8 @@
 
     def send(self, number: signal.Signals) -> None:
         """Send a signal to the process, if it runs."""
-        if self._process is not None and self.runs:
-            self._process.send_signal(number)
+        if self._process is not None:
+            send_signal(self._process, number)
 
     def reload(self) -> None:
         """Send SIGHUP."""
@@ -126,13 +127,14 @@
         if not self._stopping:
             self.stops.append(sent_at)
         first, self._stopping = not self._stopping, True
-        process.send_signal(signal.SIGTERM)
+        send_signal(process, signal.SIGTERM)
         try:
             async with asyncio.timeout(GRACE_S if first else None):
                 await process.wait()
         except TimeoutError:
-            self.overdue_stops.append(sent_at)
-            process.kill()
+            if not _has_exited(process.pid):
+                self.overdue_stops.append(sent_at)
+                send_signal(process, signal.SIGKILL)
             await process.wait()
 
     async def ended(self) -> None:
@@ -212,6 +214,15 @@
         await self.platform.stop()
 
 
+def _has_exited(pid: int) -> bool:
+    """Return whether a child has exited; asyncio's notice of it may be late."""
+    flags = os.WEXITED | os.WNOHANG | os.WNOWAIT
+    try:
+        return os.waitid(os.P_PID, pid, flags) is not None
+    except ChildProcessError:
+        return True
+
+
 def _address(number: int) -> str:
     port = _port(free_addresses(1)[0])
     network, host = divmod(number, LOOPBACK_HOSTS)
