--- a/auburnproxy/serving/frontend.py
+++ b/auburnproxy/serving/frontend.py
@@ -5,7 +5,7 @@
 import asyncio
 import time
 from collections.abc import Awaitable, Callable
-from contextlib import suppress
+from contextlib import AbstractContextManager, suppress
 
 import msgspec
 from aiohttp import web
@@ -15,24 +15,29 @@
 from ..admission._protocols import Configuration
 from ..configuration import Plan, TargetKind
 from ..errors import DocumentError, Ran, RefusalError
-from ..in_flight import InFlightRequests
+from ..in_flight import InFlightRequest, InFlightRequests, Phase
 from ..ledger import AtMostOnceRunner
 from ..routing import Router
 from ..routing._protocols import Readiness, Watcher
 from ..telemetry import Counter, Telemetry
-from ._labels import PLAN, REQUEST, TARGET
+from ._cut_off import (
+    cut_off_refusal,
+    draining_refusal,
+    log_cut_off,
+)
+from ._labels import IN_FLIGHT, PLAN, REQUEST, TARGET
 from .forward import MODEL_PATH, SERVICE_PATH, Forwarder
 from .limits import RequestLimits
 from .model_calls import ModelCallHandler
 from .peer_selector import PeerSelector
-from .refusal import findings_response, refusal_response
+from .refusal import failure_refusal, findings_response, refusal_response
 from .request_parsing import bearer_key, request_id
 from .service_calls import ServiceCallHandler
 from .signature import Signer
 
 REFRESH_INTERVAL_S = 0.5
 """Seconds between two updates of the concurrency limits."""
-DRAIN_RETRY_AFTER_S = 1.0
+RETRY_AFTER_S = 1.0
 
 log = logger.bind(part="serving")
 Handler = Callable[[web.Request, Plan], Awaitable[web.StreamResponse]]
@@ -74,6 +79,11 @@
     ) -> None:
         limits = limits or RequestLimits()
         self.draining = False
+        """Whether the daemon stops: it is not ready, and closes each connection after
+        its next response."""
+        self.closed = False
+        """Whether new requests are refused, since they might not finish before the
+        exit."""
         self._configuration = configuration
         self._admission = admission
         self._router = router
@@ -149,14 +159,51 @@
             ),
         ]
 
-    async def drain(self) -> None:
-        """Refuse new requests and wait for those in flight to complete."""
+    def track(self, request_id: str) -> AbstractContextManager[InFlightRequest]:
+        """Count a request that this frontend does not serve as in flight.
+
+        :param request_id: name of the request in logs
+        """
+        return self._requests.track(request_id)
+
+    def announce_stop(self) -> None:
+        """Count as not ready from now on; new requests are still accepted."""
         self.draining = True
+
+    async def drain(
+        self, *, cut_at: float | None = None, answered_at: float | None = None
+    ) -> None:
+        """Refuse new requests and wait for those in flight to complete.
+
+        :param cut_at: the loop's time at which requests that are not complete are
+            ended and their callers told so, None for no limit
+        :param answered_at: the loop's time until which these answers are waited for
+        """
+        self.draining = self.closed = True
         log.info("Draining: waiting for {} requests in flight.", self.in_flight)
-        await self._requests.wait_idle()
-        await self._service_calls.wait_finished()
+        if not await self._wait_idle(cut_at):
+            self._cut_off()
+            await self._wait_idle(answered_at)
         log.info("Drained.")
 
+    async def wait_recorded(self, *, timeout_s: float) -> None:
+        """Wait until the outcomes of calls that run at most once are recorded.
+
+        :param timeout_s: longest wait in seconds; outcomes that the log has not taken
+            by then stay unknown
+        """
+        await self._service_calls.wait_recorded(timeout_s=timeout_s)
+
+    async def _wait_idle(self, until: float | None) -> bool:
+        idle = await self._requests.wait_idle(until)
+        return await self._service_calls.wait_finished(until) and idle
+
+    def _cut_off(self) -> None:
+        for request in self._requests:
+            log_cut_off(request)
+            request.cut()
+        self._service_calls.cut_off()
+
     async def close(self) -> None:
         """Close every connection to a peer."""
         await self._forwarder.close()
@@ -185,15 +232,23 @@
         return self._tracked(handle)
 
     def _tracked(self, handler: RawHandler) -> RawHandler:
-        """Wrap a handler: track requests in flight and turn errors into responses."""
+        """Wrap a handler: track requests in flight and turn errors into responses.
+
+        A request is in flight until the kernel has taken its whole response.
+        """
 
         async def tracked(http: web.Request) -> web.StreamResponse:
             http[REQUEST] = request_id(http.headers)
+            if http.transport is not None and not http.transport.is_closing():
+                http.transport.set_write_buffer_limits(high=0)
             log_context = logger.contextualize(request=f" [{http[REQUEST]}]")
-            with self._requests.track(), log_context:
+            with self._requests.track(http[REQUEST]) as request, log_context:
+                http[IN_FLIGHT] = request
                 response = await self._respond(handler, http)
                 if self.draining:
                     response.force_close()
+                request.phase = Phase.CALLER
+                request.begin_answer()
                 # The caller may have disconnected before reading the response.
                 with suppress(ConnectionError):
                     if not response.prepared:
@@ -215,13 +270,15 @@
         except DocumentError as error:
             return findings_response(error, http[REQUEST])
         except (asyncio.CancelledError, ConnectionError):
-            plan, target = http.get(PLAN, ""), http.get(TARGET, "")
-            self._telemetry.count(Counter.CANCELLED, plan, target)
-            raise
+            request = http[IN_FLIGHT]
+            if not request.cut_off or request.answer_begun:
+                plan, target = http.get(PLAN, ""), http.get(TARGET, "")
+                self._telemetry.count(Counter.CANCELLED, plan, target)
+                raise
+            refusal = cut_off_refusal(request)
         except Exception:
             log.exception("Unhandled error in a request handler.")
-            message = "The daemon failed on the request."
-            refusal = RefusalError("internal", message, status=500, ran=Ran.UNKNOWN)
+            refusal = failure_refusal()
         self._count_refusal(http, refusal)
         return refusal_response(refusal, http[REQUEST])
 
@@ -232,10 +289,11 @@
         self._telemetry.count(counter, plan, target, refusal.code)
 
     def _refuse_unless_ready(self) -> None:
-        if self.draining or not self._ready():
-            code = "draining" if self.draining else "not_ready"
+        if self.closed:
+            raise draining_refusal()
+        if not self._ready():
             message = "This daemon takes no requests now."
-            raise RefusalError(code, message, retry_after_s=DRAIN_RETRY_AFTER_S)
+            raise RefusalError("not_ready", message, retry_after_s=RETRY_AFTER_S)
 
     async def _list_models(self, http: web.Request, plan: Plan) -> web.Response:
         grants = self._configuration.lists.grants
--- a/features/serving.feature
+++ b/features/serving.feature
@@ -80,3 +80,24 @@
     Given a daemon with 2 engines and 1 plain service
     When a call is made without an API key and without a request id
     Then the request id in the refusal is the one in the log
+
+  # The head of a second answer was written into a stream that failed
+  Scenario: A stream that fails unexpectedly ends with an error event and a log line
+    When an engine's answer raises an unexpected error after 2 chunks
+    Then the stream has 2 chunks and ends with an error event that names it
+    And the log names the request with the error
+
+  # The end of an answer that its caller had yet to read was lost at the exit
+  Scenario Outline: A request is in flight until its whole answer has been sent
+    When a caller slowly reads an answer of 40000 bytes that is <kind>
+    Then no bytes are unsent once its request is not in flight
+
+    Examples:
+      | kind         |
+      | streamed     |
+      | not streamed |
+
+  # An error in an order whose caller had left was dropped without a line
+  Scenario: An order whose caller has left leaves a line that says how it ended
+    When a caller leaves while its order runs, which then fails unexpectedly
+    Then the log names the request with the error
