--- a/auburnproxy/gateway/stream_forwarder.py
+++ b/auburnproxy/gateway/stream_forwarder.py
@@ -55,6 +55,9 @@
 MAX_MISDIRECTED = 2
 """Misdirected tries that are not counted as attempts: the heads may have left their
 replica before their registrations show it."""
+MAX_REFUSALS = 3
+"""Refusals of a stream that has begun which are not counted as attempts, since it did
+not run there; the limit spares the retry budget of other requests."""
 HTTP_OK = 200
 
 
@@ -156,6 +159,7 @@
         """The loop's time at which a try that waited for a silent head ended."""
         self._unreachable = 0
         self._misdirected = 0
+        self._refusals = 0
         self._tries = 0
         self._first_event_at = 0.0
         self._last_event_at = 0.0
@@ -242,8 +246,9 @@
         if error.code == MISDIRECTED and self._misdirected < MAX_MISDIRECTED:
             self._misdirected += 1
             return self._spend_retry(error.code)
-        if error.ran is Ran.NO and self._response is not None:
-            # A stream that has begun would be lost by a refusal, which is no attempt.
+        begun = self._response is not None
+        if begun and error.ran is Ran.NO and self._refusals < MAX_REFUSALS:
+            self._refusals += 1
             return self._spend_retry(error.code)
         self._count_attempt(replica.head)
         if self._ran is Ran.UNKNOWN and not self._call.route.repeatable:
