Stop the services of a daemon without cancelling the end of its thread pool

Only the services are stopped within that time now; what follows is bounded by the timer that ends the process.

stop_budget and three scenarios of shutdown.feature: 13 passed.

--- a/auburnproxy/daemon/main.py
+++ b/auburnproxy/daemon/main.py
@@ -152,7 +152,7 @@
     _end_process_after(budget.exit_at - loop_time(), daemon)
     try:
         async with asyncio.timeout_at(budget.close_at):
-            await runtime.graceful_shutdown(STOP_REASON)
+            await runtime.stop_services(*runtime.services, exc=STOP_REASON)
     except TimeoutError:
         daemon.log_overrun("services")
     finally:
