review: the scripts' stand-ins never share a port

Tried: repeated runs; in one of them a daemon's two listeners were given the same port, and ten of 40 requests reached the wrong one and got 405.

--- a/review/common/site.py
+++ b/review/common/site.py
@@ -43,11 +43,18 @@
     complete: bool
 
 
+_given_ports: set[int] = set()
+
+
 def free_port(ip: str) -> int:
-    """Return a port that nothing uses at an address."""
-    with socket.socket() as probe:
-        probe.bind((ip, 0))
-        return int(probe.getsockname()[1])
+    """Return a port that nothing uses at an address, a different one at each call."""
+    while True:
+        with socket.socket() as probe:
+            probe.bind((ip, 0))
+            port = int(probe.getsockname()[1])
+        if port not in _given_ports:
+            _given_ports.add(port)
+            return port
 
 
 def route(name: str, path: str, kind: str, service: str, **more: object) -> dict:
