--- a/review/common/case.py
+++ b/review/common/case.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import signal
 import sys
 import time
 import traceback
@@ -32,8 +33,16 @@
 
 async def _run(play: Callable[[Site, Record], Awaitable[bool]], path: Path) -> int:
     record, site = Record(path), Site()
+    task = asyncio.current_task()
+    assert task is not None
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, task.cancel)
     try:
         broken = await play(site, record)
+    except asyncio.CancelledError:
+        record.line("could not run: ended by a signal")
+        return NOT_RUN
     except CannotRunError as error:
         record.line(f"could not run: {error}")
         return NOT_RUN
--- a/review/common/site.py
+++ b/review/common/site.py
@@ -11,6 +11,7 @@
 import sys
 import tempfile
 import time
+import tomllib
 from pathlib import Path
 from typing import NamedTuple
 
@@ -27,6 +28,8 @@
 ZONES = ("grandi-yard", "hofdi-shop")
 HEARTBEAT_S = 1.2
 READY_WITHIN_S = 25.0
+RESTART_S = 0.5
+"""Time after which the platform starts a process again that has ended."""
 
 
 class CannotRunError(Exception):
@@ -57,6 +60,13 @@
             return port
 
 
+def _deployed_command() -> list[str]:
+    """Return the command of the only role in the deploy file."""
+    deployed = tomllib.loads((ROOT / "deploy" / "system.toml").read_text())
+    (role,) = deployed["roles"].values()
+    return role["run"].split(" ")
+
+
 def route(name: str, path: str, kind: str, service: str, **more: object) -> dict:
     """Return a route of the configuration."""
     return {
@@ -90,6 +100,7 @@
         self._settings.write_text(yaml.safe_dump(self._settings_of(site)))
         self._process: asyncio.subprocess.Process | None = None
         self._keeper: asyncio.Task[None] | None = None
+        self._spawning = asyncio.Lock()
         self._stopped = False
 
     def _settings_of(self, site: Site) -> dict[str, object]:
@@ -150,11 +161,7 @@
         env["PYTHONPATH"] = str(ROOT / "target" / "deps")
         with self.log_path.open("ab") as log:
             self._process = await asyncio.create_subprocess_exec(
-                sys.executable,
-                "-m",
-                "auburnproxy.daemon",
-                "--deployment",
-                "auburnproxy.platform",
+                *_deployed_command(),
                 cwd=ROOT,
                 env=env,
                 stdout=log,
@@ -168,8 +175,10 @@
             if self._stopped:
                 return
             self.ends.append((time.monotonic(), code))
-            await asyncio.sleep(0.5)
-            await self._spawn()
+            await asyncio.sleep(RESTART_S)
+            async with self._spawning:
+                if not self._stopped:
+                    await self._spawn()
 
     async def ready(self) -> bool:
         """Return whether the daemon says that it is ready."""
@@ -179,13 +188,14 @@
         return answer.status == 200
 
     async def stop(self) -> None:
-        """Kill the process."""
+        """Kill the process, and start no other one."""
         self._stopped = True
-        if self._process is not None and self._process.returncode is None:
-            os.kill(self._process.pid, signal.SIGKILL)
-            await self._process.wait()
-        if self._keeper is not None:
-            self._keeper.cancel()
+        async with self._spawning:
+            if self._keeper is not None:
+                self._keeper.cancel()
+            if self._process is not None and self._process.returncode is None:
+                os.kill(self._process.pid, signal.SIGKILL)
+                await self._process.wait()
 
 
 class EngineProcess:
--- a/review/run_case.sh
+++ b/review/run_case.sh
@@ -3,7 +3,7 @@
 # broken, 0 if it held and 2 if the case could not run.
 set -uo pipefail
 cd "$(dirname "$0")/.."
-PYTHONPATH="$PWD/target/deps:$PWD" timeout 118 python3 "review/$1/case.py"
+PYTHONPATH="$PWD/target/deps:$PWD" timeout 110 python3 "review/$1/case.py"
 code=$?
 [ "$code" -le 1 ] || code=2
 exit "$code"
