--- a/review/common/site.py
+++ b/review/common/site.py
@@ -25,7 +25,7 @@
 HOST = "works.example"
 KEY = "key-of-tenant-1"
 TENANT = "tenant-1"
-ZONES = ("grandi-yard", "hofdi-shop")
+ZONES = ("grandi-yard", "hofdi-shop", "hafnar-depot")
 HEARTBEAT_S = 1.2
 READY_WITHIN_S = 25.0
 RESTART_S = 0.5
