--- a/review/common/case.py
+++ b/review/common/case.py
@@ -12,7 +12,8 @@
 
 from review.common.site import TROUBLE, CannotRunError, Site
 
-HELD, BROKEN, NOT_RUN = 0, 1, 2
+HELD, BROKEN, NOT_RUN = 0, 10, 2
+"""Exit codes; Python itself ends with 1 when a module is missing."""
 
 
 class Record:
