Select the service of a split route at a cost of its targets, not its weights

Callers of a route split 900,000 to 100,000 got no answer in time: each request took 1.7 s of the event loop of its daemon.

Cause: Route.service built, hashed and sorted a list with an entry for each unit of weight. A fractional weight made the whole configuration unreadable, a sum of 0 raised an error.

- The service is selected by weighted rendezvous hashing: one hash for each target, exact shares at any size, the same service in each daemon; a changed weight moves only the requests from or to its service.
Logarithms are compared, so 1e307 does not overflow.
- Weights of 0 and below get nothing.
A service named twice gets the sum of its weights.
- Other figures that became loops or divisors: a model of 0 hosts or fewer made the leader plan without end, and is left out; shares, factors, rates, counts and times are bounded; a share of a plan's limit was counted slot by slot after a daemon had gone; a fact with an endless lifetime could not be sent.

--- a/auburnproxy/gateway/route.py
+++ b/auburnproxy/gateway/route.py
@@ -6,7 +6,7 @@
 from enum import StrEnum
 from typing import NamedTuple
 
-from ..rendezvous import rank_names
+from ..rendezvous import select_weighted
 
 DEFAULT_ATTEMPTS = 1
 
@@ -25,7 +25,9 @@
     """A service that receives a share of a route's requests."""
 
     service: str
-    weight: int
+    weight: float
+    """Share of the requests in proportion to the sum of a route's weights; 0 for
+    none."""
 
 
 class Route(NamedTuple):
@@ -36,6 +38,7 @@
     prefix: str
     kind: RouteKind
     targets: tuple[Target, ...]
+    """The services that its requests go to, each once."""
     timeout_s: float
     """Maximum time that a caller waits."""
     objective_s: float
@@ -58,16 +61,13 @@
             return self.resumable
         return self.kind is RouteKind.IDEMPOTENT
 
-    def service(self, request_id: str) -> str:
+    def service(self, request_id: str) -> str | None:
         """Return the service for a request, which is the same for every try.
 
         :param request_id: distributes requests over the targets by weight
+        :return: None if no target has a positive weight
         """
-        if len(self.targets) == 1:
-            return self.targets[0].service
-        weighted_services = [t.service for t in self.targets for _ in range(t.weight)]
-        index = rank_names(request_id, map(str, range(len(weighted_services))))[0]
-        return weighted_services[int(index)]
+        return select_weighted(request_id, dict(self.targets))
 
 
 class ModelSpec(NamedTuple):
--- a/auburnproxy/gossip/fact_table.py
+++ b/auburnproxy/gossip/fact_table.py
@@ -9,7 +9,7 @@
 from typing import NamedTuple
 
 from ..clock import loop_time
-from .fact import MAX_TEXT_BYTES, Fact, FactKey, FactKind, is_acceptable
+from .fact import MAX_TEXT_BYTES, MAX_TTL_S, Fact, FactKey, FactKind, is_acceptable
 
 MS_PER_S = 1000
 MAX_FACTS_PER_KIND = 512
@@ -92,7 +92,8 @@
         known = self._find(key)
         version = known.version + 1 if known else 1
         now = loop_time()
-        self._hold(HeldFact(key, version, value, now, now + ttl_s, now))
+        ends_at = now + min(ttl_s, MAX_TTL_S)
+        self._hold(HeldFact(key, version, value, now, ends_at, now))
         if at_once:
             self.on_told()
 
--- a/auburnproxy/platform/operator_records.py
+++ b/auburnproxy/platform/operator_records.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections import defaultdict
+
 import msgspec
 
 from ..decoding import JsonDecoder
@@ -19,6 +21,10 @@
 )
 
 MS_PER_S = 1000
+MAX_TIME_S = 86_400.0
+"""Bound of configured times: one day."""
+MAX_FACTOR = 1e6
+"""Bound of configured counts, rates and factors; products of a few stay finite."""
 CONFIGURATION_KEY = "config"
 EVACUATION_PREFIX = "evacuate/"
 ROUTE_KIND_BY_NAME = {
@@ -30,7 +36,7 @@
 
 class _Split(msgspec.Struct):
     service: str
-    weight: int = 1
+    weight: float = 1.0
 
 
 class _Route(msgspec.Struct, rename="kebab"):
@@ -145,18 +151,20 @@
 
 
 def _to_route(route: _Route) -> Route:
-    splits = route.traffic_split or [_Split(route.service)]
+    weight_by_service: defaultdict[str, float] = defaultdict(float)
+    for split in route.traffic_split or [_Split(route.service)]:
+        weight_by_service[split.service] += max(split.weight, 0.0)
     return Route(
         name=route.name,
         host=route.host,
         prefix=route.path_prefix,
         # Requests of an unknown kind are treated as non-idempotent and never retried.
         kind=ROUTE_KIND_BY_NAME.get(route.kind, RouteKind.ONCE),
-        targets=tuple(Target(split.service, split.weight) for split in splits),
-        timeout_s=route.timeout_ms / MS_PER_S,
+        targets=tuple(Target(*item) for item in weight_by_service.items()),
+        timeout_s=_bounded(route.timeout_ms / MS_PER_S, 0.0, MAX_TIME_S),
         objective_s=route.target_latency_ms / MS_PER_S,
         pause_objective_s=route.gap_aim_ms / MS_PER_S,
-        attempts=route.max_attempts,
+        attempts=max(route.max_attempts, DEFAULT_ATTEMPTS),
         resumable=route.resumable,
         public=route.public,
         priority=route.priority,
@@ -167,22 +175,28 @@
     return ServiceSpec(
         name=service.name,
         cold_s=service.cold_start_s,
-        cold_per_s=service.cold_per_s,
+        cold_per_s=max(service.cold_per_s, 0.0),
         engine=_to_engine_spec(service.engine) if service.engine else None,
     )
 
 
+def _bounded(value: float, lowest: float, highest: float) -> float:
+    """Return a figure, or the nearer bound if it is outside of them."""
+    return min(max(value, lowest), highest)
+
+
 def _to_engine_spec(engine: _Engine) -> EngineSpec:
     models = tuple(
         ModelSpec(
             name=model.name,
             hosts=model.size,
-            share=model.share,
-            pace=model.pace,
-            load_s=model.load_s,
+            share=_bounded(model.share, 0.0, MAX_FACTOR),
+            pace=_bounded(model.pace, 0.0, MAX_FACTOR),
+            load_s=_bounded(model.load_s, 0.0, MAX_TIME_S),
             warm_s=model.warm_s,
         )
         for model in engine.models
+        if model.size >= 1
     )
     return EngineSpec(
         slots=engine.slots,
@@ -191,10 +205,10 @@
         step_per_request_s=engine.per_seq_ms / MS_PER_S,
         prompt_tokens_per_s=engine.read_per_s,
         tokens_per_event=engine.stride,
-        loads_per_s=engine.loads_per_s,
-        loads_at_once=engine.loads_at_once,
+        loads_per_s=_bounded(engine.loads_per_s, 0.0, MAX_FACTOR),
+        loads_at_once=round(_bounded(engine.loads_at_once, 1, MAX_FACTOR)),
         form_s=engine.form_ms / MS_PER_S,
-        spread_factor=max(engine.far_x, 1.0),
+        spread_factor=_bounded(engine.far_x, 1.0, MAX_FACTOR),
         usual_prompt_tokens=engine.usual.prompt,
         usual_answer_tokens=engine.usual.answer,
     )
--- a/auburnproxy/quotas/share.py
+++ b/auburnproxy/quotas/share.py
@@ -87,10 +87,29 @@
     count = len(ids)
     dealt = _slots_at_position(limit, count, ids.index(member_id))
     gone_positions = [position for position, name in enumerate(ids) if name in gone]
-    return dealt + sum(
-        _inheritor(ids, position, round_number, gone) == member_id
+    inherited = sum(
+        _inherited_slots(ids, position, member_id, gone, rounds=rounds)
         for position in gone_positions
-        for round_number in range(_slots_at_position(limit, count, position))
+        if (rounds := _slots_at_position(limit, count, position))
+    )
+    return dealt + inherited
+
+
+def _inherited_slots(
+    ids: list[str], position: int, member_id: str, gone: frozenset[str], *, rounds: int
+) -> int:
+    """Return how many slots of a gone member another one inherits.
+
+    The heirs recur with a period of one round for each other member, so the cost does
+    not grow with the number of rounds, which an operator's limit determines.
+
+    :param rounds: number of slots that the gone member was dealt
+    """
+    period = max(len(ids) - 1, 1)
+    return sum(
+        (rounds - first + period - 1) // period
+        for first in range(min(rounds, period))
+        if _inheritor(ids, position, first, gone) == member_id
     )
 
 
