Take the service of every try from its route in the version in force

Callers of a streaming route that was moved or added to a second service with the same model were served by the service that the configuration lists first, for as long as the version was in force; the second service's hosts formed no replicas.

Cause: a replica was chosen by its model alone, and the directory, formation, the timeouts of streams and the figures on replicas knew only the first service with models.

- Replicas are listed, indexed and selected by service and model, subsets and limits too.
- Each try of a request, its replacements, resumptions and retries go to the service of its route in the version in force, also of plain routes, and are charged to the retry budget of that service.
If the route has been removed meanwhile, its service stays.
- The leader plans, stages and forms for each service with models from that service's hosts, in turns, under one limit for weight loads.
A replica with hosts of two services is lost; one whose service no longer has its model is ended.
A service that is no longer configured keeps its replicas, where streams may still run.
- Quarantined prompt parts stay common to all services: such a part crashes each engine.

--- a/auburnproxy/daemon/gateway_daemon.py
+++ b/auburnproxy/daemon/gateway_daemon.py
@@ -348,7 +348,7 @@
             ),
             self.exits,
             self.quarantine,
-            lambda: (self.directory.engine or (None, None))[1],
+            lambda service: self.directory.engines.get(service),
             self.decisions,
             self.telemetry,
             answer_bytes=settings.answer_bytes,
--- a/auburnproxy/formation/controller.py
+++ b/auburnproxy/formation/controller.py
@@ -3,11 +3,19 @@
 from __future__ import annotations
 
 import asyncio
-from collections import Counter
-from collections.abc import Callable, Collection, Coroutine, Iterator, Mapping, Sequence
+from collections import Counter, defaultdict
+from collections.abc import (
+    Callable,
+    Collection,
+    Coroutine,
+    Iterable,
+    Iterator,
+    Mapping,
+    Sequence,
+)
 from functools import partial
 from itertools import zip_longest
-from typing import Any, NamedTuple
+from typing import Any, NamedTuple, TypeVar
 
 from ..clock import loop_time
 from ..errors import PlatformError
@@ -18,7 +26,7 @@
 from .engine_commands import CommandResult, EngineCommands
 from .failure_detector import FailureDetector
 from .placement import (
-    NewReplica,
+    FormationPlan,
     WeightLoad,
     group_by_fabric_domain,
     plan_fabric_domain,
@@ -28,7 +36,7 @@
 from .record import Member, ReplicaRecord
 from .registry import ReplicaRegistry
 from .replica_metrics import ReplicaMetrics
-from .replica_state import ReplicaState, has_part, replica_state
+from .replica_state import ReplicaState, has_part, replica_state, service_of
 from .retirement import Retirement
 from .utilization import ReplicaUsage, UtilizationTracker
 from .weight_load_limiter import WeightLoadLimiter
@@ -51,6 +59,9 @@
 """Timeout of a weight load as a multiple of its configured duration."""
 
 
+Item = TypeVar("Item")
+
+
 class _SentCommand(NamedTuple):
     sent_at: float
     command: str
@@ -67,7 +78,8 @@
     staging: frozenset[str]
     ended: frozenset[str]
     starting: bool
-    short_of_capacity: frozenset[str]
+    short_of_capacity: frozenset[tuple[str, str]]
+    """Services with the models of which they have too little."""
 
 
 class ReplicaController:
@@ -116,7 +128,9 @@
         self._stalled_heads = stalled_heads
         self._starting = starting
         self._in_flight = in_flight
-        self._utilization = UtilizationTracker()
+        self._utilization_by_service: defaultdict[str, UtilizationTracker] = (
+            defaultdict(UtilizationTracker)
+        )
         self._load_limiter = WeightLoadLimiter()
         self.retirement = Retirement(engine_commands, decisions)
         self._sent_by_host: dict[str, _SentCommand] = {}
@@ -176,14 +190,9 @@
 
         :raises PlatformError: if a change was not recorded
         """
-        engine = self._directory.engine
-        if (
-            engine is None
-            or not self._registry.follower.complete
-            or not self._is_leader()
-        ):
+        engines = self._directory.engines
+        if not engines or not self._registry.follower.complete or not self._is_leader():
             return
-        service, spec = engine
         self._drop_expired_state()
         self._probe_stalled_replicas()
         states_by_name = {
@@ -193,20 +202,25 @@
             for replica in self._registry.by_name.values()
         }
         self._end_replicas(states_by_name)
-        self._utilization.sample(self._replica_usages())
-        loading = (model for model, _ in self._staging_by_host.values())
-        self.metrics.log_if_due(spec, states_by_name, loading)
+        for service in engines:
+            self._utilization_by_service[service].sample(self._replica_usages(service))
+        loading = (
+            (host.service, model)
+            for host_id, (model, _) in self._staging_by_host.items()
+            if (host := self._directory.hosts.get(host_id)) is not None
+        )
+        self.metrics.log_if_due(engines, states_by_name, loading)
         if self._registry.follower.up and self._hosts_settled():
             await self._registry.seed_new_era()
-            await self._plan_and_record(service, spec, states_by_name)
+            await self._plan_and_record(engines, states_by_name)
             self._release_stale_hosts()
-        self._send_commands(spec, states_by_name)
+        self._send_commands(engines, states_by_name)
 
-    def _replica_usages(self) -> Iterator[ReplicaUsage]:
-        """Yield the requests in flight and the slots of each recorded replica."""
+    def _replica_usages(self, service: str) -> Iterator[ReplicaUsage]:
+        """Yield the requests in flight and the slots of a service's replicas."""
         recorded = self._registry.by_name
         for replica in self._directory.replicas():
-            if replica.name in recorded:
+            if replica.name in recorded and replica.service == service:
                 in_flight = self._in_flight(replica.head.id)
                 slots = replica.head.slots / replica.slowdown
                 yield ReplicaUsage(replica.model.name, in_flight, slots)
@@ -266,20 +280,36 @@
 
     def _should_end(self, replica: ReplicaRecord, state: ReplicaState) -> bool:
         """Return whether a replica should be ended."""
+        if state not in (ReplicaState.MISSING, ReplicaState.LOST) and not (
+            self._is_configured(replica)
+        ):
+            return True
         if state is ReplicaState.FORMING:
             return replica.name in self._refused_replicas
         if state is ReplicaState.SERVING:
             return replica.spread and self._fits_one_fabric_domain(replica)
         return state in (ReplicaState.LOST, ReplicaState.LEAVING)
 
+    def _is_configured(self, replica: ReplicaRecord) -> bool:
+        """Return whether a replica's service has its model.
+
+        A service that is no longer configured keeps its replicas: streams may still run
+        there, and no other service can use their hosts.
+        """
+        service = service_of(replica, self._directory.hosts)
+        engine = self._directory.engines.get(service)
+        return engine is None or engine.model(replica.model) is not None
+
     def _fits_one_fabric_domain(self, replica: ReplicaRecord) -> bool:
         """Return whether one fabric domain has enough hosts again for a replica."""
         hosts = self._directory.hosts
+        service = service_of(replica, hosts)
         domains = {hosts[member.id].fabric_domain for member in replica.members}
         free = Counter(
             host.fabric_domain
             for host in hosts.values()
-            if host.failure_domain == replica.failure_domain
+            if host.service == service
+            and host.failure_domain == replica.failure_domain
             and host.fabric_domain in domains
             and replica.model in host.staged
             and not host.leaving
@@ -307,7 +337,9 @@
         return host is not None and host.born != member.born
 
     async def _plan_and_record(
-        self, service: str, spec: EngineSpec, states_by_name: Mapping[str, ReplicaState]
+        self,
+        engines: Mapping[str, EngineSpec],
+        states_by_name: Mapping[str, ReplicaState],
     ) -> None:
         """Drop the replicas that have ended, and record and stage their successors."""
         ended = [
@@ -318,8 +350,19 @@
         inputs = self._plan_inputs(ended)
         if inputs == self._inputs_without_work:
             return
-        new_replicas, weight_loads = self._plan(
-            service, spec, {replica.name for replica in ended}
+        ended_names = {replica.name for replica in ended}
+        plans_by_service = {
+            service: self._plan(service, spec, ended_names)
+            for service, spec in engines.items()
+        }
+        new_replicas = list(
+            _in_turns(p.new_replicas for p in plans_by_service.values())
+        )
+        weight_loads = list(
+            _in_turns(
+                [(load, engines[service]) for load in plan.weight_loads]
+                for service, plan in plans_by_service.items()
+            )
         )
         # Weight loads that the limiter defers are planned again in the next step.
         self._inputs_without_work = (
@@ -329,7 +372,7 @@
             await self._registry.change(new_replicas, dropped=ended)
         if new_replicas or (self._starting() and self._joins_pending(states_by_name)):
             return
-        for weight_load in weight_loads:
+        for weight_load, spec in weight_loads:
             self._start_staging(weight_load, spec)
 
     def _plan_inputs(self, ended: Sequence[ReplicaRecord]) -> _PlanInputs:
@@ -340,7 +383,11 @@
             staging=frozenset(self._staging_by_host),
             ended=frozenset(replica.name for replica in ended),
             starting=self._starting(),
-            short_of_capacity=self._utilization.short_of_capacity,
+            short_of_capacity=frozenset(
+                (service, model)
+                for service, utilization in self._utilization_by_service.items()
+                for model in utilization.short_of_capacity
+            ),
         )
 
     def _joins_pending(self, states_by_name: Mapping[str, ReplicaState]) -> bool:
@@ -354,7 +401,8 @@
 
     def _plan(
         self, service: str, spec: EngineSpec, ended: Collection[str]
-    ) -> tuple[list[NewReplica], list[WeightLoad]]:
+    ) -> FormationPlan:
+        """Return the replicas to form and the weights to load next for a service."""
         taken = {
             host: (replica.name, None if replica.spread else replica.model)
             for host, replica in self._registry.by_host.items()
@@ -379,20 +427,14 @@
         ]
         # Takes one replica of each fabric domain in turn, so that the first replicas of
         # all domains are complete before the second ones load.
-        rounds = zip_longest(*(each.new_replicas for each in plans))
-        new_replicas = [
-            new_replica
-            for turn in rounds
-            for new_replica in turn
-            if new_replica is not None
-        ]
+        new_replicas = list(_in_turns(each.new_replicas for each in plans))
         if not starting:
+            utilization = self._utilization_by_service[service]
             new_replicas += plan_spread_replicas(
-                domains, plans, spec, self._utilization.short_of_capacity
+                domains, plans, spec, utilization.short_of_capacity
             )
-        return new_replicas, [
-            weight_load for each in plans for weight_load in each.weight_loads
-        ]
+        weight_loads = [load for each in plans for load in each.weight_loads]
+        return FormationPlan(tuple(new_replicas), tuple(weight_loads))
 
     def _has_stale_part(self, host: Host) -> bool:
         """Return whether a host has a part in a replica that is no longer recorded."""
@@ -423,16 +465,17 @@
                 self._spawn(self._send_leave(member, replica))
 
     def _send_commands(
-        self, spec: EngineSpec, states_by_name: dict[str, ReplicaState]
+        self,
+        engines: Mapping[str, EngineSpec],
+        states_by_name: dict[str, ReplicaState],
     ) -> None:
         for name, state in states_by_name.items():
             replica = self._registry.by_name.get(name)
-            model = spec.model(replica.model) if replica else None
-            if (
-                replica is None
-                or model is None
-                or name in self.retirement.ending_or_ended
-            ):
+            if replica is None:
+                continue
+            spec = engines.get(service_of(replica, self._directory.hosts))
+            model = spec.model(replica.model) if spec else None
+            if spec is None or model is None or name in self.retirement.ending_or_ended:
                 continue
             if state is ReplicaState.FORMING:
                 for member in replica.members:
@@ -552,3 +595,9 @@
         self._tasks.discard(task)
         if not task.cancelled() and (error := task.exception()):
             self._decisions.belief("order_failed", error=repr(error))
+
+
+def _in_turns(sequences: Iterable[Sequence[Item]]) -> Iterator[Item]:
+    """Yield the first item of each sequence, then the second ones, and so on."""
+    for turn in zip_longest(*sequences):
+        yield from (item for item in turn if item is not None)
--- a/auburnproxy/formation/replica_metrics.py
+++ b/auburnproxy/formation/replica_metrics.py
@@ -11,7 +11,7 @@
 from ..telemetry import Gauge, GaugeReading
 from ..telemetry.decisions import DecisionLog
 from .registry import ReplicaRegistry
-from .replica_state import ReplicaState, replica_state
+from .replica_state import ReplicaState, replica_state, service_of
 
 LOG_INTERVAL_S = 1.0
 """Interval between two log lines of a model."""
@@ -35,35 +35,40 @@
 
     def log_if_due(
         self,
-        spec: EngineSpec,
+        engines: Mapping[str, EngineSpec],
         states_by_name: Mapping[str, ReplicaState],
-        loading: Iterable[str],
+        loading: Iterable[tuple[str, str]],
     ) -> None:
-        """Log a line for each model, unless that was done within the interval.
+        """Log a line for each service's model, unless one was within the interval.
 
+        :param engines: the engine specs of the services whose hosts form replicas
         :param states_by_name: the state of each replica, by its name
-        :param loading: the model of each weight load in progress
+        :param loading: the service and model of each weight load in progress
         """
         now = loop_time()
         if now < self._next_log_at:
             return
         self._next_log_at = now + LOG_INTERVAL_S
-        spares = self._spares_by_model()
+        hosts = self._directory.hosts
         loads = Counter(loading)
-        for model in spec.models:
-            states = Counter(
-                states_by_name[name]
-                for name, replica in self._registry.by_name.items()
-                if replica.model == model.name
-            )
-            self._decisions.belief(
-                "census",
-                model=model.name,
-                hosts=model.hosts,
-                replicas=states,
-                spares=spares[model.name],
-                loading=loads[model.name],
-            )
+        for service, spec in engines.items():
+            spares = self._spares_by_model(service)
+            for model in spec.models:
+                states = Counter(
+                    states_by_name[name]
+                    for name, replica in self._registry.by_name.items()
+                    if replica.model == model.name
+                    and service_of(replica, hosts) in (service, "")
+                )
+                self._decisions.belief(
+                    "census",
+                    service=service,
+                    model=model.name,
+                    hosts=model.hosts,
+                    replicas=states,
+                    spares=spares[model.name],
+                    loading=loads[service, model.name],
+                )
 
     def readings(self) -> Iterator[GaugeReading]:
         """Yield the values of the gauges."""
@@ -77,12 +82,15 @@
         for model, count in self._spares_by_model().items():
             yield GaugeReading(Gauge.SPARES, count, model)
 
-    def _spares_by_model(self) -> Counter[str]:
-        """Return how many hosts outside replicas have the weights of each model."""
+    def _spares_by_model(self, service: str | None = None) -> Counter[str]:
+        """Return how many hosts outside replicas have the weights of each model.
+
+        :param service: counts the hosts of one service, None for those of all
+        """
         by_host = self._registry.by_host
         return Counter(
             model
             for host in self._directory.hosts.values()
-            if host.id not in by_host
+            if host.id not in by_host and service in (host.service, None)
             for model in host.staged
         )
--- a/auburnproxy/formation/replica_state.py
+++ b/auburnproxy/formation/replica_state.py
@@ -52,6 +52,8 @@
         ReplicaPartState.CLOSING,
     ):
         return ReplicaState.LOST
+    if len({host.service for host in registered}) > 1:
+        return ReplicaState.LOST
     if any(host.leaving for host in registered):
         return ReplicaState.LEAVING
     if len(registered) < len(member_hosts):
@@ -64,6 +66,16 @@
     return ReplicaState.FORMING
 
 
+def service_of(replica: ReplicaRecord, hosts: Mapping[str, Host]) -> str:
+    """Return the service of a replica's hosts, empty if none is registered.
+
+    :param replica: the recorded replica
+    :param hosts: the registered hosts by id
+    """
+    registered = (hosts.get(member.id) for member in replica.members)
+    return next((host.service for host in registered if host is not None), "")
+
+
 def has_part(replica: ReplicaRecord, member: Member, hosts: Mapping[str, Host]) -> bool:
     """Return whether a member reports a part in the replica, in any state."""
     host = hosts.get(member.id)
--- a/auburnproxy/gateway/directory.py
+++ b/auburnproxy/gateway/directory.py
@@ -8,6 +8,7 @@
 from ..clock import loop_time
 from ..notifier import Notifier
 from ..telemetry.decisions import DecisionLog
+from .call import Call
 from .host import Host, Incarnation, ReplicaPartState
 from .route import NO_CONFIGURATION, Configuration, EngineSpec
 from .serving_replica import ServingReplica, serving_replicas
@@ -50,6 +51,7 @@
         self._decisions = decisions
         self._store_failed_at = store_failed_at
         self._lapsed_use_s = lapsed_use_s
+        self._engines: dict[str, EngineSpec] = {}
         self._hosts: dict[str, Host] = {}
         self._lapsed_at_by_id: dict[str, float] = {}
         self._leaving_since: dict[Incarnation, float] = {}
@@ -63,12 +65,22 @@
         return MappingProxyType(self._hosts)
 
     @property
-    def engine(self) -> tuple[str, EngineSpec] | None:
-        """Return the service whose engines form replicas, and its engine spec."""
-        for name, service in self.configuration.services_by_name.items():
-            if service.engine is not None and service.engine.models:
-                return name, service.engine
-        return None
+    def engines(self) -> Mapping[str, EngineSpec]:
+        """Return the engine specs of the services whose hosts form replicas."""
+        return MappingProxyType(self._engines)
+
+    def service(self, call: Call) -> str:
+        """Return the service that gets the next try of a request.
+
+        That is the one of its route in the version in force, also if the request was
+        read before. If the route has been removed since, its service stays.
+
+        :param call: the request, as it was routed
+        """
+        route = self.configuration.successor(call.route)
+        if route is None or route.kind is not call.route.kind:
+            return call.service
+        return route.service(call.id) or call.service
 
     def configure(self, configuration: Configuration) -> None:
         """Put a configuration in force, unless a newer one already is.
@@ -79,6 +91,11 @@
         if configuration.version <= before:
             return
         self.configuration = configuration
+        self._engines = {
+            name: service.engine
+            for name, service in configuration.services_by_name.items()
+            if service.engine is not None and service.engine.models
+        }
         self.configured_at = loop_time()
         self._replicas = None
         self._decisions.belief(
@@ -182,10 +199,7 @@
     def replicas(self) -> tuple[ServingReplica, ...]:
         """Return the replicas whose heads accept requests, by registrations."""
         if self._replicas is None:
-            engine = self.engine
-            self._replicas = (
-                serving_replicas(self._hosts.values(), engine[1]) if engine else ()
-            )
+            self._replicas = serving_replicas(self._hosts.values(), self._engines)
         return self._replicas
 
     def usable_hosts(self, service: str) -> Iterable[Host]:
--- a/auburnproxy/gateway/frontend.py
+++ b/auburnproxy/gateway/frontend.py
@@ -19,7 +19,8 @@
 from .directory import Directory
 from .header_codec import HeaderCodec, RequestInfo
 from .plain_forwarder import PlainForwarder
-from .retry_budget import RetryAllowance, RetryBudget
+from .retry_budget import RetryAllowance
+from .retry_budgets import CurrentRetryLimit, RetryBudgets
 from .route import RouteKind
 from .stream_forwarder import StreamAbortedError, StreamForwarder
 from .unfinished_response import abort_response
@@ -80,14 +81,16 @@
         self._header_codec = header_codec
         self._plain = plain
         self._streams = streams
-        self._allowance = allowance
-        self._daemons = daemons
-        self._full_slack_at = full_slack_at
         self._informed = informed
         self._hold_until = loop_time() + START_HOLD_S
         self._decisions = decisions
         self._telemetry = telemetry
-        self._retry_budgets: dict[str, RetryBudget] = {}
+        self.retry_budgets = RetryBudgets(
+            allowance,
+            daemons,
+            full_slack_at=full_slack_at,
+            on_retry=self._count_retry,
+        )
         self.requests = InFlightRequests()
 
     def application(self) -> web.Application:
@@ -149,11 +152,12 @@
 
     async def _forward(self, call: Call) -> web.StreamResponse:
         self.served += 1
-        retry_budget = self._retry_budget(call.service)
-        retry_budget.record_request()
+        self.retry_budgets.budget(call.service).record_request()
+        service = partial(self._directory.service, call)
+        retry_limit = CurrentRetryLimit(self.retry_budgets, service)
         if call.route.kind is RouteKind.STREAM:
-            return await self._streams.forward(call, retry_budget)
-        return await self._plain.forward(call, retry_budget)
+            return await self._streams.forward(call, retry_limit)
+        return await self._plain.forward(call, retry_limit)
 
     async def _write(
         self, http: web.Request, response: web.StreamResponse, request: InFlightRequest
@@ -340,19 +344,6 @@
             status=refusal.status, headers=headers, text=f"{refusal.code}: {refusal}\n"
         )
 
-    def _retry_budget(self, service: str) -> RetryBudget:
-        found = self._retry_budgets.get(service)
-        if found is None:
-            on_retry = partial(self._count_retry, service)
-            found = RetryBudget(
-                self._allowance,
-                self._daemons,
-                full_slack_at=self._full_slack_at,
-                on_retry=on_retry,
-            )
-            self._retry_budgets[service] = found
-        return found
-
     def _count_retry(self, service: str, reason: str, allowed: bool) -> None:
         counter = Counter.RETRIED if allowed else Counter.RETRY_DENIED
         self._telemetry.count(counter, "", service, reason)
@@ -368,8 +359,8 @@
         for service, count in services.items():
             yield GaugeReading(Gauge.HOSTS, count, service)
         yield GaugeReading(Gauge.IN_FLIGHT, self.requests.count)
-        for service, retry_budget in self._retry_budgets.items():
-            yield GaugeReading(Gauge.RETRIES_LEFT, retry_budget.remaining, service)
+        for service, remaining in self.retry_budgets.remaining():
+            yield GaugeReading(Gauge.RETRIES_LEFT, remaining, service)
 
 
 def _draining_refusal() -> RefusalError:
--- a/auburnproxy/gateway/plain_forwarder.py
+++ b/auburnproxy/gateway/plain_forwarder.py
@@ -18,7 +18,7 @@
 from .header_codec import Dispatch, without_hop_by_hop
 from .health import Health
 from .host import Host
-from .retry_budget import RetryBudget
+from .retry_budget import RetryLimit
 from .sender import Sender, check_response
 from .silence_timeout import SilenceTimeout
 from .upstream_selector import UpstreamSelector
@@ -57,7 +57,7 @@
         self._health = health
         self._decisions = decisions
 
-    async def forward(self, call: Call, retry_budget: RetryBudget) -> web.Response:
+    async def forward(self, call: Call, retry_limit: RetryLimit) -> web.Response:
         """Forward a request and return an upstream's response.
 
         :raises RefusalError: if there is none
@@ -67,12 +67,12 @@
         sent = unreachable = 0
         failure: web.Response | None = None
         replacement = _Replacement(
-            self._selector, self._decisions, call, retry_budget, tried
+            self._selector, self._decisions, call, retry_limit, tried
         )
         while True:
             try:
                 host = replacement.take() or self._selector.select_host(
-                    call.service, tried=tried, urgency=call.urgency
+                    self._selector.service(call), tried=tried, urgency=call.urgency
                 )
             except RefusalError as refusal:
                 if failure is not None:
@@ -88,7 +88,7 @@
                 if response.status < SERVER_ERROR or last:
                     return response
                 error = AttemptError(f"answered_{response.status}", ran=Ran.UNKNOWN)
-                paid = retry_budget.spend(error.code)
+                paid = retry_limit.spend(error.code)
                 if not paid:
                     return response
                 failure = response
@@ -110,7 +110,7 @@
                 if failure is not None:
                     return failure
                 raise _build_refusal(error.code, ran, late=late)
-            if paid or replacement.host is not None or retry_budget.spend(error.code):
+            if paid or replacement.host is not None or retry_limit.spend(error.code):
                 continue
             if failure is not None:
                 return failure
@@ -190,7 +190,7 @@
     :param selector: selects hosts
     :param decisions: log, with a line for a request that waits at a silent host
     :param call: the request
-    :param retry_budget: retry budget of the service
+    :param retry_limit: retry budget of the service that gets the next try
     :param tried: hosts that already got the request
     """
 
@@ -199,7 +199,7 @@
         selector: UpstreamSelector,
         decisions: DecisionLog,
         call: Call,
-        retry_budget: RetryBudget,
+        retry_limit: RetryLimit,
         tried: Set[str],
     ) -> None:
         self.host: Host | None = None
@@ -207,7 +207,7 @@
         self._selector = selector
         self._decisions = decisions
         self._call = call
-        self._retry_budget = retry_budget
+        self._retry_limit = retry_limit
         self._tried = tried
         self._obstacle_logged = False
 
@@ -218,17 +218,19 @@
 
     async def reserve(self) -> bool:
         """Reserve a host if there is one, and return whether there is."""
-        if self._retry_budget.remaining < 1:
+        if self._retry_limit.remaining < 1:
             self._log_waiting(Obstacle.RETRY_BUDGET)
             return False
         try:
             host = self._selector.select_host(
-                self._call.service, tried=self._tried, urgency=self._call.urgency
+                self._selector.service(self._call),
+                tried=self._tried,
+                urgency=self._call.urgency,
             )
         except RefusalError:
             self._log_waiting(Obstacle.NO_REPLICA)
             return False
-        if self._retry_budget.spend(SILENT):
+        if self._retry_limit.spend(SILENT):
             self.host = host
         return self.host is not None
 
--- a/auburnproxy/gateway/retry_budget.py
+++ b/auburnproxy/gateway/retry_budget.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from abc import ABC, abstractmethod
 from collections import deque
 from collections.abc import Callable
 from typing import NamedTuple
@@ -31,7 +32,23 @@
     window_s: float
 
 
-class RetryBudget:
+class RetryLimit(ABC):
+    """Decides whether a request may be sent to another upstream."""
+
+    @property
+    @abstractmethod
+    def remaining(self) -> int:
+        """Return the number of retries that are allowed now."""
+
+    @abstractmethod
+    def spend(self, reason: str) -> bool:
+        """Use one retry and return whether one was left.
+
+        :param reason: code of the failure that the retry follows
+        """
+
+
+class RetryBudget(RetryLimit):
     """Counts the requests and retries of one service in a sliding window.
 
     :param allowance: budget of all daemons together
@@ -77,10 +94,7 @@
         return int(WINDOW_MARGIN * (earned + slack)) - len(self._retries)
 
     def spend(self, reason: str) -> bool:
-        """Use one retry of the budget and return whether one was left.
-
-        :param reason: code of the failure that the retry follows
-        """
+        """Use one retry of the budget and return whether one was left."""
         allowed = self.remaining >= 1
         if allowed:
             self._retries.append(loop_time())
--- a/auburnproxy/gateway/route.py
+++ b/auburnproxy/gateway/route.py
@@ -155,6 +155,14 @@
     """Whether API keys are checked at all."""
     limits: RequestLimits
 
+    def successor(self, route: Route) -> Route | None:
+        """Return the route that takes the place of one of an older version, if any.
+
+        :param route: a route, for the same requests
+        """
+        routes = self.routes_by_host.get(route.host, ())
+        return next((r for r in routes if r.prefix == route.prefix), None)
+
     def route(self, host: str, path: str) -> Route | None:
         """Return the route of a request, None if there is none.
 
--- a/auburnproxy/gateway/serving_replica.py
+++ b/auburnproxy/gateway/serving_replica.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from typing import NamedTuple
 
 from .host import Host, ReplicaPartState
@@ -22,6 +22,11 @@
     """Factor on its processing times; above 1 if its hosts span several fabric
     domains."""
 
+    @property
+    def service(self) -> str:
+        """Return the service of its hosts."""
+        return self.head.service
+
     @property
     def leaving(self) -> bool:
         """Return whether one of its hosts is leaving."""
@@ -34,7 +39,7 @@
 
 
 def serving_replicas(
-    hosts: Iterable[Host], engine: EngineSpec
+    hosts: Iterable[Host], engines: Mapping[str, EngineSpec]
 ) -> tuple[ServingReplica, ...]:
     """Return the replicas whose heads are open.
 
@@ -42,19 +47,20 @@
     is gone may be lost, or may only be cut off from the registry.
 
     :param hosts: the registered hosts
-    :param engine: the models that replicas serve
+    :param engines: the engine specs of the services whose hosts form replicas
     """
-    members_by_replica: dict[tuple[str, int], list[Host]] = {}
+    members_by_replica: dict[tuple[str, str, int], list[Host]] = {}
     for host in hosts:
-        if host.part is not None:
-            key = host.part.replica, host.part.epoch
+        if host.part is not None and host.service in engines:
+            key = host.service, host.part.replica, host.part.epoch
             members_by_replica.setdefault(key, []).append(host)
     replicas = []
-    for (name, epoch), members in members_by_replica.items():
+    for (service, name, epoch), members in members_by_replica.items():
         members.sort(key=_rank)
         head = members[0]
         if _rank(head) != 0 or head.part is None or not head.models:
             continue
+        engine = engines[service]
         model = engine.model(head.models[0])
         if head.part.state is ReplicaPartState.OPEN and model is not None:
             spread = len({member.fabric_domain for member in members}) > 1
--- a/auburnproxy/gateway/stream_forwarder.py
+++ b/auburnproxy/gateway/stream_forwarder.py
@@ -26,7 +26,7 @@
 from .host import Host
 from .liveness import LivenessChecker
 from .process_exits import ProcessExits, process_name
-from .retry_budget import RetryBudget
+from .retry_budget import RetryLimit
 from .route import EngineSpec
 from .sender import Sender, check_response
 from .serving_replica import ServingReplica
@@ -90,7 +90,8 @@
     :param liveness_checker: checks whether the heads that failed a stream still live
     :param exits: heads whose processes have ended
     :param quarantine: prompt parts whose requests end heads
-    :param engine: returns the batching parameters of the engines, None while unknown
+    :param engine: returns the batching parameters of a service's engines, None while
+        unknown
     :param decisions: log, with a line for each try
     :param telemetry: histograms and counters
     :param answer_bytes: maximum body size of a failure that is passed on
@@ -104,7 +105,7 @@
         liveness_checker: LivenessChecker,
         exits: ProcessExits,
         quarantine: PartQuarantine,
-        engine: Callable[[], EngineSpec | None],
+        engine: Callable[[str], EngineSpec | None],
         decisions: DecisionLog,
         telemetry: Telemetry,
         *,
@@ -121,26 +122,24 @@
         self.decisions = decisions
         self.telemetry = telemetry
 
-    async def forward(
-        self, call: Call, retry_budget: RetryBudget
-    ) -> web.StreamResponse:
+    async def forward(self, call: Call, retry_limit: RetryLimit) -> web.StreamResponse:
         """Forward a stream and return its response, complete or aborted.
 
         :raises RefusalError: if nothing was sent to the caller
         """
         self.quarantine.admit(call.id, call.info.prompt_parts)
-        return await _Stream(self, call, retry_budget).run()
+        return await _Stream(self, call, retry_limit).run()
 
 
 class _Stream:
     """State of one streamed request over all of its tries."""
 
     def __init__(
-        self, forwarder: StreamForwarder, call: Call, retry_budget: RetryBudget
+        self, forwarder: StreamForwarder, call: Call, retry_limit: RetryLimit
     ) -> None:
         self._forwarder = forwarder
         self._call = call
-        self._retry_budget = retry_budget
+        self._retry_limit = retry_limit
         self._load_when_selected = 0
         """Requests at the current head when it was selected."""
         self._response: web.StreamResponse | None = None
@@ -207,7 +206,9 @@
         :raises RefusalError: if no replica can take the request now
         """
         replacement, self._replacement = self._replacement, None
-        return replacement or self._forwarder.selector.select_replica(
+        selector = self._forwarder.selector
+        return replacement or selector.select_replica(
+            selector.service(self._call),
             self._call.info.model,
             tried=self._failed_heads,
             urgency=self._call.urgency,
@@ -301,7 +302,7 @@
             self._attempts.record_early_exit(head)
 
     def _spend_retry(self, code: str) -> Obstacle | None:
-        return None if self._retry_budget.spend(code) else Obstacle.RETRY_BUDGET
+        return None if self._retry_limit.spend(code) else Obstacle.RETRY_BUDGET
 
     def _count_attempt(self, head: Host) -> None:
         """Count the current try as an attempt, once."""
@@ -343,7 +344,7 @@
         """Return what rules out another try while a head is silent, if anything."""
         if not self._call.route.repeatable:
             return Obstacle.NOT_REPEATABLE
-        if self._retry_budget.remaining < 1:
+        if self._retry_limit.remaining < 1:
             return Obstacle.RETRY_BUDGET
         self._count_attempt(head)
         if not self._attempts.used_up:
@@ -365,9 +366,11 @@
             options.append(({head.id}, False))
             if not self._attempts.counts(head):
                 options.append((set(), True))
+        selector = self._forwarder.selector
         for tried, include_excluded in options:
             try:
-                return self._forwarder.selector.select_replica(
+                return selector.select_replica(
+                    selector.service(self._call),
                     self._call.info.model,
                     tried=tried,
                     urgency=self._call.urgency,
@@ -603,7 +606,7 @@
 
     def _first_event_timeout_s(self, replica: ServingReplica) -> float:
         """Return how long a head may be silent before the first event."""
-        engine = self._forwarder.engine()
+        engine = self._forwarder.engine(replica.service)
         rate = engine.prompt_tokens_per_s if engine else 0.0
         tokens = self._call.info.prompt_tokens
         pace = replica.model.pace * replica.slowdown
--- a/auburnproxy/gateway/subsets.py
+++ b/auburnproxy/gateway/subsets.py
@@ -13,6 +13,8 @@
 
 from ..rendezvous import rank_names
 
+ServiceModel = tuple[str, str]
+"""Names of a service and of one of its models."""
 SUBSET_SIZE = 6
 """Heads of each model that a daemon prefers while they have room."""
 NO_DAEMONS: frozenset[str] = frozenset()
@@ -29,15 +31,15 @@
         self._name = name
         self._daemons = daemons
         self._assigned_for: (
-            tuple[Mapping[str, Sequence[str]], frozenset[str]] | None
+            tuple[Mapping[ServiceModel, Sequence[str]], frozenset[str]] | None
         ) = None
         self._own: set[str] = set()
         self._sharers_by_head: dict[str, set[str]] = {}
 
-    def assign(self, heads_by_model: Mapping[str, Sequence[str]]) -> None:
+    def assign(self, heads_by_model: Mapping[ServiceModel, Sequence[str]]) -> None:
         """Reassign the heads if they or the daemons have changed.
 
-        :param heads_by_model: ids of the failure domain's heads
+        :param heads_by_model: ids of the failure domain's heads by service and model
         """
         daemons = frozenset({self._name, *self._daemons()})
         if (heads_by_model, daemons) == self._assigned_for:
--- a/auburnproxy/gateway/upstream_selector.py
+++ b/auburnproxy/gateway/upstream_selector.py
@@ -9,6 +9,7 @@
 from ..errors import RefusalError
 from ..rendezvous import rank_names
 from .backoffs import UpstreamBackoffs
+from .call import Call
 from .directory import Directory
 from .health import Health
 from .host import Host, Incarnation
@@ -16,7 +17,7 @@
 from .process_exits import process_name
 from .serving_replica import ServingReplica
 from .shared_rates import SharedRate, SharedRates
-from .subsets import Subsets
+from .subsets import ServiceModel, Subsets
 
 FAR_PENALTY = 0.1
 """Load, as a fraction of the slots, added to the score of an upstream in another
@@ -146,11 +147,17 @@
         self._far_interval_s = far_interval_s
         self._random = random or Random()
         self._indexed_replicas: tuple[ServingReplica, ...] | None = None
-        self._near: dict[str, list[ServingReplica]] = {}
-        self._far: dict[str, list[ServingReplica]] = {}
+        self._near: dict[ServiceModel, list[ServingReplica]] = {}
+        """Replicas in this daemon's failure domain by service and model."""
+        self._far: dict[ServiceModel, list[ServingReplica]] = {}
+
+    def service(self, call: Call) -> str:
+        """Return the service that gets the next try of a request."""
+        return self._directory.service(call)
 
     def select_replica(
         self,
+        service: str,
         model: str,
         *,
         tried: Collection[str] = (),
@@ -159,6 +166,7 @@
     ) -> ServingReplica:
         """Return the best replica for a request.
 
+        :param service: name of the service that the request is for
         :param model: the model that the caller asks for
         :param tried: heads at which the request has already failed
         :param urgency: urgency of the request, 0 first
@@ -166,7 +174,7 @@
             other
         :raises RefusalError: if no replica can take the request now
         """
-        near, far = self._candidates(model)
+        near, far = self._candidates(service, model)
         demand = _Demand(tried, urgency)
         chosen = self._best_near(near, demand)
         if chosen is None or chosen.score > min(self._far_age_penalty, FAR_SPILL_LOAD):
@@ -203,9 +211,9 @@
         return FAR_PENALTY + STALE_PENALTY_PER_S * overdue_s
 
     def _candidates(
-        self, model: str
+        self, service: str, model: str
     ) -> tuple[Sequence[ServingReplica], Sequence[ServingReplica]]:
-        """Return the near and the far replicas of a model that are not leaving."""
+        """Return the near and the far replicas of a service's model that can serve."""
         replicas = self._directory.replicas()
         if replicas is not self._indexed_replicas:
             self._indexed_replicas = replicas
@@ -213,12 +221,14 @@
             for replica in replicas:
                 if not replica.leaving:
                     near = replica.head.failure_domain == self._failure_domain
-                    replicas_by_model = self._near if near else self._far
-                    replicas_by_model.setdefault(replica.model.name, []).append(replica)
+                    index = self._near if near else self._far
+                    key = replica.service, replica.model.name
+                    index.setdefault(key, []).append(replica)
             self._subsets.assign(
-                {m: tuple(r.head.id for r in near) for m, near in self._near.items()}
+                {k: tuple(r.head.id for r in near) for k, near in self._near.items()}
             )
-        return self._near.get(model, ()), self._far.get(model, ())
+        key = service, model
+        return self._near.get(key, ()), self._far.get(key, ())
 
     def _far_samples(
         self, far: Sequence[ServingReplica]
--- a/emulator/mechanisms.py
+++ b/emulator/mechanisms.py
@@ -38,7 +38,7 @@
 
 
 def _disable_budget_division(daemon: EmulatedDaemon) -> None:
-    daemon.frontend._daemons = lambda: 1
+    daemon.frontend.retry_budgets.daemons = lambda: 1
 
 
 def _equal_domain_shares(start: float, end: float, engine: Any) -> dict[str, float]:
--- a/features/fakes/herd.py
+++ b/features/fakes/herd.py
@@ -29,7 +29,7 @@
     SEND_DELAY_S,
 )
 from auburnproxy.heartbeats.upstream_aggregate import UpstreamAggregate
-from features.fakes.fleet import configuration, host
+from features.fakes.fleet import SERVICE, configuration, host
 from features.fakes.store import null_decisions
 
 TICK_S = 0.1
@@ -183,7 +183,7 @@
             self.load[head] < self.slots for head in self.heads if head not in self.dead
         )
         try:
-            head = daemon.selector.select_replica("small").head.id
+            head = daemon.selector.select_replica(SERVICE, "small").head.id
         except RefusalError:
             self.refused += 1
             self.refused_while_free += free
--- a/features/fakes/pausing_sender.py
+++ b/features/fakes/pausing_sender.py
@@ -117,7 +117,7 @@
             LivenessChecker(self.report, self.fixture.health.heard_at, self.decisions),
             ProcessExits(self.facts, self.report, self.decisions),
             PartQuarantine(self.facts, self.decisions),
-            lambda: ENGINE,
+            lambda service: ENGINE,
             self.decisions,
             Telemetry(),
             answer_bytes=1_000_000,
--- a/features/fakes/platform.py
+++ b/features/fakes/platform.py
@@ -33,6 +33,8 @@
 KEY = "key-1"
 MODEL = "large"
 EVENTS = 6
+MODEL_SERVICES = frozenset({"engines", "engines-new"})
+"""Services whose engines form replicas; by default only the first is configured."""
 NOT_EXECUTED_ACTIONS = frozenset({"shed", "rest", "leaving refusal", "misdirect"})
 """Actions that answer without executing the request."""
 SOUND_ACTIONS = NOT_EXECUTED_ACTIONS | {"ok", "leaving success", "leaving failure"}
@@ -544,14 +546,16 @@
         engine = EngineStandIn(name, free_addresses(1)[0])
         await engine.start()
         self.engines[name] = engine
-        if service == "engines":
+        if service in MODEL_SERVICES:
             group = {"name": f"r-{name}", "epoch": 1, "rank": 0, "state": "open"}
             engine.part = group
-            engine.on_order = lambda order: self._apply_order(name, zone, order)
+            engine.on_order = lambda order: self._apply_order(
+                name, zone, order, service
+            )
         self.register(name, service=service, zone=zone, **more)
         return engine
 
-    def _apply_order(self, name: str, zone: str, order: dict) -> None:
+    def _apply_order(self, name: str, zone: str, order: dict, service: str) -> None:
         """Apply an order at once; replicas here have one host."""
         engine = self.engines[name]
         operation = order["operation"]
@@ -565,7 +569,8 @@
             engine.part = named | {"state": "ready"}
         elif operation == "leave" and same:
             engine.part = None
-        self.register(name, zone=zone, **self._registration_fields.get(name, {}))
+        fields = self._registration_fields.get(name, {})
+        self.register(name, service=service, zone=zone, **fields)
 
     def register(self, name: str, *, service="engines", zone="z1", **more) -> None:
         """Append an engine's registration and, for model engines, its own replica."""
@@ -581,7 +586,7 @@
             "sequence": 1,
             "born": 1,
         }
-        if service == "engines":
+        if service in MODEL_SERVICES:
             entry |= {
                 "domain": "d0",
                 "models": [{"name": MODEL, "version": 1}],
--- a/features/fakes/selection.py
+++ b/features/fakes/selection.py
@@ -16,7 +16,7 @@
 from auburnproxy.gateway.subsets import Subsets
 from auburnproxy.gateway.upstream_selector import UpstreamSelector
 from auburnproxy.gossip import FactTable
-from features.fakes.fleet import configuration, host
+from features.fakes.fleet import SERVICE, configuration, host
 from features.fakes.store import null_decisions
 
 
@@ -85,7 +85,7 @@
 
     def select(self, *, begun=True):
         try:
-            head = self.selector.select_replica("small").head.id
+            head = self.selector.select_replica(SERVICE, "small").head.id
         except RefusalError as refusal:
             self.refusals.append(refusal)
             return None
--- a/features/fakes/stalling_sender.py
+++ b/features/fakes/stalling_sender.py
@@ -86,7 +86,7 @@
             ),
             ProcessExits(self.facts, self.report, null_decisions()),
             PartQuarantine(self.facts, null_decisions()),
-            lambda: ENGINE,
+            lambda service: ENGINE,
             null_decisions(),
             Telemetry(),
             answer_bytes=1_000_000,
--- a/features/steps/selection.py
+++ b/features/steps/selection.py
@@ -131,7 +131,7 @@
 
     def ask():
         return selector.select_replica(
-            "small", tried=tried, include_excluded=True
+            SERVICE, "small", tried=tried, include_excluded=True
         ).head.id
 
     return run(context, ask)
