Wait for what a start lacks, and say why

The users saw processes that ended by themselves, without logs (FAULT).

- Each listener and the heartbeat port wait until their address is free, and log port_held once with the reason.
A daemon is not ready before callers can connect.
- Empty optional settings count as left out.
Optional ones that cannot be used are logged and replaced by their defaults; for others the process prints each finding once and waits for better settings.
- What ends a start is logged as start_failed, and the process ends with 70.
- The bodies of all requests in flight may take a quarter of the host's memory; a request whose body has no room is rejected with 503 and the code no_memory.

--- a/auburnproxy/daemon/daemon.py
+++ b/auburnproxy/daemon/daemon.py
@@ -237,6 +237,21 @@
         self._tasks.spawn("fitness", self._wait_until_restart_needed())
         log.info("{} started.", self.me.id)
 
+    def log_held(self, address: str, error: OSError) -> None:
+        """Log that a listener waits for its address.
+
+        :param address: IP number and port
+        :param error: why it cannot be bound
+        """
+        log.warning("Waiting for {}: {}.", address, error)
+
+    def log_failed_start(self, error: Exception) -> None:
+        """Log why the process ends before it has started.
+
+        :param error: what failed
+        """
+        log.opt(exception=error).critical("The daemon could not start.")
+
     @property
     def failed_task(self) -> str:
         """Return the name of a task whose error stops the daemon, empty for none."""
--- a/auburnproxy/daemon/gateway_daemon.py
+++ b/auburnproxy/daemon/gateway_daemon.py
@@ -13,12 +13,14 @@
 
 from .. import __version__
 from ..clock import loop_time
+from ..decoding import shorten
 from ..errors import AuburnError, DocumentError, PlatformError, UnreadableError
 from ..formation import ReplicaController, ReplicaRegistry
 from ..formation.engine_commands import BackoffEngineCommands, BackoffError
 from ..formation.leader_election import LeaderElection
 from ..formation.registry import TOPIC as REPLICAS_TOPIC
 from ..gateway.backoffs import UpstreamBackoffs
+from ..gateway.body_memory import BodyMemory
 from ..gateway.call import CONNECT_TIMEOUT_S
 from ..gateway.directory import Directory
 from ..gateway.frontend import HttpFrontend
@@ -126,6 +128,8 @@
         self.decisions = decisions or open_decision_log(settings.name)
         self.telemetry = Telemetry()
         self._deployment = deployment
+        self.accepts_callers: Callable[[], bool] = lambda: True
+        """Returns whether the callers' listener is open."""
         self.request_stop: Callable[[], None] = lambda: None
         """Requests an ordinary stop of the process."""
         self._suspension = SuspensionDetector()
@@ -360,6 +364,7 @@
             plain,
             streams,
             allowance=settings.allowance,
+            body_memory=BodyMemory(settings.body_bytes),
             daemons=lambda: (
                 self.peer_group.daemon_count if self._daemon_records.complete else 0
             ),
@@ -384,7 +389,8 @@
     def ready(self) -> bool:
         """Return whether the load balancer should send requests to this daemon."""
         configured = self.directory.configuration.version >= 0
-        return configured and self._upstreams.complete and not self.frontend.draining
+        informed = configured and self._upstreams.complete
+        return informed and self.accepts_callers() and not self.frontend.draining
 
     def _state_complete(self) -> bool:
         """Return whether configuration, hosts, replicas and daemons are all known."""
@@ -401,6 +407,8 @@
         self.decisions.belief(
             "started", failure_domain=self.settings.failure_domain, version=__version__
         )
+        for finding in self.settings.ignored:
+            self.decisions.belief("setting_ignored", reason=shorten(finding))
         for name, coroutine in (
             ("operators", self._operators.run()),
             ("upstreams", self._upstreams.run()),
@@ -518,6 +526,21 @@
         """
         self.decisions.belief("stop_signal", name=name, repeated=self.frontend.draining)
 
+    def log_held(self, address: str, error: OSError) -> None:
+        """Log that a listener waits for its address.
+
+        :param address: IP number and port
+        :param error: why it cannot be bound
+        """
+        self.decisions.belief("port_held", address=address, reason=str(error))
+
+    def log_failed_start(self, error: Exception) -> None:
+        """Log why the process ends before it has started.
+
+        :param error: what failed
+        """
+        self.decisions.belief("start_failed", reason=repr(error))
+
     def log_overrun(self, what: str) -> None:
         """Log that something did not stop within the budget and was left as it is.
 
--- a/auburnproxy/daemon/gateway_services.py
+++ b/auburnproxy/daemon/gateway_services.py
@@ -17,6 +17,7 @@
         close_s=CONNECTION_CLOSE_S,
     )
     daemon.on_limits = lambda limits: listener.set_idle_timeout(limits.idle_s)
+    daemon.accepts_callers = lambda: listener.listening
     return listener
 
 
--- a/auburnproxy/daemon/listener.py
+++ b/auburnproxy/daemon/listener.py
@@ -3,13 +3,16 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 from collections.abc import Callable
 from typing import Protocol
 
 from aiohttp import web
 from aiomisc import Service
 from aiomisc.service.aiohttp import AIOHTTPService
+from aiomisc.utils import bind_socket
 
+from ..binding import bind_when_free
 from ..clock import loop_time
 from ..stop_budget import StopBudget
 from .stop_signals import StopRequest
@@ -20,6 +23,8 @@
 """Time in which a handler that is still running may end by itself, and once more the
 time in which it may end after its connection has been closed."""
 FLUSH_POLL_S = 0.01
+LISTEN_BACKLOG = 128
+"""Connections that wait to be accepted; aiohttp sets the same number."""
 IDLE_TIMEOUT_S = 75.0
 """Seconds after which a connection without a complete request head is closed."""
 MAX_LINE_BYTES = 65_536
@@ -33,6 +38,13 @@
     def drained(self) -> asyncio.Event:
         """Set once every request has been answered at a shutdown."""
 
+    def log_held(self, address: str, error: OSError) -> None:
+        """Log that a listener waits for its address.
+
+        :param address: IP number and port
+        :param error: why it cannot be bound
+        """
+
 
 class RunnableDaemon(DrainingDaemon, Protocol):
     """Interface of a daemon that can be started and stopped."""
@@ -43,6 +55,12 @@
     def start(self) -> None:
         """Start the tasks of the components."""
 
+    def log_failed_start(self, error: Exception) -> None:
+        """Log why the process ends before it has started.
+
+        :param error: what failed
+        """
+
     @property
     def failed_task(self) -> str:
         """Return the name of a task whose error stops the daemon, empty for none."""
@@ -120,10 +138,9 @@
         idle_s: float = IDLE_TIMEOUT_S,
         close_s: float = CONNECTION_CLOSE_S,
     ) -> None:
-        host, _, port = address.rpartition(":")
         super().__init__(
-            host.strip("[]"),
-            int(port),
+            # Replaced by a bound one in start, which waits for the address.
+            sock=socket.socket(),
             shutdown_timeout=HANDLER_CLOSE_S,  # type: ignore[arg-type]
             handler_cancellation=True,
             runner_kwargs={
@@ -133,6 +150,9 @@
                 "max_field_size": MAX_LINE_BYTES,
             },
         )
+        self.listening = False
+        """Whether connections are accepted."""
+        self._address = address
         self._application = application
         self._daemon = daemon
         self._close_s = close_s
@@ -141,6 +161,30 @@
         """Return the application to serve."""
         return self._application
 
+    async def start(self) -> None:
+        """Accept connections, once the address is free."""
+        unbound = self.socket
+        self.socket = await bind_when_free(
+            self._bind, lambda error: self._daemon.log_held(self._address, error)
+        )
+        unbound.close()
+        await super().start()
+        self.listening = True
+
+    async def _bind(self) -> socket.socket:
+        """Return a listening socket.
+
+        :raises OSError: if the address is held by a socket that does not share it
+        """
+        host, _, port = self._address.rpartition(":")
+        bound = bind_socket(address=host.strip("[]"), port=int(port))
+        try:
+            bound.listen(LISTEN_BACKLOG)
+        except OSError:
+            bound.close()
+            raise
+        return bound
+
     def set_idle_timeout(self, idle_s: float) -> None:
         """Set the timeout for request heads on connections opened from now on.
 
--- a/auburnproxy/daemon/main.py
+++ b/auburnproxy/daemon/main.py
@@ -7,6 +7,7 @@
 import os
 import sys
 import threading
+import time
 from collections.abc import Callable
 from importlib import import_module
 from pathlib import Path
@@ -21,6 +22,8 @@
 from .stop_signals import StopRequest, StopSignals
 
 if TYPE_CHECKING:
+    from ..findings import Finding
+    from .deployment import Deployment
     from .listener import RunnableDaemon
     from .settings import Settings
 
@@ -29,6 +32,8 @@
 EXIT_FINDINGS = 2
 EXIT_TASK_FAILED = os.EX_SOFTWARE
 """Exit code of a daemon that was not asked to stop, but could not go on."""
+SETTINGS_RETRY_S = 1.0
+"""Seconds between two readings of settings that cannot be used."""
 LAST_FLUSH_S = 0.1
 """Longest wait for a slow reader of the log before a process that hangs is ended."""
 STOP_REASON = RuntimeError("The process was asked to stop.")
@@ -41,7 +46,9 @@
 ) -> int:
     """Serve callers until SIGTERM, then drain and leave.
 
-    Exits with 2 if the settings have findings; each is printed with its place.
+    Exits with 2 if the settings of the product's own platform have findings, each of
+    which is printed with its place, and with 70 if a task fails or the start does. On
+    another platform it waits for settings that can be used.
 
     :param settings: the YAML file of the settings, for the product's own platform
     :param deployment: package that adapts the daemon to another platform; it
@@ -86,19 +93,39 @@
 
     :param package: name of the package that adapts to the platform
     :param check: only check the settings
-    :raises DocumentError: if the settings have findings
+    :raises DocumentError: if the settings are only checked and have findings
     """
     from .gateway_daemon import GatewayDaemon
     from .gateway_services import services
 
     adapter = import_module(package).adapter()
-    adapter.settings()
     if check:
+        adapter.settings()
         print("no findings")
         return 0
+    _wait_for_settings(adapter)
     return _run(lambda: GatewayDaemon(adapter), services)
 
 
+def _wait_for_settings(adapter: Deployment) -> None:
+    """Wait until the settings can be used; the platform may still replace them.
+
+    Each set of findings is printed once. A stop signal ends the process at once, as
+    nothing has been opened.
+    """
+    reported: list[Finding] = []
+    while True:
+        try:
+            adapter.settings()
+            return
+        except DocumentError as error:
+            if error.findings != reported:
+                reported = error.findings
+                for finding in reported:
+                    print(finding, file=sys.stderr, flush=True)
+        time.sleep(SETTINGS_RETRY_S)
+
+
 def _run(
     create: Callable[[], _Daemon], services: Callable[[_Daemon], list[Any]]
 ) -> int:
@@ -137,6 +164,9 @@
             await requested
         # A task that fails later does so because the daemon stops.
         exit_code = EXIT_TASK_FAILED if daemon.failed_task else 0
+    except Exception as error:
+        daemon.log_failed_start(error)
+        exit_code = EXIT_TASK_FAILED
     finally:
         await _cancel(starting)
         now = loop_time()
--- a/auburnproxy/gateway/frontend.py
+++ b/auburnproxy/gateway/frontend.py
@@ -15,6 +15,7 @@
 from ..in_flight import InFlightRequest, InFlightRequests, Phase
 from ..telemetry import Counter, Gauge, GaugeReading, Measure, Telemetry
 from ..telemetry.decisions import DecisionLog
+from .body_memory import BodyMemory, HeldBody
 from .call import IN_FLIGHT, Call
 from .directory import Directory
 from .header_codec import HeaderCodec, RequestInfo
@@ -48,6 +49,7 @@
     :param plain: forwards requests of plain routes
     :param streams: forwards requests of streamed routes
     :param allowance: retry budget of all daemons together
+    :param body_memory: memory for the bodies of all requests
     :param daemons: returns how many daemons share that budget
     :param full_slack_at: the loop's time from which the full slack of the budget may be
         used
@@ -64,6 +66,7 @@
         streams: StreamForwarder,
         *,
         allowance: RetryAllowance,
+        body_memory: BodyMemory,
         daemons: Callable[[], int],
         full_slack_at: float = 0.0,
         informed: Callable[[], bool] = lambda: True,
@@ -81,6 +84,7 @@
         self._header_codec = header_codec
         self._plain = plain
         self._streams = streams
+        self._body_memory = body_memory
         self._informed = informed
         self._hold_until = loop_time() + START_HOLD_S
         self._decisions = decisions
@@ -95,9 +99,7 @@
 
     def application(self) -> web.Application:
         """Return the web application of the callers' listener."""
-        app = web.Application(
-            client_max_size=self._directory.configuration.limits.body_bytes
-        )
+        app = web.Application()
         app.router.add_route("*", "/{path:.*}", self.handle)
         return app
 
@@ -113,11 +115,14 @@
             )
         if http.transport is not None and not http.transport.is_closing():
             http.transport.set_write_buffer_limits(high=0)
-        with self.requests.track(info.request_id) as request:
+        with (
+            self.requests.track(info.request_id) as request,
+            self._body_memory.hold() as held,
+        ):
             http[IN_FLIGHT] = request
             request.transport = http.transport
             try:
-                return await self._respond(http, info, request)
+                return await self._respond(http, info, request, held)
             except (asyncio.CancelledError, ConnectionError):
                 if request.cut_off:
                     return await self._respond_cut_off(http, info, request)
@@ -134,10 +139,14 @@
                 raise
 
     async def _respond(
-        self, http: web.Request, info: RequestInfo, request: InFlightRequest
+        self,
+        http: web.Request,
+        info: RequestInfo,
+        request: InFlightRequest,
+        held: HeldBody,
     ) -> web.StreamResponse:
         try:
-            call = await self._route(http, info, request)
+            call = await self._route(http, info, request, held)
             response = await self._forward(call)
         except RefusalError as refusal:
             response = self._refusal_response(info, refusal, request.arrived_at)
@@ -239,14 +248,18 @@
         )
 
     async def _route(
-        self, http: web.Request, info: RequestInfo, request: InFlightRequest
+        self,
+        http: web.Request,
+        info: RequestInfo,
+        request: InFlightRequest,
+        held: HeldBody,
     ) -> Call:
         """Return a request with its route and account.
 
         :raises RefusalError: if it cannot be routed or authenticated
         """
         arrived_at = request.arrived_at
-        body = await self._read_body(http)
+        body = await self._read_body(http, held)
         if loop_time() >= self.refuse_at:
             raise _draining_refusal()
         request.phase = Phase.CONFIGURATION
@@ -300,22 +313,24 @@
         while not self._informed() and loop_time() < until:
             await self._directory.changed.wait(START_POLL_S)
 
-    async def _read_body(self, http: web.Request) -> bytes:
+    async def _read_body(self, http: web.Request, held: HeldBody) -> bytes:
         """Return a request's body.
 
+        :param held: the memory that it takes
         :raises RefusalError: if the headers or the body exceed the limits
         """
         limits = self._directory.configuration.limits
         if sum(len(k) + len(v) for k, v in http.raw_headers) > limits.header_bytes:
             message = "The head is too long."
             raise RefusalError("head_too_long", message, status=431)
-        if http.client_max_size != limits.body_bytes:
-            http = http.clone(client_max_size=limits.body_bytes)
-        try:
-            return await http.read()
-        except web.HTTPRequestEntityTooLarge:
-            message = "The body is too long."
-            raise RefusalError("body_too_long", message, status=413) from None
+        blocks = []
+        while block := await http.content.readany():
+            if held.size + len(block) > limits.body_bytes:
+                message = "The body is too long."
+                raise RefusalError("body_too_long", message, status=413)
+            held.grow(len(block))
+            blocks.append(block)
+        return b"".join(blocks)
 
     def _refusal_response(
         self, info: RequestInfo, refusal: RefusalError, arrived_at: float
--- a/auburnproxy/heartbeats/peer_group.py
+++ b/auburnproxy/heartbeats/peer_group.py
@@ -9,6 +9,7 @@
 
 import msgspec
 
+from ..binding import bind_when_free
 from ..clock import loop_time
 from ..decoding import decode_json
 from ..extensible_tuple import convert_known_fields
@@ -241,12 +242,8 @@
         return Change(self._name, msgspec.json.encode(self._own_record))
 
     async def run(self) -> None:
-        """Receive and send heartbeats until cancelled."""
-        host, _, port = self._own_record.heartbeat_address.rpartition(":")
-        loop = asyncio.get_running_loop()
-        transport, _ = await loop.create_datagram_endpoint(
-            lambda: self, local_addr=(host, int(port))
-        )
+        """Receive and send heartbeats until cancelled, once the port is free."""
+        transport = await bind_when_free(self._open_transport, self._log_held)
         try:
             while True:
                 self.tick()
@@ -256,6 +253,28 @@
             self._transport = None
             transport.close()
 
+    async def _open_transport(self) -> asyncio.DatagramTransport:
+        """Open the socket that heartbeats are exchanged on.
+
+        :raises OSError: if its port is held
+        """
+        host, _, port = self._own_record.heartbeat_address.rpartition(":")
+        loop = asyncio.get_running_loop()
+        try:
+            transport, _ = await loop.create_datagram_endpoint(
+                lambda: self, local_addr=(host, int(port))
+            )
+        except OSError as error:
+            if isinstance(error.__cause__, OSError):
+                # uvloop raises an error without a number.
+                raise error.__cause__ from error
+            raise
+        return transport
+
+    def _log_held(self, error: OSError) -> None:
+        address = self._own_record.heartbeat_address
+        self._decisions.belief("port_held", address=address, reason=str(error))
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Keep the transport that sends heartbeats."""
         self._transport = cast(asyncio.DatagramTransport, transport)
--- a/auburnproxy/membership/membership.py
+++ b/auburnproxy/membership/membership.py
@@ -8,6 +8,7 @@
 
 from loguru import logger
 
+from ..binding import bind_when_free
 from ..errors import AuburnError, PeerError
 from . import link as links
 from ._dialer import Dialer
@@ -213,7 +214,10 @@
                 else:
                     writer.close()
 
-            server = await asyncio.start_server(on_connect, host, int(port))
+            server = await bind_when_free(
+                lambda: asyncio.start_server(on_connect, host, int(port)),
+                lambda error: log.warning("Waiting for the port of peers: {}.", error),
+            )
             log.info("Listening for peers on {}.", self.me.peer_address)
             self._accepting = True
             try:
--- a/auburnproxy/platform/settings.py
+++ b/auburnproxy/platform/settings.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+import copy
 from pathlib import Path
 from typing import Any
 
+from ..addresses import MAX_PORT
 from ..daemon.deployment import GatewaySettings
 from ..errors import DocumentError
-from ..findings import Finding, check, parse
+from ..findings import Document, Finding, parse, schema_findings
 from ..gateway.retry_budget import RetryAllowance
 
 SETTINGS_VARIABLE = "AUBURNPROXY_CONFIG"
@@ -16,13 +18,26 @@
 MS_PER_S = 1000
 BYTES_PER_MB = 1_000_000
 DEFAULT_MEMORY_MB = 200
+MAX_FIGURE = 1e9
+"""Largest figure that is used; a larger one counts as a mistake."""
+OPTIONAL_KEYS = frozenset({"bootstrap", "bounds", "limits"})
+"""Keys that have defaults, which are used in place of values that cannot be."""
 RESPONSE_MEMORY_FRACTION = 1 / 64
 """Maximum size of one response body as a fraction of the host's memory."""
+BODY_MEMORY_FRACTION = 1 / 4
+"""Part of the host's memory for the bodies of all requests in flight. Each body is held
+up to twice, while it is joined and while it is sent."""
 
 _TEXT = {"type": "string", "minLength": 1}
-_ADDRESS = {"type": "string", "pattern": r"^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$"}
-_NUMBER = {"type": "number", "minimum": 0}
-_DURATION_MS = {"type": "number", "minimum": 100}
+_PORT = {"type": "integer", "minimum": 1, "maximum": MAX_PORT}
+_ADDRESS = {
+    "type": "string",
+    "pattern": r"^\d{1,3}(\.\d{1,3}){3}:"
+    r"([1-9]\d{0,3}|[1-5]\d{4}|6[0-4]\d{3}|65[0-4]\d\d|655[0-2]\d|6553[0-5])$",
+}
+_NUMBER = {"type": "number", "minimum": 0, "maximum": MAX_FIGURE}
+_POSITIVE = {"type": "number", "exclusiveMinimum": 0, "maximum": MAX_FIGURE}
+_DURATION_MS = {"type": "number", "minimum": 100, "maximum": MAX_FIGURE}
 
 
 def _object(properties: dict[str, Any], *, required: bool = True) -> dict[str, Any]:
@@ -41,7 +56,7 @@
         "listen": _object({"front": _ADDRESS, "readiness": _ADDRESS}),
         "internal-ports": {
             "type": "array",
-            "items": {"type": "integer"},
+            "items": _PORT,
             "minItems": 2,
         },
         "platform": _object({"address": _ADDRESS}),
@@ -50,15 +65,15 @@
             {
                 "retry-budget-ratio": _NUMBER,
                 "budget-slack": _NUMBER,
-                "budget-window-s": _NUMBER,
-                "grace-s": _NUMBER,
+                "budget-window-s": _POSITIVE,
+                "grace-s": _POSITIVE,
                 "drain-ms": _DURATION_MS,
                 "config-apply-ms": _DURATION_MS,
             },
             required=False,
         ),
         "limits": _object(
-            {"memory-mb": _NUMBER, "cpu-share": _NUMBER, "cores": _NUMBER},
+            {"memory-mb": _POSITIVE, "cpu-share": _POSITIVE, "cores": _POSITIVE},
             required=False,
         ),
     },
@@ -75,7 +90,7 @@
         text = path.read_text(encoding="utf-8")
     except (OSError, UnicodeDecodeError) as error:
         raise DocumentError([Finding(str(path), 1, "", "file", str(error))]) from error
-    value = check(parse(text, file=str(path)), SCHEMA)
+    value, ignored = _without_unusable(parse(text, file=str(path)))
     bounds = value.get("bounds", {})
     limits = value.get("limits", {})
     memory_mb = limits.get("memory-mb", DEFAULT_MEMORY_MB)
@@ -100,4 +115,39 @@
         drain_s=bounds.get("drain-ms", 2000) / MS_PER_S,
         apply_s=bounds.get("config-apply-ms", 2000) / MS_PER_S,
         answer_bytes=int(memory_mb * BYTES_PER_MB * RESPONSE_MEMORY_FRACTION),
+        body_bytes=int(memory_mb * BYTES_PER_MB * BODY_MEMORY_FRACTION),
+        ignored=ignored,
     )
+
+
+def _without_unusable(document: Document) -> tuple[Any, tuple[str, ...]]:
+    """Return the settings without optional values that cannot be used.
+
+    Empty ones are left out silently, as the platform may leave keys empty.
+
+    :return: the settings, and the findings on what else was left out
+    :raises DocumentError: with every finding on the required settings
+    """
+    value = copy.deepcopy(document.value)
+    if isinstance(value, dict):
+        for key in OPTIONAL_KEYS & value.keys():
+            if isinstance(value[key], dict):
+                value[key] = {k: v for k, v in value[key].items() if not _is_empty(v)}
+            if _is_empty(value[key]):
+                del value[key]
+    document = document._replace(value=value)
+    findings = schema_findings(document, SCHEMA)
+    optional = [f for f in findings if f.key.partition(".")[0] in OPTIONAL_KEYS]
+    if len(optional) < len(findings):
+        raise DocumentError([f for f in findings if f not in optional])
+    for section, name in {finding.key.partition(".")[::2] for finding in optional}:
+        if name:
+            del value[section][name]
+        else:
+            del value[section]
+    return value, tuple(str(finding) for finding in optional)
+
+
+def _is_empty(value: Any) -> bool:
+    """Return whether a setting has no value, such as the number ``.nan``."""
+    return value is None or value == "" or value != value
