Resume a stream without a length whose engine was killed after an event

Callers got 10 to 15 of 30 pieces as a complete answer: a process that is killed closes its connections without a reset, like one that has sent a whole answer without a length.

At the end of such a stream the engine is checked, as after a connection that breaks: if its process has ended, the stream is resumed or aborted. An engine that leaves, or whose registration is gone, may end in order and is not checked. It costs a report for each stream without a length.

--- a/auburnproxy/gateway/directory.py
+++ b/auburnproxy/gateway/directory.py
@@ -221,6 +221,14 @@
             and not self._may_have_left(host)
         )
 
+    def is_leaving(self, host: Host) -> bool:
+        """Return whether a host is leaving, or has left without notice.
+
+        :param host: the host as it was known before
+        """
+        known = self._hosts.get(host.id)
+        return known is None or known.leaving or known.born != host.born
+
     def cold_s(self, host: Host) -> float:
         """Return the seconds for which a host is still cold."""
         return max(host.cold_s - (loop_time() - host.seen_at), 0.0)
--- a/auburnproxy/gateway/stream_forwarder.py
+++ b/auburnproxy/gateway/stream_forwarder.py
@@ -558,6 +558,18 @@
         ended_early = not answer.framed and not self._event_received
         if reader.incomplete_event or ended_early or not answer.complete:
             raise AttemptError(TRUNCATED, ran=Ran.UNKNOWN)
+        if not answer.framed and await self._has_ended(replica.head):
+            raise AttemptError(TRUNCATED, ran=Ran.UNKNOWN)
+
+    async def _has_ended(self, head: Host) -> bool:
+        """Return whether a head has ended without notice, as far as a check can tell.
+
+        A process that is killed closes its connections as one does that has sent a
+        whole answer without a length. One that leaves may end in order after its answer.
+        """
+        if self._forwarder.selector.is_leaving(head):
+            return False
+        return await self._forwarder.exits.check(head, _do_nothing)
 
     def _record_event_time(self) -> None:
         now = loop_time()
--- a/auburnproxy/gateway/upstream_selector.py
+++ b/auburnproxy/gateway/upstream_selector.py
@@ -155,6 +155,10 @@
         """Return the service that gets the next try of a request."""
         return self._directory.service(call)
 
+    def is_leaving(self, host: Host) -> bool:
+        """Return whether a host is leaving, or has been removed from the registry."""
+        return self._directory.is_leaving(host)
+
     def select_replica(
         self,
         service: str,
--- a/features/fakes/platform.py
+++ b/features/fakes/platform.py
@@ -435,6 +435,9 @@
                 return
             if action == "close halfway" and number == 4:
                 return
+            if action == "unframed exit" and number == 4:
+                await self.stop()
+                return
             if action == "unframed cut" and number == 4:
                 writer.write(block[:9])
                 return
--- a/features/routed.feature
+++ b/features/routed.feature
@@ -22,7 +22,7 @@
       | shed   | 0     |
 
   # Guards against streams without a length that look complete though their engine broke
-  # off inside an event or before the first (MIXED, ORDER, issue 33).
+  # off inside an event or before the first, or was killed (MIXED, ORDER, issues 33, 39).
   Scenario Outline: A stream that has neither length nor chunks is resumed when <fail>
     Given a gateway site
     And the first engine to receive a request runs the script <script>
@@ -34,6 +34,7 @@
       | fail                         | script         | event |
       | it ends inside an event      | unframed cut   | 3     |
       | it ends before its first one | unframed close | 0     |
+      | its engine ends after one    | unframed exit  | 3     |
 
   # Guards against whole streams that are taken for broken ones (issue 33).
   Scenario: A stream that has neither length nor chunks is whole when it ends after an event
