--- a/auburnproxy/gateway/stream_forwarder.py
+++ b/auburnproxy/gateway/stream_forwarder.py
@@ -565,7 +565,7 @@
         """Return whether a head has ended without notice, as far as a check can tell.
 
         A process that is killed closes its connections as one does that has sent a
-        whole answer without a length. One that leaves may end in order after its answer.
+        whole answer without a length. One that leaves may end after its last answer.
         """
         if self._forwarder.selector.is_leaving(head):
             return False
