--- a/auburnproxy/daemon/main.py
+++ b/auburnproxy/daemon/main.py
@@ -30,7 +30,7 @@
 _Daemon = TypeVar("_Daemon", bound="RunnableDaemon")
 
 EXIT_FINDINGS = 2
-EXIT_TASK_FAILED = os.EX_SOFTWARE
+EXIT_FAILED = os.EX_SOFTWARE
 """Exit code of a daemon that was not asked to stop, but could not go on."""
 SETTINGS_RETRY_S = 1.0
 """Seconds between two readings of settings that cannot be used."""
@@ -163,10 +163,10 @@
             _tune_garbage_collection()
             await requested
         # A task that fails later does so because the daemon stops.
-        exit_code = EXIT_TASK_FAILED if daemon.failed_task else 0
+        exit_code = EXIT_FAILED if daemon.failed_task else 0
     except Exception as error:
         daemon.log_failed_start(error)
-        exit_code = EXIT_TASK_FAILED
+        exit_code = EXIT_FAILED
     finally:
         await _cancel(starting)
         now = loop_time()
--- a/auburnproxy/formation/controller.py
+++ b/auburnproxy/formation/controller.py
@@ -351,17 +351,14 @@
         if inputs == self._inputs_without_work:
             return
         ended_names = {replica.name for replica in ended}
-        plans_by_service = {
-            service: self._plan(service, spec, ended_names)
+        plans = [
+            (spec, self._plan(service, spec, ended_names))
             for service, spec in engines.items()
-        }
-        new_replicas = list(
-            _in_turns(p.new_replicas for p in plans_by_service.values())
-        )
+        ]
+        new_replicas = list(_in_turns(plan.new_replicas for _, plan in plans))
         weight_loads = list(
             _in_turns(
-                [(load, engines[service]) for load in plan.weight_loads]
-                for service, plan in plans_by_service.items()
+                [(load, spec) for load in plan.weight_loads] for spec, plan in plans
             )
         )
         # Weight loads that the limiter defers are planned again in the next step.
--- a/auburnproxy/gateway/frontend.py
+++ b/auburnproxy/gateway/frontend.py
@@ -274,13 +274,13 @@
         route = configuration.route(host, http.raw_path.partition("?")[0])
         if route is None:
             raise RefusalError("no_route", "There is no such route.", status=404)
+        account = configuration.account_by_key.get(info.key) if info.key else None
+        if configuration.requires_keys and account is None and not route.public:
+            raise RefusalError("unauthenticated", "The key is not known.", status=401)
         service = route.service(info.request_id)
         if service is None:
             message = "The route has no target with a positive weight."
             raise RefusalError("no_target", message, retry_after_s=UNCONFIGURED_RETRY_S)
-        account = configuration.account_by_key.get(info.key) if info.key else None
-        if configuration.requires_keys and account is None and not route.public:
-            raise RefusalError("unauthenticated", "The key is not known.", status=401)
         urgency = route.priority
         if account is not None and account.priority is not None:
             urgency = account.priority
