Use the other records of a page of the store that has one odd value

A value that is not base64 raised an error that ended the task of its topic at the start, and with it the daemon. Its record is unreadable now, like any other; settings nested too deeply are a finding.

--- a/auburnproxy/findings.py
+++ b/auburnproxy/findings.py
@@ -86,7 +86,7 @@
     try:
         node = yaml.compose(text, Loader=yaml.SafeLoader)
         value = yaml.safe_load(text)
-    except (yaml.YAMLError, ValueError) as error:
+    except (yaml.YAMLError, ValueError, RecursionError) as error:
         mark = getattr(error, "problem_mark", None)
         line = mark.line + 1 if mark else 1
         message = getattr(error, "problem", None) or str(error)
--- a/auburnproxy/platform/store.py
+++ b/auburnproxy/platform/store.py
@@ -8,7 +8,7 @@
 
 import msgspec
 
-from ..decoding import decode_json, decoding_errors
+from ..decoding import decode_json
 from ..errors import AppendUncertainError, PlatformError
 from ..external.client import Client, LostResponseError, Response
 from ..store import (
@@ -87,11 +87,10 @@
             response = await self._send("GET", "/log-newest", params=params)
             page = _decode(_require_ok(response), _Items)
             end = page.end if end is None else end
-            with decoding_errors():
-                changes += [
-                    Change(item.key, base64.b64decode(item.value), item.offset)
-                    for item in page.items
-                ]
+            changes += [
+                Change(item.key, _decode_value(item.value), item.offset)
+                for item in page.items
+            ]
             if not page.has_more or not page.items:
                 return NewestRecords(tuple(changes), end)
             last_key = page.items[-1].key
@@ -177,6 +176,18 @@
     return decode_json(body, struct_type)
 
 
+def _decode_value(text: str) -> bytes:
+    """Return a value, or the text itself if it is not base64.
+
+    Readers of the record then find it unreadable, and the other records of the page are
+    used.
+    """
+    try:
+        return base64.b64decode(text, validate=True)
+    except ValueError:
+        return text.encode(errors="replace")
+
+
 def _encode_record(change: Change) -> bytes:
     key = change.key.encode()
     record = bytes([len(key)]) + key + change.value
--- a/features/steps/untrusted.py
+++ b/features/steps/untrusted.py
@@ -293,9 +293,20 @@
 
 @given("a store that repeats its first page")
 def make_repeating_store(context):
+    make_store(context, [{"key": "k", "value": "", "offset": 0}], has_more=True)
+
+
+@given("a store whose page has a value that is not base64")
+def make_odd_store(context):
+    odd = {"key": "odd", "value": "not base64!", "offset": 0}
+    sound = {"key": "sound", "value": "dGV4dA==", "offset": 1}
+    make_store(context, [odd, sound], has_more=False)
+
+
+def make_store(context, items, *, has_more):
     context.store = platform_store.PlatformStore("127.0.0.1:9")
-    page = {"items": [{"key": "k", "value": "", "offset": 0}], "has-more": True}
-    body = msgspec.json.encode(page | {"end": 1})
+    page = {"items": items, "has-more": has_more, "end": len(items)}
+    body = msgspec.json.encode(page)
 
     async def send(*args, **options):
         await asyncio.sleep(0)
@@ -308,10 +319,10 @@
 def read_topic(context):
     async def read():
         async with asyncio.timeout(1.0):
-            await context.store.newest("servers")
+            return await context.store.newest("servers")
 
     try:
-        asyncio.run(read())
+        context.newest = asyncio.run(read())
     except PlatformError as error:
         context.error = error
 
@@ -319,3 +330,10 @@
 @then("the read fails at once")
 def check_failed_read(context):
     assert "repeat" in str(context.error), context.error
+
+
+@then("the other record of the page is read")
+def check_other_record(context):
+    value_by_key = {change.key: change.value for change in context.newest.changes}
+    assert value_by_key["sound"] == b"text", value_by_key
+    assert value_by_key["odd"], value_by_key
--- a/features/untrusted.feature
+++ b/features/untrusted.feature
@@ -70,6 +70,12 @@
       | the address nowhere       |
       | the address 127.0.0.1:0   |
 
+  # Guards against one value that keeps a daemon from reading all others.
+  Scenario: A value of a page that is not base64 costs its record alone
+    Given a store whose page has a value that is not base64
+    When a topic is read from it
+    Then the other record of the page is read
+
   # Guards against pages of the store that never end.
   Scenario: A store that repeats a page counts as one that does not answer
     Given a store that repeats its first page
