--- a/features/figures.feature
+++ b/features/figures.feature
@@ -19,6 +19,7 @@
       | 1e18 1              | 1.0 0.0       |
       | 1 1 2               | 0.25 0.25 0.5 |
 
+  # Guards against a share that counts only one of two weights of the same service.
   Scenario: The same service named twice gets the sum of its weights
     Given a configuration whose route names one service with 60 and 20, another with 20
     When 20000 requests choose a service
@@ -31,6 +32,7 @@
     And the weights become 50 30 40
     Then only requests to the third service have moved, about 0.13 of all
 
+  # Guards against a hash that differs between processes or builds.
   Scenario: A request keeps its service in every process
     Given a route with the weights 50 30 20
     When 1 request with a known id chooses a service
--- a/features/starts.feature
+++ b/features/starts.feature
@@ -36,6 +36,7 @@
       | bounds of another type         |
       | figures out of range           |
 
+  # Guards against a process that ends again and again until its settings are mended.
   Scenario: A daemon whose settings lack an address waits for better ones
     Given a real daemon with no readiness address
     When it runs for 2 s
