Read whether a deployment's upstreams are a pool that daemons share

Placement by demand, selection by predicted times and shared outcomes are features of deployments that ask for them. Their settings say so by the contract pool; nothing reads the setting yet.

--- a/auburnproxy/daemon/deployment.py
+++ b/auburnproxy/daemon/deployment.py
@@ -45,6 +45,9 @@
     """Maximum size of an upstream's response body that is held in memory."""
     body_bytes: int = 50_000_000
     """Maximum size of the bodies of all requests in flight together."""
+    load_aware: bool = False
+    """Whether upstreams are a large pool that daemons share: placement then follows
+    demand, and upstreams are selected by predicted times and shared outcomes."""
     ignored: tuple[str, ...] = ()
     """Findings on settings in place of which defaults are used."""
 
--- a/auburnproxy/platform/settings.py
+++ b/auburnproxy/platform/settings.py
@@ -20,7 +20,9 @@
 DEFAULT_MEMORY_MB = 200
 MAX_FIGURE = 1e9
 """Largest figure that is used; a larger one counts as a mistake."""
-OPTIONAL_KEYS = frozenset({"bootstrap", "bounds", "limits"})
+POOL_CONTRACT = "pool"
+"""Contract of deployments whose upstreams are a large pool that daemons share."""
+OPTIONAL_KEYS = frozenset({"bootstrap", "bounds", "contracts", "limits"})
 """Keys that have defaults, which are used in place of values that cannot be."""
 RESPONSE_MEMORY_FRACTION = 1 / 64
 """Maximum size of one response body as a fraction of the host's memory."""
@@ -61,6 +63,7 @@
         },
         "platform": _object({"address": _ADDRESS}),
         "bootstrap": {"type": "boolean"},
+        "contracts": {"type": "array"},
         "bounds": _object(
             {
                 "retry-budget-ratio": _NUMBER,
@@ -116,6 +119,7 @@
         apply_s=bounds.get("config-apply-ms", 2000) / MS_PER_S,
         answer_bytes=int(memory_mb * BYTES_PER_MB * RESPONSE_MEMORY_FRACTION),
         body_bytes=int(memory_mb * BYTES_PER_MB * BODY_MEMORY_FRACTION),
+        load_aware=POOL_CONTRACT in value.get("contracts", ()),
         ignored=ignored,
     )
 
