End a stopped process at once, and before its grace whatever hangs

Cause: after its last line a process waited without a bound for tasks and threads that the stop had left, and only its last bound ended it; that bound is a Python thread which the event loop arms, so a busy loop never armed it, and a start that ignored its cancellation was waited for first. Change: the runtime is not left, the start ends within the budget, and the handler of the signal arms the fault handler's thread, which needs no interpreter. The last line of a process that hangs names where it was.

--- a/auburnproxy/daemon/daemon.py
+++ b/auburnproxy/daemon/daemon.py
@@ -5,7 +5,7 @@
 import asyncio
 import math
 import time
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterator, Sequence
 
 from ..admission import Admission
 from ..clock import loop_time
@@ -257,6 +257,11 @@
         """Return the name of a task whose error stops the daemon, empty for none."""
         return self._tasks.failed
 
+    @property
+    def grace_s(self) -> float:
+        """Return the seconds from a stop signal until the process would be killed."""
+        return self.settings.drain_s
+
     @property
     def last_ran_at(self) -> float:
         """Return the loop's time before which a signal noticed now was not sent."""
@@ -288,12 +293,14 @@
         """
         log.info("{} arrived.", name)
 
-    def log_overrun(self, what: str) -> None:
+    def log_overrun(self, what: str, *, where: Sequence[str] = ()) -> None:
         """Log that something did not stop within the budget and was left as it is.
 
         :param what: name of what did not stop
+        :param where: innermost calls of a process that hangs
         """
-        log.error("{} did not stop in time.", what)
+        calls = f" It is in {', '.join(where)}." if where else ""
+        log.error("{} did not stop in time.{}", what, calls)
 
     def log_stopped(self) -> None:
         """Log that the daemon has stopped, after everything else that it logs."""
--- a/auburnproxy/daemon/gateway_daemon.py
+++ b/auburnproxy/daemon/gateway_daemon.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import signal
-from collections.abc import Callable, Collection, Iterator
+from collections.abc import Callable, Collection, Iterator, Sequence
 from functools import partial
 from random import Random
 from types import FrameType
@@ -453,6 +453,11 @@
         """Return the name of a task whose error stops the daemon, empty for none."""
         return self.tasks.failed
 
+    @property
+    def grace_s(self) -> float:
+        """Return the seconds from a stop signal until the process would be killed."""
+        return self.settings.grace_s
+
     @property
     def last_ran_at(self) -> float:
         """Return the loop's time before which a signal noticed now was not sent."""
@@ -541,13 +546,15 @@
         """
         self.decisions.belief("start_failed", reason=repr(error))
 
-    def log_overrun(self, what: str) -> None:
+    def log_overrun(self, what: str, *, where: Sequence[str] = ()) -> None:
         """Log that something did not stop within the budget and was left as it is.
 
         :param what: name of what did not stop
+        :param where: innermost calls of a process that hangs
         """
         count = self.frontend.requests.count
-        self.decisions.belief("stop_overrun", what=what, in_flight=count)
+        calls = {"where": where} if where else {}
+        self.decisions.belief("stop_overrun", what=what, in_flight=count, **calls)
 
     def log_stopped(self) -> None:
         """Log that the daemon has stopped, after everything else that it logs."""
--- a/auburnproxy/daemon/listener.py
+++ b/auburnproxy/daemon/listener.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import socket
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from typing import Protocol
 
 from aiohttp import web
@@ -65,6 +65,10 @@
     def failed_task(self) -> str:
         """Return the name of a task whose error stops the daemon, empty for none."""
 
+    @property
+    def grace_s(self) -> float:
+        """Return the seconds from a stop signal until the process would be killed."""
+
     @property
     def last_ran_at(self) -> float:
         """Return the loop's time before which a signal noticed now was not sent."""
@@ -84,10 +88,11 @@
         :param name: name of the signal
         """
 
-    def log_overrun(self, what: str) -> None:
+    def log_overrun(self, what: str, *, where: Sequence[str] = ()) -> None:
         """Log that something did not stop within the budget and was left as it is.
 
         :param what: name of what did not stop
+        :param where: innermost calls of a process that hangs
         """
 
     def log_stopped(self) -> None:
--- a/auburnproxy/daemon/main.py
+++ b/auburnproxy/daemon/main.py
@@ -3,15 +3,17 @@
 from __future__ import annotations
 
 import asyncio
+import faulthandler
 import gc
 import os
 import sys
 import threading
 import time
 from collections.abc import Callable
+from functools import partial
 from importlib import import_module
 from pathlib import Path
-from typing import TYPE_CHECKING, Any, TypeVar
+from typing import TYPE_CHECKING, Any, NoReturn, TypeVar
 
 import defopt
 import uvloop
@@ -19,6 +21,7 @@
 
 from ..clock import loop_time
 from ..errors import DocumentError
+from ..stop_budget import plan_stop
 from .stop_signals import StopRequest, StopSignals
 
 if TYPE_CHECKING:
@@ -36,6 +39,13 @@
 """Seconds between two readings of settings that cannot be used."""
 LAST_FLUSH_S = 0.1
 """Longest wait for a slow reader of the log before a process that hangs is ended."""
+REPORTED_CALLS = 4
+"""Innermost calls that are logged of a process that hangs."""
+HARD_EXIT_MARGIN_S = 0.1
+"""Time before the end of the grace at which the process is ended without its
+interpreter, if that is busy or blocked."""
+MIN_HARD_EXIT_S = 0.3
+"""The least time for an orderly end of a process that notices its signal late."""
 STOP_REASON = RuntimeError("The process was asked to stop.")
 GC_YOUNG_THRESHOLD = 20_000
 """New objects after which the youngest generation is collected."""
@@ -134,11 +144,13 @@
     )
     signals = StopSignals(runtime.loop)
     signals.install()
-    with runtime as loop:
-        try:
-            return loop.run_until_complete(_serve(runtime, signals, create, services))
-        finally:
-            signals.detach()
+    # The runtime is never left: its exit waits without a bound for tasks and threads
+    # that the stop has left behind, and the process ends next in any case.
+    loop = runtime.__enter__()
+    try:
+        return loop.run_until_complete(_serve(runtime, signals, create, services))
+    finally:
+        signals.detach()
 
 
 async def _serve(
@@ -153,6 +165,7 @@
     daemon.request_stop = signals.request_stop
     signals.on_signal = daemon.log_signal
     signals.last_ran_at = lambda: daemon.last_ran_at
+    signals.on_first_signal = partial(_end_hanging_process, daemon.grace_s)
     requested = asyncio.create_task(signals.wait())
     starting = asyncio.create_task(runtime.start_services(*services(daemon)))
     exit_code = 0
@@ -168,26 +181,25 @@
         daemon.log_failed_start(error)
         exit_code = EXIT_FAILED
     finally:
-        await _cancel(starting)
         now = loop_time()
         request = requested.result() if requested.done() else StopRequest(now, now)
-        await _stop(runtime, daemon, request)
+        await _stop(runtime, daemon, request, starting)
     return exit_code
 
 
-async def _cancel(task: asyncio.Task[None]) -> None:
-    task.cancel()
-    await asyncio.wait({task})
-
-
 async def _stop(
-    runtime: entrypoint, daemon: RunnableDaemon, request: StopRequest
+    runtime: entrypoint,
+    daemon: RunnableDaemon,
+    request: StopRequest,
+    starting: asyncio.Task[None],
 ) -> None:
-    """Stop all services within the daemon's budget."""
+    """End the start, and stop all services, within the daemon's budget."""
     budget = daemon.begin_stop(request)
     _end_process_after(budget.exit_at - loop_time(), daemon)
     try:
         async with asyncio.timeout_at(budget.close_at):
+            starting.cancel()
+            await asyncio.wait({starting})
             await runtime.stop_services(*runtime.services, exc=STOP_REASON)
     except TimeoutError:
         daemon.log_overrun("services")
@@ -200,7 +212,7 @@
     """End the process after some time even if its event loop or its log hangs."""
 
     def report() -> None:
-        daemon.log_overrun("process")
+        daemon.log_overrun("process", where=_main_stack())
         daemon.flush_logs(LAST_FLUSH_S)
 
     def end() -> None:
@@ -214,6 +226,37 @@
     timer.start()
 
 
+def _main_stack() -> list[str]:
+    """Return where the main thread is, innermost call first."""
+    frame = sys._current_frames().get(threading.main_thread().ident or 0)
+    calls: list[str] = []
+    while frame is not None and len(calls) < REPORTED_CALLS:
+        code = frame.f_code
+        calls.append(f"{Path(code.co_filename).name}:{frame.f_lineno} {code.co_name}")
+        frame = frame.f_back
+    return calls
+
+
+def _end_hanging_process(grace_s: float, request: StopRequest) -> None:
+    """End the process before its grace does, even if its interpreter hangs.
+
+    The thread that does so is the fault handler's, which runs no Python code. It may be
+    started in a handler of a signal, and writes what it reports to the null device:
+    standard error may be a pipe that nobody reads.
+
+    :param grace_s: seconds from the stop signal until the platform kills the process
+    """
+    budget = plan_stop(
+        noticed_at=request.noticed_at, last_ran_at=request.last_ran_at, grace_s=grace_s
+    )
+    end_at = budget.signalled_at + grace_s - HARD_EXIT_MARGIN_S
+    faulthandler.dump_traceback_later(
+        max(end_at - request.noticed_at, MIN_HARD_EXIT_S),
+        exit=True,
+        file=os.open(os.devnull, os.O_WRONLY),
+    )
+
+
 def _tune_garbage_collection() -> None:
     """Keep long-lived objects out of garbage collection, which pauses requests."""
     gc.collect()
@@ -227,7 +270,14 @@
     The process ends without the cleanup of the interpreter, which restores the default
     handlers of signals: one that arrives then would kill the process.
     """
-    code = defopt.run(auburnproxyd)
+    end_process(defopt.run(auburnproxyd))
+
+
+def end_process(code: int) -> NoReturn:
+    """End the process without the cleanup of the interpreter.
+
+    :param code: exit code
+    """
     sys.stdout.flush()
     sys.stderr.flush()
     os._exit(code)
--- a/auburnproxy/daemon/stop_signals.py
+++ b/auburnproxy/daemon/stop_signals.py
@@ -33,7 +33,10 @@
         """Called on the event loop with the name of each signal."""
         self.last_ran_at: Callable[[], float] = loop.time
         """Returns the last time at which the process is known to have run."""
+        self.on_first_signal: Callable[[StopRequest], None] = lambda request: None
+        """Called in the handler of the first signal, also if the event loop hangs."""
         self._loop = loop
+        self._signalled = False
         self._attached = True
         self._request: StopRequest | None = None
         self._requested = asyncio.Event()
@@ -67,6 +70,9 @@
             return
         # Read here: a process that was suspended would else be noticed to run first.
         last_ran_at = self.last_ran_at()
+        if not self._signalled:
+            self._signalled = True
+            self.on_first_signal(StopRequest(self._loop.time(), last_ran_at))
         name = signal.Signals(number).name
         self._loop.call_soon_threadsafe(self._notice, name, last_ran_at)
 
--- a/features/steps/stop_budget.py
+++ b/features/steps/stop_budget.py
@@ -13,6 +13,7 @@
 from auburnproxy.daemon.suspension_detector import SuspensionDetector
 from auburnproxy.stop_budget import plan_stop
 from auburnproxy.telemetry.decisions import DecisionLog
+from features.fakes.stopping_daemon import BUSY_AFTER_S
 
 NOTICED_AT = 1000.0
 TIMEOUT_S = 10.0
@@ -107,6 +108,19 @@
     context.grace, context.mode = grace, "fail"
 
 
+MODE_BY_HANG = {
+    "holds its interpreter when it stops": "hold",
+    "is busy on its event loop at the signal": "busy",
+    "does not end its start": "start",
+    "leaves a thread and a task": "linger",
+}
+
+
+@given("a process that {hangs}, with a grace of {grace:g} s")
+def hang(context, hangs, grace):
+    context.grace, context.mode = grace, MODE_BY_HANG[hangs]
+
+
 @when("it gets SIGTERM")
 @when("its task fails")
 def run_process(context):
@@ -121,11 +135,17 @@
         )
         started = await process.stdout.readline()
         assert json.loads(started)["kind"] == "started", started
+        if context.mode == "busy":
+            await asyncio.sleep(BUSY_AFTER_S + 0.2)
         began = time.monotonic()
-        if context.mode == "block":
+        if context.mode != "fail":
             process.send_signal(signal.SIGTERM)
-        async with asyncio.timeout(TIMEOUT_S):
-            rest, _ = await process.communicate()
+        try:
+            async with asyncio.timeout(TIMEOUT_S):
+                rest, _ = await process.communicate()
+        except TimeoutError:
+            process.kill()
+            raise
         context.took_s = time.monotonic() - began
         context.code = process.returncode
         context.lines = [json.loads(line) for line in rest.splitlines()]
@@ -139,6 +159,25 @@
     assert context.took_s < context.grace, context.took_s
 
 
+@then("it exits by itself within the grace")
+def check_own_exit(context):
+    assert context.code >= 0, (context.code, context.lines)
+    assert context.took_s < context.grace, context.took_s
+
+
+@then("it exits with code {code:d} within {seconds:g} s")
+def check_prompt_exit(context, code, seconds):
+    assert context.code == code, (context.code, context.lines)
+    assert context.took_s < seconds, context.took_s
+
+
+@then("it names the call in which the process hangs")
+def check_where(context):
+    assert any(call.endswith(" stop") for call in context.lines[-1]["where"]), (
+        context.lines
+    )
+
+
 @then("its last line names what did not stop")
 def check_overrun(context):
     last = context.lines[-1]
--- a/features/stop_budget.feature
+++ b/features/stop_budget.feature
@@ -30,6 +30,28 @@
     When it gets SIGTERM
     Then it exits with code 70 within the grace
     And its last line names what did not stop
+    And it names the call in which the process hangs
+
+  # Guards against a bound that needs the interpreter, or the event loop to run once
+  # more after the signal: the process was killed at the end of its grace.
+  Scenario Outline: A process that hangs in any way ends within the grace
+    Given a process that <hangs>, with a grace of 2 s
+    When it gets SIGTERM
+    Then it exits by itself within the grace
+
+    Examples: of what hangs
+      | hangs                                   |
+      | holds its interpreter when it stops     |
+      | is busy on its event loop at the signal |
+      | does not end its start                  |
+
+  # Guards against an exit that waits for what the stop has left: such processes had
+  # stopped in time and yet ran until their last bound.
+  Scenario: Threads and tasks that never end do not delay the exit after the stop
+    Given a process that leaves a thread and a task, with a grace of 4 s
+    When it gets SIGTERM
+    Then it exits with code 0 within 1 s
+    And its last line says that it stopped
 
   # Guards against a platform that takes a failed daemon for one that was stopped.
   Scenario: A task that ends unexpectedly stops the process in order
