Pause all calls of a daemon to a store that does not serve it

Cause: each follower of each daemon repeated its read every 0.25 s, and when no daemon of a failure domain was served, all of them read. Change: one growing, random pause for all callers of a daemon, fed by what each call learned; one probe ends it. The live daemons of a failure domain share three probes a second and tell each other.

--- a/auburnproxy/daemon/gateway_daemon.py
+++ b/auburnproxy/daemon/gateway_daemon.py
@@ -42,11 +42,14 @@
 from ..quarantine.endpoints import add_endpoints
 from ..stop_budget import StopBudget, plan_stop
 from ..store import (
+    CallPacing,
     Change,
     CountedStore,
     EraChangePolicy,
     Follower,
     HttpPeerClient,
+    PacedStore,
+    PauseRange,
     PeerClient,
     PeerSync,
 )
@@ -86,6 +89,8 @@
 upstream must no longer be sent requests."""
 DISPATCH_TIME_S = 0.1
 """Upper bound in seconds until a dispatched request reaches its upstream."""
+LEADER_STORE_PAUSES = PauseRange(0.25, 0.5)
+"""Pauses of the leader's calls to a store that does not serve it."""
 REPLICAS_PAUSE_S = 0.5
 EXPIRY_INTERVAL_S = 0.5
 REGISTRATION_RETRY_S = 1.0
@@ -136,7 +141,16 @@
         self.stop_budget: StopBudget | None = None
         self.tasks = Tasks(self._log_task_end, lambda: self.request_stop())
         self._was_ready = False
-        self._store = CountedStore(deployment.store(settings), self.telemetry)
+        self._random = self._open_random()
+        self._pacing = CallPacing(
+            self.decisions,
+            self.telemetry,
+            pauses=self._store_pauses,
+            random=self._random,
+        )
+        self._store = PacedStore(
+            CountedStore(deployment.store(settings), self.telemetry), self._pacing
+        )
         self._session = open_session(
             reuse_connections=False,
             timeout=ClientTimeout(sock_connect=CONNECT_TIMEOUT_S),
@@ -146,7 +160,6 @@
         self._peer_wait_s = (
             FIRST_START_PEER_WAIT_S if settings.first_start else PEER_WAIT_S
         )
-        self._random = self._open_random()
         self._build_state()
         self._build_formation()
         self._build_serving()
@@ -166,6 +179,7 @@
             decisions,
             wait_s=OPERATORS_WAIT_FRACTION * settings.apply_s,
             should_read=self._should_read,
+            pacing=self._pacing,
             peer_wait_s=self._peer_wait_s,
             supersedes=self._supersedes,
         )
@@ -175,6 +189,7 @@
             decisions,
             pause_s=self._registrations_pause_s,
             should_read=self._should_read,
+            pacing=self._pacing,
             significant_part=self._deployment.significant_part,
             peer_wait_s=self._peer_wait_s,
             era_policy=EraChangePolicy.DROP_MISSING,
@@ -208,6 +223,7 @@
             wait_s=DAEMONS_WAIT_S,
             pause_s=lambda: DAEMONS_PAUSE_S,
             should_read=self._should_read,
+            pacing=self._pacing,
         )
         record = DaemonRecord(
             settings.beats,
@@ -248,6 +264,7 @@
             decisions,
             wait_s=REPLICAS_WAIT_S,
             should_read=self._should_read,
+            pacing=self._pacing,
             pause_s=lambda: REPLICAS_PAUSE_S,
             peer_wait_s=self._peer_wait_s,
             era_policy=EraChangePolicy.NEW_TOPIC,
@@ -618,14 +635,14 @@
         if not self.settings.first_start and not again:
             await self._daemon_records.changed.wait(DAEMONS_WAIT_S)
         while (record := self.peer_group.registration(force=again)) is not None:
-            pause_s = REGISTRATION_CONFIRM_S
             try:
                 await self._store.append(DAEMONS_TOPIC, [record])
                 again = False
             except PlatformError as error:
                 self.decisions.belief("seat_not_recorded", reason=str(error))
-                pause_s = REGISTRATION_RETRY_S
-            await asyncio.sleep(pause_s)
+                await self._pacing.before_retry(REGISTRATION_RETRY_S)
+                continue
+            await asyncio.sleep(REGISTRATION_CONFIRM_S)
 
     async def _follow_daemon_records(self) -> None:
         if self.settings.first_start:
@@ -692,7 +709,7 @@
 
     def _should_read(self) -> bool:
         """Return whether this daemon reads the shared topics from the store itself."""
-        if self.leader_election.is_leader:
+        if self.leader_election.is_leader or self._pacing.probe_due:
             return True
         if (
             not self._daemon_records.complete
@@ -703,6 +720,11 @@
             store_reachable=self._store_reachable()
         )
 
+    def _store_pauses(self) -> PauseRange:
+        if self.leader_election.is_leader:
+            return LEADER_STORE_PAUSES
+        return self.peer_group.store_pauses
+
     def _store_reachable(self) -> bool:
         shared = (self._operators, self._upstreams, self.replica_registry.follower)
         return all(follower.store_reachable for follower in shared)
--- a/auburnproxy/heartbeats/peer_group.py
+++ b/auburnproxy/heartbeats/peer_group.py
@@ -16,7 +16,7 @@
 from ..gateway.host import Incarnation
 from ..gossip import Fact
 from ..rendezvous import rank_names
-from ..store import Change, Follower, ReadProgress
+from ..store import Change, Follower, PauseRange, ReadProgress
 from ..telemetry.decisions import DecisionLog
 from ..unreadable_values import UnreadableValues
 from .daemon_record import DaemonRecord
@@ -43,6 +43,10 @@
 """Seconds for which urgent changes are collected into one heartbeat."""
 STORE_RETRY_TICKS = 20
 """Ticks between two attempts to read by a daemon that the store rejected."""
+PROBES_PER_S = 3
+"""Calls per second of a failure domain to a store that serves none of its daemons."""
+FIRST_STORE_PAUSE_S = 0.25
+"""Pause of a daemon after the first call that the store did not serve."""
 LOAD_TIMEOUT_S = 1.0
 """Minimum age at which the requests in a heartbeat are no longer counted."""
 LOAD_TIMEOUT_HEARTBEATS = 1.5
@@ -183,6 +187,21 @@
             return self._tick_count % STORE_RETRY_TICKS == 0
         return self._is_selected_reader(readers)
 
+    @property
+    def store_pauses(self) -> PauseRange:
+        """Return the pauses of this daemon when the store does not serve it.
+
+        The live daemons of a failure domain share the calls that find out whether it
+        is back, and tell each other. If several are not served, the store is more
+        likely away than this daemon turned away for a moment.
+        """
+        names = self._liveness[True].names
+        share_s = (len(names) + 1) / PROBES_PER_S
+        unserved = len(names) - len(self._local_with_store_access())
+        is_away = unserved >= READERS_PER_DOMAIN
+        first_s = share_s if is_away else FIRST_STORE_PAUSE_S
+        return PauseRange(first_s, share_s, others_unserved=is_away)
+
     def _local_readers(self) -> Sequence[str]:
         """Return the local daemons that can reach the store, by rank."""
         if self._readers is None:
--- a/auburnproxy/platform/store.py
+++ b/auburnproxy/platform/store.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import base64
+import math
 from collections.abc import Iterator, Mapping, Sequence
 from typing import Any
 
@@ -12,6 +13,7 @@
 from ..errors import AppendUncertainError, PlatformError
 from ..external.client import Client, LostResponseError, Response
 from ..store import (
+    BusyError,
     Change,
     ConflictError,
     EraTracker,
@@ -37,6 +39,7 @@
 PAGE_HEADER_BYTES = 16
 """Size of the two 8-byte offsets before the records: the end and the first retained."""
 HTTP_OK, HTTP_CONFLICT, HTTP_GONE, HTTP_PRECONDITION_FAILED = 200, 409, 410, 412
+HTTP_BUSY = {429, 503}
 
 
 class _Item(msgspec.Struct):
@@ -167,11 +170,24 @@
 
 
 def _require_ok(response: Response) -> bytes:
+    if response.status in HTTP_BUSY:
+        raise BusyError(
+            response.status, _parse_seconds(response.headers.get("Retry-After", ""))
+        )
     if response.status != HTTP_OK:
         raise PlatformError(f"the store returned status {response.status}")
     return response.body
 
 
+def _parse_seconds(text: str) -> float | None:
+    """Return the seconds of a Retry-After, None if it is missing or unreadable."""
+    try:
+        seconds = float(text)
+    except ValueError:
+        return None
+    return seconds if math.isfinite(seconds) and seconds >= 0 else None
+
+
 def _decode(body: bytes, struct_type: type[Any]) -> Any:
     return decode_json(body, struct_type)
 
--- a/auburnproxy/store/follower.py
+++ b/auburnproxy/store/follower.py
@@ -16,6 +16,7 @@
 from ..notifier import Notifier
 from ..telemetry.decisions import DecisionLog
 from ..unreadable_values import UnreadableValues
+from .call_pacing import CallPacing
 from .store import Change, ExpiredError, NewestRecords, Store
 
 RETRY_S = 0.25
@@ -95,6 +96,7 @@
     :param era_policy: how the copy changes when the store has been restored
     :param supersedes: returns whether a known record is newer than another one of its
         key, regardless of their offsets
+    :param pacing: of all calls of this daemon, if it pauses them
     """
 
     def __init__(
@@ -110,6 +112,7 @@
         peer_wait_s: float = 0.0,
         era_policy: EraChangePolicy = EraChangePolicy.KEEP_MISSING,
         supersedes: Callable[[Change, Change], bool] = lambda known, other: False,
+        pacing: CallPacing | None = None,
     ) -> None:
         self.era = 0
         """Era of the store to which the offsets of this copy belong."""
@@ -125,7 +128,7 @@
         """The loop's time in seconds at which the last successful read was sent, or at
         which an update was applied."""
         self.last_failure_at = -1.0
-        """The loop's time in seconds of the last failed read."""
+        """The loop's time in seconds until which reads have failed last."""
         self.changed = Notifier()
         self.on_change: Callable[[Change], None] = lambda change: None
         """Called with each change. An error that it raises is logged with the key, and
@@ -142,6 +145,7 @@
         self._peer_wait_s = peer_wait_s
         self._era_policy = era_policy
         self._supersedes = supersedes
+        self._pacing = pacing
         self._unreadable = UnreadableValues("record_unreadable", "key", decisions)
         self._transition_end = 0
         self._former_values: deque[_FormerValue] = deque(maxlen=MAX_RECENT_CHANGES)
@@ -206,6 +210,7 @@
             if (
                 self.complete or loop_time() < peer_wait_until
             ) and not self._should_read():
+                self._trust_other_calls()
                 await asyncio.sleep(ROLE_CHECK_INTERVAL_S)
                 continue
             self._read_started_at, is_load = loop_time(), not self.current
@@ -213,13 +218,27 @@
                 await self.read_once()
             except PlatformError:
                 took_s = loop_time() - self._read_started_at
-                await asyncio.sleep(max(RETRY_S - took_s, 0.0))
+                self._read_started_at = None
+                await self._wait_before_retry(max(RETRY_S - took_s, 0.0))
                 continue
             finally:
                 self._read_started_at = None
             if not is_load:
                 await asyncio.sleep(self._pause_s())
 
+    async def _wait_before_retry(self, seconds: float) -> None:
+        if self._pacing is None:
+            await asyncio.sleep(seconds)
+        else:
+            await self._pacing.before_retry(seconds)
+
+    def _trust_other_calls(self) -> None:
+        """Take the store for up again if it has answered another call since."""
+        if self._last_read_succeeded or self._pacing is None:
+            return
+        if self._pacing.answered_sent_at > self.last_failure_at:
+            self._record_outcome(up=True)
+
     async def read_once(self, *, wait: bool = True) -> None:
         """Read the store once.
 
@@ -235,6 +254,9 @@
         except PlatformError as error:
             self._record_outcome(up=False, error=error)
             raise
+        if not self._last_read_succeeded:
+            # The pause since the failed read may have been long.
+            self.last_failure_at = sent_at
         self._record_outcome(up=True)
         self.current_at = sent_at
 
--- a/auburnproxy/store/store.py
+++ b/auburnproxy/store/store.py
@@ -25,6 +25,20 @@
         self.end = end
 
 
+class BusyError(PlatformError):
+    """The store refused a call, and nothing was done.
+
+    :param status: HTTP status of the refusal
+    :param retry_after_s: seconds after which to call again, None if it named none
+    """
+
+    code = "busy"
+
+    def __init__(self, status: int, retry_after_s: float | None = None) -> None:
+        super().__init__(f"the store returned status {status}")
+        self.retry_after_s = retry_after_s
+
+
 class ExpiredError(PlatformError):
     """The requested records are no longer retained."""
 
--- a/auburnproxy/telemetry/measure.py
+++ b/auburnproxy/telemetry/measure.py
@@ -39,6 +39,10 @@
     """Retries that the retry budget did not allow, by failure of the last attempt."""
     STORE_CALL = "store_call"
     """Calls to the store, by topic; the code is the operation and its outcome."""
+    STORE_PAUSE = "store_pause"
+    """Pauses of all calls to the store, by outcome of the call before."""
+    STORE_CALL_HELD_BACK = "store_call_held_back"
+    """Calls to the store that were not made because of a pause."""
 
 
 class Gauge(StrEnum):
