--- a/auburnproxy/store/call_pacing.py
+++ b/auburnproxy/store/call_pacing.py
@@ -40,6 +40,8 @@
 PROBE_CHECK_S = 0.1
 """Seconds between two checks whether a pending probe has failed."""
 MAX_GROWTHS = 16
+LOG_INTERVAL_S = 5.0
+"""Least time between two pauses that are logged; one topic alone may keep failing."""
 
 _T = TypeVar("_T")
 
@@ -110,6 +112,9 @@
         self._failing_since = 0.0
         self._paused_at = 0.0
         self._pause_ends_at = 0.0
+        self._log_at = 0.0
+        """The loop's time from which a further pause is logged."""
+        self._is_logged = False
         self._held_back = 0
         """Calls that were not made since the first of these failures."""
         self._probe: Admission | None = None
@@ -148,12 +153,13 @@
         self.answered_sent_at = max(self.answered_sent_at, admission.sent_at)
         if not self.paused:
             return
-        self._decisions.belief(
-            "store_regained",
-            after_s=round(loop_time() - self._failing_since, 3),
-            failures=self._failures,
-            held_back=self._held_back,
-        )
+        if self._is_logged:
+            self._decisions.belief(
+                "store_regained",
+                after_s=round(loop_time() - self._failing_since, 3),
+                failures=self._failures,
+                held_back=self._held_back,
+            )
         self._failures = 0
         self._reopened.notify()
 
@@ -175,6 +181,9 @@
         self._paused_at, self._pause_ends_at = now, now + pause_s
         self._telemetry.count(Counter.STORE_PAUSE, "", "", error.code)
         if self._failures == 1:
+            self._is_logged = now >= self._log_at
+        if self._failures == 1 and self._is_logged:
+            self._log_at = now + LOG_INTERVAL_S
             self._decisions.belief(
                 "store_paused", reason=repr(error), pause_s=round(pause_s, 3)
             )
