--- a/auburnproxy/store/call_pacing.py
+++ b/auburnproxy/store/call_pacing.py
@@ -160,7 +160,7 @@
                 failures=self._failures,
                 held_back=self._held_back,
             )
-        self._failures = 0
+        self._failures, self._pause_ends_at = 0, 0.0
         self._reopened.notify()
 
     def record_failure(self, admission: Admission, error: PlatformError) -> None:
