--- a/features/steps/routed.py
+++ b/features/steps/routed.py
@@ -392,7 +392,7 @@
     async def refused(*args, **options):
         raise PlatformError("rejected")
 
-    daemon._store._store._client.send = refused
+    daemon._store._store._store._client.send = refused
     run(context, asyncio.sleep(0.1))
 
 
