Share between daemons which upstreams fail what they get

Each daemon records outcomes by upstream process, lowers failing ones for itself, and tells the others. Evidence of two daemons suffices to distrust an upstream everywhere; it gets single trials after growing pauses, and answers restore it by steps. At most half of the upstreams of a model or plain service are distrusted. An upstream that answers no probe is tested by a request all the same. Only where the settings name the contract pool; elsewhere selection is as before.

--- a/auburnproxy/daemon/gateway_daemon.py
+++ b/auburnproxy/daemon/gateway_daemon.py
@@ -28,6 +28,7 @@
 from ..gateway.health import Health
 from ..gateway.liveness import LivenessChecker
 from ..gateway.named_limits import NamedLimits
+from ..gateway.outcomes import Outcomes, OutcomeTracker, UnusedOutcomes
 from ..gateway.plain_forwarder import PlainForwarder
 from ..gateway.process_exits import ProcessExits
 from ..gateway.route import Configuration, RequestLimits
@@ -155,6 +156,7 @@
             self.frontend.readings,
             self.quarantine.readings,
             self.limits.readings,
+            self.outcomes.readings,
             self.replica_controller.metrics.readings,
         ]
 
@@ -200,6 +202,7 @@
             decisions,
             probe=self._probe_upstream,
             heard_elsewhere=lambda host: self.peer_group.aggregate.heard_at(host),
+            requests_outrank_probes=settings.load_aware,
         )
         self._daemon_records = Follower(
             self._store,
@@ -235,6 +238,7 @@
             name=settings.name,
             daemons=lambda: self.peer_group.live_peers,
         )
+        self.outcomes = self._open_outcomes()
         era = self._store.era
         era.log = decisions.belief
         era.on_change += [self.peer_group.send_to_all, self._register_again]
@@ -296,6 +300,18 @@
     def _open_random(self) -> Random:
         return Random()
 
+    def _open_outcomes(self) -> Outcomes:
+        if not self.settings.load_aware:
+            return UnusedOutcomes()
+        return OutcomeTracker(
+            self.facts,
+            self.directory,
+            self.decisions,
+            name=self.settings.name,
+            daemons=self._daemons_in,
+            tell=self._tell,
+        )
+
     def _replica_suffix(self) -> str:
         return f"{self._random.getrandbits(SUFFIX_BITS):0{SUFFIX_BITS // 4}x}"
 
@@ -333,6 +349,7 @@
             live_daemons=self._live_daemons,
             has_ended=self.exits.has_ended,
             far_interval_s=lambda: self.peer_group.remote_interval_s,
+            distrusted=self.outcomes.distrusted,
             random=self._random,
         )
         sender = self._open_sender(header_codec)
@@ -342,6 +359,7 @@
             self.health,
             self.decisions,
             answer_bytes=settings.answer_bytes,
+            outcomes=self.outcomes,
         )
         streams = StreamForwarder(
             sender,
@@ -356,6 +374,7 @@
             self.decisions,
             self.telemetry,
             answer_bytes=settings.answer_bytes,
+            outcomes=self.outcomes,
         )
         window_s = settings.allowance.window_s
         self.frontend = HttpFrontend(
--- a/auburnproxy/gateway/health.py
+++ b/auburnproxy/gateway/health.py
@@ -28,6 +28,8 @@
 BACKOFF_RESET_S = 10.0
 """Seconds without a failure after which an upstream's exclusions start at the shortest
 again."""
+MAX_FAILED_PROBES = 2
+"""Probes in a row that prolong an exclusion where requests outrank them."""
 MS_PER_S = 1000
 MAX_SILENT_MS = 60_000
 
@@ -49,6 +51,8 @@
         self.heard_at = -1.0
         self.excluded_until = -1.0
         self.exclusion_s = 0.0
+        self.failed_probes = 0
+        """Probes in a row that have prolonged its exclusion."""
         self.test_request: object | None = None
         """The request that tests it after an exclusion, until it shows something."""
         self.stall_callbacks: set[Callable[[], None]] = set()
@@ -61,6 +65,8 @@
     :param probe: returns whether an upstream's process answers
     :param heard_elsewhere: returns the loop's time at which another daemon last
         received data from an upstream, negative if none did
+    :param requests_outrank_probes: whether an upstream that answers no probe is tested
+        by a request all the same, since probes may lie
     """
 
     def __init__(
@@ -69,10 +75,12 @@
         *,
         probe: Callable[[str], Awaitable[bool]],
         heard_elsewhere: Callable[[str], float] = lambda host: -1.0,
+        requests_outrank_probes: bool = False,
     ) -> None:
         self._decisions = decisions
         self._probe = probe
         self._heard_elsewhere = heard_elsewhere
+        self._requests_outrank_probes = requests_outrank_probes
         self._probes: set[asyncio.Task[None]] = set()
         self._states: dict[str, _UpstreamState] = {}
         self.on_requests_changed: Callable[[str], None] = lambda host: None
@@ -177,6 +185,7 @@
         state.heard_at = loop_time()
         if state.exclusion_s:
             state.exclusion_s = 0.0
+            state.failed_probes = 0
             state.test_request = None
             state.excluded_until = -1.0
             self._decisions.belief("upstream_back", upstream=host)
@@ -232,9 +241,18 @@
         state = self._states.get(host)
         if state is None or not state.exclusion_s:
             return
-        if not await self._answers(host) and self._states.get(host) is state:
-            state.excluded_until = loop_time()
-            self.record_failure(host, reason="no answer to a probe")
+        excluded_at = state.excluded_until - state.exclusion_s
+        if await self._answers(host) or self._states.get(host) is not state:
+            state.failed_probes = 0
+            return
+        state.failed_probes += 1
+        if self._requests_outrank_probes and (
+            state.failed_probes > MAX_FAILED_PROBES or self.heard_at(host) > excluded_at
+        ):
+            state.failed_probes = 0
+            return
+        state.excluded_until = loop_time()
+        self.record_failure(host, reason="no answer to a probe")
 
     async def _answers(self, host: str) -> bool:
         """Return whether an upstream answers a probe.
--- a/auburnproxy/gateway/plain_forwarder.py
+++ b/auburnproxy/gateway/plain_forwarder.py
@@ -18,6 +18,8 @@
 from .header_codec import Dispatch, without_hop_by_hop
 from .health import Health
 from .host import Host
+from .outcome_record import answered_outcome, failed_outcome
+from .outcomes import Outcomes, UnusedOutcomes
 from .retry_budget import RetryLimit
 from .sender import Sender, check_response
 from .silence_timeout import SilenceTimeout
@@ -40,6 +42,7 @@
     :param health: records the result of each try
     :param decisions: log, with a line for each failed try
     :param answer_bytes: maximum body size of a response
+    :param outcomes: learns from each try which hosts fail
     """
 
     def __init__(
@@ -50,7 +53,9 @@
         decisions: DecisionLog,
         *,
         answer_bytes: int,
+        outcomes: Outcomes | None = None,
     ) -> None:
+        self._outcomes = outcomes or UnusedOutcomes()
         self._sender = sender
         self._answer_bytes = answer_bytes
         self._selector = selector
@@ -71,9 +76,7 @@
         )
         while True:
             try:
-                host = replacement.take() or self._selector.select_host(
-                    self._selector.service(call), tried=tried, urgency=call.urgency
-                )
+                host = replacement.take() or self._select_host(call, tried)
             except RefusalError as refusal:
                 if failure is not None:
                     return failure
@@ -83,8 +86,11 @@
             tried.add(host.id)
             last = sent + 1 >= call.route.attempts or not call.route.repeatable
             paid = False
+            sent_at = loop_time()
             try:
                 response = await self._try(call, host, replacement, last=last)
+                outcome = answered_outcome(response.status)
+                self._outcomes.record(host, outcome, sent_at=sent_at)
                 if response.status < SERVER_ERROR or last:
                     return response
                 error = AttemptError(f"answered_{response.status}", ran=Ran.UNKNOWN)
@@ -94,6 +100,8 @@
                 failure = response
             except AttemptError as caught:
                 error = caught
+                if failed := failed_outcome(error):
+                    self._outcomes.record(host, failed, sent_at=sent_at)
             self._log_failed_try(call, host, error)
             sent += error.sent
             unreachable += not error.sent
@@ -116,6 +124,24 @@
                 return failure
             raise _build_refusal(error.code, ran)
 
+    def _select_host(self, call: Call, tried: Set[str]) -> Host:
+        """Return the host for the next try, on its first one possibly as its trial.
+
+        :raises RefusalError: if no host can take the request now
+        """
+        repeatable = call.route.repeatable
+        trials = frozenset() if tried else self._outcomes.trials(repeatable=repeatable)
+        host = self._selector.select_host(
+            self._selector.service(call),
+            tried=tried,
+            urgency=call.urgency,
+            repeatable=repeatable,
+            trials=trials,
+        )
+        if host.id in trials:
+            self._outcomes.begin_trial(host, call.id)
+        return host
+
     async def _try(
         self, call: Call, host: Host, replacement: _Replacement, *, last: bool
     ) -> web.Response:
--- a/auburnproxy/gateway/stream_forwarder.py
+++ b/auburnproxy/gateway/stream_forwarder.py
@@ -25,6 +25,8 @@
 from .health import Health
 from .host import Host
 from .liveness import LivenessChecker
+from .outcome_record import Outcome, answered_outcome, failed_outcome
+from .outcomes import Outcomes, UnusedOutcomes
 from .process_exits import ProcessExits, process_name
 from .retry_budget import RetryLimit
 from .route import EngineSpec
@@ -95,6 +97,7 @@
     :param decisions: log, with a line for each try
     :param telemetry: histograms and counters
     :param answer_bytes: maximum body size of a failure that is passed on
+    :param outcomes: learns from each try which heads fail
     """
 
     def __init__(
@@ -110,7 +113,9 @@
         telemetry: Telemetry,
         *,
         answer_bytes: int,
+        outcomes: Outcomes | None = None,
     ) -> None:
+        self.outcomes = outcomes or UnusedOutcomes()
         self.sender = sender
         self.answer_bytes = answer_bytes
         self.selector = selector
@@ -140,6 +145,8 @@
         self._forwarder = forwarder
         self._call = call
         self._retry_limit = retry_limit
+        self._sent_at = 0.0
+        """The loop's time at which the current try began."""
         self._load_when_selected = 0
         """Requests at the current head when it was selected."""
         self._response: web.StreamResponse | None = None
@@ -206,14 +213,23 @@
         :raises RefusalError: if no replica can take the request now
         """
         replacement, self._replacement = self._replacement, None
-        selector = self._forwarder.selector
-        return replacement or selector.select_replica(
+        if replacement is not None:
+            return replacement
+        selector, outcomes = self._forwarder.selector, self._forwarder.outcomes
+        repeatable = self._call.route.repeatable
+        trials = frozenset() if self._tries else outcomes.trials(repeatable=repeatable)
+        replica = selector.select_replica(
             selector.service(self._call),
             self._call.info.model,
             tried=self._failed_heads,
             urgency=self._call.urgency,
             include_excluded=self._response is not None,
+            repeatable=repeatable,
+            trials=trials,
         )
+        if replica.head.id in trials:
+            outcomes.begin_trial(replica.head, self._call.id)
+        return replica
 
     def _record_try(self, replica: ServingReplica) -> None:
         call, telemetry = self._call, self._forwarder.telemetry
@@ -242,6 +258,7 @@
         """Count a failed try and return what rules out another one, if anything."""
         self._failed_heads.add(replica.head.id)
         await self._record_exit(replica.head, error)
+        self._record_failure(replica.head, error)
         if error.ran is Ran.UNKNOWN:
             self._ran = Ran.UNKNOWN
         if error.code == DEADLINE or self._call.remaining_s <= 0:
@@ -301,6 +318,17 @@
         if ended and not event_received:
             self._attempts.record_early_exit(head)
 
+    def _record_failure(self, head: Host, error: AttemptError) -> None:
+        """Record a failed try, unless its process has ended: that may be its fault."""
+        if self._forwarder.exits.has_ended(head.incarnation):
+            return
+        outcome = failed_outcome(error, begun=self._event_received)
+        if outcome is not None:
+            self._record_outcome(head, outcome)
+
+    def _record_outcome(self, head: Host, outcome: Outcome) -> None:
+        self._forwarder.outcomes.record(head, outcome, sent_at=self._sent_at)
+
     def _spend_retry(self, code: str) -> Obstacle | None:
         return None if self._retry_limit.spend(code) else Obstacle.RETRY_BUDGET
 
@@ -444,6 +472,7 @@
             head, remaining_s, self._call.account, self._call.urgency, self._last_id
         )
         self._event_received = self._writing = self._attempt_counted = False
+        self._sent_at = now
         self._head_silent_at = -1.0
 
         def silent_at() -> float:
@@ -510,7 +539,10 @@
         async with answer:
             check_response(self._call, info)
             if info.status != HTTP_OK:
-                return await self._forward_failure(answer)
+                response = await self._forward_failure(answer)
+                if answered_outcome(info.status) is Outcome.FAILED:
+                    self._record_outcome(replica.head, Outcome.FAILED)
+                return response
             await self._forward_events(answer, replica)
         if self._response is None:
             await self._start_response(answer)
@@ -545,6 +577,7 @@
                     self._forwarder.quarantine.record_answer(
                         self._call.info.prompt_parts
                     )
+                    self._record_outcome(replica.head, Outcome.ANSWERED)
                 self._event_received = True
                 self._mark_begun()
                 data = b""
--- a/auburnproxy/gateway/upstream_selector.py
+++ b/auburnproxy/gateway/upstream_selector.py
@@ -42,6 +42,10 @@
 UNANSWERED_WEIGHT = 3.0
 """Weight of a request that has no first event yet: prefill of its prompt stalls every
 stream of the replica for about as long as the pause objective."""
+DISTRUST_PENALTY = 2.0
+"""Penalty for an upstream that failed a moment ago and is fully distrusted."""
+ONCE_DISTRUST_PENALTY = 10.0
+"""The same for a request that may run only once: it is lost if the upstream fails."""
 SUSPECT_PENALTY = 1.0
 """Penalty for an upstream that another daemon has excluded."""
 QUIET_AFTER_S = 0.13
@@ -83,6 +87,14 @@
     tried: Collection[str]
     """Upstreams at which it has already failed."""
     urgency: int
+    repeatable: bool = True
+    trials: Collection[str] = ()
+    """Distrusted upstreams that it may try."""
+
+    @property
+    def distrust_penalty(self) -> float:
+        """Return the penalty for an upstream that is fully distrusted."""
+        return DISTRUST_PENALTY if self.repeatable else ONCE_DISTRUST_PENALTY
 
 
 class _Candidate(NamedTuple):
@@ -110,6 +122,8 @@
     :param live_daemons: returns all live daemons, none while they are unknown
     :param has_ended: returns whether a process is known to have ended
     :param far_interval_s: returns the seconds between two heartbeats of a far daemon
+    :param distrusted: returns how little an upstream is believed: 0 fully, 1 if it gets
+        nothing but trials
     """
 
     def __init__(
@@ -129,6 +143,7 @@
         live_daemons: Callable[[], Collection[str]] = tuple,
         has_ended: Callable[[Incarnation], bool] = lambda incarnation: False,
         far_interval_s: Callable[[], float] = lambda: 0.3,
+        distrusted: Callable[[str], float] = lambda host: 0.0,
         random: Random | None = None,
     ) -> None:
         self._directory = directory
@@ -145,6 +160,7 @@
         self._live_daemons = live_daemons
         self._has_ended = has_ended
         self._far_interval_s = far_interval_s
+        self._distrusted = distrusted
         self._random = random or Random()
         self._indexed_replicas: tuple[ServingReplica, ...] | None = None
         self._near: dict[ServiceModel, list[ServingReplica]] = {}
@@ -167,6 +183,8 @@
         tried: Collection[str] = (),
         urgency: int = 0,
         include_excluded: bool = False,
+        repeatable: bool = True,
+        trials: Collection[str] = (),
     ) -> ServingReplica:
         """Return the best replica for a request.
 
@@ -176,10 +194,16 @@
         :param urgency: urgency of the request, 0 first
         :param include_excluded: whether to fall back to an excluded head if there is no
             other
+        :param repeatable: whether the request may run more than once
+        :param trials: distrusted heads that it tries before all others
         :raises RefusalError: if no replica can take the request now
         """
         near, far = self._candidates(service, model)
-        demand = _Demand(tried, urgency)
+        demand = _Demand(tried, urgency, repeatable, trials)
+        chosen = self._least_loaded(_on_trial(near, far, trials), demand)
+        if chosen is not None:
+            self._record_sent(chosen.replica.head)
+            return chosen.replica
         chosen = self._best_near(near, demand)
         if chosen is None or chosen.score > min(self._far_age_penalty, FAR_SPILL_LOAD):
             for sample in self._far_samples(far):
@@ -290,7 +314,11 @@
                 head, demand.urgency
             ):
                 continue
+            distrust = 0.0 if include_excluded else self._distrusted(head.id)
+            if distrust >= 1 and head.id not in demand.trials:
+                continue
             score = self._score(head, replica.slowdown)
+            score += demand.distrust_penalty * distrust
             if replica.slowdown > 1:
                 score += SPREAD_PENALTY
             if replica.missing:
@@ -324,15 +352,24 @@
         return self._build_refusal(code, heads, [h for h in heads if h.id not in tried])
 
     def select_host(
-        self, service: str, *, tried: Collection[str] = (), urgency: int = 0
+        self,
+        service: str,
+        *,
+        tried: Collection[str] = (),
+        urgency: int = 0,
+        repeatable: bool = True,
+        trials: Collection[str] = (),
     ) -> Host:
         """Return the best host of a plain service for a request.
 
         :param service: name of the service
         :param tried: hosts at which the request has already failed
         :param urgency: urgency of the request, 0 first
+        :param repeatable: whether the request may run more than once
+        :param trials: distrusted hosts that it tries before all others
         :raises RefusalError: if no host can take the request now
         """
+        demand = _Demand(tried, urgency, repeatable, trials)
         hosts = list(self._directory.usable_hosts(service))
         untried = [host for host in hosts if host.id not in tried]
         suspected = self._suspected()
@@ -343,17 +380,20 @@
             and not self._health.is_excluded(host.id)
             and self._has_room(host)
             and self._within_rate(host, urgency)
+            and (self._distrusted(host.id) < 1 or host.id in trials)
         ]
         if not free:
             raise self._build_refusal("no_service", hosts, untried)
 
         def score(host: Host) -> tuple[float, float]:
             load = self._score(host)
+            load += demand.distrust_penalty * self._distrusted(host.id)
             if host.id in suspected:
                 load += SUSPECT_PENALTY
             return load, self._random.random()
 
-        chosen = min(free, key=score)
+        on_trial = [host for host in free if host.id in trials]
+        chosen = min(on_trial or free, key=score)
         self._record_sent(chosen)
         return chosen
 
@@ -463,6 +503,16 @@
         return ranked[:MAX_LIMIT_SHARERS]
 
 
+def _on_trial(
+    near: Sequence[ServingReplica],
+    far: Sequence[ServingReplica],
+    trials: Collection[str],
+) -> list[ServingReplica]:
+    if not trials:
+        return []
+    return [r for replicas in (near, far) for r in replicas if r.head.id in trials]
+
+
 def _less_loaded(one: _Candidate | None, other: _Candidate | None) -> _Candidate | None:
     """Return the less loaded of two replicas, either of which may be None."""
     if one is None or (other is not None and other.score < one.score):
--- a/auburnproxy/gossip/fact.py
+++ b/auburnproxy/gossip/fact.py
@@ -31,12 +31,25 @@
     CLAIM = "claim"
     """A daemon has sent a process, the subject, one of the requests that it takes; the
     value is the number that was left."""
+    FAILURE = "failure"
+    """A daemon, the origin, fails at a process, the subject; the value, up to 1, is the
+    weight of that."""
+    DISTRUST = "distrust"
+    """A process, the subject, fails what it gets. The value is the number of times that
+    this was found, or zero if it is believed again."""
+    PROBATION = "probation"
+    """A distrusted process, the subject, is being tried with a single request."""
 
 
 KINDS = frozenset(FactKind)
 """Kinds that this build knows; others are not held."""
 
 
+DIRECT_KINDS = frozenset({FactKind.FAILURE, FactKind.PROBATION})
+"""Kinds that only the daemon that told them sends, and only while they are new: they
+end soon, and one that is missed changes little."""
+
+
 class FactKey(NamedTuple):
     """Identity of a fact; the newest version of it counts."""
 
--- a/auburnproxy/gossip/fact_table.py
+++ b/auburnproxy/gossip/fact_table.py
@@ -9,7 +9,15 @@
 from typing import NamedTuple
 
 from ..clock import loop_time
-from .fact import MAX_TEXT_BYTES, MAX_TTL_S, Fact, FactKey, FactKind, is_acceptable
+from .fact import (
+    DIRECT_KINDS,
+    MAX_TEXT_BYTES,
+    MAX_TTL_S,
+    Fact,
+    FactKey,
+    FactKind,
+    is_acceptable,
+)
 
 MS_PER_S = 1000
 MAX_FACTS_PER_KIND = 512
@@ -33,6 +41,8 @@
     """The loop's time in seconds at which it became true."""
     ends_at: float
     learned_at: float
+    told_here: bool = False
+    """Whether this daemon has told this version."""
 
 
 class FactTable:
@@ -93,7 +103,7 @@
         version = known.version + 1 if known else 1
         now = loop_time()
         ends_at = now + min(ttl_s, MAX_TTL_S)
-        self._hold(HeldFact(key, version, value, now, ends_at, now))
+        self._hold(HeldFact(key, version, value, now, ends_at, now, True))
         if at_once:
             self.on_told()
 
@@ -145,6 +155,8 @@
             self._expire(kind)
             for held in self._of_kind(kind):
                 is_recent = now - held.learned_at < RECENT_S
+                if kind in DIRECT_KINDS and not (is_recent and held.told_here):
+                    continue
                 (recent if is_recent else others).append(held)
         chosen = heapq.nlargest(MAX_RECENT, recent, key=lambda held: held.learned_at)
         if others:
--- a/auburnproxy/telemetry/measure.py
+++ b/auburnproxy/telemetry/measure.py
@@ -67,6 +67,8 @@
     """Upstream processes that have named a limit of requests a second."""
     UPSTREAM_LIMITS_PER_S = "upstream_limits_per_second"
     """Sum of these limits."""
+    UPSTREAMS_DISTRUSTED = "upstreams_distrusted"
+    """Upstreams that get nothing but trials, by service."""
     FACTS_DROPPED = "facts_dropped"
     """Facts of other daemons that were dropped since the start, as too many."""
     IN_FLIGHT = "in_flight"
--- a/features/fakes/platform.py
+++ b/features/fakes/platform.py
@@ -9,7 +9,7 @@
 import socket
 import struct
 import time
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator, Callable, Sequence
 from pathlib import Path
 from urllib.parse import parse_qs, urlsplit
 
@@ -533,6 +533,8 @@
 
     def __init__(self, folder: Path) -> None:
         self.folder = folder
+        self.contracts: list[str] = []
+        """Contracts that the settings of its daemons name."""
         self.store = StoreStandIn()
         self.store_address = free_addresses(1)[0]
         self.engines: dict[str, EngineStandIn] = {}
@@ -620,6 +622,7 @@
                 "budget-window-s": 10,
                 "grace-s": 8,
             },
+            "contracts": self.contracts,
             "a-new-field": {"to": "ignore"},
         }
         path = self.folder / f"{name}.yaml"
@@ -665,11 +668,16 @@
 
 @contextlib.asynccontextmanager
 async def running_site(
-    folder: Path, *, engines: int = 2, era: str | None = None
+    folder: Path,
+    *,
+    engines: int = 2,
+    era: str | None = None,
+    contracts: Sequence[str] = (),
 ) -> AsyncIterator[Site]:
     """Run a site with some engines of each kind and one daemon that is ready."""
     site = Site(folder)
     site.store.era = era
+    site.contracts = list(contracts)
     await site.start()
     site.store.put("keyed.op", "config", config())
     # Another site's daemon is the leader, so that no replicas are formed here.
--- a/features/fakes/selection.py
+++ b/features/fakes/selection.py
@@ -23,7 +23,7 @@
 class SelectionFixture:
     """Selects among replicas of one host each and keeps the requests in flight."""
 
-    def __init__(self, near, far, slots, cold_s=0.0):
+    def __init__(self, near, far, slots, cold_s=0.0, requests_outrank_probes=False):
         self.remote_load = {}
         self.retiring_heads = set()
         """Heads of replicas that another daemon is dissolving."""
@@ -53,6 +53,7 @@
             null_decisions(),
             probe=self.probe,
             heard_elsewhere=lambda h: self.heard_elsewhere.get(h, -1.0),
+            requests_outrank_probes=requests_outrank_probes,
         )
         self.facts = FactTable()
         self.limits = NamedLimits(self.facts, null_decisions())
