--- a/auburnproxy/gateway/upstream_selector.py
+++ b/auburnproxy/gateway/upstream_selector.py
@@ -44,8 +44,9 @@
 stream of the replica for about as long as the pause objective."""
 DISTRUST_PENALTY = 2.0
 """Penalty for an upstream that failed a moment ago and is fully distrusted."""
-ONCE_DISTRUST_PENALTY = 10.0
-"""The same for a request that may run only once: it is lost if the upstream fails."""
+LAST_DISTRUST_PENALTY = 10.0
+"""The same for a request that may run only once, or has failed at another upstream: it
+is likely lost if this one fails as well."""
 SUSPECT_PENALTY = 1.0
 """Penalty for an upstream that another daemon has excluded."""
 QUIET_AFTER_S = 0.13
@@ -94,7 +95,8 @@
     @property
     def distrust_penalty(self) -> float:
         """Return the penalty for an upstream that is fully distrusted."""
-        return DISTRUST_PENALTY if self.repeatable else ONCE_DISTRUST_PENALTY
+        last_chance = self.tried or not self.repeatable
+        return LAST_DISTRUST_PENALTY if last_chance else DISTRUST_PENALTY
 
 
 class _Candidate(NamedTuple):
--- a/features/gossip.feature
+++ b/features/gossip.feature
@@ -30,3 +30,9 @@
       | a time of a year     |
       | a negative value     |
       | a value that is nan  |
+
+  # Guards against evidence of each daemon that all others send on in each heartbeat, which
+  # filled the links between failure domains (issue 42).
+  Scenario: Evidence is sent by the daemon that has told it, and by no other
+    When a daemon tells a failure of a process
+    Then it sends the failure for 0.5 s, and a daemon that was told of it never does
--- a/features/steps/gossip.py
+++ b/features/steps/gossip.py
@@ -139,3 +139,23 @@
 @then("it holds no fact")
 def check_nothing(context):
     assert not context.held, context.held
+
+
+@when("a daemon tells a failure of a process")
+def tell_failure(context):
+    async def play():
+        teller, told = FactTable(), FactTable()
+        teller.tell(FactKind.FAILURE, "e1@1", ttl_s=4, value=1.0, origin="d1")
+        told.merge(teller.outgoing())
+        assert told.get(FactKind.FAILURE, "e1@1", origin="d1")
+        context.sent = [len(teller.outgoing())], [len(told.outgoing())]
+        await asyncio.sleep(0.6)
+        for table, counts in zip((teller, told), context.sent, strict=True):
+            counts.append(len(table.outgoing()))
+
+    run_virtual(play())
+
+
+@then("it sends the failure for 0.5 s, and a daemon that was told of it never does")
+def check_sent(context):
+    assert context.sent == ([1, 0], [0, 0]), context.sent
