Let hosts change their model by observed demand

Replicas were formed by the shares of the configuration, which match neither requests nor tokens, so that the most urgent callers were late beside hosts that idled. On pools, the leader now compares what all daemons have had in flight for the time of a load with what replicas bear by the published times, and lets hosts of the model with room load the other weights while they serve.

--- a/auburnproxy/daemon/gateway_daemon.py
+++ b/auburnproxy/daemon/gateway_daemon.py
@@ -16,6 +16,7 @@
 from ..decoding import shorten
 from ..errors import AuburnError, DocumentError, PlatformError, UnreadableError
 from ..formation import ReplicaController, ReplicaRegistry
+from ..formation.demand_layout import DemandLayout
 from ..formation.engine_commands import BackoffEngineCommands, BackoffError
 from ..formation.leader_election import LeaderElection
 from ..formation.registry import TOPIC as REPLICAS_TOPIC
@@ -275,6 +276,12 @@
             decisions=decisions,
         )
         self.directory.recorded_replicas = lambda: self.replica_registry.by_name
+        layout = None
+        if settings.load_aware:
+            layout = DemandLayout(
+                self.directory, self.replica_registry, self._in_flight, decisions
+            )
+            self.telemetry.gauges.append(layout.readings)
         self.replica_controller = ReplicaController(
             settings.name,
             self.directory,
@@ -290,6 +297,7 @@
             host_list_current=lambda: self._upstreams.store_reachable,
             starting=self._in_first_start,
             in_flight=self._in_flight,
+            layout=layout,
         )
         self.replica_controller.retirement.on_start = self.peer_group.send_to_all
 
--- a/auburnproxy/formation/controller.py
+++ b/auburnproxy/formation/controller.py
@@ -23,9 +23,11 @@
 from ..gateway.host import Host, Incarnation
 from ..gateway.route import EngineSpec, ModelSpec
 from ..telemetry.decisions import DecisionLog
+from .demand_layout import DemandLayout
 from .engine_commands import CommandResult, EngineCommands
 from .failure_detector import FailureDetector
 from .placement import (
+    FabricDomain,
     FormationPlan,
     WeightLoad,
     group_by_fabric_domain,
@@ -80,6 +82,8 @@
     starting: bool
     short_of_capacity: frozenset[tuple[str, str]]
     """Services with the models of which they have too little."""
+    moving: frozenset[Incarnation]
+    """Hosts that change their model."""
 
 
 class ReplicaController:
@@ -102,6 +106,8 @@
     :param starting: returns whether no request has been served yet
     :param in_flight: returns the number of requests that all daemons have in flight at
         a head
+    :param layout: moves hosts between models, None if the configured shares of the
+        models decide
     """
 
     def __init__(
@@ -118,6 +124,7 @@
         host_list_current: Callable[[], bool] = lambda: True,
         starting: Callable[[], bool] = lambda: False,
         in_flight: Callable[[str], int] = lambda head: 0,
+        layout: DemandLayout | None = None,
     ) -> None:
         self._name = name
         self._directory = directory
@@ -128,6 +135,7 @@
         self._stalled_heads = stalled_heads
         self._starting = starting
         self._in_flight = in_flight
+        self._layout = layout
         self._utilization_by_service: defaultdict[str, UtilizationTracker] = (
             defaultdict(UtilizationTracker)
         )
@@ -191,7 +199,16 @@
         :raises PlatformError: if a change was not recorded
         """
         engines = self._directory.engines
-        if not engines or not self._registry.follower.complete or not self._is_leader():
+        if not engines or not self._registry.follower.complete:
+            return
+        is_leader = self._is_leader()
+        if self._layout is not None:
+            self._layout.observe(engines, starting=self._starting())
+            if is_leader:
+                self._layout.expire()
+            else:
+                self._layout.abandon()
+        if not is_leader:
             return
         self._drop_expired_state()
         self._probe_stalled_replicas()
@@ -214,6 +231,7 @@
             await self._registry.seed_new_era()
             await self._plan_and_record(engines, states_by_name)
             self._release_stale_hosts()
+            self._start_moves(engines, states_by_name)
         self._send_commands(engines, states_by_name)
 
     def _replica_usages(self, service: str) -> Iterator[ReplicaUsage]:
@@ -287,6 +305,8 @@
         if state is ReplicaState.FORMING:
             return replica.name in self._refused_replicas
         if state is ReplicaState.SERVING:
+            if self._layout is not None and self._layout.should_end(replica):
+                return True
             return replica.spread and self._fits_one_fabric_domain(replica)
         return state in (ReplicaState.LOST, ReplicaState.LEAVING)
 
@@ -385,6 +405,7 @@
                 for service, utilization in self._utilization_by_service.items()
                 for model in utilization.short_of_capacity
             ),
+            moving=frozenset(self._layout.model_by_host if self._layout else ()),
         )
 
     def _joins_pending(self, states_by_name: Mapping[str, ReplicaState]) -> bool:
@@ -400,6 +421,38 @@
         self, service: str, spec: EngineSpec, ended: Collection[str]
     ) -> FormationPlan:
         """Return the replicas to form and the weights to load next for a service."""
+        starting = self._starting()
+        domains = self._fabric_domains(service, ended)
+        targets = (
+            replica_targets_by_domain(domains, spec)
+            if starting or self._layout is None
+            else self._layout.targets(service, spec, domains)
+        )
+        plans = [
+            plan_fabric_domain(domain, spec, targets[domain.name], starting=starting)
+            for domain in domains
+        ]
+        # Takes one replica of each fabric domain in turn, so that the first replicas of
+        # all domains are complete before the second ones load.
+        new_replicas = list(_in_turns(each.new_replicas for each in plans))
+        if not starting:
+            utilization = self._utilization_by_service[service]
+            new_replicas += plan_spread_replicas(
+                domains, plans, spec, utilization.short_of_capacity
+            )
+        weight_loads = [load for each in plans for load in each.weight_loads]
+        if self._layout is not None:
+            weight_loads += self._layout.weight_loads(service, self._staging_by_host)
+        return FormationPlan(tuple(new_replicas), tuple(weight_loads))
+
+    def _fabric_domains(
+        self, service: str, ended: Collection[str]
+    ) -> list[FabricDomain]:
+        """Return the fabric domains with the hosts that may join replicas.
+
+        :param service: name of the service
+        :param ended: names of the replicas whose hosts are free
+        """
         taken = {
             host: (replica.name, None if replica.spread else replica.model)
             for host, replica in self._registry.by_host.items()
@@ -415,23 +468,27 @@
             and not self._has_stale_part(host)
         ]
         staging = {host: model for host, (model, _) in self._staging_by_host.items()}
-        starting = self._starting()
-        domains = group_by_fabric_domain(usable, taken, staging)
-        targets = replica_targets_by_domain(domains, spec)
-        plans = [
-            plan_fabric_domain(domain, spec, targets[domain.name], starting=starting)
-            for domain in domains
+        return group_by_fabric_domain(usable, taken, staging)
+
+    def _start_moves(
+        self,
+        engines: Mapping[str, EngineSpec],
+        states_by_name: Mapping[str, ReplicaState],
+    ) -> None:
+        """Let hosts change their model where demand asks for it."""
+        if self._layout is None or self._starting():
+            return
+        hosts = self._directory.hosts
+        serving = [
+            replica
+            for replica in self._registry.by_name.values()
+            if states_by_name.get(replica.name) is ReplicaState.SERVING
+            and replica.name not in self.retirement.ending_or_ended
         ]
-        # Takes one replica of each fabric domain in turn, so that the first replicas of
-        # all domains are complete before the second ones load.
-        new_replicas = list(_in_turns(each.new_replicas for each in plans))
-        if not starting:
-            utilization = self._utilization_by_service[service]
-            new_replicas += plan_spread_replicas(
-                domains, plans, spec, utilization.short_of_capacity
-            )
-        weight_loads = [load for each in plans for load in each.weight_loads]
-        return FormationPlan(tuple(new_replicas), tuple(weight_loads))
+        for service, spec in engines.items():
+            own = (r for r in serving if service_of(r, hosts) == service)
+            domains = self._fabric_domains(service, ())
+            self._layout.start_moves(service, spec, domains, own)
 
     def _has_stale_part(self, host: Host) -> bool:
         """Return whether a host has a part in a replica that is no longer recorded."""
