--- a/auburnproxy/formation/controller.py
+++ b/auburnproxy/formation/controller.py
@@ -476,7 +476,7 @@
         states_by_name: Mapping[str, ReplicaState],
     ) -> None:
         """Let hosts change their model where demand asks for it."""
-        if self._layout is None or self._starting():
+        if self._layout is None or self._starting() or not self._layout.decision_due:
             return
         hosts = self._directory.hosts
         serving = [
--- a/auburnproxy/formation/demand_layout.py
+++ b/auburnproxy/formation/demand_layout.py
@@ -28,6 +28,8 @@
 from .registry import ReplicaRegistry
 from .replica_state import service_of
 
+DECISION_INTERVAL_S = 0.5
+"""Interval between two decisions, that of the samples of demand."""
 LOG_INTERVAL_S = 5.0
 """Interval between two log lines on a service's demand."""
 MOVE_TIMEOUT_FACTOR = 2.0
@@ -72,6 +74,15 @@
         )
         self._progress_by_move: dict[Move, _Progress] = {}
         self._logged_at_by_service: dict[str, float] = {}
+        self._decided_at = -DECISION_INTERVAL_S
+        self._capacities: dict[str, dict[str, int]] = {}
+        """Requests that a replica bears, by service and model, of a configuration."""
+        self._capacities_of: Configuration | None = None
+
+    @property
+    def decision_due(self) -> bool:
+        """Return whether moves should be decided now."""
+        return loop_time() - self._decided_at >= DECISION_INTERVAL_S
 
     @property
     def model_by_host(self) -> Mapping[Incarnation, str]:
@@ -173,6 +184,7 @@
         :param domains: its fabric domains
         :param serving: its replicas that serve and are not being ended
         """
+        self._decided_at = loop_time()
         window = self._window_by_service[service]
         loads = self._loads(service, engine)
         self._log_demand(service, loads)
@@ -227,7 +239,7 @@
 
     def _loads(self, service: str, engine: EngineSpec) -> dict[str, ModelLoad]:
         window = self._window_by_service[service]
-        objectives = stream_objectives(self._directory.configuration, service)
+        capacities = self._capacities_by_model(service, engine)
         counts: defaultdict[str, float] = defaultdict(float)
         for replica in self._replicas(service):
             counts[replica.model] += 1 / engine.spread_factor if replica.spread else 1
@@ -236,11 +248,24 @@
                 window.sustained(model.name),
                 window.peak(model.name),
                 counts[model.name],
-                replica_capacity(engine, model, objectives),
+                capacities[model.name],
             )
             for model in engine.models
         }
 
+    def _capacities_by_model(self, service: str, engine: EngineSpec) -> dict[str, int]:
+        """Return what one replica of each model bears; it is computed once."""
+        configuration = self._directory.configuration
+        if configuration is not self._capacities_of:
+            self._capacities, self._capacities_of = {}, configuration
+        if service not in self._capacities:
+            objectives = stream_objectives(configuration, service)
+            self._capacities[service] = {
+                model.name: replica_capacity(engine, model, objectives)
+                for model in engine.models
+            }
+        return self._capacities[service]
+
     def _replicas(self, service: str) -> Iterator[ReplicaRecord]:
         hosts = self._directory.hosts
         for replica in self._registry.by_name.values():
