--- a/auburnproxy/formation/rebalancing.py
+++ b/auburnproxy/formation/rebalancing.py
@@ -19,8 +19,9 @@
 SHORT_UTILIZATION = 0.5
 """Sustained utilization above which a model may get hosts of another one; below it, a
 model bears the loss of a third of its replicas."""
-MIN_IMPROVEMENT = 0.05
-"""Least decrease of the higher utilization of the two models that justifies a move."""
+MIN_MARGIN = 0.05
+"""Least difference by which the model that gives a replica stays below what the other
+one's utilization was."""
 MIN_SPARES = 1
 """Idle hosts that a model keeps in a fabric domain where it has a replica."""
 
@@ -207,13 +208,16 @@
 
 
 def _improves(move: Move, loads: Mapping[str, ModelLoad]) -> bool:
-    """Return whether a move helps, although the donor loses one more replica then."""
+    """Return whether a move helps, although the donor loses one more replica then.
+
+    Idle hosts alone cost the donor nothing that serves.
+    """
     need, donor = loads[move.receiver], loads[move.donor]
-    before = need.utilization(need.sustained)
-    after = need.utilization(need.sustained, more_replicas=move.gained)
     lost = len(move.retired)
-    donor_after = donor.utilization(donor.peak, more_replicas=-lost - 1 if lost else 0)
-    return max(after, donor_after) <= before - MIN_IMPROVEMENT
+    if not lost:
+        return True
+    before = need.utilization(need.sustained)
+    return donor.utilization(donor.peak, more_replicas=-lost - 1) <= before - MIN_MARGIN
 
 
 def _options(
--- a/features/layout.feature
+++ b/features/layout.feature
@@ -27,6 +27,12 @@
     Then 1 large replica of each failure domain is to become 2 small ones
     And at most 20 loads are planned
 
+  # Guards against moves that are left out since each of them alone does little.
+  Scenario: Moves go on until the small model has room
+    Given 16 hosts for each model in each of 3 failure domains
+    When the small model has 120 requests in flight and the large model 30
+    Then 2 large replicas in all are to become small ones
+
   # Guards against a move that only turns the shortage around.
   Scenario Outline: The layout stays as it is
     Given 16 hosts for each model in each of 3 failure domains
--- a/features/steps/layout.py
+++ b/features/steps/layout.py
@@ -124,6 +124,12 @@
         assert (len(move.retired), len(move.hosts), move.gained) == (1, 4, 2), move
 
 
+@then("{count:d} large replicas in all are to become small ones")
+def check_retired(context, count):
+    retired = [name for move in context.moves for name in move.retired]
+    assert len(retired) == count, context.moves
+
+
 @then("at most {count:d} loads are planned")
 def check_load_count(context, count):
     assert sum(len(move.hosts) for move in context.moves) <= count, context.moves
