--- a/auburnproxy/gateway/upstream_selector.py
+++ b/auburnproxy/gateway/upstream_selector.py
@@ -284,46 +284,7 @@
     ) -> _Candidate | None:
         """Return the least loaded replica of those that can take a request now.
 
-        :param include_excluded: whether excluded heads are eligible
-        """
-        scored = self._scored(replicas, demand, include_excluded=include_excluded)
-        best = self._lowest(scored)
-
-        def may_be_used(candidate: _Candidate) -> bool:
-            head = candidate.replica.head
-            return (
-                self._is_available(head)
-                and (include_excluded or not self._health.is_excluded(head.id))
-                and self._within_rate(head, demand.urgency)
-            )
-
-        if best is None or may_be_used(best):
-            return best
-        return self._lowest([c for c in scored if c is not best and may_be_used(c)])
-
-    def _lowest(self, scored: Sequence[_Candidate]) -> _Candidate | None:
-        """Return the candidate with the lowest score, a random one of equals."""
-        best: _Candidate | None = None
-        ties = 0
-        for candidate in scored:
-            if best is None or candidate.score < best.score:
-                best, ties = candidate, 0
-            elif candidate.score == best.score:
-                ties += 1
-                if self._random.random() * (ties + 1) < 1:
-                    best = candidate
-        return best
-
-    def _scored(
-        self,
-        replicas: Sequence[ServingReplica],
-        demand: _Demand,
-        *,
-        include_excluded: bool = False,
-    ) -> Sequence[_Candidate]:
-        """Return the replicas that have room for a request, with their scores.
-
-        :param include_excluded: whether distrusted heads are eligible
+        :param include_excluded: whether excluded and distrusted heads are eligible
         """
         recorded, retiring_heads = (
             self._directory.recorded_replicas(),
@@ -331,7 +292,8 @@
         )
         suspected = self._suspected()
         far_penalty = min(self._far_age_penalty, MAX_FAR_PENALTY)
-        scored = []
+        best: _Candidate | None = None
+        ties = 0
         for replica in replicas:
             head = replica.head
             if (
@@ -354,8 +316,22 @@
                 score += MISSING_MEMBER_PENALTY
             if head.id in suspected:
                 score += SUSPECT_PENALTY
-            scored.append(_Candidate(score, replica))
-        return scored
+            if best is not None and score > best.score:
+                continue
+            if not (
+                self._is_available(head)
+                and (include_excluded or not self._health.is_excluded(head.id))
+                and self._within_rate(head, demand.urgency)
+            ):
+                continue
+            if best is not None and score == best.score:
+                ties += 1
+                if self._random.random() * (ties + 1) >= 1:
+                    continue
+            else:
+                ties = 0
+            best = _Candidate(score, replica)
+        return best
 
     def _is_available(self, head: Host) -> bool:
         """Return whether a head may get requests by what is known of its process."""
