--- a/auburnproxy/gateway/route.py
+++ b/auburnproxy/gateway/route.py
@@ -109,6 +109,14 @@
     spread_factor: float = 1.0
     """Factor on all processing times of a replica with hosts in several fabric
     domains."""
+    step_s_per_held_token: float = 0.0
+    """Time that each token of a request's context adds to a step."""
+    read_s_per_pair: float = 0.0
+    """Prefill time for each pair of a prompt token and an earlier one."""
+    chunk_tokens: float = 0.0
+    """Most prompt tokens that one step reads, 0 if unknown."""
+    capacity_tokens: float = 0.0
+    """Tokens that a replica's memory holds, 0 if unknown."""
 
     def model(self, name: str) -> ModelSpec | None:
         """Return a model by its name, None if there is none."""
--- a/auburnproxy/platform/operator_records.py
+++ b/auburnproxy/platform/operator_records.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import defaultdict
+from typing import Any
 
 import msgspec
 
@@ -25,6 +26,9 @@
 """Bound of configured times: one day."""
 MAX_FACTOR = 1e6
 """Bound of configured counts, rates and factors; products of a few stay finite."""
+MAX_TOKENS = 1e12
+"""Bound of the configured memory of an engine."""
+PER_K, PER_M = 1e3, 1e6
 CONFIGURATION_KEY = "config"
 EVACUATION_PREFIX = "evacuate/"
 ROUTE_KIND_BY_NAME = {
@@ -86,6 +90,13 @@
     far_x: float = 1.0
     """Slowdown factor of a group whose engines span several fabric domains."""
     usual: _Usual = _Usual()
+    context_per_k: Any = 0.0
+    """Milliseconds that 1,000 tokens of a request's context add to a step."""
+    pairs_per_m: Any = 0.0
+    """Milliseconds to read a million pairs of a prompt token and an earlier one."""
+    chunk: Any = 0.0
+    """Most prompt tokens that a step reads."""
+    kv_capacity_tokens: Any = msgspec.field(default=0.0, name="kv-capacity-tokens")
 
 
 class _Service(msgspec.Struct, rename="kebab"):
@@ -211,4 +222,15 @@
         spread_factor=_bounded(engine.far_x, 1.0, MAX_FACTOR),
         usual_prompt_tokens=engine.usual.prompt,
         usual_answer_tokens=engine.usual.answer,
+        step_s_per_held_token=_figure(engine.context_per_k) / MS_PER_S / PER_K,
+        read_s_per_pair=_figure(engine.pairs_per_m) / MS_PER_S / PER_M,
+        chunk_tokens=_figure(engine.chunk),
+        capacity_tokens=_figure(engine.kv_capacity_tokens, highest=MAX_TOKENS),
     )
+
+
+def _figure(value: object, *, highest: float = MAX_FACTOR) -> float:
+    """Return a figure that only predictions use, 0 (unknown) if it is none."""
+    if isinstance(value, bool) or not isinstance(value, (int, float)):
+        return 0.0
+    return float(_bounded(value, 0.0, highest))
