Score replicas behind an interface, and check those alone that may be chosen

Cause: the score is a count written into the selector, and each candidate is checked for exits, backoffs, exclusions and rates before scores are compared.

Change: Scoring with the count as its first implementation; the selector makes these checks only for a candidate whose score is at most the best so far. The choice is the same, random numbers included.

--- a/auburnproxy/gateway/backoffs.py
+++ b/auburnproxy/gateway/backoffs.py
@@ -49,7 +49,8 @@
 
     def remaining_s(self, incarnation: Incarnation) -> float:
         """Return the seconds left of a process's wait, 0 if there is none."""
-        return max(self._backoff_until.get(incarnation, 0.0) - loop_time(), 0.0)
+        until = self._backoff_until.get(incarnation)
+        return 0.0 if until is None else max(until - loop_time(), 0.0)
 
     def _forget(self, now: float) -> None:
         ended = [
--- a/auburnproxy/gateway/directory.py
+++ b/auburnproxy/gateway/directory.py
@@ -231,6 +231,8 @@
 
     def cold_s(self, host: Host) -> float:
         """Return the seconds for which a host is still cold."""
+        if host.cold_s <= 0:
+            return 0.0
         return max(host.cold_s - (loop_time() - host.seen_at), 0.0)
 
     def _notify_changed(self) -> None:
--- a/auburnproxy/gateway/upstream_selector.py
+++ b/auburnproxy/gateway/upstream_selector.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Collection, Iterator, Sequence
+from contextlib import AbstractContextManager
 from random import Random
 from typing import NamedTuple
 
@@ -10,11 +11,13 @@
 from ..rendezvous import rank_names
 from .backoffs import UpstreamBackoffs
 from .call import Call
+from .cost_model import RequestSize
 from .directory import Directory
 from .health import Health
 from .host import Host, Incarnation
 from .named_limits import NamedLimits
 from .process_exits import process_name
+from .scoring import UNKNOWN_SIZE, CountScoring, Progress, Scoring
 from .serving_replica import ServingReplica
 from .shared_rates import SharedRate, SharedRates
 from .subsets import ServiceModel, Subsets
@@ -32,29 +35,16 @@
 MAX_FAR_PENALTY = 0.35
 """Upper bound of the far penalty. A higher one would let a failure domain that has lost
 heads fill the remaining near ones beyond their slots."""
-SUBSET_MAX_LOAD = 0.7
-"""Load of the best head in this daemon's subset up to which no other head is
-considered."""
 OUTSIDE_SUBSET_SAMPLE = 3
 """Near heads outside the subset that are sampled above that load."""
-OUTSIDE_SUBSET_PENALTY = 0.15
-"""Penalty for heads outside the subset, whose load reports are older."""
-UNANSWERED_WEIGHT = 3.0
-"""Weight of a request that has no first event yet: prefill of its prompt stalls every
-stream of the replica for about as long as the pause objective."""
 SUSPECT_PENALTY = 1.0
 """Penalty for an upstream that another daemon has excluded."""
 QUIET_AFTER_S = 0.13
 """Silence on all of this daemon's streams after which an upstream is penalized. Nine in
 ten pauses between events are at most half as long."""
 QUIET_PENALTY = 0.5
-SPREAD_PENALTY = 0.3
-"""Penalty for a replica with hosts in several fabric domains: it is slower, so it only
-takes overflow while the others are busy."""
 MISSING_MEMBER_PENALTY = 0.5
 """Penalty for a replica with a member that is no longer registered."""
-QUEUE_FRACTION = 0.2
-"""Requests beyond its slots, as a fraction of them, that an upstream may queue."""
 MIN_FAR_SAMPLE = 2
 SECOND_FAR_SAMPLE = 16
 """Size of the second sample of far replicas, for when none of the first can take a
@@ -83,16 +73,17 @@
     tried: Collection[str]
     """Upstreams at which it has already failed."""
     urgency: int
+    size: RequestSize = UNKNOWN_SIZE
 
 
 class _Candidate(NamedTuple):
     score: float
-    """Load of the head as a fraction of its slots, plus penalties."""
+    """What the choice costs, plus penalties."""
     replica: ServingReplica
 
 
 class UpstreamSelector:
-    """Selects upstreams by load, failure domain and health.
+    """Selects upstreams by score, failure domain and health.
 
     :param directory: registered hosts
     :param health: what this daemon's own requests show about each upstream
@@ -110,6 +101,7 @@
     :param live_daemons: returns all live daemons, none while they are unknown
     :param has_ended: returns whether a process is known to have ended
     :param far_interval_s: returns the seconds between two heartbeats of a far daemon
+    :param scoring: scores replicas; by the number of their requests if None
     """
 
     def __init__(
@@ -130,6 +122,7 @@
         has_ended: Callable[[Incarnation], bool] = lambda incarnation: False,
         far_interval_s: Callable[[], float] = lambda: 0.3,
         random: Random | None = None,
+        scoring: Scoring | None = None,
     ) -> None:
         self._directory = directory
         self._health = health
@@ -138,7 +131,8 @@
         self._limits = limits
         self._rates = rates
         self._failure_domain = failure_domain
-        self._remote_load = remote_load
+        self._counts = CountScoring(health, remote_load)
+        self._scoring = scoring or self._counts
         self._suspected = suspected
         self._retiring_heads = retiring_heads
         self._sharers = sharers
@@ -167,6 +161,7 @@
         tried: Collection[str] = (),
         urgency: int = 0,
         include_excluded: bool = False,
+        size: RequestSize = UNKNOWN_SIZE,
     ) -> ServingReplica:
         """Return the best replica for a request.
 
@@ -176,10 +171,11 @@
         :param urgency: urgency of the request, 0 first
         :param include_excluded: whether to fall back to an excluded head if there is no
             other
+        :param size: what the request brings, and what its caller expects
         :raises RefusalError: if no replica can take the request now
         """
         near, far = self._candidates(service, model)
-        demand = _Demand(tried, urgency)
+        demand = _Demand(tried, urgency, size)
         chosen = self._best_near(near, demand)
         if chosen is None or chosen.score > min(self._far_age_penalty, FAR_SPILL_LOAD):
             for sample in self._far_samples(far):
@@ -199,18 +195,20 @@
         """Return the best near replica, preferring this daemon's own subset."""
         own = [r for r in near if self._subsets.contains(r.head.id)]
         chosen = self._least_loaded(own, demand)
-        if chosen is not None and chosen.score <= SUBSET_MAX_LOAD:
+        if chosen is not None and chosen.score <= self._scoring.subset_max_score:
             return chosen
         others = [r for r in near if not self._subsets.contains(r.head.id)]
         sample = self._random.sample(others, min(OUTSIDE_SUBSET_SAMPLE, len(others)))
         other = self._least_loaded(sample, demand)
         if other is not None:
-            other = other._replace(score=other.score + OUTSIDE_SUBSET_PENALTY)
+            other = other._replace(score=other.score + self._scoring.outside_penalty)
         return _less_loaded(chosen, other) or self._least_loaded(near, demand)
 
     @property
     def _far_age_penalty(self) -> float:
-        """Return the score penalty for the age of load reports of far replicas."""
+        """Return the score penalty for far replicas and the age of their reports."""
+        if self._scoring.counts_report_age:
+            return FAR_PENALTY
         overdue_s = max(self._far_interval_s() - FRESH_REPORT_AGE_S, 0.0)
         return FAR_PENALTY + STALE_PENALTY_PER_S * overdue_s
 
@@ -266,48 +264,53 @@
             self._directory.recorded_replicas(),
             self._retiring_heads(),
         )
-        available = [
-            replica
-            for replica in replicas
-            if replica.name in recorded
-            and replica.head.id not in demand.tried
-            and replica.head.id not in retiring_heads
-            and self._directory.is_usable(replica.head)
-            and not self._has_ended(replica.head.incarnation)
-            and not self._backoffs.remaining_s(replica.head.incarnation)
-        ]
-        healthy = [
-            r
-            for r in available
-            if include_excluded or not self._health.is_excluded(r.head.id)
-        ]
         suspected = self._suspected()
+        far_penalty = min(self._far_age_penalty, MAX_FAR_PENALTY)
         best: _Candidate | None = None
         ties = 0
-        for replica in healthy:
+        for replica in replicas:
             head = replica.head
-            if not self._has_room(head, replica.slowdown) or not self._within_rate(
-                head, demand.urgency
+            if (
+                replica.name not in recorded
+                or head.id in demand.tried
+                or head.id in retiring_heads
             ):
                 continue
-            score = self._score(head, replica.slowdown)
+            score = self._scoring.score(replica, demand.size)
+            if score is None:
+                continue
+            score = self._with_penalties(score, head, far_penalty)
             if replica.slowdown > 1:
-                score += SPREAD_PENALTY
+                score += self._scoring.spread_penalty
             if replica.missing:
                 score += MISSING_MEMBER_PENALTY
             if head.id in suspected:
                 score += SUSPECT_PENALTY
+            if best is not None and score > best.score:
+                continue
+            if not (
+                self._is_available(head)
+                and (include_excluded or not self._health.is_excluded(head.id))
+                and self._within_rate(head, demand.urgency)
+            ):
+                continue
             if best is not None and score == best.score:
                 ties += 1
                 if self._random.random() * (ties + 1) >= 1:
                     continue
-            elif best is not None and score > best.score:
-                continue
             else:
                 ties = 0
             best = _Candidate(score, replica)
         return best
 
+    def _is_available(self, head: Host) -> bool:
+        """Return whether a head may get requests by what is known of its process."""
+        return (
+            self._directory.is_usable(head)
+            and not self._has_ended(head.incarnation)
+            and not self._backoffs.remaining_s(head.incarnation)
+        )
+
     def _replica_refusal(
         self,
         code: str,
@@ -341,14 +344,17 @@
             for host in untried
             if not self._backoffs.remaining_s(host.incarnation)
             and not self._health.is_excluded(host.id)
-            and self._has_room(host)
+            and self._counts.has_room(host)
             and self._within_rate(host, urgency)
         ]
         if not free:
             raise self._build_refusal("no_service", hosts, untried)
 
+        far_penalty = min(self._far_age_penalty, MAX_FAR_PENALTY)
+
         def score(host: Host) -> tuple[float, float]:
-            load = self._score(host)
+            load = self._counts.load_fraction(host)
+            load = self._with_penalties(load, host, far_penalty)
             if host.id in suspected:
                 load += SUSPECT_PENALTY
             return load, self._random.random()
@@ -390,29 +396,28 @@
             "answering": len(healthy),
             "limited": sum(self._named_rate(host) is not None for host in healthy),
             "loads": [self.load(host) for host in healthy[:MAX_LOGGED_LOADS]],
+            **self._scoring.inputs(healthy[:MAX_LOGGED_LOADS]),
         }
         return refusal
 
     def load(self, host: Host) -> int:
         """Return the known requests of all daemons at an upstream."""
-        return self._health.in_flight(host.id) + self._remote_load(host.id)[0]
-
-    def _score(self, host: Host, slowdown: float = 1.0) -> float:
-        in_flight, unanswered = self._remote_load(host.id)
-        in_flight += self._health.in_flight(host.id)
-        unanswered += self._health.unanswered(host.id)
-        score = (
-            slowdown * (in_flight + UNANSWERED_WEIGHT * unanswered) / max(host.slots, 1)
-        )
+        return self._counts.load(host)
+
+    def track(
+        self, replica: ServingReplica, size: RequestSize
+    ) -> AbstractContextManager[Progress]:
+        """Track a request at a replica for later scores, while the context lasts."""
+        return self._scoring.track(replica, size)
+
+    def _with_penalties(self, score: float, host: Host, far_penalty: float) -> float:
+        """Return a score with the penalties for an upstream's distance and silence."""
         if host.failure_domain != self._failure_domain:
-            score += min(self._far_age_penalty, MAX_FAR_PENALTY)
+            score += far_penalty
         if self._health.streams_silent_s(host.id) > QUIET_AFTER_S:
             score += QUIET_PENALTY
         return score
 
-    def _has_room(self, host: Host, slowdown: float = 1.0) -> bool:
-        return self.load(host) < host.slots * (1 + QUEUE_FRACTION) / slowdown
-
     def _within_rate(self, host: Host, urgency: int) -> bool:
         """Return whether the rate of an upstream allows another request."""
         rate = self._rate(host)
@@ -428,8 +433,10 @@
 
         :return: None if it may get any number of requests
         """
-        rates = [r for r in (self._cold_rate(host), self._named_rate(host)) if r]
-        return min(rates, key=lambda rate: rate.per_s, default=None)
+        cold, named = self._cold_rate(host), self._named_rate(host)
+        if cold is None or named is None:
+            return cold or named
+        return cold if cold.per_s <= named.per_s else named
 
     def _cold_rate(self, host: Host) -> SharedRate | None:
         if self._directory.cold_s(host) <= 0:
--- a/emulator/mechanisms.py
+++ b/emulator/mechanisms.py
@@ -11,6 +11,7 @@
 from auburnproxy.formation import controller, placement
 from auburnproxy.gateway import (
     health,
+    scoring,
     silence_timeout,
     stream_forwarder,
     subsets,
@@ -64,7 +65,7 @@
     ),
     "waiting-weight": Mechanism(
         "a request without its first event counts as any other",
-        [(upstream_selector, "UNANSWERED_WEIGHT", 0.0)],
+        [(scoring, "UNANSWERED_WEIGHT", 0.0)],
     ),
     "quiet-loads": Mechanism(
         "a head that has been silent for a moment counts as any other",
