Choose replicas by predicted cost where upstreams are a pool

Cause: load is a count; it knows neither prompt tokens, nor objectives, nor how old what is known of a head is.

Change: PredictedCostScoring, where settings say load_aware: callers expected to be late, from the published times, what is told of tokens within a failure domain, the age of what is told, and the observed times of each upstream. docs/design/cost.md.

features/steps/readers.py: a fixture that had no heartbeat to send sends a real one.

--- a/auburnproxy/daemon/gateway_daemon.py
+++ b/auburnproxy/daemon/gateway_daemon.py
@@ -29,6 +29,7 @@
 from ..gateway.liveness import LivenessChecker
 from ..gateway.named_limits import NamedLimits
 from ..gateway.plain_forwarder import PlainForwarder
+from ..gateway.predicted_cost import build_scoring
 from ..gateway.process_exits import ProcessExits
 from ..gateway.route import Configuration, RequestLimits
 from ..gateway.sender import Sender
@@ -155,6 +156,7 @@
             self.frontend.readings,
             self.quarantine.readings,
             self.limits.readings,
+            self._scoring.readings,
             self.replica_controller.metrics.readings,
         ]
 
@@ -223,6 +225,7 @@
             decisions,
             startup_grace_s=self._peer_wait_s,
         )
+        self.peer_group.aggregate.counts_tokens = settings.load_aware
         self.peer_group.on_upstream_leaving = partial(
             self.directory.mark_leaving, source="daemon"
         )
@@ -318,6 +321,16 @@
         self.health.on_requests_changed = lambda host: self.peer_group.send_soon(
             subsets.sharers(host)
         )
+        self._scoring = build_scoring(
+            self.directory,
+            self.health,
+            load_aware=settings.load_aware,
+            remote_load=self.peer_group.requests_at,
+            remote_prompts=self.peer_group.aggregate.prompts_at,
+            report_age_s=lambda host: self.peer_group.report_age_s(
+                host.failure_domain, told_at_once=subsets.contains(host.id)
+            ),
+        )
         selector = UpstreamSelector(
             self.directory,
             self.health,
@@ -334,6 +347,7 @@
             has_ended=self.exits.has_ended,
             far_interval_s=lambda: self.peer_group.remote_interval_s,
             random=self._random,
+            scoring=self._scoring,
         )
         sender = self._open_sender(header_codec)
         plain = PlainForwarder(
@@ -729,6 +743,7 @@
             self._store.era.number,
             self.peer_sync.previous_era_end_by_topic,
             self.facts.outgoing(),
+            dict(self._scoring.prompt_load_by_host),
         )
 
     def _supersedes(self, known: Change, other: Change) -> bool:
--- a/auburnproxy/gateway/stream_forwarder.py
+++ b/auburnproxy/gateway/stream_forwarder.py
@@ -20,6 +20,7 @@
 from ..upstreams.client import TrackedResponse
 from .attempts import AttemptCounter
 from .call import MAX_UNREACHABLE, UNSENT_RETRY_S, AttemptError, Call, Obstacle
+from .cost_model import RequestSize
 from .events import EventReader, follows
 from .header_codec import Dispatch, without_hop_by_hop
 from .health import Health
@@ -28,6 +29,7 @@
 from .process_exits import ProcessExits, process_name
 from .retry_budget import RetryLimit
 from .route import EngineSpec
+from .scoring import Progress
 from .sender import Sender, check_response
 from .serving_replica import ServingReplica
 from .silence_timeout import SilenceTimeout
@@ -140,6 +142,14 @@
         self._forwarder = forwarder
         self._call = call
         self._retry_limit = retry_limit
+        self._size = RequestSize(
+            call.info.prompt_tokens,
+            call.info.answer_tokens,
+            call.route.objective_s,
+            call.route.pause_objective_s,
+        )
+        self._progress = Progress()
+        """What the current try shows about its replica."""
         self._load_when_selected = 0
         """Requests at the current head when it was selected."""
         self._response: web.StreamResponse | None = None
@@ -213,6 +223,7 @@
             tried=self._failed_heads,
             urgency=self._call.urgency,
             include_excluded=self._response is not None,
+            size=self._size,
         )
 
     def _record_try(self, replica: ServingReplica) -> None:
@@ -375,6 +386,7 @@
                     tried=tried,
                     urgency=self._call.urgency,
                     include_excluded=include_excluded,
+                    size=self._size,
                 )
             except RefusalError:
                 continue
@@ -472,8 +484,12 @@
                     self._head_silent_at = loop_time()
                     silence.begin_silence()
 
-                with silence, health.track_request(head.id, begin_silence) as begin:
-                    self._mark_begun = begin
+                with (
+                    silence,
+                    self._forwarder.selector.track(replica, self._size) as progress,
+                    health.track_request(head.id, begin_silence) as begin,
+                ):
+                    self._mark_begun, self._progress = begin, progress
                     return await self._exchange(dispatch, replica)
         except TimeoutError:
             code = STALLED if self._replacement is not None else DEADLINE
@@ -553,7 +569,7 @@
                         raise AttemptError("out_of_order", ran=Ran.UNKNOWN)
                     self._last_id = event.id or self._last_id
                     data += event.data
-                self._record_event_time()
+                self._record_event_time(len(events))
                 await self._write(answer, data)
         ended_early = not answer.framed and not self._event_received
         if reader.incomplete_event or ended_early or not answer.complete:
@@ -571,8 +587,9 @@
             return False
         return await self._forwarder.exits.check(head, _do_nothing)
 
-    def _record_event_time(self) -> None:
+    def _record_event_time(self, count: int) -> None:
         now = loop_time()
+        self._progress.record_events(count, at=now)
         if not self._first_event_at:
             self._first_event_at = now
         else:
--- a/auburnproxy/heartbeats/heartbeat.py
+++ b/auburnproxy/heartbeats/heartbeat.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
 import msgspec
 
@@ -40,6 +40,10 @@
     """End offsets in the previous era of the topics whose records it carried over."""
     facts: list[Fact] = []
     """Facts that it holds: recent ones, and others in turn."""
+    prompt_load_by_host: Any = {}
+    """Tokens of its requests at each upstream, as `PromptLoad` by host. Read by
+    `read_prompt_loads`, so that an unusable figure costs no other field; daemons of
+    earlier versions, which count requests only, send none."""
 
 
 _decoder = MsgpackDecoder(Heartbeat)
--- a/auburnproxy/heartbeats/peer_group.py
+++ b/auburnproxy/heartbeats/peer_group.py
@@ -14,6 +14,7 @@
 from ..decoding import decode_json
 from ..extensible_tuple import convert_known_fields
 from ..gateway.host import Incarnation
+from ..gateway.prompt_load import read_prompt_loads
 from ..gossip import Fact
 from ..rendezvous import rank_names
 from ..store import Change, Follower, ReadProgress
@@ -90,6 +91,9 @@
         self._make_heartbeat = make_heartbeat
         self._decisions = decisions
         self._unreadable = UnreadableValues("beat_unreadable", "peer", decisions)
+        self._unreadable_tokens = UnreadableValues(
+            "beat_tokens_unreadable", "peer", decisions
+        )
         self.names_by_domain: defaultdict[str, set[str]] = defaultdict(set)
         """The registered daemons of each failure domain, including this one."""
         self._records: dict[str, DaemonRecord] = {}
@@ -206,6 +210,16 @@
         """Return the peers' requests at an upstream: in flight, and unanswered."""
         return self.aggregate.requests_at(host)
 
+    def report_age_s(self, failure_domain: str, *, told_at_once: bool) -> float:
+        """Return the mean age of what is known of requests at an upstream.
+
+        :param failure_domain: failure domain of the upstream
+        :param told_at_once: whether those who use it tell this daemon of changes soon
+        """
+        if failure_domain != self._own_record.failure_domain:
+            return self.remote_interval_s / 2
+        return SEND_DELAY_S if told_at_once else self.local_interval_s / 2
+
     def send_to_all(self) -> None:
         """Send a heartbeat to all daemons soon; for rare and urgent changes."""
         self.send_soon(self._records.keys() - {self._name})
@@ -230,7 +244,7 @@
         names, self._pending_receivers = self._pending_receivers, set()
         records = [self._records[name] for name in names if name in self._records]
         if records and self._transport is not None:
-            self._send_to(pack(self._make_heartbeat()), records)
+            self._send_to(self._make_heartbeat(), records)
 
     def registration(self, *, force: bool = False) -> Change | None:
         """Return this daemon's record to append, or None if it is registered already.
@@ -301,7 +315,7 @@
         if self._liveness[is_local].mark_heard(name, at=now):
             self._decisions.belief("dependency_regained", dependency=f"daemon/{name}")
         self._load_freshness[is_local].mark_heard(name, at=now)
-        self.aggregate.update(heartbeat, at=now)
+        self.aggregate.update(self._with_usable_tokens(heartbeat), at=now)
         if heartbeat.is_leader:
             self._active_leaders.add(name)
         else:
@@ -318,6 +332,21 @@
             self.on_facts(heartbeat.facts)
         self.on_era(heartbeat.era)
 
+    def _with_usable_tokens(self, heartbeat: Heartbeat) -> Heartbeat:
+        """Return a heartbeat without token figures that are malformed or absurd.
+
+        Where tokens are not counted, they are not read either.
+        """
+        if not self.aggregate.counts_tokens:
+            return heartbeat
+        requests = {h: load.in_flight for h, load in heartbeat.load_by_host.items()}
+        loads, error = read_prompt_loads(heartbeat.prompt_load_by_host, requests)
+        if error is not None:
+            self._unreadable_tokens.report(heartbeat.name, error)
+        else:
+            self._unreadable_tokens.clear(heartbeat.name)
+        return heartbeat._replace(prompt_load_by_host=loads)
+
     def tick(self) -> None:
         """Expire daemons and loads whose heartbeats are overdue."""
         self._tick_count += 1
@@ -347,16 +376,28 @@
 
     def send_heartbeats(self) -> None:
         """Send to the next batch of daemons, more often within the failure domain."""
-        data = pack(self._make_heartbeat())
+        heartbeat = self._make_heartbeat()
         self._send_to(
-            data, self._local_receivers.next_batch(int(LOCAL_HEARTBEATS_PER_S * TICK_S))
+            heartbeat,
+            self._local_receivers.next_batch(int(LOCAL_HEARTBEATS_PER_S * TICK_S)),
         )
         if self._tick_count % REMOTE_INTERVAL_TICKS == 0:
             batch_size = int(REMOTE_HEARTBEATS_PER_S * TICK_S * REMOTE_INTERVAL_TICKS)
-            self._send_to(data, self._remote_receivers.next_batch(batch_size))
+            self._send_to(heartbeat, self._remote_receivers.next_batch(batch_size))
 
-    def _send_to(self, data: bytes, records: Sequence[DaemonRecord]) -> None:
+    def _send_to(self, heartbeat: Heartbeat, records: Sequence[DaemonRecord]) -> None:
+        """Send a heartbeat, without tokens to other failure domains.
+
+        Traffic to them is billed; most requests at an upstream come from its own
+        failure domain, and the others are counted as usual ones.
+        """
+        own_domain = self._own_record.failure_domain
+        near_data = pack(heartbeat)
+        far_data = near_data
+        if heartbeat.prompt_load_by_host:
+            far_data = pack(heartbeat._replace(prompt_load_by_host={}))
         for record in records:
+            data = near_data if record.failure_domain == own_domain else far_data
             transport = cast(asyncio.DatagramTransport, self._transport)
             host, _, port = record.heartbeat_address.rpartition(":")
             try:
--- a/auburnproxy/heartbeats/upstream_aggregate.py
+++ b/auburnproxy/heartbeats/upstream_aggregate.py
@@ -9,6 +9,8 @@
 from collections import Counter
 from collections.abc import Set
 
+from ..gateway.health import UpstreamLoad
+from ..gateway.prompt_load import NO_PROMPTS, PromptLoad, RemotePrompts
 from .heartbeat import Heartbeat
 
 MS_PER_S = 1000
@@ -21,12 +23,15 @@
     """Aggregates the latest heartbeat of each included daemon."""
 
     def __init__(self) -> None:
+        self.counts_tokens = False
+        """Whether tokens are summed; must be set before the first heartbeat."""
         self._heartbeat_by_name: dict[str, Heartbeat] = {}
         self._in_flight: Counter[str] = Counter()
         self._unanswered: Counter[str] = Counter()
         self._suspects: Counter[str] = Counter()
         self._lost_heads: Counter[str] = Counter()
         self._heard_at_by_host: dict[str, float] = {}
+        self._prompts: dict[str, RemotePrompts] = {}
 
     @property
     def suspects(self) -> Set[str]:
@@ -42,6 +47,10 @@
         """Return the daemons' requests at an upstream: in flight, and unanswered."""
         return self._in_flight[host], self._unanswered[host]
 
+    def prompts_at(self, host: str) -> RemotePrompts:
+        """Return the daemons' requests at an upstream with their tokens."""
+        return self._prompts.get(host, NO_PROMPTS)
+
     def heard_at(self, host: str) -> float:
         """Return the loop's time at which any daemon last heard from an upstream.
 
@@ -83,11 +92,36 @@
         for host, load in heartbeat.load_by_host.items():
             _adjust(self._in_flight, host, sign * load.in_flight)
             _adjust(self._unanswered, host, sign * load.unanswered)
+            if self.counts_tokens:
+                prompts = heartbeat.prompt_load_by_host.get(host)
+                self._adjust_prompts(host, load, prompts, sign)
         for host in heartbeat.suspects:
             _adjust(self._suspects, host, sign)
         for host in heartbeat.lost_heads:
             _adjust(self._lost_heads, host, sign)
 
+    def _adjust_prompts(
+        self, host: str, load: UpstreamLoad, prompts: PromptLoad | None, sign: int
+    ) -> None:
+        unread, held = prompts or (0, 0)
+        untold = 0 if prompts else 1
+        change = (
+            load.in_flight,
+            load.unanswered,
+            unread,
+            held,
+            untold * load.in_flight,
+            untold * load.unanswered,
+        )
+        before = self._prompts.get(host, NO_PROMPTS)
+        after = RemotePrompts(
+            *(x + sign * y for x, y in zip(before, change, strict=True))
+        )
+        if after == NO_PROMPTS:
+            self._prompts.pop(host, None)
+        else:
+            self._prompts[host] = after
+
 
 def _adjust(counter: Counter[str], key: str, change: int) -> None:
     """Add to a count, and remove keys whose count becomes zero."""
--- a/features/fakes/selection.py
+++ b/features/fakes/selection.py
@@ -12,6 +12,8 @@
 from auburnproxy.gateway.health import Health
 from auburnproxy.gateway.host import ReplicaPart, ReplicaPartState
 from auburnproxy.gateway.named_limits import NamedLimits
+from auburnproxy.gateway.predicted_cost import build_scoring
+from auburnproxy.gateway.prompt_load import NO_PROMPTS
 from auburnproxy.gateway.shared_rates import SharedRates
 from auburnproxy.gateway.subsets import Subsets
 from auburnproxy.gateway.upstream_selector import UpstreamSelector
@@ -23,8 +25,9 @@
 class SelectionFixture:
     """Selects among replicas of one host each and keeps the requests in flight."""
 
-    def __init__(self, near, far, slots, cold_s=0.0):
+    def __init__(self, near, far, slots, cold_s=0.0, *, load_aware=False):
         self.remote_load = {}
+        self.remote_prompts = {}
         self.retiring_heads = set()
         """Heads of replicas that another daemon is dissolving."""
         self.heard_elsewhere = {}
@@ -58,6 +61,14 @@
         self.limits = NamedLimits(self.facts, null_decisions())
         self.live_daemons = set()
         self.backoffs = UpstreamBackoffs(null_decisions())
+        self.scoring = build_scoring(
+            self.directory,
+            self.health,
+            load_aware=load_aware,
+            remote_load=lambda h: self.remote_load.get(h, (0, 0)),
+            remote_prompts=lambda h: self.remote_prompts.get(h, NO_PROMPTS),
+            report_age_s=lambda host: 0.05 if host.id[0] == "n" else 0.5,
+        )
         self.selector = UpstreamSelector(
             self.directory,
             self.health,
@@ -71,6 +82,7 @@
             sharers=lambda domain: self.sharers,
             live_daemons=lambda: self.live_daemons,
             random=Random(1),
+            scoring=self.scoring,
         )
         self.stack = ExitStack()
         self.taken = []
--- a/features/steps/readers.py
+++ b/features/steps/readers.py
@@ -360,8 +360,9 @@
     async def make():
         follower = Follower(FakeStore(FakeTopics()), "daemons", null_decisions())
         context.follower = follower
+        heartbeat = Heartbeat("d0", False, True, True, {}, {}, [], [])
         context.peer_group = PeerGroup(
-            "d0", records["d0"], follower, lambda: None, null_decisions()
+            "d0", records["d0"], follower, lambda: heartbeat, null_decisions()
         )
         for name, record in records.items():
             value = msgspec.json.encode(record)
