--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -20,6 +20,7 @@
 from auburnproxy.gateway.health import Health, UpstreamLoad
 from auburnproxy.gateway.host import Host, ReplicaPart, ReplicaPartState
 from auburnproxy.gateway.named_limits import NamedLimits
+from auburnproxy.gateway.predicted_cost import build_scoring
 from auburnproxy.gateway.route import (
     NO_CONFIGURATION,
     EngineSpec,
@@ -55,8 +56,11 @@
     return DecisionLog("bench", descriptor=os.open(os.devnull, os.O_WRONLY))
 
 
-def make_slices(size: int) -> SimpleNamespace:
-    """Return the components of one daemon in a fleet of a given size."""
+def make_slices(size: int, *, load_aware: bool = False) -> SimpleNamespace:
+    """Return the components of one daemon in a fleet of a given size.
+
+    :param load_aware: whether replicas are scored by predicted cost
+    """
     domains = DOMAINS[size]
     heads = [f"h{n}" for n in range(max(int(size * HEADS_PER_DAEMON), 6))]
     directory = Directory(null_decisions())
@@ -106,12 +110,24 @@
         probe=probe_succeeds,
         heard_elsewhere=peer_group.aggregate.heard_at,
     )
+    peer_group.aggregate.counts_tokens = load_aware
+    subsets = Subsets("d0", lambda: peer_group.names_by_domain["fd0"])
+    scoring = build_scoring(
+        directory,
+        health,
+        load_aware=load_aware,
+        remote_load=peer_group.requests_at,
+        remote_prompts=peer_group.aggregate.prompts_at,
+        report_age_s=lambda host: peer_group.report_age_s(
+            host.failure_domain, told_at_once=subsets.contains(host.id)
+        ),
+    )
     facts = FactTable()
     selector = UpstreamSelector(
         directory,
         health,
         UpstreamBackoffs(null_decisions()),
-        Subsets("d0", lambda: peer_group.names_by_domain["fd0"]),
+        subsets,
         NamedLimits(facts, null_decisions()),
         SharedRates(facts, name="d0"),
         failure_domain="fd0",
@@ -120,6 +136,8 @@
         retiring_heads=lambda: peer_group.aggregate.lost_heads,
         sharers=lambda domain: peer_group.names_by_domain[domain],
         far_interval_s=lambda: peer_group.remote_interval_s,
+        random=Random(1),
+        scoring=scoring,
     )
     return SimpleNamespace(
         peer_group=peer_group, selector=selector, health=health, heads=heads
@@ -173,7 +191,7 @@
         site.peer_group.receive(make_heartbeat(f"d{number}", site.heads, random))
     started_s = time.process_time()
     for _ in range(REQUESTS):
-        head = site.selector.select_replica("m").head.id
+        head = site.selector.select_replica("engines", "m").head.id
         with site.health.track_request(head, lambda: None) as begin:
             begin()
             site.health.record_data(head)
