Play crowds of callers outside the limits against a daemon process

Callers that are not controlled ended a process: it ran out of memory. Nothing played them. Crowd and bounds come from the settings and are not to be changed with the product.

--- a/soak/site.py
+++ b/soak/site.py
@@ -7,7 +7,9 @@
 import signal
 import sys
 import time
+from collections.abc import Mapping
 from pathlib import Path
+from types import MappingProxyType
 from typing import NamedTuple
 
 import yaml
@@ -44,9 +46,17 @@
     :param zone: failure domain of the daemon
     :param store: address of the store's proxy
     :param folder: folder of its settings and log
+    :param limits: what the platform grants the process, empty for the defaults
     """
 
-    def __init__(self, number: int, zone: str, store: str, folder: Path) -> None:
+    def __init__(
+        self,
+        number: int,
+        zone: str,
+        store: str,
+        folder: Path,
+        limits: Mapping[str, float] = MappingProxyType({}),
+    ) -> None:
         self.name = f"d{number}"
         self.callers = _address(number)
         self._ip = self.callers.rpartition(":")[0]
@@ -77,12 +87,24 @@
                 "budget-window-s": 10,
                 "grace-s": GRACE_S,
             },
+            "limits": dict(limits),
         }
         self._settings.write_text(yaml.safe_dump(settings))
         self._process: asyncio.subprocess.Process | None = None
         self._starting = asyncio.Lock()
         self._stopping = False
 
+    @property
+    def pid(self) -> int:
+        """Return the id of the process that was started last."""
+        assert self._process is not None
+        return self._process.pid
+
+    @property
+    def exit_code(self) -> int | None:
+        """Return the exit code of the process, None while it runs."""
+        return None if self._process is None else self._process.returncode
+
     @property
     def runs(self) -> bool:
         """Return whether the process is running."""
