Buffer less of an upstream's response that nobody reads yet

A stream whose caller reads slowly was buffered up to 512 kB by the HTTP library, for each stream, and by the kernel as much as it grants. The library now pauses at 64 kB, and the kernel's receive buffer is 64 kB.

--- a/auburnproxy/upstreams/client.py
+++ b/auburnproxy/upstreams/client.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+import socket
 from collections.abc import Iterator
 from contextlib import contextmanager
 from functools import partial
 from typing import cast
 
 from aiohttp import (
+    AddrInfoType,
     ClientConnectorError,
     ClientError,
     ClientHandlerType,
@@ -33,6 +35,12 @@
 CONTROL_TIMEOUT_S = 2.0
 MAX_RESPONSE_BYTES = 4_194_304
 """Maximum length of a response body; equal to the limit of a caller's request body."""
+READ_BUFFER_BYTES = 32_768
+"""Bytes of a response that are buffered before its reading is paused, half as many as
+the HTTP library then holds at most."""
+SOCKET_BUFFER_BYTES = 65_536
+"""Bytes of a response that the kernel buffers: what it holds counts as memory of the
+host."""
 MAX_QUEUED_HEADS = 8
 """Maximum number of queued response heads: interim responses and the final one."""
 CONTROL_TIMEOUT = ClientTimeout(total=CONTROL_TIMEOUT_S, sock_connect=CONNECT_TIMEOUT_S)
@@ -127,11 +135,23 @@
         return self._tracked is not None and self._tracked.reset is False
 
 
+def _open_socket(address: AddrInfoType) -> socket.socket:
+    """Return a socket for a connection to an address."""
+    family, kind, protocol, _, _ = address
+    opened = socket.socket(family, kind, protocol)
+    opened.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SOCKET_BUFFER_BYTES)
+    return opened
+
+
 class TrackedConnector(TCPConnector):
     """Opens connections that record how they ended."""
 
     def __init__(self, *, reuse_connections: bool) -> None:
-        super().__init__(limit=0, force_close=not reuse_connections)
+        super().__init__(
+            limit=0,
+            force_close=not reuse_connections,
+            socket_factory=_open_socket,
+        )
         # aiohttp has no public API to choose the class of a connection.
         self._factory = cast(
             partial[ResponseHandler], partial(TrackedConnection, loop=self._loop)
@@ -154,6 +174,7 @@
         auto_decompress=False,
         timeout=timeout,
         response_class=TrackedResponse,
+        read_bufsize=READ_BUFFER_BYTES,
     )
 
 
