Bound what the connections of callers hold, one by one and together

BodyMemory bounded what handlers held, and not what parser, reader and transport buffer for each connection. A body that stopped short kept its part from ordinary callers, a refusal kept its body in a reference cycle, an idle connection kept its last answer, and bodies in chunks of one byte took the event loop.

Heads are counted while they are read, connections follow max-fds, a declared body takes its room before it is read, stalled bodies and unread answers make room for others, a quarter of the memory is kept for small bodies, and one body of chunks is parsed at a time. The kernel's buffers are 64 kB. A request whose body is not read to its end is refused with Connection: close, and the rest is dropped unparsed.

--- a/auburnproxy/bounded_body.py
+++ b/auburnproxy/bounded_body.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Awaitable, Callable
+
 from aiohttp import ClientError, ClientResponse
 
 
@@ -18,7 +20,12 @@
         self.max_bytes = max_bytes
 
 
-async def read_body(response: ClientResponse, *, max_bytes: int) -> bytes:
+async def read_body(
+    response: ClientResponse,
+    *,
+    max_bytes: int,
+    make_room: Callable[[int], Awaitable[None]] | None = None,
+) -> bytes:
     """Return the complete body of a response.
 
     Leaving the context of the response before the end of the body closes its
@@ -26,16 +33,23 @@
 
     :param response: the response, with an unread body
     :param max_bytes: longest body that is accepted
+    :param make_room: waits until a number of further bytes may be held
     :raises BodyTooLongError: if it is longer; before reading, if Content-Length says so
     :raises ClientError: if the body breaks off
     """
-    if (response.content_length or 0) > max_bytes:
+    declared_bytes = response.content_length or 0
+    if declared_bytes > max_bytes:
         raise BodyTooLongError(max_bytes)
-    blocks: list[bytes] = []
-    remaining_bytes = max_bytes
+    if make_room is not None and declared_bytes:
+        await make_room(declared_bytes)
+    first, more = b"", bytearray()
     while block := await response.content.readany():
-        remaining_bytes -= len(block)
-        if remaining_bytes < 0:
+        if len(first) + len(more) + len(block) > max_bytes:
             raise BodyTooLongError(max_bytes)
-        blocks.append(block)
-    return b"".join(blocks)
+        if make_room is not None and not declared_bytes:
+            await make_room(len(block))
+        if first:
+            more += block
+        else:
+            first = block
+    return first + more if more else first
--- a/auburnproxy/daemon/deployment.py
+++ b/auburnproxy/daemon/deployment.py
@@ -48,6 +48,11 @@
     load_aware: bool = False
     """Whether upstreams are a large pool that daemons share: placement then follows
     demand, and upstreams are selected by predicted times and shared outcomes."""
+    connections: int = 2048
+    """Maximum number of open connections of callers."""
+    unread_bytes: int = 25_000_000
+    """Maximum size of all answers together that are held whole, or that callers have
+    not taken."""
     ignored: tuple[str, ...] = ()
     """Findings on settings in place of which defaults are used."""
 
--- a/auburnproxy/daemon/gateway_daemon.py
+++ b/auburnproxy/daemon/gateway_daemon.py
@@ -22,6 +22,7 @@
 from ..gateway.backoffs import UpstreamBackoffs
 from ..gateway.body_memory import BodyMemory
 from ..gateway.call import CONNECT_TIMEOUT_S
+from ..gateway.caller_connections import CallerConnections, ConnectionLimits
 from ..gateway.directory import Directory
 from ..gateway.frontend import HttpFrontend
 from ..gateway.header_codec import HeaderCodec
@@ -50,7 +51,7 @@
     PeerClient,
     PeerSync,
 )
-from ..telemetry import Gauge, GaugeReading, Telemetry
+from ..telemetry import Counter, Gauge, GaugeReading, Telemetry
 from ..telemetry.decisions import DecisionLog, open_decision_log
 from ..upstreams.client import open_session
 from .deployment import Deployment, DomainMark
@@ -153,6 +154,7 @@
         self.telemetry.gauges += [
             self._readings,
             self.frontend.readings,
+            self.connections.readings,
             self.quarantine.readings,
             self.limits.readings,
             self.replica_controller.metrics.readings,
@@ -358,6 +360,8 @@
             answer_bytes=settings.answer_bytes,
         )
         window_s = settings.allowance.window_s
+        limits = ConnectionLimits(settings.connections, settings.unread_bytes)
+        self.connections = CallerConnections(limits, self._record_closed_caller)
         self.frontend = HttpFrontend(
             self.directory,
             header_codec,
@@ -365,6 +369,7 @@
             streams,
             allowance=settings.allowance,
             body_memory=BodyMemory(settings.body_bytes),
+            answer_memory=BodyMemory(settings.unread_bytes, self._reclaim_answers),
             daemons=lambda: (
                 self.peer_group.daemon_count if self._daemon_records.complete else 0
             ),
@@ -375,6 +380,13 @@
             telemetry=self.telemetry,
         )
 
+    def _record_closed_caller(self, reason: str) -> None:
+        self.decisions.belief("caller_closed", reason=reason)
+        self.telemetry.count(Counter.CLOSED_CALLERS, "", "", reason)
+
+    def _reclaim_answers(self, size: int) -> None:
+        self.connections.reclaim(max(self.connections.unread_bytes - size, 0))
+
     def _readings(self) -> Iterator[GaugeReading]:
         yield GaugeReading(Gauge.DAEMONS, len(self.peer_group.live_peers))
         yield GaugeReading(Gauge.STORE_ERA, self._store.era.number)
--- a/auburnproxy/daemon/gateway_services.py
+++ b/auburnproxy/daemon/gateway_services.py
@@ -4,6 +4,7 @@
 
 from typing import Any
 
+from ..gateway.route import RequestLimits
 from .gateway_daemon import CONNECTION_CLOSE_S, GatewayDaemon
 from .listener import DaemonService, Listener
 
@@ -17,8 +18,16 @@
         close_s=CONNECTION_CLOSE_S,
         # Upstreams get the bytes that were sent, with the header that describes them.
         decompress=False,
+        connections=daemon.connections,
     )
-    daemon.on_limits = lambda limits: listener.set_idle_timeout(limits.idle_s)
+
+    def apply_limits(limits: RequestLimits) -> None:
+        listener.set_idle_timeout(limits.idle_s)
+        daemon.connections.set_request_limits(
+            header_bytes=limits.header_bytes, idle_s=limits.idle_s
+        )
+
+    daemon.on_limits = apply_limits
     daemon.accepts_callers = lambda: listener.listening
     return listener
 
--- a/auburnproxy/daemon/listener.py
+++ b/auburnproxy/daemon/listener.py
@@ -14,6 +14,7 @@
 
 from ..binding import bind_when_free
 from ..clock import loop_time
+from ..gateway.caller_connections import CallerConnections, ConnectionLimits
 from ..stop_budget import StopBudget
 from .stop_signals import StopRequest
 
@@ -29,6 +30,11 @@
 """Seconds after which a connection without a complete request head is closed."""
 MAX_LINE_BYTES = 65_536
 """Maximum line length in a request head; the applications limit whole heads."""
+READ_BUFFER_BYTES = 16_384
+"""Bytes of a body that are buffered before its reading is paused."""
+SOCKET_BUFFER_BYTES = 65_536
+"""Bytes that the kernel buffers for a connection, in each direction: what it holds
+counts as memory of the host."""
 
 
 class DrainingDaemon(Protocol):
@@ -100,6 +106,36 @@
         """
 
 
+class _BoundedSite(web.SockSite):
+    """Accepts connections and bounds what they hold.
+
+    :param runner: runs the application
+    :param listening: the listening socket
+    :param connections: all connections
+    """
+
+    __slots__ = ("_connections",)
+
+    def __init__(
+        self,
+        runner: web.BaseRunner,
+        listening: socket.socket,
+        connections: CallerConnections,
+    ) -> None:
+        super().__init__(runner, listening, backlog=LISTEN_BACKLOG)
+        self._connections = connections
+
+    async def start(self) -> None:
+        """Accept connections."""
+        await web.BaseSite.start(self)
+        assert self._runner.server is not None
+        self._server = await asyncio.get_running_loop().create_server(
+            self._connections.protocol(self._runner.server),
+            sock=self._sock,
+            backlog=self._backlog,
+        )
+
+
 class DaemonService(Service):
     """Runs the components of a daemon.
 
@@ -128,6 +164,7 @@
     :param idle_s: seconds that a connection may take to send a request head
     :param close_s: seconds that connections may take to close at a shutdown
     :param decompress: whether the application gets bodies without their encoding
+    :param connections: bounds of all connections, None for the ordinary ones
     """
 
     def __init__(
@@ -139,6 +176,7 @@
         idle_s: float = IDLE_TIMEOUT_S,
         close_s: float = CONNECTION_CLOSE_S,
         decompress: bool = True,
+        connections: CallerConnections | None = None,
     ) -> None:
         super().__init__(
             # Replaced by a bound one in start, which waits for the address.
@@ -151,6 +189,7 @@
                 "keepalive_timeout": idle_s,
                 "max_line_size": MAX_LINE_BYTES,
                 "max_field_size": MAX_LINE_BYTES,
+                "read_bufsize": READ_BUFFER_BYTES,
             },
         )
         self.listening = False
@@ -159,11 +198,18 @@
         self._application = application
         self._daemon = daemon
         self._close_s = close_s
+        self._connections = connections or CallerConnections(
+            ConnectionLimits(), lambda reason: None
+        )
 
     async def create_application(self) -> web.Application:
         """Return the application to serve."""
         return self._application
 
+    async def create_site(self) -> web.SockSite:
+        """Return the site that accepts connections."""
+        return _BoundedSite(self.runner, self.socket, self._connections)
+
     async def start(self) -> None:
         """Accept connections, once the address is free."""
         unbound = self.socket
@@ -182,6 +228,8 @@
         host, _, port = self._address.rpartition(":")
         bound = bind_socket(address=host.strip("[]"), port=int(port))
         try:
+            for option in (socket.SO_RCVBUF, socket.SO_SNDBUF):
+                bound.setsockopt(socket.SOL_SOCKET, option, SOCKET_BUFFER_BYTES)
             bound.listen(LISTEN_BACKLOG)
         except OSError:
             bound.close()
--- a/auburnproxy/gateway/call.py
+++ b/auburnproxy/gateway/call.py
@@ -10,11 +10,14 @@
 from ..clock import loop_time
 from ..errors import AuburnError, Ran
 from ..in_flight import InFlightRequest
+from .body_memory import HeldBody
 from .header_codec import RequestInfo
 from .route import Route
 
 IN_FLIGHT = web.RequestKey("in_flight", InFlightRequest)
 """Key of how far a request has got, in the HTTP library's request."""
+HELD_ANSWER = web.RequestKey("held_answer", HeldBody)
+"""Key of the memory that a request's answer takes."""
 CONNECT_TIMEOUT_S = 0.25
 """Forty round trips between failure domains; an upstream that takes longer to accept is
 down or unreachable."""
@@ -33,7 +36,7 @@
     service: str
     account: str
     urgency: int
-    body: bytes
+    body: bytes | bytearray
     arrived_at: float
     """The loop's time in seconds at which it was received."""
     deadline: float
@@ -49,6 +52,11 @@
         """Return how far this request has got."""
         return self.http[IN_FLIGHT]
 
+    @property
+    def held_answer(self) -> HeldBody:
+        """Return the memory that the answer takes."""
+        return self.http[HELD_ANSWER]
+
     @property
     def remaining_s(self) -> float:
         """Return the seconds until the deadline."""
--- a/auburnproxy/gateway/frontend.py
+++ b/auburnproxy/gateway/frontend.py
@@ -16,7 +16,8 @@
 from ..telemetry import Counter, Gauge, GaugeReading, Measure, Telemetry
 from ..telemetry.decisions import DecisionLog
 from .body_memory import BodyMemory, HeldBody
-from .call import IN_FLIGHT, Call
+from .body_reader import BodyReader
+from .call import HELD_ANSWER, IN_FLIGHT, Call
 from .directory import Directory
 from .header_codec import HeaderCodec, RequestInfo
 from .plain_forwarder import PlainForwarder
@@ -50,6 +51,7 @@
     :param streams: forwards requests of streamed routes
     :param allowance: retry budget of all daemons together
     :param body_memory: memory for the bodies of all requests
+    :param answer_memory: memory for the answers that are held whole
     :param daemons: returns how many daemons share that budget
     :param full_slack_at: the loop's time from which the full slack of the budget may be
         used
@@ -67,6 +69,7 @@
         *,
         allowance: RetryAllowance,
         body_memory: BodyMemory,
+        answer_memory: BodyMemory,
         daemons: Callable[[], int],
         full_slack_at: float = 0.0,
         informed: Callable[[], bool] = lambda: True,
@@ -85,6 +88,8 @@
         self._plain = plain
         self._streams = streams
         self._body_memory = body_memory
+        self._answer_memory = answer_memory
+        self._body_reader = BodyReader()
         self._informed = informed
         self._hold_until = loop_time() + START_HOLD_S
         self._decisions = decisions
@@ -118,6 +123,7 @@
         with (
             self.requests.track(info.request_id) as request,
             self._body_memory.hold() as held,
+            self._answer_memory.hold() as http[HELD_ANSWER],
         ):
             http[IN_FLIGHT] = request
             request.transport = http.transport
@@ -172,7 +178,8 @@
         self, http: web.Request, response: web.StreamResponse, request: InFlightRequest
     ) -> None:
         """Write a response until the kernel has taken all of it."""
-        if self.draining and not response.prepared:
+        unread = not http.content.is_eof()
+        if (self.draining or unread) and not response.prepared:
             response.force_close()
         request.phase = Phase.CALLER
         request.begin_answer()
@@ -259,7 +266,11 @@
         :raises RefusalError: if it cannot be routed or authenticated
         """
         arrived_at = request.arrived_at
-        body = await self._read_body(http, held)
+        deadline = math.inf
+        if info.deadline_s is not None:
+            deadline = arrived_at + info.deadline_s
+        limits = self._directory.configuration.limits
+        body = await self._body_reader.read(http, held, limits, deadline=deadline)
         if loop_time() >= self.refuse_at:
             raise _draining_refusal()
         request.phase = Phase.CONFIGURATION
@@ -313,25 +324,6 @@
         while not self._informed() and loop_time() < until:
             await self._directory.changed.wait(START_POLL_S)
 
-    async def _read_body(self, http: web.Request, held: HeldBody) -> bytes:
-        """Return a request's body.
-
-        :param held: the memory that it takes
-        :raises RefusalError: if the headers or the body exceed the limits
-        """
-        limits = self._directory.configuration.limits
-        if sum(len(k) + len(v) for k, v in http.raw_headers) > limits.header_bytes:
-            message = "The head is too long."
-            raise RefusalError("head_too_long", message, status=431)
-        blocks = []
-        while block := await http.content.readany():
-            if held.size + len(block) > limits.body_bytes:
-                message = "The body is too long."
-                raise RefusalError("body_too_long", message, status=413)
-            held.grow(len(block))
-            blocks.append(block)
-        return b"".join(blocks)
-
     def _refusal_response(
         self, info: RequestInfo, refusal: RefusalError, arrived_at: float
     ) -> web.StreamResponse:
--- a/auburnproxy/gateway/plain_forwarder.py
+++ b/auburnproxy/gateway/plain_forwarder.py
@@ -156,12 +156,17 @@
 
     async def _exchange(self, call: Call, dispatch: Dispatch) -> web.Response:
         host = dispatch.host
+        call.held_answer.release()
         answer, info = await self._sender.send(call, dispatch)
         async with answer:
             self._health.record_data(host.id)
             check_response(call, info)
             try:
-                body = await read_body(answer, max_bytes=self._answer_bytes)
+                body = await read_body(
+                    answer,
+                    max_bytes=self._answer_bytes,
+                    make_room=call.held_answer.grow_when_free,
+                )
             except (ClientError, OSError) as error:
                 raise AttemptError("broken", ran=Ran.UNKNOWN) from error
             if not answer.complete:
--- a/auburnproxy/gateway/stream_forwarder.py
+++ b/auburnproxy/gateway/stream_forwarder.py
@@ -609,7 +609,11 @@
         if self._response is not None:
             raise AttemptError(f"answered_{answer.status}", ran=Ran.UNKNOWN)
         try:
-            body = await read_body(answer, max_bytes=self._forwarder.answer_bytes)
+            body = await read_body(
+                answer,
+                max_bytes=self._forwarder.answer_bytes,
+                make_room=self._call.held_answer.grow_when_free,
+            )
         except (ClientError, OSError) as error:
             raise AttemptError(BROKEN, ran=Ran.UNKNOWN) from error
         return web.Response(
--- a/auburnproxy/platform/settings.py
+++ b/auburnproxy/platform/settings.py
@@ -29,6 +29,16 @@
 BODY_MEMORY_FRACTION = 1 / 6
 """Part of the host's memory for the bodies of all requests in flight. Each body is held
 up to three times: in blocks, joined, and while it is sent."""
+UNREAD_MEMORY_FRACTION = 1 / 8
+"""Part of the host's memory for answers that are held whole, or not taken."""
+DEFAULT_MAX_FDS = 4096
+RESERVED_FDS = 200
+"""Descriptors that are not for sockets."""
+OWN_SOCKETS = 50
+"""Sockets that a daemon has open beside those of requests."""
+SOCKETS_PER_REQUEST = 2
+"""One to the caller and one to the upstream."""
+MIN_CONNECTIONS = 16
 
 _TEXT = {"type": "string", "minLength": 1}
 _PORT = {"type": "integer", "minimum": 1, "maximum": MAX_PORT}
@@ -76,7 +86,12 @@
             required=False,
         ),
         "limits": _object(
-            {"memory-mb": _POSITIVE, "cpu-share": _POSITIVE, "cores": _POSITIVE},
+            {
+                "memory-mb": _POSITIVE,
+                "cpu-share": _POSITIVE,
+                "cores": _POSITIVE,
+                "max-fds": _POSITIVE,
+            },
             required=False,
         ),
     },
@@ -119,11 +134,22 @@
         apply_s=bounds.get("config-apply-ms", 2000) / MS_PER_S,
         answer_bytes=int(memory_mb * BYTES_PER_MB * RESPONSE_MEMORY_FRACTION),
         body_bytes=int(memory_mb * BYTES_PER_MB * BODY_MEMORY_FRACTION),
+        unread_bytes=int(memory_mb * BYTES_PER_MB * UNREAD_MEMORY_FRACTION),
+        connections=_max_connections(limits.get("max-fds", DEFAULT_MAX_FDS)),
         load_aware=POOL_CONTRACT in value.get("contracts", ()),
         ignored=ignored,
     )
 
 
+def _max_connections(max_fds: float) -> int:
+    """Return how many connections callers may have open.
+
+    :param max_fds: maximum number of open descriptors of the process
+    """
+    sockets = int(max_fds) - RESERVED_FDS - OWN_SOCKETS
+    return max(sockets // SOCKETS_PER_REQUEST, MIN_CONNECTIONS)
+
+
 def _without_unusable(document: Document) -> tuple[Any, tuple[str, ...]]:
     """Return the settings without optional values that cannot be used.
 
--- a/auburnproxy/telemetry/measure.py
+++ b/auburnproxy/telemetry/measure.py
@@ -37,6 +37,8 @@
     """Calls forwarded to another daemon."""
     RETRY_DENIED = "retry_denied"
     """Retries that the retry budget did not allow, by failure of the last attempt."""
+    CLOSED_CALLERS = "closed_callers"
+    """Connections of callers that were closed for a limit, by limit."""
     STORE_CALL = "store_call"
     """Calls to the store, by topic; the code is the operation and its outcome."""
 
@@ -71,5 +73,9 @@
     """Facts of other daemons that were dropped since the start, as too many."""
     IN_FLIGHT = "in_flight"
     """Callers' requests in progress."""
+    CONNECTIONS = "connections"
+    """Open connections of callers."""
+    UNREAD_BYTES = "unread_bytes"
+    """Bytes of answers that callers have not taken."""
     RETRIES_LEFT = "retries_left"
     """Retries that the retry budget currently allows, by service."""
--- a/emulator/in_memory_request.py
+++ b/emulator/in_memory_request.py
@@ -15,9 +15,13 @@
 from multidict import CIMultiDict, CIMultiDictProxy
 from yarl import URL
 
-from auburnproxy.gateway.call import IN_FLIGHT
+from auburnproxy.gateway.body_memory import BodyMemory, HeldBody
+from auburnproxy.gateway.call import HELD_ANSWER, IN_FLIGHT
 from auburnproxy.in_flight import InFlightRequest
 
+ANSWER_BYTES = 1_000_000_000
+"""Memory for each answer, more than any takes."""
+
 
 class CallerWriter(AbstractStreamWriter):
     """Stream writer that passes the response body to a callback.
@@ -84,4 +88,5 @@
         client_max_size=4_194_304,
     )
     request[IN_FLIGHT] = InFlightRequest()
+    request[HELD_ANSWER] = HeldBody(BodyMemory(ANSWER_BYTES))
     return request
