--- a/auburnproxy/gateway/backoffs.py
+++ b/auburnproxy/gateway/backoffs.py
@@ -6,9 +6,8 @@
 
 from __future__ import annotations
 
-import math
-
 from ..clock import loop_time
+from ..retry_after import parse_retry_after
 from ..telemetry.decisions import DecisionLog
 from .host import Incarnation
 
@@ -32,7 +31,7 @@
         :param incarnation: the process that requested it
         :param text: seconds as written; an invalid value is only logged
         """
-        asked_s = _parse_seconds(text)
+        asked_s = parse_retry_after(text)
         if asked_s is None:
             self._decisions.belief(
                 "rest_unreadable", upstream=incarnation[0], asked=text[:40]
@@ -60,11 +59,3 @@
         ]
         for incarnation in ended:
             del self._backoff_until[incarnation]
-
-
-def _parse_seconds(text: str) -> float | None:
-    try:
-        seconds = float(text)
-    except ValueError:
-        return None
-    return seconds if math.isfinite(seconds) and seconds >= 0 else None
--- a/auburnproxy/platform/store.py
+++ b/auburnproxy/platform/store.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import base64
-import math
 from collections.abc import Iterator, Mapping, Sequence
 from typing import Any
 
@@ -12,6 +11,7 @@
 from ..decoding import decode_json
 from ..errors import AppendUncertainError, PlatformError
 from ..external.client import Client, LostResponseError, Response
+from ..retry_after import parse_retry_after
 from ..store import (
     BusyError,
     Change,
@@ -172,22 +172,13 @@
 def _require_ok(response: Response) -> bytes:
     if response.status in HTTP_BUSY:
         raise BusyError(
-            response.status, _parse_seconds(response.headers.get("Retry-After", ""))
+            response.status, parse_retry_after(response.headers.get("Retry-After", ""))
         )
     if response.status != HTTP_OK:
         raise PlatformError(f"the store returned status {response.status}")
     return response.body
 
 
-def _parse_seconds(text: str) -> float | None:
-    """Return the seconds of a Retry-After, None if it is missing or unreadable."""
-    try:
-        seconds = float(text)
-    except ValueError:
-        return None
-    return seconds if math.isfinite(seconds) and seconds >= 0 else None
-
-
 def _decode(body: bytes, struct_type: type[Any]) -> Any:
     return decode_json(body, struct_type)
 
