Take turns at a trial in one place

Distrusted upstreams and blocked prompt parts order the daemons that may try them by the same rule, which stood twice. Behaviour is unchanged: with 2^16 daemons or more the bound of doublings would have differed.

--- a/auburnproxy/gateway/outcomes.py
+++ b/auburnproxy/gateway/outcomes.py
@@ -21,9 +21,9 @@
 
 from ..clock import loop_time
 from ..gossip import FactKind, FactTable, HeldFact
-from ..rendezvous import rank_names
 from ..telemetry import Gauge, GaugeReading
 from ..telemetry.decisions import DecisionLog
+from ..trial_turns import is_turn
 from .directory import Directory
 from .host import Host
 from .outcome_record import FAILURE_WEIGHTS, Outcome, OutcomeRecords
@@ -63,8 +63,6 @@
 """Time within which a trial shows something; then another request may be tried."""
 TRIAL_TURN_S = 0.15
 """Time after which the number of daemons that may start a trial doubles."""
-MAX_TURNS = 16
-"""Doublings after which all daemons of a failure domain may start one."""
 ONCE_AFTER_S = 2.0
 """Time for which first trials are left to requests that may be repeated."""
 LEVELS_S = 0.1
@@ -300,10 +298,13 @@
         trial = _trial_name(verdict)
         if overdue_s < 0 or self._facts.get(FactKind.PROBATION, process, origin=trial):
             return False
-        turns = int(overdue_s / TRIAL_TURN_S)
-        daemons = self._daemons(host.failure_domain)
-        ranked = rank_names(f"trial {process} {trial}", daemons)
-        return not ranked or self._name in ranked[: 1 << min(turns, MAX_TURNS)]
+        return is_turn(
+            self._name,
+            f"trial {process} {trial}",
+            self._daemons(host.failure_domain),
+            overdue_s=overdue_s,
+            turn_s=TRIAL_TURN_S,
+        )
 
     def _current_levels(self) -> Mapping[str, _Level]:
         now = loop_time()
--- a/auburnproxy/quarantine/part_quarantine.py
+++ b/auburnproxy/quarantine/part_quarantine.py
@@ -19,9 +19,9 @@
 from ..clock import loop_time
 from ..errors import RefusalError
 from ..gossip import FactKind, FactTable, HeldFact
-from ..rendezvous import rank_names
 from ..telemetry import Gauge, GaugeReading
 from ..telemetry.decisions import DecisionLog
+from ..trial_turns import is_turn
 from .answered_parts import AnsweredParts
 from .crash_evidence import CrashEvidence, collect_evidence, crash_origin, request_name
 
@@ -277,10 +277,12 @@
         trial = self._facts.get(FactKind.TRIAL, part)
         if trial is not None:
             return max(trial.ends_at - loop_time(), TRIAL_TURN_S)
-        ranked = rank_names(f"trial {part}", {self._name, *self._daemons()})
-        turns = int(overdue_s / TRIAL_TURN_S)
-        may_try = (
-            turns >= len(ranked).bit_length() or self._name in ranked[: 1 << turns]
+        may_try = is_turn(
+            self._name,
+            f"trial {part}",
+            {self._name, *self._daemons()},
+            overdue_s=overdue_s,
+            turn_s=TRIAL_TURN_S,
         )
         return 0.0 if may_try else TRIAL_TURN_S
 
