Compute what a replica bears from the times of the cost model

The layout read the published engine times a second time. It now uses those of the choice by cost, which also know the time for pairs of prompt tokens. Engines that publish no step or no rate of prompts count with their slots, as they do in the choice; a factor on all times that nothing passed is gone.

--- a/auburnproxy/formation/capacity.py
+++ b/auburnproxy/formation/capacity.py
@@ -10,6 +10,7 @@
 from collections.abc import Iterable
 from typing import NamedTuple
 
+from ..gateway.cost_model import EngineTimes, engine_times, read_s
 from ..gateway.route import EngineSpec, ModelSpec
 
 
@@ -20,58 +21,45 @@
     pause_s: float
 
 
-def first_event_s(
-    engine: EngineSpec, model: ModelSpec, running: int, *, slowdown: float = 1.0
-) -> float:
+def first_event_s(times: EngineTimes, running: int) -> float:
     """Return the time to the first event for the last of some running requests.
 
-    :param engine: the published times
-    :param model: the replica's model
+    :param times: times of the replica
     :param running: requests at the replica, with the new one
-    :param slowdown: factor on all times
     """
-    scale = model.pace * slowdown
-    events_s = scale * engine.tokens_per_event * _step_s(engine, running)
-    prompt_s = scale * _prompt_s(engine)
-    return pause_s(engine, model, running, slowdown=slowdown) + prompt_s + events_s
+    prompt_s = read_s(times, times.usual_prompt_tokens)
+    return pause_s(times, running) + prompt_s + _pass_s(times, running)
 
 
-def pause_s(
-    engine: EngineSpec, model: ModelSpec, running: int, *, slowdown: float = 1.0
-) -> float:
+def pause_s(times: EngineTimes, running: int) -> float:
     """Return the time between two events of a stream, in which prompts are read.
 
-    :param engine: the published times
-    :param model: the replica's model
+    :param times: times of the replica
     :param running: requests at the replica
-    :param slowdown: factor on all times
     """
-    events_s = engine.tokens_per_event * _step_s(engine, running)
-    events = max(engine.usual_answer_tokens / max(engine.tokens_per_event, 1), 1.0)
+    events = max(times.usual_answer_tokens / times.tokens_per_pass, 1.0)
     # Each request that ends is followed by another one, whose prompt is read.
-    return model.pace * slowdown * (events_s + _prompt_s(engine) * running / events)
+    prompts_s = read_s(times, times.usual_prompt_tokens) * running / events
+    return _pass_s(times, running) + prompts_s
 
 
 def bearable_requests(
-    engine: EngineSpec,
-    model: ModelSpec,
-    objective: StreamObjective,
-    *,
-    slowdown: float = 1.0,
+    engine: EngineSpec, model: ModelSpec, objective: StreamObjective
 ) -> int:
     """Return how many requests a replica can run at once within an objective.
 
     :param engine: slots and published times
     :param model: the replica's model
     :param objective: what callers expect
-    :param slowdown: factor on all times
-    :return: at most the slots; 0 if even a single request would be late
+    :return: at most the slots, which count where no times are published; 0 if even a
+        single request would be late
     """
+    times = engine_times(engine, model.pace, engine.slots)
+    if times is None:
+        return engine.slots
     for running in range(engine.slots, 0, -1):
-        first = first_event_s(engine, model, running, slowdown=slowdown)
-        pause = pause_s(engine, model, running, slowdown=slowdown)
-        if _within(first, objective.first_event_s) and _within(
-            pause, objective.pause_s
+        if _within(first_event_s(times, running), objective.first_event_s) and _within(
+            pause_s(times, running), objective.pause_s
         ):
             return running
     return 0
@@ -96,14 +84,8 @@
     return min((count for count in found if count), default=0)
 
 
-def _step_s(engine: EngineSpec, running: int) -> float:
-    return engine.step_s + running * engine.step_per_request_s
-
-
-def _prompt_s(engine: EngineSpec) -> float:
-    if engine.prompt_tokens_per_s <= 0:
-        return 0.0
-    return engine.usual_prompt_tokens / engine.prompt_tokens_per_s
+def _pass_s(times: EngineTimes, running: int) -> float:
+    return times.pass_s + running * times.pass_s_per_stream
 
 
 def _within(time_s: float, objective_s: float) -> bool:
--- a/auburnproxy/gateway/cost_model.py
+++ b/auburnproxy/gateway/cost_model.py
@@ -25,6 +25,8 @@
 
     pass_s: float
     """Time of a pass that writes for no stream."""
+    tokens_per_pass: float
+    """Tokens that a pass writes for each stream."""
     pass_s_per_stream: float
     """Time that each stream adds to a pass."""
     pass_s_per_held_token: float
@@ -101,6 +103,7 @@
     answer_tokens = max(engine.usual_answer_tokens, 1.0)
     times = EngineTimes(
         pass_s=pass_s,
+        tokens_per_pass=steps,
         pass_s_per_stream=pass_s_per_stream,
         pass_s_per_held_token=factor * steps * engine.step_s_per_held_token,
         read_s_per_token=factor / engine.prompt_tokens_per_s,
