Play the parts of a shared pool in the soak

No daemon of the soak named the contract pool, so that choice by cost, shared outcomes and the observation of demand were off in it. Two of four seeds name it now, with faults and with planned work.

--- a/soak/main.py
+++ b/soak/main.py
@@ -398,7 +398,9 @@
     seed: int, seconds: float, daemons: int, folder: Path, plan: Plan = Plan.ALTERNATE
 ) -> list[str]:
     """Run one seed and return the guarantees that were violated."""
-    site = SoakSite(folder, daemons=daemons)
+    # Two seeds of four, so that both kinds of faults are played with and without it.
+    contracts = ("pool",) if seed % 4 >= 2 else ()
+    site = SoakSite(folder, daemons=daemons, contracts=contracts)
     planned = plan is Plan.PLANNED or (plan is Plan.ALTERNATE and seed % 2 == 0)
     site.platform.store.era = "1"
     try:
@@ -422,6 +424,8 @@
         await site.stop()
     outcomes = ", ".join(f"{k}: {n}" for k, n in sorted(callers.outcomes.items()))
     kind = "planned work" if planned else "faults"
+    if contracts:
+        kind += " in a shared pool"
     print(f"seed {seed}: {len(faults.injected)} x {kind}; {outcomes}")
     for violation in callers.violations:
         print(f"  broken: {violation}")
--- a/soak/site.py
+++ b/soak/site.py
@@ -7,7 +7,7 @@
 import signal
 import sys
 import time
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 from pathlib import Path
 from types import MappingProxyType
 from typing import NamedTuple
@@ -47,6 +47,7 @@
     :param store: address of the store's proxy
     :param folder: folder of its settings and log
     :param limits: what the platform grants the process, empty for the defaults
+    :param contracts: contracts of the deployment
     """
 
     def __init__(
@@ -56,6 +57,7 @@
         store: str,
         folder: Path,
         limits: Mapping[str, float] = MappingProxyType({}),
+        contracts: Sequence[str] = (),
     ) -> None:
         self.name = f"d{number}"
         self.callers = _address(number)
@@ -88,6 +90,7 @@
                 "grace-s": GRACE_S,
             },
             "limits": dict(limits),
+            "contracts": list(contracts),
         }
         self._settings.write_text(yaml.safe_dump(settings))
         self._process: asyncio.subprocess.Process | None = None
@@ -177,9 +180,12 @@
 
     :param folder: folder of settings and logs
     :param daemons: number of daemons
+    :param contracts: contracts of the deployment
     """
 
-    def __init__(self, folder: Path, *, daemons: int) -> None:
+    def __init__(
+        self, folder: Path, *, daemons: int, contracts: Sequence[str] = ()
+    ) -> None:
         self.platform = Site(folder)
         self.replicas = ReplicaEngines(self.platform)
         self.daemons: list[DaemonProcess] = []
@@ -189,6 +195,7 @@
         """Times at which a configuration was written."""
         self._folder = folder
         self._daemon_count = daemons
+        self._contracts = contracts
 
     @property
     def engines(self) -> dict[str, EngineStandIn]:
@@ -209,7 +216,9 @@
             await proxy.start()
             self.proxies.append(proxy)
             zone = f"z{number % 2}"
-            daemon = DaemonProcess(number, zone, proxy.address, self._folder)
+            daemon = DaemonProcess(
+                number, zone, proxy.address, self._folder, contracts=self._contracts
+            )
             await daemon.start()
             self.daemons.append(daemon)
 
