Review case 9: streams of an engine that asked for a pause and died look whole

Tried: the site of case 7; one head at a time turns requests away with 503 and Retry-After, and then ends with streams at work.

--- a/review/second/loopback.py
+++ b/review/second/loopback.py
@@ -251,6 +251,9 @@
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
         self.draining = self.ended = False
+        self.rest_s = 0.0
+        """Pause that it asks for when it turns requests away, which it does then."""
+        self.turned_away = 0
 
     async def start(self) -> None:
         """Listen and register."""
@@ -457,6 +460,11 @@
         if self.group["state"] != "open":
             self._answer(writer, 503, headers, more=refused)
             return
+        if self.rest_s:
+            self.turned_away += 1
+            refused += f"Retry-After: {self.rest_s}\r\n"
+            self._answer(writer, 503, headers, more=refused)
+            return
         group = self.group["name"]
         start, events = int(headers.get("last-event-id") or 0), int(body or b"20")
         note = self._engines.record.write
@@ -556,6 +564,11 @@
             if engine.group is not None and engine.group["state"] == "open"
         ]
 
+    def busiest_head(self) -> GroupEngine:
+        """Return the head with most streams at work."""
+        heads = [self.by_name[name] for name in self.open_heads()]
+        return max(heads, key=lambda head: 0 if head.draining else head.running)
+
     def stands_still(self, head: GroupEngine) -> bool:
         """Return whether a head waits for a member, which may break it."""
         group = head.group
