--- a/review/second/loopback.py
+++ b/review/second/loopback.py
@@ -35,6 +35,7 @@
 LONGEST_S = 112.0
 """A case runs for 120 seconds at most."""
 HELD, BROKEN, NOT_RUN = 0, 1, 2
+SINGLE_BYTES = b"1\r\n:\r\n" * 1000
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 
 
@@ -254,6 +255,8 @@
         self.rest_s = 0.0
         """Pause that it asks for when it turns requests away, which it does then."""
         self.turned_away = 0
+        self.endless = False
+        """Whether it answers with chunks of one byte without end."""
 
     async def start(self) -> None:
         """Listen and register."""
@@ -478,6 +481,12 @@
             head += "Transfer-Encoding: chunked\r\n" if framed else ""
             head += "Content-Type: text/event-stream\r\nConnection: close\r\n\r\n"
             writer.write(head.encode())
+            if self.endless:
+                note(f"{attempt} gets single bytes without end from {self.name}")
+                while self.endless:
+                    writer.write(SINGLE_BYTES)
+                    await writer.drain()
+                return
             for number in range(start + 1, events + 1):
                 await asyncio.sleep(0.1)
                 while self._engines.stands_still(self):  # noqa: ASYNC110
@@ -689,6 +698,12 @@
         assert self._process is not None
         return self._process.poll()
 
+    def cpu_s(self) -> float:
+        """Return the processor time that the process has taken."""
+        assert self._process is not None
+        fields = Path(f"/proc/{self._process.pid}/stat").read_text().split()
+        return (int(fields[13]) + int(fields[14])) / os.sysconf("SC_CLK_TCK")
+
     def end(self) -> None:
         """End the process, if it runs."""
         if self._process is not None:
