--- a/review/second/loopback.py
+++ b/review/second/loopback.py
@@ -10,6 +10,7 @@
 import random
 import signal
 import socket
+import struct
 import subprocess
 import sys
 import tempfile
@@ -226,6 +227,14 @@
     } | more
 
 
+def reset(writer: asyncio.StreamWriter) -> None:
+    """Reset a connection, as an engine does that lives and breaks an answer off."""
+    linger = struct.pack("ii", 1, 0)
+    connection = writer.get_extra_info("socket")
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+    writer.transport.abort()
+
+
 class GroupEngine:
     """An engine of the model service, which obeys orders and streams events."""
 
@@ -306,6 +315,19 @@
         }
         self._engines.store.put("keyed.servers", self.name, entry)
 
+    @property
+    def serves(self) -> bool:
+        """Return whether it is a head that is open or closing."""
+        return self.group is not None and self.group["state"] in ("open", "closing")
+
+    def break_group(self) -> None:
+        """Cut off the work of a head that has stood still for too long."""
+        assert self.group is not None
+        self._engines.record.write(
+            f"{self.name}'s group {self.group['name']} is broken"
+        )
+        self._set(self.group | {"state": "broken"})
+
     async def _until_healed(self) -> None:
         while self.cut:  # noqa: ASYNC110
             await asyncio.sleep(0.02)
@@ -489,10 +511,12 @@
                 return
             for number in range(start + 1, events + 1):
                 await asyncio.sleep(0.1)
-                while self._engines.stands_still(self):  # noqa: ASYNC110
+                while self.serves and self._engines.stands_still(self):  # noqa: ASYNC110
                     await asyncio.sleep(0.02)
-                if self.ended or self.group is None or self.group["name"] != group:
+                if not self.serves or self.ended or self.group["name"] != group:
                     note(f"{attempt} ends after event {number - 1} at {self.name}")
+                    if not self.ended:
+                        reset(writer)
                     return
                 if reader.at_eof():
                     return
@@ -552,9 +576,14 @@
     async def run(self) -> None:
         """Write heartbeats, expire silent entries and break stalled heads."""
         beaten: dict[str, float] = {}
+        stood: dict[str, float] = {}
         while True:
             now = time.monotonic()
             for name, engine in self.by_name.items():
+                if not (engine.serves and self.stands_still(engine)):
+                    stood.pop(name, None)
+                elif now - stood.setdefault(name, now) > STALL_S:
+                    engine.break_group()
                 if now - beaten.get(name, 0.0) >= HEARTBEAT_S:
                     beaten[name] = now
                     engine.register()
@@ -786,6 +815,9 @@
     record = Record(folder / "record.txt")
 
     async def play_in_time(place: Path) -> list[str]:
+        # Ends the processes of the case also when the case itself is ended.
+        task = asyncio.current_task()
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
         async with asyncio.timeout(LONGEST_S):
             return await play(place, record)
 
