Treat a malformed response head as a broken connection

What callers saw: an engine's answer with the status 000 reached them as an answer (MIXED). So did heads with the status 099 or 101, with folded lines and, as failures, with 600 and 999. `Content-Length : N` of a stream was passed on with the blank, and a control byte in a value ended as a bare 500 of the HTTP library. An order that was answered with 000 counted as refused, and a report with such a head was believed.

Cause: what is a response was left to the HTTP library. Its parsers are lenient on responses, each in its own way: the C extension accepts a blank after the names of some fields, the Python code differing lengths and any white space in the status line, and both accept any status of three digits, folded lines, unknown transfer codings, HTTP/0.9 and HTTP/2.0.

The last scenario runs the others with AIOHTTP_NO_EXTENSIONS=1.

Why it works: the bytes of a head are checked against the grammar of RFC 9110 and 9112 before a parser gets them, on the connection that all sessions to upstreams use. A head that fails, or that a parser rejects, raises a ClientError, which every reader already handles as a broken connection: retried, refused with 502 and counted as `broken`. The line `try_failed` gives the reason, and `order_unanswered` is new for orders.

--- a/auburnproxy/daemon/gateway_daemon.py
+++ b/auburnproxy/daemon/gateway_daemon.py
@@ -217,6 +217,7 @@
         engine_commands.on_leaving = partial(
             self.directory.mark_leaving, source="engine"
         )
+        engine_commands.on_unanswered = self._log_unanswered
         self.engine_commands = BackoffEngineCommands(engine_commands, self.backoffs)
         self.health = Health(
             decisions,
@@ -730,6 +731,11 @@
             return False
         return True
 
+    def _log_unanswered(self, command: str, host: str, reason: str) -> None:
+        self.decisions.belief(
+            "order_unanswered", order=command, upstream=host, reason=reason
+        )
+
     def _in_flight(self, host: str) -> int:
         """Return the requests in flight at an upstream, from all daemons."""
         return self.health.in_flight(host) + self.peer_group.requests_at(host)[0]
--- a/auburnproxy/formation/engine_commands.py
+++ b/auburnproxy/formation/engine_commands.py
@@ -44,6 +44,10 @@
 
     on_leaving: Callable[[Incarnation], None] = staticmethod(lambda incarnation: None)
     """Called with a process whose answer says that it is shutting down."""
+    on_unanswered: Callable[[str, str, str], None] = staticmethod(
+        lambda command, host, reason: None
+    )
+    """Called with a command that got no answer, the id of its host and the reason."""
 
     @abstractmethod
     async def join(self, member: Member, replica: ReplicaRecord) -> CommandResult:
--- a/auburnproxy/gateway/call.py
+++ b/auburnproxy/gateway/call.py
@@ -8,6 +8,7 @@
 from aiohttp import web
 
 from ..clock import loop_time
+from ..decoding import shorten
 from ..errors import AuburnError, Ran
 from ..in_flight import InFlightRequest
 from .body_memory import HeldBody
@@ -106,3 +107,8 @@
         self.ran = ran
         self.sent = sent
         self.connection_refused = connection_refused
+
+    @property
+    def reason(self) -> str:
+        """Return what caused the failure, for the log; empty if its code says all."""
+        return shorten(self.__cause__ or "")
--- a/auburnproxy/gateway/plain_forwarder.py
+++ b/auburnproxy/gateway/plain_forwarder.py
@@ -208,6 +208,7 @@
             call.id,
             upstream=host.id,
             code=error.code,
+            reason=error.reason,
             ran=error.ran,
             remaining_s=round(call.remaining_s, 3),
         )
--- a/auburnproxy/gateway/stream_forwarder.py
+++ b/auburnproxy/gateway/stream_forwarder.py
@@ -729,6 +729,7 @@
             upstream=replica.head.id,
             replica=replica.name,
             code=error.code,
+            reason=error.reason,
             ran=error.ran,
             begun=self._event_received,
             prompt_parts=self._call.info.prompt_parts[:MAX_LOGGED_PARTS],
--- a/auburnproxy/platform/engine_commands.py
+++ b/auburnproxy/platform/engine_commands.py
@@ -9,6 +9,7 @@
 
 from ..bounded_body import read_body
 from ..clock import loop_time
+from ..decoding import shorten
 from ..errors import UpstreamError
 from ..formation.engine_commands import CommandResult, EngineCommands
 from ..formation.record import Member, ReplicaRecord
@@ -112,7 +113,8 @@
                 ) as response:
                     await self._read_body(response, member.incarnation)
                     status = response.status
-        except UpstreamError:
+        except UpstreamError as error:
+            self.on_unanswered(body["operation"], member.id, shorten(error))
             # A refused connection does not prove that the engine is down: in some
             # network partitions connections are refused.
             return CommandResult.NO_ANSWER
--- a/auburnproxy/upstreams/client.py
+++ b/auburnproxy/upstreams/client.py
@@ -5,8 +5,6 @@
 import socket
 from collections.abc import Iterator
 from contextlib import contextmanager
-from functools import partial
-from typing import cast
 
 from aiohttp import (
     AddrInfoType,
@@ -23,12 +21,11 @@
     DummyCookieJar,
     ServerDisconnectedError,
     StreamReader,
-    TCPConnector,
 )
-from aiohttp.client_proto import ResponseHandler
 from aiohttp.connector import Connection
 from aiohttp.http_parser import RawResponseMessage
 
+from ..checked_connections import CheckedConnection, CheckedConnector
 from ..errors import Ran, UpstreamError
 
 CONNECT_TIMEOUT_S = 1.0
@@ -78,7 +75,7 @@
         raise UpstreamError(f"{address}: {error!r}", ran=Ran.UNKNOWN) from error
 
 
-class TrackedConnection(ResponseHandler):
+class TrackedConnection(CheckedConnection):
     """A connection that records how it ended."""
 
     reset: bool | None = None
@@ -143,19 +140,17 @@
     return opened
 
 
-class TrackedConnector(TCPConnector):
+class TrackedConnector(CheckedConnector):
     """Opens connections that record how they ended."""
 
+    connection_type = TrackedConnection
+
     def __init__(self, *, reuse_connections: bool) -> None:
         super().__init__(
             limit=0,
             force_close=not reuse_connections,
             socket_factory=_open_socket,
         )
-        # aiohttp has no public API to choose the class of a connection.
-        self._factory = cast(
-            partial[ResponseHandler], partial(TrackedConnection, loop=self._loop)
-        )
 
 
 def open_session(
--- a/features/fakes/platform.py
+++ b/features/fakes/platform.py
@@ -21,6 +21,7 @@
 from auburnproxy.daemon.listener import Listener
 from auburnproxy.platform.adapter import PlatformAdapter
 from features.fakes.endless import STAMP, send_endless_response
+from features.fakes.heads import RawHead
 from features.fakes.store import null_decisions
 from features.loopback import free_addresses
 
@@ -197,6 +198,11 @@
         self.retry_after_s = "1.0"
         self.endless = ""
         """Kind of endless response that it sends; empty for none."""
+        self.raw_head: RawHead | None = None
+        """Head of its responses to report requests and orders, None for sound ones.
+        A head in ``script`` is that of a response to a request."""
+        self.byte_by_byte = False
+        """Whether it writes a response with a head of the script in single bytes."""
         self.open_connections = 0
         self.events = EVENTS
         """Events of a stream, unless the query of its request has ``events``."""
@@ -278,9 +284,11 @@
             body = await reader.readexactly(int(headers.get("content-length", 0)))
             method, path, _ = first.split(" ")
             self.asked_at.append(time.monotonic())
-            if path == "/report":
-                report = {"models": [], "staged": self.staged}
-                report |= {"born": self.born, "group": self.part}
+            report = {"models": [], "staged": self.staged}
+            report |= {"born": self.born, "group": self.part}
+            if self.raw_head is not None and path in ("/report", "/order"):
+                writer.write(self.raw_head.respond("", json.dumps(report).encode()))
+            elif path == "/report":
                 more = "leaving" if self.leaving_reports else ""
                 self._plain(writer, headers, json.dumps(report).encode(), more=more)
             elif path == "/order":
@@ -325,6 +333,8 @@
     async def _act(self, action, reader, writer, path, headers) -> None:
         if (part := self._deadly_part(headers)) is not None:
             await self._crash_on(part, writer, headers)
+        elif isinstance(action, RawHead):
+            await self._respond_raw(action, writer, path, headers)
         elif action == "endless event":
             await send_endless_response("an event", writer, headers["attempt-id"])
         elif path.startswith(STREAM_PATH) and action not in (
@@ -384,6 +394,20 @@
         else:
             self._plain(writer, headers, b"the whole answer", more=action)
 
+    async def _respond_raw(self, head: RawHead, writer, path, headers) -> None:
+        body, more = self.answer, ()
+        if path.startswith(STREAM_PATH):
+            first = int(headers.get("last-event-id", 0)) + 1
+            body = b"".join(event(n) for n in range(first, self.events + 1))
+            more = (b"Content-Type: text/event-stream",)
+        response = head.respond(headers["attempt-id"], body, *more)
+        step = 1 if self.byte_by_byte else len(response)
+        for start in range(0, len(response), step):
+            writer.write(response[start : start + step])
+            await writer.drain()
+            if self.byte_by_byte:
+                await asyncio.sleep(0.0005)
+
     async def _answer_twice(self, writer, headers) -> None:
         """Answer on a kept connection, then send a late duplicate of the answer."""
         request_id = headers["attempt-id"]
--- /dev/null
+++ b/features/malformed_responses.feature
@@ -0,0 +1,68 @@
+Feature: Malformed responses are failed tries, wherever responses are read
+
+  # Guards against broken answers that reach clients: a status that is none, a field name
+  # with a blank or a control byte, a body that is not the engine's (MIXED, issue 48).
+  Scenario Outline: A malformed response to a <request> is retried at another engine
+    Given a gateway site
+    When a <request> gets each malformed response from the first engine asked
+    Then each caller receives the whole answer of another engine, and its head
+    And the log gives the reason of each failed try
+
+    Examples:
+      | request    |
+      | lookup     |
+      | stream     |
+
+  Scenario Outline: A <request> that gets nothing but malformed responses is refused
+    Given a gateway site
+    When a <request> gets each malformed response from every engine
+    Then each caller is told with status 502 that the request may have run
+    And the log gives the reason of each failed try
+    And the failures count as those of a broken connection
+
+    Examples:
+      | request    |
+      | lookup     |
+      | order      |
+      | stream     |
+
+  # Guards against malformed responses that end a stream which has begun as if complete.
+  Scenario: A stream whose second engine sends a malformed response does not look complete
+    Given a gateway site
+    When a stream breaks after its third event and is resumed with each malformed response
+    Then each response is aborted after event 3
+    And the log gives the reason of each failed try
+
+  Scenario Outline: A sound response to a <request> is passed on <arrival>
+    Given a gateway site
+    When a <request> gets each sound response <arrival>
+    Then each caller receives the engine's whole answer at its first try
+
+    Examples:
+      | request | arrival           |
+      | order   | in one piece      |
+      | order   | in single bytes   |
+      | stream  | in one piece      |
+
+  # Guards against orders that count as refused, and reports that are believed.
+  Scenario: A malformed response of an engine to the daemon itself counts as none
+    Given a gateway site
+    When the engine e0 sends malformed responses to a report request and an order
+    Then each of them fails as if there was no answer, and says why
+
+  # Guards against records, answers and streams of others that are believed.
+  Scenario Outline: A malformed response of <server> counts as none
+    When each malformed response is sent by <server>
+    Then each call fails as if there was no answer
+    And each error gives the reason
+
+    Examples:
+      | server                   |
+      | a daemon with records    |
+      | a plain service          |
+      | a model engine           |
+
+  # The HTTP library parses with its C extension or in Python; they accept different heads.
+  Scenario: The same holds when the HTTP library parses without its C extension
+    When the other scenarios of this feature run without the C extension
+    Then they pass
--- a/features/steps/routed.py
+++ b/features/steps/routed.py
@@ -146,6 +146,7 @@
             broken = True
         context.status = answer.status
         context.headers = answer.headers
+        context.raw_headers = answer.raw_headers
         context.body = b"".join(blocks)
         context.broken = broken
         context.took_s = time.monotonic() - began
