Check the responses of the store, other daemons and the log as well

What callers saw: a daemon that answered a forwarded call with the status 000 made this one refuse the call with the status 000. A store that answered an append with 000, 600 or 101 made it count as not written, though it may have been; pages, offsets and reports with malformed heads were believed, and `auburnctl` took such an answer for one.

Cause: these clients open sessions of their own, without the connections that check heads.

Evidence: 8 of the 9 scenarios on these readers in features/malformed_responses.feature failed before: each of them takes some of the 45 malformed heads for a response.

Why it works: all sessions of the package now use the same connector. The errors are the ones that these clients already raise for lost answers: the outcome of an append is uncertain, a call may have run, and the tool goes on to the next daemon.

--- a/auburnproxy/ctl/client.py
+++ b/auburnproxy/ctl/client.py
@@ -9,6 +9,7 @@
 import aiohttp
 import msgspec
 
+from ..checked_connections import CheckedConnector
 from ..errors import AuburnError
 from ..operators.bodies import Verdict
 from .settings import Settings
@@ -62,9 +63,7 @@
         :raises UnreachableError: if no daemon answers
         """
         timeout = aiohttp.ClientTimeout(total=READ_TIMEOUT_S, connect=CONNECT_TIMEOUT_S)
-        async with aiohttp.ClientSession(
-            headers=self._headers, timeout=timeout
-        ) as http:
+        async with self._open_session(timeout=timeout) as http:
             for daemon in self._settings.daemons:
                 try:
                     async with http.get(_url(daemon, path)) as response:
@@ -86,7 +85,7 @@
         """
         deadline = time.monotonic() + wait_s
         uncertain, refusal = False, None
-        async with aiohttp.ClientSession(headers=self._headers) as http:
+        async with self._open_session() as http:
             for daemon in self._settings.daemons:
                 remaining_s = deadline - time.monotonic()
                 if remaining_s <= 0 and (uncertain or refusal is not None):
@@ -110,6 +109,11 @@
             raise UnreachableError("no daemon answers")
         return refusal
 
+    def _open_session(self, **options: Any) -> aiohttp.ClientSession:
+        return aiohttp.ClientSession(
+            connector=CheckedConnector(), headers=self._headers, **options
+        )
+
 
 async def _send_change(
     http: aiohttp.ClientSession, url: str, body: Mapping[str, Any], wait_s: float
--- a/auburnproxy/external/client.py
+++ b/auburnproxy/external/client.py
@@ -12,10 +12,10 @@
     ClientSession,
     ClientTimeout,
     ConnectionTimeoutError,
-    TCPConnector,
 )
 
 from ..bounded_body import read_body
+from ..checked_connections import CheckedConnector
 from ..errors import PlatformError
 
 CONNECT_TIMEOUT_S = 1.0
@@ -64,7 +64,7 @@
 
     def _open_session(self) -> ClientSession:
         if self._session is None:
-            self._session = ClientSession(connector=TCPConnector(limit=0))
+            self._session = ClientSession(connector=CheckedConnector(limit=0))
         return self._session
 
     async def get(
--- a/auburnproxy/operators/overview.py
+++ b/auburnproxy/operators/overview.py
@@ -11,6 +11,7 @@
 from loguru import logger
 
 from ..bounded_body import read_body
+from ..checked_connections import CheckedConnector
 from ..decoding import decode_json
 from ..errors import UnreadableError
 from ..membership import Member
@@ -125,7 +126,11 @@
         )
 
     def _open_session(self) -> ClientSession:
-        return ClientSession(headers=self._headers, timeout=REQUEST_TIMEOUT)
+        return ClientSession(
+            connector=CheckedConnector(),
+            headers=self._headers,
+            timeout=REQUEST_TIMEOUT,
+        )
 
     async def _domain_status(
         self, session: ClientSession, domain: str, members: Sequence[Member]
--- a/auburnproxy/serving/forward.py
+++ b/auburnproxy/serving/forward.py
@@ -15,10 +15,10 @@
     ClientSession,
     ClientTimeout,
     DummyCookieJar,
-    TCPConnector,
 )
 
 from ..bounded_body import read_body
+from ..checked_connections import CheckedConnector
 from ..decoding import decode_json, decode_msgpack
 from ..errors import Ran, RefusalError, UnreadableError, UpstreamError
 from ..membership import Member
@@ -148,7 +148,7 @@
     def _ensure_session(self) -> ClientSession:
         if self._session is None:
             self._session = ClientSession(
-                connector=TCPConnector(limit=0), cookie_jar=DummyCookieJar()
+                connector=CheckedConnector(limit=0), cookie_jar=DummyCookieJar()
             )
         return self._session
 
--- a/features/malformed_responses.feature
+++ b/features/malformed_responses.feature
@@ -50,7 +50,7 @@
     When the engine e0 sends malformed responses to a report request and an order
     Then each of them fails as if there was no answer, and says why
 
-  # Guards against records, answers and streams of others that are believed.
+  # Guards against appends that count as not written, and records that are believed.
   Scenario Outline: A malformed response of <server> counts as none
     When each malformed response is sent by <server>
     Then each call fails as if there was no answer
@@ -58,10 +58,25 @@
 
     Examples:
       | server                   |
+      | the store to a read      |
+      | the store to an append   |
+      | the log to an append     |
       | a daemon with records    |
+      | a daemon with a call     |
+      | a daemon with a stream   |
+      | a daemon with its status |
       | a plain service          |
       | a model engine           |
 
+  Scenario Outline: A malformed response of <server> counts as none for the tool
+    When each malformed response is sent by <server>
+    Then each call fails as if there was no answer
+
+    Examples:
+      | server                           |
+      | a daemon to an operator's query  |
+      | a daemon to an operator's change |
+
   # The HTTP library parses with its C extension or in Python; they accept different heads.
   Scenario: The same holds when the HTTP library parses without its C extension
     When the other scenarios of this feature run without the C extension
