Drop a connection on which a response arrives that nobody asked for

A server that sent a second response on a kept connection had it taken for the answer to the next request, and its head was not checked.

Cause: the HTTP library queues whatever its parser finds after a response, and does not look at the queue when it uses a connection again.

Evidence: "A response that nobody asked for is not taken for the next one" failed before: the second read of a store returned the page that had come unasked.

Why it works: bytes that arrive after a whole response close its connection, as RFC 9112, section 9.2 asks, so the next request opens a new one.

--- a/auburnproxy/checked_connections.py
+++ b/auburnproxy/checked_connections.py
@@ -30,13 +30,16 @@
 
     def data_received(self, data: bytes) -> None:
         """Check and parse what was received; called by the event loop."""
+        if data and self._response_ended:
+            # Otherwise aiohttp keeps it as the response to the next request.
+            self._abort()
+            return
         try:
             if self._head is not None:
                 self._head.feed(data)
         except MalformedResponseError as error:
             self.set_exception(error)
-            if self.transport is not None:
-                self.transport.abort()
+            self._abort()
             return
         super().data_received(data)
 
@@ -46,6 +49,17 @@
             exc = MalformedResponseError(shorten(" ".join(exc.message.split())))
         super().set_exception(exc, *cause)
 
+    @property
+    def _response_ended(self) -> bool:
+        """Return whether the response to the newest request is complete."""
+        if self._head is None or not self._head.complete:
+            return False
+        return self._payload is not None and self._payload.is_eof()
+
+    def _abort(self) -> None:
+        if self.transport is not None:
+            self.transport.abort()
+
 
 class CheckedConnector(TCPConnector):
     """Opens connections on which response heads are checked.
--- a/features/malformed_responses.feature
+++ b/features/malformed_responses.feature
@@ -77,6 +77,12 @@
       | a daemon to an operator's query  |
       | a daemon to an operator's change |
 
+  # Guards against bytes that arrive between two requests and are read as the next answer.
+  Scenario: A response that nobody asked for is not taken for the next one
+    Given a store that sends another page after each answer
+    When it is read twice over one connection
+    Then both reads return its first page
+
   # The HTTP library parses with its C extension or in Python; they accept different heads.
   Scenario: The same holds when the HTTP library parses without its C extension
     When the other scenarios of this feature run without the C extension
