Pass on header values that are not UTF-8 as they were sent

What callers saw: a sound answer with a header value in Latin-1 lost these bytes, or, with the HTTP library's Python code, ended as a bare 500 or an unreadable stream.

Cause: the library reads such bytes as surrogate escapes and writes heads as UTF-8. Its C extension omits what it can't encode, its Python code raises an error.

Evidence: the scenarios on sound responses in features/malformed_responses.feature failed before with two such values, with either parser.

Why it works: the bytes are allowed in values (obs-text of RFC 9110, section 5.5). A response whose head can't be written as UTF-8 writes it with the escapes reversed; all others are written by the library as before.

--- a/auburnproxy/gateway/plain_forwarder.py
+++ b/auburnproxy/gateway/plain_forwarder.py
@@ -15,7 +15,8 @@
 from ..errors import Ran, RefusalError
 from ..telemetry.decisions import DecisionLog
 from .call import MAX_UNREACHABLE, UNSENT_RETRY_S, AttemptError, Call, Obstacle
-from .header_codec import Dispatch, without_hop_by_hop
+from .caller_response import forward_response
+from .header_codec import Dispatch
 from .health import Health
 from .host import Host
 from .outcome_record import answered_outcome, failed_outcome
@@ -197,9 +198,7 @@
                 raise AttemptError("broken", ran=Ran.UNKNOWN) from error
             if not answer.complete:
                 raise AttemptError("reset", ran=Ran.UNKNOWN)
-        return web.Response(
-            status=answer.status, headers=without_hop_by_hop(answer.headers), body=body
-        )
+        return forward_response(answer, body)
 
     def _log_failed_try(self, call: Call, host: Host, error: AttemptError) -> None:
         call.progress.await_upstream()
--- a/auburnproxy/gateway/stream_forwarder.py
+++ b/auburnproxy/gateway/stream_forwarder.py
@@ -20,9 +20,10 @@
 from ..upstreams.client import TrackedResponse
 from .attempts import AttemptCounter
 from .call import MAX_UNREACHABLE, UNSENT_RETRY_S, AttemptError, Call, Obstacle
+from .caller_response import forward_response, forward_stream
 from .cost_model import RequestSize
 from .events import EventReader, follows
-from .header_codec import Dispatch, without_hop_by_hop
+from .header_codec import Dispatch
 from .health import Health
 from .host import Host
 from .liveness import LivenessChecker
@@ -642,9 +643,7 @@
 
     async def _start_response(self, answer: ClientResponse) -> None:
         call = self._call
-        self._response = web.StreamResponse(
-            status=answer.status, headers=without_hop_by_hop(answer.headers)
-        )
+        self._response = forward_stream(answer)
         took_s = loop_time() - call.arrived_at
         self._forwarder.telemetry.observe(
             Measure.FIRST_CHUNK, call.account, call.service, took_s
@@ -666,9 +665,7 @@
             )
         except (ClientError, OSError) as error:
             raise AttemptError(BROKEN, ran=Ran.UNKNOWN) from error
-        return web.Response(
-            status=answer.status, headers=without_hop_by_hop(answer.headers), body=body
-        )
+        return forward_response(answer, body)
 
     def _first_event_timeout_s(self, replica: ServingReplica) -> float:
         """Return how long a head may be silent before the first event."""
--- a/features/fakes/heads.py
+++ b/features/fakes/heads.py
@@ -113,6 +113,8 @@
     "an empty value": RawHead(fields=(b"X-Odd:",)),
     "blanks around a value": RawHead(fields=(b"X-Odd: \t a\tb \t",)),
     "a value in UTF-8": RawHead(fields=("X-Odd: déjà".encode(),)),
+    "a value in Latin-1": RawHead(fields=(b"X-Odd: d\xe9j\xe0",)),
+    "a value of single high bytes": RawHead(fields=(b"X-Odd: \x80\xff\xc3(",)),
     "many fields": RawHead(fields=tuple(b"X-%d: %d" % (n, n) for n in range(100))),
     "a long value": RawHead(fields=(b"X-Odd: " + b"a" * 8000,)),
     "chunks": _chunks(b"Transfer-Encoding: Chunked"),
