Answer and log requests whose id is not UTF-8

What callers saw: a request with an id in Latin-1 that was refused got a bare 500 of the HTTP library, without its id and without a reason.

Cause: the id is written twice, to the log and to the head of the refusal. The encoder of the log raises an error for the surrogate escapes of such an id, and so does the library's Python code for the head; its C extension omits the bytes.

Evidence: "A refusal returns a request id that is not UTF-8 as it was sent" got the 500 before, with the C extension.

Why it works: refusals are written like the responses of upstreams, with the bytes as they came. The log replaces what it can't encode, so that its lines stay valid JSON.

--- a/auburnproxy/gateway/frontend.py
+++ b/auburnproxy/gateway/frontend.py
@@ -18,6 +18,7 @@
 from .body_memory import BodyMemory, HeldBody
 from .body_reader import BodyReader
 from .call import HELD_ANSWER, IN_FLIGHT, Call
+from .caller_response import CallerResponse
 from .directory import Directory
 from .header_codec import HeaderCodec, RequestInfo
 from .plain_forwarder import PlainForwarder
@@ -347,7 +348,7 @@
                 max_retry_after_s = MAX_RETRY_AFTER_FRACTION * info.deadline_s
                 retry_after_s = min(retry_after_s, max_retry_after_s)
             headers["Retry-After"] = f"{retry_after_s:.2f}"
-        return web.Response(
+        return CallerResponse(
             status=refusal.status, headers=headers, text=f"{refusal.code}: {refusal}\n"
         )
 
--- a/auburnproxy/telemetry/decisions.py
+++ b/auburnproxy/telemetry/decisions.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import json
 import os
 import select
 import time
@@ -107,7 +108,12 @@
 
     def _encode(self, now: float, kind: str, fields: dict[str, Any]) -> bytes:
         line = {"at": round(now, 3), "host": self._host, "kind": kind, **fields}
-        return msgspec.json.encode(line) + b"\n"
+        try:
+            return msgspec.json.encode(line) + b"\n"
+        except UnicodeEncodeError:
+            # Surrogate escapes of a header value that is not UTF-8 become "?".
+            text = json.dumps(line, default=str, ensure_ascii=False)
+            return text.encode(errors="replace") + b"\n"
 
     def _send(self, line: bytes) -> None:
         unsent = self._unsent
--- a/features/malformed_responses.feature
+++ b/features/malformed_responses.feature
@@ -44,6 +44,12 @@
       | order   | in single bytes   |
       | stream  | in one piece      |
 
+  # Guards against refusals that fail since an id in their head or the log is not UTF-8.
+  Scenario: A refusal returns a request id that is not UTF-8 as it was sent
+    Given a gateway site
+    When a request whose id is not UTF-8 arrives for an unknown path
+    Then it is refused with status 404 and the bytes of its id
+
   # Guards against orders that count as refused, and reports that are believed.
   Scenario: A malformed response of an engine to the daemon itself counts as none
     Given a gateway site
