Read a content type that is not UTF-8 as Latin-1

What callers saw: a whole answer of a plain service with such a content type lost bytes of it; found as the other places that read answers were checked.

Cause: the value has surrogate escapes, which neither the ledger nor the calls between daemons can encode, so an answer that was run could not be stored or passed on.

Evidence: "A content type that is not UTF-8 is passed on as text" failed before.

Why it works: the value is text between the daemons of the product, so it is decoded where it is read, as the character set that values had before UTF-8.

--- a/auburnproxy/upstreams/http_service.py
+++ b/auburnproxy/upstreams/http_service.py
@@ -81,13 +81,25 @@
             ) as response:
                 body = await read_body(response, max_bytes=MAX_RESPONSE_BYTES)
         content_type = response.headers.get("Content-Type", DEFAULT_CONTENT_TYPE)
-        return PlainAnswer(response.status, content_type, body)
+        return PlainAnswer(response.status, _as_text(content_type), body)
 
     async def close(self) -> None:
         """Close all connections to the service."""
         await self._connections.close()
 
 
+def _as_text(value: str) -> str:
+    """Return a header value as text; one that is not UTF-8 is read as Latin-1.
+
+    aiohttp reads it with surrogate escapes, which can't be stored or written.
+    """
+    received = value.encode(errors="surrogateescape")
+    try:
+        return received.decode()
+    except UnicodeDecodeError:
+        return received.decode("latin-1")
+
+
 def connect_service(entry: HostEntry) -> HttpPlainService:
     """Return the adapter for a host's plain service.
 
--- a/features/malformed_responses.feature
+++ b/features/malformed_responses.feature
@@ -50,6 +50,12 @@
     When a request whose id is not UTF-8 arrives for an unknown path
     Then it is refused with status 404 and the bytes of its id
 
+  # Guards against whole answers that fail as they are stored, passed to another daemon
+  # or written.
+  Scenario: A content type that is not UTF-8 is passed on as text
+    When a plain service answers with the content type text/x; a="déjà" in Latin-1
+    Then the answer has it in UTF-8 and can be stored
+
   # Guards against orders that count as refused, and reports that are believed.
   Scenario: A malformed response of an engine to the daemon itself counts as none
     Given a gateway site
