Read the Retry-After of another daemon like that of a server

What callers saw: a call that another daemon refused with a Retry-After such as a superior two ended as an internal error; found as the places that read answers were checked.

Cause: str.isdigit() accepts digits that float() does not read.

Evidence: "A Retry-After of another daemon that is no number is ignored" ended with the ValueError before.

Why it works: parse_retry_after returns None for whatever is no number of seconds, and the call is refused as before, without a time.

--- a/auburnproxy/serving/forward.py
+++ b/auburnproxy/serving/forward.py
@@ -22,6 +22,7 @@
 from ..decoding import decode_json, decode_msgpack
 from ..errors import Ran, RefusalError, UnreadableError, UpstreamError
 from ..membership import Member
+from ..retry_after import parse_retry_after
 from ..upstreams.client import MAX_RESPONSE_BYTES
 from ..upstreams.engine import Chunk, ChunkKind, ModelCall
 from ..upstreams.observation import Observation, Result
@@ -210,13 +211,12 @@
 
 def _remote_refusal(response: ClientResponse, body: bytes) -> RefusalError:
     error = _decode_refusal(body)
-    retry_after = response.headers.get("Retry-After", "")
     return RefusalError(
         error.code,
         error.message,
         status=response.status,
         ran=error.ran,
-        retry_after_s=float(retry_after) if retry_after.isdigit() else None,
+        retry_after_s=parse_retry_after(response.headers.get("Retry-After", "")),
     )
 
 
--- a/features/malformed_responses.feature
+++ b/features/malformed_responses.feature
@@ -80,6 +80,11 @@
       | a plain service          |
       | a model engine           |
 
+  # Guards against refusals of a daemon that fail for a number which is none.
+  Scenario: A Retry-After of another daemon that is no number is ignored
+    When a daemon refuses a call with the Retry-After ²
+    Then the call is refused without a Retry-After
+
   Scenario Outline: A malformed response of <server> counts as none for the tool
     When each malformed response is sent by <server>
     Then each call fails as if there was no answer
--- a/features/steps/malformed_responses.py
+++ b/features/steps/malformed_responses.py
@@ -20,6 +20,7 @@
     AuburnError,
     OutcomeUnknownError,
     PlatformError,
+    RefusalError,
     UpstreamError,
 )
 from auburnproxy.external.http import HttpLogService
@@ -551,6 +552,19 @@
     assert not silent, silent
 
 
+@when("a daemon refuses a call with the Retry-After {value}")
+def refuse_call(context, value):
+    fields = (b"Retry-After: " + value.encode(),)
+    head = RawHead(b"HTTP/1.1 503 Service Unavailable", fields)
+    context.error = asyncio.run(outcome_of(call_peer, head.respond("r", b"{}")))
+
+
+@then("the call is refused without a Retry-After")
+def check_refusal(context):
+    assert isinstance(context.error, RefusalError), context.error
+    assert context.error.retry_after_s is None, context.error.retry_after_s
+
+
 @given("a store that sends another page after each answer")
 def start_unasked(context):
     context.pages = [PAGE, (9).to_bytes(8, "big") + bytes(8)]
