Refuse a request whose head can't be written to an upstream

What callers saw: with the HTTP library's Python code, a request with a header or a path that is not UTF-8 ended as a bare 500 of the library.

Cause: its encoder raises UnicodeEncodeError, which is none of the errors of a failed try.

Evidence: "A request with a header that is not UTF-8 is answered or refused" failed before with AIOHTTP_NO_EXTENSIONS=1.

Why it works: nothing has been written by then, so the request is refused at once with 400, and no upstream is tried. With the C extension, which omits the bytes, nothing changes.

--- a/auburnproxy/gateway/sender.py
+++ b/auburnproxy/gateway/sender.py
@@ -8,7 +8,7 @@
 from yarl import URL
 
 from ..clock import loop_time
-from ..errors import Ran, UpstreamError
+from ..errors import Ran, RefusalError, UpstreamError
 from ..upstreams.client import TrackedResponse, upstream_errors
 from .backoffs import UpstreamBackoffs
 from .call import AttemptError, Call
@@ -56,6 +56,7 @@
         """Send a request to an upstream and return its response, with the body unread.
 
         :raises AttemptError: if there is no response
+        :raises RefusalError: if the request can't be written
         """
         headers = self._header_codec.upstream_headers(call.http.headers, dispatch)
         url = f"http://{dispatch.host.address}{call.http.raw_path}"
@@ -71,6 +72,11 @@
                     allow_redirects=False,
                     skip_auto_headers=SKIPPED_HEADERS,
                 )
+        except UnicodeEncodeError as error:
+            # Raised by the Python code of aiohttp; its C extension omits such bytes.
+            call.progress.mark_not_run()
+            message = "The head of the request is not UTF-8."
+            raise RefusalError("head_not_utf8", message, status=400) from error
         except UpstreamError as error:
             if error.ran is Ran.NO:
                 call.progress.mark_not_run()
--- a/features/malformed_responses.feature
+++ b/features/malformed_responses.feature
@@ -50,6 +50,12 @@
     When a request whose id is not UTF-8 arrives for an unknown path
     Then it is refused with status 404 and the bytes of its id
 
+  # Guards against requests that end as an internal error for a value of their own.
+  Scenario: A request with a header that is not UTF-8 is answered or refused
+    Given a gateway site
+    When a request with a header that is not UTF-8 arrives
+    Then it is answered whole, or refused with status 400
+
   # Guards against whole answers that fail as they are stored, passed to another daemon
   # or written.
   Scenario: A content type that is not UTF-8 is passed on as text
--- a/features/steps/malformed_responses.py
+++ b/features/steps/malformed_responses.py
@@ -38,7 +38,7 @@
 from auburnproxy.upstreams.http_service import HttpPlainService
 from auburnproxy.upstreams.service import PlainAnswer, PlainCall
 from features.fakes.heads import MALFORMED, SOUND, RawHead
-from features.fakes.platform import EVENTS, HOST, ONCE_PATH, SAFE_PATH, event
+from features.fakes.platform import EVENTS, HOST, KEY, ONCE_PATH, SAFE_PATH, event
 from features.loopback import free_addresses
 from features.steps.routed import (
     RequestResult,
@@ -246,18 +246,36 @@
     check_tries(context, 1)
 
 
+async def ask_raw(context, path, *fields):
+    host, _, port = context.site.addresses[0].rpartition(":")
+    reader, writer = await asyncio.open_connection(host, int(port))
+    lines = [f"GET {path} HTTP/1.1".encode(), b"Host: " + HOST.encode()]
+    lines += [b"Api-Key: " + KEY.encode(), b"Connection: close", *fields, b"", b""]
+    writer.write(b"\r\n".join(lines))
+    response = await reader.read()
+    writer.close()
+    return response
+
+
 @when("a request whose id is not UTF-8 arrives for an unknown path")
 def ask_with_odd_id(context):
-    async def ask_raw():
-        host, _, port = context.site.addresses[0].rpartition(":")
-        reader, writer = await asyncio.open_connection(host, int(port))
-        head = f"GET /none/ HTTP/1.1\r\nHost: {HOST}\r\nConnection: close\r\n"
-        writer.write(head.encode() + b"Attempt-Id: " + ODD_ID + b"\r\n\r\n")
-        response = await reader.read()
-        writer.close()
-        return response
+    work = ask_raw(context, "/none/", b"Attempt-Id: " + ODD_ID)
+    context.response = run(context, work)
+
 
-    context.response = run(context, ask_raw())
+@when("a request with a header that is not UTF-8 arrives")
+def ask_with_odd_header(context):
+    fields = (b"Attempt-Id: 12ab", b"X-Odd: " + ODD_ID)
+    context.response = run(context, ask_raw(context, f"{SAFE_PATH}x", *fields))
+
+
+@then("it is answered whole, or refused with status {status:d}")
+def check_odd_header(context, status):
+    head, _, body = context.response.partition(b"\r\n\r\n")
+    assert b"\r\nAttempt-Id: 12ab\r\n" in head, context.response
+    answered = head.startswith(b"HTTP/1.1 200 ") and body == WHOLE
+    refused = head.startswith(b"HTTP/1.1 %d " % status)
+    assert answered or refused, context.response
 
 
 @then("it is refused with status {status:d} and the bytes of its id")
