--- a/features/fakes/heads.py
+++ b/features/fakes/heads.py
@@ -118,6 +118,14 @@
     "many fields": RawHead(fields=tuple(b"X-%d: %d" % (n, n) for n in range(100))),
     "a long value": RawHead(fields=(b"X-Odd: " + b"a" * 8000,)),
     "chunks": _chunks(b"Transfer-Encoding: Chunked"),
+    "no length": RawHead(framing=lambda body: b"Connection: close"),
+    "names of another case": RawHead(
+        fields=(b"x-ODD: 1",), framing=_length(b"cONTENT-lENGTH: %d")
+    ),
+    "chunks of another case": _chunks(b"tRANSFER-eNCODING: CHUNKED"),
+    "two interim responses": RawHead(
+        before=b"HTTP/1.1 100 \r\n\r\nHTTP/1.1 103 Early\r\nX-Odd: a\r\n\r\n"
+    ),
     "an interim response": RawHead(before=b"HTTP/1.1 103 Early\r\nLink: a\r\n\r\n"),
 }
 """Heads that both allow, or that they let a recipient accept."""
