Log why a try of a plain call failed

What operators saw: a plain call of the own platform that was tried again left no line on the try that failed, so neither a malformed response nor a broken connection had a reason in the log. Model calls and the routed daemon had one.

Cause: the error of a try that is not the last was dropped.

Evidence: "Each failed try of a plain call is logged with its reason" failed before.

Why it works: both places at which such a try fails, at a host and at another daemon, log the line that model calls have.

--- a/auburnproxy/serving/service_calls.py
+++ b/auburnproxy/serving/service_calls.py
@@ -376,6 +376,7 @@
                 raise _NoSlotError(refusal) from None
             raise
         except UpstreamError as error:
+            log.info("Call {} failed: {}", request.call.request_id, error)
             if error.ran is Ran.NO:
                 request.in_flight.mark_not_run()
                 self._peer_selector.record_refusal(peer, plan, request.target)
@@ -426,6 +427,7 @@
                 f"{endpoint.host}: no answer before the timeout"
             ) from None
         except UpstreamError as error:
+            log.info("Call {} failed: {}", request.call.request_id, error)
             if error.ran is Ran.NO:
                 closed = error.connection_refused
                 result = Result.CLOSED if closed else Result.REFUSED
--- a/features/malformed_responses.feature
+++ b/features/malformed_responses.feature
@@ -86,6 +86,12 @@
       | a plain service          |
       | a model engine           |
 
+  # Guards against tries of plain calls whose failure leaves no trace.
+  Scenario: Each failed try of a plain call is logged with its reason
+    Given 2 hosts of a service that lose answers
+    When a GET call is made while the log is kept
+    Then the log has the reason of 2 tries
+
   # Guards against refusals of a daemon that fail for a number which is none.
   Scenario: A Retry-After of another daemon that is no number is ignored
     When a daemon refuses a call with the Retry-After ²
--- a/features/steps/malformed_responses.py
+++ b/features/steps/malformed_responses.py
@@ -48,6 +48,7 @@
     script_first,
     send_request,
 )
+from features.steps.services import get_call
 from features.steps.store_away import until
 
 FEATURE = "features/malformed_responses.feature"
@@ -566,6 +567,18 @@
     assert not silent, silent
 
 
+@when("a GET call is made while the log is kept")
+def call_with_log(context):
+    with LogLines() as context.kept:
+        get_call(context)
+
+
+@then("the log has the reason of {count:d} tries")
+def check_logged_tries(context, count):
+    assert context.refusal is not None, context.answer
+    assert context.kept.text.count(" failed: closed") == count, context.kept.text
+
+
 @when("a daemon refuses a call with the Retry-After {value}")
 def refuse_call(context, value):
     fields = (b"Retry-After: " + value.encode(),)
