Don't take a daemon's own partition for ended upstreams

Cause: a refused connection was told to all daemons as the end of the process. A daemon that is partitioned tells that of each upstream it tries: 53 within ten seconds. The class is a verdict from one vantage point.

Evidence: "Peers of an isolated daemon send to all upstreams as before" fails without this: the peer takes all four upstreams for ended.

Why this works: a daemon at which three upstreams in a row accept no connection, and none answers in between, counts as isolated until a probe is answered. From the second one on it tells of no exit; the first is withdrawn, its exclusions aren't told, and those that it made are ended when it reaches upstreams again.

--- a/auburnproxy/daemon/gateway_daemon.py
+++ b/auburnproxy/daemon/gateway_daemon.py
@@ -34,6 +34,7 @@
 from ..gateway.plain_forwarder import PlainForwarder
 from ..gateway.predicted_cost import build_scoring
 from ..gateway.process_exits import ProcessExits
+from ..gateway.reachability import UpstreamReachability, probe_while_isolated
 from ..gateway.route import Configuration, RequestLimits
 from ..gateway.sender import Sender
 from ..gateway.shared_rates import SharedRates
@@ -254,7 +255,14 @@
         )
         self.facts.on_told = self.peer_group.send_to_all
         self.peer_group.on_facts = self.facts.merge
-        self.exits = ProcessExits(self.facts, self.engine_commands.report, decisions)
+        self.reachability = UpstreamReachability(decisions)
+        self.reachability.on_change += [
+            self._forgive_upstreams,
+            self.peer_group.send_to_all,
+        ]
+        self.exits = ProcessExits(
+            self.facts, self.engine_commands.report, decisions, self.reachability
+        )
         self.quarantine = PartQuarantine(
             self.facts,
             decisions,
@@ -351,7 +359,12 @@
 
     def _open_sender(self, header_codec: HeaderCodec) -> Sender:
         return Sender(
-            self._session, header_codec, self.directory, self.backoffs, self.limits
+            self._session,
+            header_codec,
+            self.directory,
+            self.backoffs,
+            self.limits,
+            self.reachability,
         )
 
     def _build_serving(self) -> None:
@@ -492,6 +505,7 @@
             ("conductor", self.replica_controller.run()),
             ("expiry", self._expire()),
             ("relay", self._sync_from_peers()),
+            ("reachability", self._probe_while_isolated()),
         ):
             self.tasks.spawn(name, coroutine)
         self._registration_task = asyncio.create_task(self._register())
@@ -733,6 +747,24 @@
             return False
         return True
 
+    async def _probe_while_isolated(self) -> None:
+        await probe_while_isolated(
+            self.reachability,
+            self._probed_upstreams,
+            self._probe_upstream,
+            random=self._random,
+        )
+
+    def _probed_upstreams(self) -> Sequence[str]:
+        """Return the upstreams that have a report, or all if none has."""
+        hosts = self.directory.hosts
+        return [h.id for h in hosts.values() if h.fabric_domain] or list(hosts)
+
+    def _forgive_upstreams(self) -> None:
+        """End the exclusions that this daemon's own isolation has caused."""
+        if not self.reachability.isolated:
+            self.health.end_exclusions()
+
     def _log_unanswered(self, command: str, host: str, reason: str) -> None:
         self.decisions.belief(
             "order_unanswered", order=command, upstream=host, reason=reason
@@ -813,7 +845,7 @@
             self.frontend.served > 0,
             self.health.load_by_host,
             self.peer_sync.end_by_topic,
-            list(self.health.suspects),
+            [] if self.reachability.isolated else list(self.health.suspects),
             list(self.replica_controller.retiring_heads),
             list(self.directory.recently_leaving),
             self._store.era.number,
--- a/auburnproxy/gateway/health.py
+++ b/auburnproxy/gateway/health.py
@@ -230,6 +230,12 @@
             silent_s=round(now - state.heard_at, 3) if state.heard_at >= 0 else None,
         )
 
+    def end_exclusions(self) -> None:
+        """End all exclusions, if what caused them was not the upstreams' fault."""
+        for state in self._states.values():
+            state.exclusion_s, state.excluded_until = 0.0, -1.0
+            state.failed_probes, state.test_request = 0, None
+
     def _schedule_probe(self, host: str, exclusion_s: float) -> None:
         """Schedule a probe of an upstream shortly before its exclusion ends."""
         task = asyncio.create_task(self._probe_before_end(host, exclusion_s))
--- a/auburnproxy/gateway/process_exits.py
+++ b/auburnproxy/gateway/process_exits.py
@@ -9,11 +9,13 @@
 import asyncio
 from collections.abc import Awaitable, Callable
 
+from ..clock import loop_time
 from ..errors import AuburnError
 from ..gossip import FactKind, FactTable
 from ..telemetry.decisions import DecisionLog
 from .host import Host, Incarnation
 from .liveness import Liveness, check_liveness
+from .reachability import UpstreamReachability
 
 CHECK_WAIT_S = 0.1
 """Longest wait for a check; a connection is refused within a round trip."""
@@ -31,6 +33,7 @@
     :param facts: facts shared with the other daemons
     :param report: requests a process's report over a new connection
     :param decisions: log of each process that has ended
+    :param reachability: whether refused connections say anything about processes
     """
 
     def __init__(
@@ -38,10 +41,15 @@
         facts: FactTable,
         report: Callable[[Host], Awaitable[Host]],
         decisions: DecisionLog,
+        reachability: UpstreamReachability,
     ) -> None:
         self._facts = facts
         self._report = report
         self._decisions = decisions
+        self._reachability = reachability
+        reachability.on_change.append(self._withdraw_unfounded)
+        self._recorded_at: dict[Incarnation, float] = {}
+        """The loop's time at which this daemon recorded each recent exit."""
         self._checks: dict[Incarnation, asyncio.Task[bool]] = {}
         self._rechecks: set[asyncio.Task[None]] = set()
 
@@ -51,14 +59,17 @@
         return exit_fact is not None and exit_fact.value == ENDED
 
     def record(self, host: Host, *, reason: str) -> None:
-        """Record that a process has ended, unless that is known.
+        """Record that a process has ended, unless that is known or unfounded.
 
         :param host: the process
         :param reason: what showed it, for the log
         """
-        if self.has_ended(host.incarnation):
+        if self.has_ended(host.incarnation) or self._reachability.doubtful:
             return
-        self._tell(host, ENDED)
+        now = loop_time()
+        recent = {i: at for i, at in self._recorded_at.items() if now - at < EXIT_S}
+        self._recorded_at = recent | {host.incarnation: now}
+        self._tell(host.incarnation, ENDED)
         self._decisions.belief("upstream_exited", upstream=host.id, reason=reason)
         recheck = asyncio.create_task(self._recheck(host))
         self._rechecks.add(recheck)
@@ -92,8 +103,18 @@
         for task in (*self._checks.values(), *self._rechecks):
             task.cancel()
 
-    def _tell(self, host: Host, state: float) -> None:
-        process = process_name(host.incarnation)
+    def _withdraw_unfounded(self) -> None:
+        """Withdraw the exits recorded since an upstream last answered, if isolated."""
+        if not self._reachability.isolated:
+            return
+        for incarnation, at in self._recorded_at.items():
+            if at >= self._reachability.answered_at:
+                self._tell(incarnation, LISTENS)
+                self._decisions.belief("exit_withdrawn", upstream=incarnation[0])
+        self._recorded_at.clear()
+
+    def _tell(self, incarnation: Incarnation, state: float) -> None:
+        process = process_name(incarnation)
         self._facts.tell(FactKind.EXIT, process, ttl_s=EXIT_S, value=state)
 
     async def _recheck(self, host: Host) -> None:
@@ -107,7 +128,7 @@
             except AuburnError:
                 continue
             if reported.incarnation == host.incarnation:
-                self._tell(host, LISTENS)
+                self._tell(host.incarnation, LISTENS)
                 self._decisions.belief("upstream_listens", upstream=host.id)
             return
 
--- a/auburnproxy/gateway/sender.py
+++ b/auburnproxy/gateway/sender.py
@@ -15,6 +15,7 @@
 from .directory import Directory
 from .header_codec import Dispatch, HeaderCodec, ResponseInfo
 from .named_limits import NamedLimits
+from .reachability import UpstreamReachability
 
 SKIPPED_HEADERS = ("User-Agent", "Accept", "Accept-Encoding", "Content-Type")
 """Headers that the HTTP library would add where the caller sent none."""
@@ -36,6 +37,7 @@
     :param directory: records upstreams that announce that they are leaving
     :param backoffs: records the Retry-After of upstreams
     :param limits: records the limits that upstreams name
+    :param reachability: records whether upstreams accept connections and answer
     """
 
     def __init__(
@@ -45,12 +47,14 @@
         directory: Directory,
         backoffs: UpstreamBackoffs,
         limits: NamedLimits,
+        reachability: UpstreamReachability,
     ) -> None:
         self._session = session
         self._header_codec = header_codec
         self._directory = directory
         self._backoffs = backoffs
         self._limits = limits
+        self._reachability = reachability
 
     async def send(self, call: Call, dispatch: Dispatch) -> UpstreamResponse:
         """Send a request to an upstream and return its response, with the body unread.
@@ -80,6 +84,7 @@
         except UpstreamError as error:
             if error.ran is Ran.NO:
                 call.progress.mark_not_run()
+                self._reachability.record_unreachable(dispatch.host.id)
                 raise AttemptError(
                     "unreachable",
                     ran=Ran.NO,
@@ -87,6 +92,7 @@
                     connection_refused=error.connection_refused,
                 ) from error
             raise AttemptError("broken", ran=Ran.UNKNOWN) from error
+        self._reachability.record_answer()
         info = self._header_codec.read_response(answer.status, answer.headers)
         self._apply_info(dispatch, info)
         if info.request_id == call.id and info.status != MISDIRECTED:
--- a/emulator/daemons.py
+++ b/emulator/daemons.py
@@ -130,6 +130,7 @@
         daemon.directory,
         daemon.backoffs,
         daemon.limits,
+        daemon.reachability,
     )
 
 
--- a/features/fakes/pausing_sender.py
+++ b/features/fakes/pausing_sender.py
@@ -13,6 +13,7 @@
 from auburnproxy.gateway.liveness import LivenessChecker
 from auburnproxy.gateway.plain_forwarder import PlainForwarder
 from auburnproxy.gateway.process_exits import ProcessExits
+from auburnproxy.gateway.reachability import UpstreamReachability
 from auburnproxy.gateway.retry_budget import RetryAllowance, RetryBudget
 from auburnproxy.gateway.route import Route, RouteKind, Target
 from auburnproxy.gateway.sender import Sender, UpstreamResponse
@@ -115,7 +116,12 @@
             self,
             *common,
             LivenessChecker(self.report, self.fixture.health.heard_at, self.decisions),
-            ProcessExits(self.facts, self.report, self.decisions),
+            ProcessExits(
+                self.facts,
+                self.report,
+                self.decisions,
+                UpstreamReachability(self.decisions),
+            ),
             PartQuarantine(self.facts, self.decisions),
             lambda service: ENGINE,
             self.decisions,
--- a/features/fakes/stalling_sender.py
+++ b/features/fakes/stalling_sender.py
@@ -13,6 +13,7 @@
 from auburnproxy.gateway.host import Host
 from auburnproxy.gateway.liveness import Liveness, LivenessChecker, check_liveness
 from auburnproxy.gateway.process_exits import ProcessExits
+from auburnproxy.gateway.reachability import UpstreamReachability
 from auburnproxy.gateway.retry_budget import RetryAllowance, RetryBudget
 from auburnproxy.gateway.route import Route, RouteKind, Target
 from auburnproxy.gateway.sender import Sender, UpstreamResponse
@@ -84,7 +85,12 @@
             LivenessChecker(
                 self.report, self.fixture.health.heard_at, null_decisions()
             ),
-            ProcessExits(self.facts, self.report, null_decisions()),
+            ProcessExits(
+                self.facts,
+                self.report,
+                null_decisions(),
+                UpstreamReachability(null_decisions()),
+            ),
             PartQuarantine(self.facts, null_decisions()),
             lambda service: ENGINE,
             null_decisions(),
