Forward requests to peers while no upstream can be reached

Cause: a daemon had one way to an upstream, its own connections.

Why this works: an isolated daemon forwards requests whole to a daemon that says it reaches upstreams, near ones first, over the listener for peers. The peer serves them like its own callers', with the time that is left. A request that no peer accepts was not sent; one that a peer accepted is never sent again. The peer doesn't forward it again.

The step "two more fields" of the readers' tests listed the fields of a heartbeat before the last two; it lists all now, so that the fields it adds are unknown ones again.

--- a/auburnproxy/daemon/gateway_daemon.py
+++ b/auburnproxy/daemon/gateway_daemon.py
@@ -31,6 +31,7 @@
 from ..gateway.liveness import LivenessChecker
 from ..gateway.named_limits import NamedLimits
 from ..gateway.outcomes import Outcomes, OutcomeTracker, UnusedOutcomes
+from ..gateway.peer_forwarder import PeerForwarder, serve_forwarded
 from ..gateway.plain_forwarder import PlainForwarder
 from ..gateway.predicted_cost import build_scoring
 from ..gateway.process_exits import ProcessExits
@@ -448,6 +449,15 @@
             full_slack_at=self._started_at
             + (0.0 if settings.first_start else window_s),
             informed=self._state_complete,
+            reachability=self.reachability,
+            peers=PeerForwarder(
+                self._session,
+                header_codec,
+                lambda: self.peer_group.forwarding_addresses,
+                self.decisions,
+                answer_bytes=settings.answer_bytes,
+                random=self._random,
+            ),
             decisions=self.decisions,
             telemetry=self.telemetry,
         )
@@ -671,6 +681,12 @@
         application.router.add_get("/{path:.*}", readiness)
         return application
 
+    def internal_application(self) -> web.Application:
+        """Return the application of the listener for peers."""
+        application = self.peer_sync.application()
+        application.middlewares.append(serve_forwarded(self.frontend.handle))
+        return application
+
     def metrics_application(self) -> web.Application:
         """Return the application of the operators' listener."""
         application = web.Application()
@@ -852,6 +868,7 @@
             self.peer_sync.previous_era_end_by_topic,
             self.facts.outgoing(),
             dict(self._scoring.prompt_load_by_host),
+            self.ready and not self.reachability.isolated,
         )
 
     def _supersedes(self, known: Change, other: Change) -> bool:
--- a/auburnproxy/daemon/gateway_services.py
+++ b/auburnproxy/daemon/gateway_services.py
@@ -35,16 +35,22 @@
 def services(daemon: GatewayDaemon) -> list[Any]:
     """Return all services that the daemon's process runs."""
     settings = daemon.settings
-    internal = (
+    operators = (
         (settings.readiness, daemon.readiness_application()),
-        (settings.internal, daemon.peer_sync.application()),
         (settings.metrics, daemon.metrics_application()),
     )
     return [
         DaemonService(daemon),
         *(
             Listener(address, application, daemon, close_s=CONNECTION_CLOSE_S)
-            for address, application in internal
+            for address, application in operators
+        ),
+        Listener(
+            settings.internal,
+            daemon.internal_application(),
+            daemon,
+            close_s=CONNECTION_CLOSE_S,
+            decompress=False,
         ),
         callers_listener(daemon),
     ]
--- a/auburnproxy/gateway/frontend.py
+++ b/auburnproxy/gateway/frontend.py
@@ -20,8 +20,10 @@
 from .call import HELD_ANSWER, IN_FLIGHT, Call
 from .caller_response import CallerResponse
 from .directory import Directory
-from .header_codec import HeaderCodec, RequestInfo
+from .header_codec import FORWARDED, HeaderCodec, RequestInfo
+from .peer_forwarder import PeerForwarder
 from .plain_forwarder import PlainForwarder
+from .reachability import UpstreamReachability
 from .retry_budget import RetryAllowance
 from .retry_budgets import CurrentRetryLimit, RetryBudgets
 from .route import RouteKind
@@ -57,6 +59,8 @@
     :param full_slack_at: the loop's time from which the full slack of the budget may be
         used
     :param informed: returns whether everything that routing needs has been read
+    :param reachability: whether this daemon reaches upstreams
+    :param peers: forwards requests to peers while it does not
     :param decisions: log, with a line for each request
     :param telemetry: histograms and counters
     """
@@ -74,6 +78,8 @@
         daemons: Callable[[], int],
         full_slack_at: float = 0.0,
         informed: Callable[[], bool] = lambda: True,
+        reachability: UpstreamReachability,
+        peers: PeerForwarder,
         decisions: DecisionLog,
         telemetry: Telemetry,
     ) -> None:
@@ -92,6 +98,8 @@
         self._answer_memory = answer_memory
         self._body_reader = BodyReader()
         self._informed = informed
+        self._reachability = reachability
+        self._peers = peers
         self._hold_until = loop_time() + START_HOLD_S
         self._decisions = decisions
         self._telemetry = telemetry
@@ -167,6 +175,28 @@
         return response
 
     async def _forward(self, call: Call) -> web.StreamResponse:
+        """Forward a request to an upstream, or to a peer while none can be reached."""
+        if response := await self._forward_to_peer(call):
+            return response
+        try:
+            return await self._forward_to_upstream(call)
+        except RefusalError as refusal:
+            if refusal.ran is Ran.NO and (
+                response := await self._forward_to_peer(call)
+            ):
+                return response
+            raise
+
+    async def _forward_to_peer(self, call: Call) -> web.StreamResponse | None:
+        """Forward a request to a peer if this daemon is isolated and a peer takes it.
+
+        A request that a peer has forwarded stays here, so that none circulates.
+        """
+        if not self._reachability.isolated or FORWARDED in call.http.headers:
+            return None
+        return await self._peers.forward(call)
+
+    async def _forward_to_upstream(self, call: Call) -> web.StreamResponse:
         self.served += 1
         self.retry_budgets.budget(call.service).record_request()
         service = partial(self._directory.service, call)
--- a/auburnproxy/gateway/header_codec.py
+++ b/auburnproxy/gateway/header_codec.py
@@ -10,8 +10,11 @@
 
 from .host import Host
 
+FORWARDED = "Auburn-Forwarded"
+"""Header of a request that a peer has forwarded."""
 HOP_BY_HOP = frozenset(
     {
+        FORWARDED.lower(),
         "connection",
         "keep-alive",
         "proxy-authenticate",
@@ -106,6 +109,16 @@
     ) -> CIMultiDict[str]:
         """Return the headers to send to an upstream."""
 
+    @abstractmethod
+    def peer_headers(
+        self, headers: CIMultiDictProxy[str], deadline_s: float
+    ) -> CIMultiDict[str]:
+        """Return the headers with which a peer gets a caller's request.
+
+        :param headers: headers as received
+        :param deadline_s: seconds until the deadline
+        """
+
     @abstractmethod
     def read_response(self, status: int, headers: Mapping[str, str]) -> ResponseInfo:
         """Parse the status and headers of an upstream's response."""
--- a/auburnproxy/gateway/sender.py
+++ b/auburnproxy/gateway/sender.py
@@ -77,10 +77,7 @@
                     skip_auto_headers=SKIPPED_HEADERS,
                 )
         except UnicodeEncodeError as error:
-            # Raised by the Python code of aiohttp; its C extension omits such bytes.
-            call.progress.mark_not_run()
-            message = "The head of the request is not UTF-8."
-            raise RefusalError("head_not_utf8", message, status=400) from error
+            raise unwritable_head(call) from error
         except UpstreamError as error:
             if error.ran is Ran.NO:
                 call.progress.mark_not_run()
@@ -107,6 +104,17 @@
             self._backoffs.record(incarnation, info.retry_after)
 
 
+def unwritable_head(call: Call) -> RefusalError:
+    """Return the refusal of a request whose head aiohttp can't write.
+
+    Its Python code raises an error for bytes that are not UTF-8; its C extension omits
+    them.
+    """
+    call.progress.mark_not_run()
+    message = "The head of the request is not UTF-8."
+    return RefusalError("head_not_utf8", message, status=400)
+
+
 def check_response(call: Call, info: ResponseInfo) -> None:
     """Check that a response belongs to this request and the request was run.
 
--- a/auburnproxy/heartbeats/heartbeat.py
+++ b/auburnproxy/heartbeats/heartbeat.py
@@ -44,6 +44,8 @@
     """Tokens of its requests at each upstream, as `PromptLoad` by host. Read by
     `read_prompt_loads`, so that an unusable figure costs no other field; daemons of
     earlier versions, which count requests only, send none."""
+    takes_forwarded: bool = False
+    """Whether it takes requests from peers that reach no upstream."""
 
 
 _decoder = MsgpackDecoder(Heartbeat)
--- a/auburnproxy/heartbeats/peer_group.py
+++ b/auburnproxy/heartbeats/peer_group.py
@@ -181,6 +181,19 @@
             if name in self._records
         }
 
+    @property
+    def forwarding_addresses(self) -> tuple[Sequence[str], Sequence[str]]:
+        """Return the internal addresses of peers that take forwarded requests.
+
+        Those of the own failure domain are first, then those of others.
+        """
+        by_distance: tuple[list[str], list[str]] = [], []
+        for name, heartbeat in self._heartbeat_by_name.items():
+            if heartbeat.takes_forwarded and name in self._records:
+                is_far = name not in self._local_receivers.records
+                by_distance[is_far].append(self._records[name].internal_address)
+        return by_distance
+
     def should_read_store(self, *, store_reachable: bool) -> bool:
         """Return whether this daemon should read the store for its failure domain.
 
--- a/auburnproxy/platform/headers.py
+++ b/auburnproxy/platform/headers.py
@@ -8,6 +8,7 @@
 from multidict import CIMultiDict, CIMultiDictProxy, MultiMapping
 
 from ..gateway.header_codec import (
+    FORWARDED,
     Dispatch,
     HeaderCodec,
     ReportedLoad,
@@ -38,6 +39,7 @@
 FAULTY_SERVER = "At-Server"
 LEAVING = "Server-Leaving"
 LEAVING_VALUE = "1"
+FORWARDED_VALUE = "1"
 RETRY_AFTER = "Retry-After"
 PROXY_HEADERS = (
     API_KEY,
@@ -93,7 +95,7 @@
         forwarded = without_hop_by_hop(headers)
         for name in PROXY_HEADERS:
             forwarded.popall(name, None)
-        forwarded[DEADLINE_MS] = str(max(int(dispatch.deadline_s * MS_PER_S), 1))
+        forwarded[DEADLINE_MS] = _to_ms(dispatch.deadline_s)
         forwarded[HOST_ID] = dispatch.host.id
         if dispatch.account:
             forwarded[ACCOUNT] = dispatch.account
@@ -103,6 +105,15 @@
             forwarded[URGENCY] = str(dispatch.urgency)
         return forwarded
 
+    def peer_headers(
+        self, headers: CIMultiDictProxy[str], deadline_s: float
+    ) -> CIMultiDict[str]:
+        """Return the headers with which a peer gets a caller's request."""
+        forwarded = without_hop_by_hop(headers)
+        forwarded[DEADLINE_MS] = _to_ms(deadline_s)
+        forwarded[FORWARDED] = FORWARDED_VALUE
+        return forwarded
+
     def read_response(self, status: int, headers: Mapping[str, str]) -> ResponseInfo:
         """Decode the status and headers of an upstream's response."""
         return ResponseInfo(
@@ -128,6 +139,10 @@
     return headers.get(LEAVING, "").strip() == LEAVING_VALUE
 
 
+def _to_ms(seconds: float) -> str:
+    return str(max(int(seconds * MS_PER_S), 1))
+
+
 def _parse_number(text: str) -> float | None:
     text = text.strip()
     is_valid = text.isascii() and text.isdigit() and len(text) <= MAX_DIGITS
--- a/features/fakes/platform.py
+++ b/features/fakes/platform.py
@@ -659,7 +659,7 @@
         self._listeners.append(listener)
         daemon.start()
         await self._listen(daemon.readiness_application(), readiness)
-        await self._listen(daemon.peer_sync.application(), internal)
+        await self._listen(daemon.internal_application(), internal)
         return daemon
 
     async def _listen(self, app: web.Application, address: str) -> None:
--- a/features/steps/readers.py
+++ b/features/steps/readers.py
@@ -462,7 +462,8 @@
 
 @when("another daemon's heartbeat and record have {fields}")
 def send_version(context, fields):
-    heartbeat = ["d3", False, True, True, {"h": [2, 0, 0]}, {}, [], [], [], 0, {}, []]
+    load = {"h": [2, 0, 0]}
+    heartbeat = ["d3", False, True, True, load, {}, [], [], [], 0, {}, [], {}, False]
     record = ["d3", "fd0", "d3", True]
     if fields == "two more fields":
         heartbeat += [{"new": 1}, 5]
