--- a/auburnproxy/gateway/frontend.py
+++ b/auburnproxy/gateway/frontend.py
@@ -194,7 +194,10 @@
         """
         if not self._reachability.isolated or FORWARDED in call.http.headers:
             return None
-        return await self._peers.forward(call)
+        response = await self._peers.forward(call)
+        if response is not None:
+            self._telemetry.count(Counter.FORWARDED, call.account, call.service)
+        return response
 
     async def _forward_to_upstream(self, call: Call) -> web.StreamResponse:
         self.served += 1
--- a/auburnproxy/gateway/peer_forwarder.py
+++ b/auburnproxy/gateway/peer_forwarder.py
@@ -5,11 +5,9 @@
 import asyncio
 from collections.abc import Callable, Sequence
 from random import Random
-from typing import cast
 
 from aiohttp import ClientError, ClientSession, web
 from aiohttp.typedefs import Handler, Middleware
-from yarl import URL
 
 from ..bounded_body import read_body
 from ..errors import Ran, RefusalError, UpstreamError
@@ -19,7 +17,7 @@
 from .caller_response import forward_response, forward_stream
 from .header_codec import FORWARDED, HeaderCodec
 from .route import RouteKind
-from .sender import SKIPPED_HEADERS, unwritable_head
+from .sender import transmit
 from .stream_forwarder import StreamAbortedError
 from .unfinished_response import abort_response
 
@@ -102,23 +100,11 @@
         :raises RefusalError: if the request can't be written
         """
         headers = self._header_codec.peer_headers(call.http.headers, call.remaining_s)
-        url = URL(f"http://{address}{call.http.raw_path}", encoded=True)
-        try:
-            with upstream_errors(address):
-                answer = await self._session.request(
-                    call.http.method,
-                    url,
-                    headers=headers,
-                    data=call.body or None,
-                    allow_redirects=False,
-                    skip_auto_headers=SKIPPED_HEADERS,
-                )
-        except UnicodeEncodeError as error:
-            raise unwritable_head(call) from error
+        answer = await transmit(self._session, call, address, headers)
         self._decisions.request(
             "forwarded_to_peer", call.id, peer=address, status=answer.status
         )
-        return cast(TrackedResponse, answer)
+        return answer
 
     async def _read_whole(
         self, call: Call, answer: TrackedResponse, address: str
--- a/auburnproxy/gateway/sender.py
+++ b/auburnproxy/gateway/sender.py
@@ -5,6 +5,7 @@
 from typing import NamedTuple, cast
 
 from aiohttp import ClientSession
+from multidict import CIMultiDict
 from yarl import URL
 
 from ..clock import loop_time
@@ -63,21 +64,10 @@
         :raises RefusalError: if the request can't be written
         """
         headers = self._header_codec.upstream_headers(call.http.headers, dispatch)
-        url = f"http://{dispatch.host.address}{call.http.raw_path}"
         call.progress.send_to(dispatch.host.id)
         sent_at = loop_time()
         try:
-            with upstream_errors(dispatch.host.address):
-                answer = await self._session.request(
-                    call.http.method,
-                    URL(url, encoded=True),
-                    headers=headers,
-                    data=call.body or None,
-                    allow_redirects=False,
-                    skip_auto_headers=SKIPPED_HEADERS,
-                )
-        except UnicodeEncodeError as error:
-            raise unwritable_head(call) from error
+            answer = await transmit(self._session, call, dispatch.host.address, headers)
         except UpstreamError as error:
             if error.ran is Ran.NO:
                 call.progress.mark_not_run()
@@ -94,7 +84,7 @@
         self._apply_info(dispatch, info)
         if info.request_id == call.id and info.status != MISDIRECTED:
             self._limits.record(dispatch.host, info.limit, sent_at=sent_at)
-        return UpstreamResponse(cast(TrackedResponse, answer), info)
+        return UpstreamResponse(answer, info)
 
     def _apply_info(self, dispatch: Dispatch, info: ResponseInfo) -> None:
         incarnation = dispatch.host.incarnation
@@ -104,15 +94,35 @@
             self._backoffs.record(incarnation, info.retry_after)
 
 
-def unwritable_head(call: Call) -> RefusalError:
-    """Return the refusal of a request whose head aiohttp can't write.
+async def transmit(
+    session: ClientSession, call: Call, address: str, headers: CIMultiDict[str]
+) -> TrackedResponse:
+    """Send a request and return the response, with its body unread.
 
-    Its Python code raises an error for bytes that are not UTF-8; its C extension omits
-    them.
+    :param session: connections to the receivers of requests
+    :param call: the request
+    :param address: IP number and port of the receiver
+    :param headers: the headers to send
+    :raises UpstreamError: if there is no response
+    :raises RefusalError: if the request can't be written
     """
-    call.progress.mark_not_run()
-    message = "The head of the request is not UTF-8."
-    return RefusalError("head_not_utf8", message, status=400)
+    url = URL(f"http://{address}{call.http.raw_path}", encoded=True)
+    try:
+        with upstream_errors(address):
+            answer = await session.request(
+                call.http.method,
+                url,
+                headers=headers,
+                data=call.body or None,
+                allow_redirects=False,
+                skip_auto_headers=SKIPPED_HEADERS,
+            )
+    except UnicodeEncodeError as error:
+        # Raised by the Python code of aiohttp; its C extension omits such bytes.
+        call.progress.mark_not_run()
+        message = "The head of the request is not UTF-8."
+        raise RefusalError("head_not_utf8", message, status=400) from error
+    return cast(TrackedResponse, answer)
 
 
 def check_response(call: Call, info: ResponseInfo) -> None:
--- a/features/steps/isolated_daemons.py
+++ b/features/steps/isolated_daemons.py
@@ -8,19 +8,16 @@
 from aiohttp import ClientConnectorError, ConnectionTimeoutError
 from behave import given, then, when
 
-from features.fakes.platform import EVENTS, ONCE_PATH, SAFE_PATH, event
+from features.steps.malformed_responses import WHOLE_STREAM
+from features.steps.malformed_responses import ask as send
 from features.steps.routed import (
     PEER_DISCOVERY_S,
     RequestResult,
     open_site,
     request_stream,
     run,
-    send_request,
 )
 
-WHOLE = b"the whole answer"
-WHOLE_STREAM = b"".join(event(number) for number in range(1, EVENTS + 1))
-
 
 def partition(context, daemon, how):
     """Let a daemon's new connections to upstreams fail, but not those to its peers."""
@@ -78,15 +75,7 @@
 
 
 async def ask(context, request):
-    result = RequestResult(context)
-    if request == "stream":
-        await request_stream(result)
-    elif request == "lookup":
-        await send_request(result, "GET", f"{SAFE_PATH}x")
-    else:
-        await send_request(result, "POST", f"{ONCE_PATH}x", body=b"order")
-    result.whole = WHOLE_STREAM if request == "stream" else WHOLE
-    context.results.append(result)
+    context.results.append(await send(context, request, ""))
 
 
 @when("it gets a {request} {count:d} times")
