--- a/auburnproxy/gateway/frontend.py
+++ b/auburnproxy/gateway/frontend.py
@@ -176,16 +176,18 @@
 
     async def _forward(self, call: Call) -> web.StreamResponse:
         """Forward a request to an upstream, or to a peer while none can be reached."""
-        if response := await self._forward_to_peer(call):
+        response = await self._forward_to_peer(call)
+        if response is not None:
             return response
         try:
             return await self._forward_to_upstream(call)
         except RefusalError as refusal:
-            if refusal.ran is Ran.NO and (
-                response := await self._forward_to_peer(call)
-            ):
-                return response
-            raise
+            # The daemon may have found out that it is isolated by this request.
+            if refusal.ran is Ran.NO:
+                response = await self._forward_to_peer(call)
+            if response is None:
+                raise
+            return response
 
     async def _forward_to_peer(self, call: Call) -> web.StreamResponse | None:
         """Forward a request to a peer if this daemon is isolated and a peer takes it.
--- a/auburnproxy/gateway/peer_forwarder.py
+++ b/auburnproxy/gateway/peer_forwarder.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable, Sequence
 from random import Random
 
-from aiohttp import ClientError, ClientSession, web
+from aiohttp import ClientConnectionResetError, ClientError, ClientSession, web
 from aiohttp.typedefs import Handler, Middleware
 
 from ..bounded_body import read_body
@@ -137,6 +137,9 @@
                 async with asyncio.timeout(call.remaining_s + ANSWER_MARGIN_S):
                     async for data in answer.content.iter_any():
                         await stream.write(data)
+            except ClientConnectionResetError:
+                # The caller has left; aiohttp raises no such error for the peer.
+                raise
             except (ClientError, TimeoutError) as error:
                 self._log_failure(call, address, error)
                 abort_response(call.http)
