Pass the reachability to emulated senders

Cause: EmulatedSender passes its arguments on untyped, so that the type check did not see the one that Sender got in.

--- a/emulator/play.py
+++ b/emulator/play.py
@@ -173,6 +173,7 @@
             directory=daemon.directory,
             backoffs=daemon.backoffs,
             limits=daemon.limits,
+            reachability=daemon.reachability,
         )
 
     def _start_daemon(self, number: int, *, first_start: bool) -> None:
