Review: an engine that has left comes back for one daemon (case 13)

Tried on two real daemons and 27 engine processes: the store's answers to one daemon are held up for 0.8 s while three engines leave, eight times.

--- a/review/common3/engine.py
+++ b/review/common3/engine.py
@@ -51,6 +51,7 @@
         self.highest_epoch = 0
         self.born = int(time.time() * 1000)
         self.running = 0
+        self.registered = True
 
     # The registration.
 
@@ -106,7 +107,7 @@
 
     async def renew(self) -> None:
         """Renew the entry until the process ends."""
-        while True:
+        while self.registered:
             await self.register()
             await asyncio.sleep(HEARTBEAT_S)
 
@@ -278,6 +279,10 @@
                 await self.register()
             elif line[0] == "mode":
                 self.mode = line[1]
+            elif line[0] == "leave":
+                # Writes its entry once more; after that the store drops it.
+                await self.register()
+                self.registered = False
             say(kind="told", engine=self.id, what=" ".join(line))
 
 
--- a/review/common3/rig.py
+++ b/review/common3/rig.py
@@ -199,9 +199,12 @@
         await engine.start()
         return engine
 
-    async def add_daemon(self, number: int, zone: str) -> Daemon:
-        """Start a daemon with the command of the deploy file."""
-        daemon = Daemon(number, zone, self.store.address, self.folder)
+    async def add_daemon(self, number: int, zone: str, *, store: str = "") -> Daemon:
+        """Start a daemon with the command of the deploy file.
+
+        :param store: address at which it gets the store, the store's own by default
+        """
+        daemon = Daemon(number, zone, store or self.store.address, self.folder)
         self.daemons.append(daemon)
         await daemon.start()
         self.record.write(f"daemon {daemon.name} started, callers {daemon.callers}")
