--- a/review/common3/rig.py
+++ b/review/common3/rig.py
@@ -236,6 +236,7 @@
         path: str,
         *,
         method: str = "POST",
+        query: str = "",
         deadline_ms: int = 8000,
         wait_s: float | None = None,
         quiet: bool = False,
@@ -244,7 +245,7 @@
         self._sent += 1
         request_id = f"{self._sent:016x}"
         body = b"" if method == "GET" else b"q" * 600
-        lines = [f"{method} {path}2f HTTP/1.1", f"Host: {HOST}"]
+        lines = [f"{method} {path}2f{query} HTTP/1.1", f"Host: {HOST}"]
         lines += [f"Attempt-Id: {request_id}", f"Api-Key: {KEY}"]
         lines += [f"Deadline-Ms: {deadline_ms}", "Connection: close"]
         if path == STREAM_PATH:
@@ -253,7 +254,9 @@
         if body:
             lines.append(f"Content-Length: {len(body)}")
         if not quiet:
-            self.record.write(f"{request_id} is sent to {daemon.name}: {method} {path}")
+            self.record.write(
+                f"{request_id} is sent to {daemon.name}: {method} {path}{query}"
+            )
         began = time.monotonic()
         raw, closed = b"", False
         try:
@@ -360,6 +363,8 @@
         self.name = name
         self.ran: list[str] = []
         """Ids of the requests that it has begun to run."""
+        self.targets: dict[str, str] = {}
+        """The path and query of each of them."""
         self.sent: dict[str, int] = {}
         """What it had sent of each answer when it ended it."""
         self._settings = settings | {"id": name, "store": store}
@@ -386,6 +391,7 @@
             at, kind = said.pop("at"), said.pop("kind")
             if kind == "runs":
                 self.ran.append(said["request"])
+                self.targets[said["request"]] = said["path"]
             elif kind == "sent":
                 self.sent[said["request"]] = said["sent"]
             text = " ".join(f"{key}={value}" for key, value in said.items())
