--- a/review/common3/rig.py
+++ b/review/common3/rig.py
@@ -598,13 +598,18 @@
     code = COULD_NOT_RUN
     try:
         code = asyncio.run(_run(folder, play, trouble))
-    except (CannotRunError, TimeoutError, OSError) as error:
+    except (CannotRunError, TimeoutError, OSError, asyncio.CancelledError) as error:
         print(f"could not run: {error!r}")
     sys.exit(code)
 
 
 async def _run(folder: Path, play: Callable, trouble: bool) -> int:
     rigs: list[Rig] = []
+    task = asyncio.current_task()
+    assert task is not None
+    for number in (signal.SIGTERM, signal.SIGINT):
+        # Ends the processes that were started, like any other end.
+        asyncio.get_running_loop().add_signal_handler(number, task.cancel)
 
     async def start(**options: Any) -> Rig:
         rig = await build(folder, **options)
