--- a/review/13/case.py
+++ b/review/13/case.py
@@ -15,7 +15,7 @@
 
 ENGINES = 27
 LEAVING = 3
-"""Engines that leave in one round, an eighth of those that are there."""
+"""Engines that leave in one round, a ninth of those that are there; as many come."""
 ROUNDS = 8
 CUT_S = 0.8
 DRAIN_S, SETTLE_S = 2.0, 3.0
@@ -95,6 +95,7 @@
     daemon, link = rig.daemons[daemon_number], links[daemon_number]
     rig.record.write(f"{daemon.name} is the one that is cut off")
     breaches = []
+    number = ENGINES - 1
     for _ in range(ROUNDS):
         leaving = [engines.pop(0) for _ in range(LEAVING)]
         cutting = None
@@ -120,6 +121,9 @@
                     f"{DRAIN_S} s after its entry was gone, {SETTLE_S} s after the cut"
                 )
             await engine.kill()
+        for _ in range(LEAVING):
+            number += 1
+            engines.append(await rig.add_engine(f"i-order{number}", **settings))
     return breaches
 
 
