Bound the work that the events of one stream take in a turn of the loop

Cause: each pair of line ends counted as an event. All events of a read were parsed, compared and joined in one turn of the loop, and each was copied with all before it: a read of 256 kB of line ends took 0.94 s. Nothing ended such a try, as line ends counted as events of a head that is not silent.

Ruled out: the HTTP library (the answers have no chunks, and reading them costs little), the parsing alone (21 ms a MB for id fields without blank lines), and the square alone: with joined bytes a read of 256 kB would still have held the loop for 0.1 s and more.

Why this works: a batch has at most 64 blocks of lines, and other tasks run between two batches of a read. A block without a data field is no event, as the format says: it neither keeps a try alive nor shows a head as live, and 64 KiB of them without an event fail the try, which is retried elsewhere. The buffer of an incomplete event is no longer copied at each read.

The step that reads one long event in small blocks takes batches now, and still compares every byte.

--- a/auburnproxy/gateway/events.py
+++ b/auburnproxy/gateway/events.py
@@ -3,52 +3,106 @@
 from __future__ import annotations
 
 import re
+from collections.abc import Iterator
 from typing import NamedTuple
 
-SEPARATOR = re.compile(rb"\r?\n\r?\n")
-SEPARATOR_BYTES = 4
+from ..errors import UnreadableError
+
 LONGEST_EVENT_BYTES = 1_048_576
-_ID = re.compile(rb"(?:^|\n)id:[ ]?([^\r\n]*)")
+MAX_IDLE_BYTES = 65_536
+"""Bytes of comments, blank lines and fields without data that may precede an event."""
+MAX_BATCH_BLOCKS = 64
+"""Blocks, with or without an event, that are parsed in one step."""
+MAX_ID_LENGTH = 256
+"""Length of the longest id from which a stream is resumed."""
+_LONGEST_SEPARATOR_BYTES = 4
+_BLANK_LINES = re.compile(rb"(?>\r\n|\r|\n)[\r\n]+")
+"""The end of a line and all blank lines after it, which end a block of lines."""
+_DATA = re.compile(rb"(?:\A|[\r\n])data[:\r\n]")
+_ID = re.compile(rb"(?:\A|[\r\n])id(?::[ ]?([^\r\n\0]*))?(?=[\r\n])")
 
 
 class Event(NamedTuple):
     """One complete event."""
 
     data: bytes
-    """Its bytes as received, including the separator."""
+    """Its bytes as received, with the blank lines after it and what precedes it."""
     id: str
-    """Value of its id field, empty if it has none."""
+    """Value of its id field; empty if it has none from which a stream can resume."""
 
 
 class EventReader:
-    """Splits the bytes of a stream into complete events."""
+    """Splits the bytes of a stream into complete events.
+
+    As the format says, a block of lines without a data field is no event; a run of
+    blank lines is none either. Such bytes become a part of the next event.
+    """
 
     def __init__(self) -> None:
-        self._buffer = bytearray()
+        self._idle = bytearray()
+        """Blocks without an event since the last one."""
+        self._incomplete = bytearray()
+        """Bytes of the block that is not complete yet."""
 
     @property
-    def incomplete_event(self) -> bytes:
-        """Return the bytes of an incomplete event."""
-        return bytes(self._buffer)
+    def inside_event(self) -> bool:
+        """Return whether the bytes so far end inside a block of lines."""
+        return bool(self._incomplete.strip(b"\r\n"))
+
+    def feed(self, chunk: bytes) -> Iterator[list[Event]]:
+        """Yield the events that a chunk of the stream completes, in batches.
 
-    def feed(self, chunk: bytes) -> list[Event]:
-        """Return the events that a chunk of the stream completes.
+        The work for a batch is bounded, so that a caller can do other work between two
+        of them. A chunk must be exhausted before the next one is fed.
 
         :param chunk: bytes as received
-        :raises ValueError: if an event is too long
+        :raises UnreadableError: if an event is too long, or too much precedes it
         """
-        data, start = self._buffer, 0
-        search_start = max(len(data) - SEPARATOR_BYTES + 1, 0)
-        data += chunk
-        events = []
-        for match in SEPARATOR.finditer(data, search_start):
-            event = bytes(data[start : match.end()])
-            start = match.end()
-            events.append(Event(event, _event_id(event)))
-        self._buffer = data[start:]
-        if len(self._buffer) > LONGEST_EVENT_BYTES:
-            raise ValueError("event is too long")
-        return events
+        data, search_start = chunk, 0
+        if self._incomplete:
+            search_start = max(len(self._incomplete) - _LONGEST_SEPARATOR_BYTES + 1, 0)
+            self._incomplete += chunk
+            if _BLANK_LINES.search(self._incomplete, search_start) is None:
+                self._check_length()
+                return
+            data = bytes(self._incomplete)
+        yield from self._split(data, search_start)
+        self._check_length()
+
+    def _check_length(self) -> None:
+        if len(self._incomplete) > LONGEST_EVENT_BYTES:
+            raise UnreadableError(f"event of more than {LONGEST_EVENT_BYTES} bytes")
+
+    def _split(self, data: bytes, search_start: int) -> Iterator[list[Event]]:
+        """Yield the events of some blocks, and keep the incomplete one.
+
+        :raises UnreadableError: if too much precedes an event
+        """
+        events: list[Event] = []
+        block_start, blocks = 0, 0
+        for match in _BLANK_LINES.finditer(data, search_start):
+            block = data[block_start : match.end()]
+            if len(block) > LONGEST_EVENT_BYTES:
+                break
+            block_start = match.end()
+            if _DATA.search(block):
+                if self._idle:
+                    block = bytes(self._idle) + block
+                    self._idle.clear()
+                events.append(Event(block, _event_id(block)))
+            else:
+                self._idle += block
+                if len(self._idle) > MAX_IDLE_BYTES:
+                    break
+            blocks += 1
+            if blocks == MAX_BATCH_BLOCKS:
+                yield events
+                events, blocks = [], 0
+        if events:
+            yield events
+        if len(self._idle) > MAX_IDLE_BYTES:
+            raise UnreadableError(f"no event in {len(self._idle)} bytes")
+        self._incomplete = bytearray(data[block_start:])
 
 
 def follows(event_id: str, last_id: str) -> bool:
@@ -59,11 +113,28 @@
     """
     if not event_id or not last_id:
         return True
-    if event_id.isdigit() and last_id.isdigit():
+    if _is_number(event_id) and _is_number(last_id):
         return int(event_id) > int(last_id)
     return event_id != last_id
 
 
+def _is_number(event_id: str) -> bool:
+    return event_id.isascii() and event_id.isdecimal()
+
+
 def _event_id(event: bytes) -> str:
+    """Return the id that an event leaves to its stream: the last one that is valid."""
     match = _ID.search(event)
-    return match.group(1).decode(errors="replace") if match else ""
+    if match is None:
+        return ""
+    rest = match.end()
+    if event.find(b"\nid", rest) >= 0 or event.find(b"\rid", rest) >= 0:
+        *_, match = _ID.finditer(event)
+    value = match.group(1) or b""
+    if len(value) > MAX_ID_LENGTH:
+        return ""
+    try:
+        text = value.decode()
+    except UnicodeDecodeError:
+        return ""
+    return text if text.isprintable() else ""
--- a/auburnproxy/gateway/stream_forwarder.py
+++ b/auburnproxy/gateway/stream_forwarder.py
@@ -6,14 +6,14 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Mapping, Sequence
 from typing import NoReturn
 
 from aiohttp import ClientError, ClientResponse, web
 
 from ..bounded_body import read_body
 from ..clock import loop_time
-from ..errors import AuburnError, Ran, RefusalError
+from ..errors import AuburnError, Ran, RefusalError, UnreadableError
 from ..quarantine import PartQuarantine
 from ..telemetry import Counter, Measure, Telemetry
 from ..telemetry.decisions import DecisionLog
@@ -22,7 +22,7 @@
 from .call import MAX_UNREACHABLE, UNSENT_RETRY_S, AttemptError, Call, Obstacle
 from .caller_response import forward_response, forward_stream
 from .cost_model import RequestSize
-from .events import EventReader, follows
+from .events import Event, EventReader, follows
 from .header_codec import Dispatch
 from .health import Health
 from .host import Host
@@ -575,42 +575,46 @@
 
         :raises AttemptError: if the try ends before the stream is complete
         """
-        reader, health = EventReader(), self._forwarder.health
-        head = replica.head.id
-        while True:
-            try:
-                chunk = await answer.content.readany()
-            except (ClientError, OSError) as error:
-                raise AttemptError(BROKEN, ran=Ran.UNKNOWN) from error
-            if not chunk:
-                break
-            health.record_data(head)
+        reader = EventReader()
+        while chunk := await _read(answer):
             try:
-                events = reader.feed(chunk)
-            except ValueError as error:
+                for number, events in enumerate(reader.feed(chunk)):
+                    if number:
+                        await asyncio.sleep(0)
+                    await self._forward_batch(answer, replica.head, events)
+            except UnreadableError as error:
                 raise AttemptError("unreadable", ran=Ran.UNKNOWN) from error
-            if events:
-                if not self._event_received:
-                    self._forwarder.quarantine.record_answer(
-                        self._call.info.prompt_parts
-                    )
-                    self._record_outcome(replica.head, Outcome.ANSWERED)
-                self._event_received = True
-                self._mark_begun()
-                data = b""
-                for event in events:
-                    if not follows(event.id, self._last_id):
-                        raise AttemptError("out_of_order", ran=Ran.UNKNOWN)
-                    self._last_id = event.id or self._last_id
-                    data += event.data
-                self._record_event_time(len(events))
-                await self._write(answer, data)
         ended_early = not answer.framed and not self._event_received
-        if reader.incomplete_event or ended_early or not answer.complete:
+        if reader.inside_event or ended_early or not answer.complete:
             raise AttemptError(TRUNCATED, ran=Ran.UNKNOWN)
         if not answer.framed and await self._has_ended(replica.head):
             raise AttemptError(TRUNCATED, ran=Ran.UNKNOWN)
 
+    async def _forward_batch(
+        self, answer: ClientResponse, head: Host, events: Sequence[Event]
+    ) -> None:
+        """Forward consecutive events.
+
+        :raises AttemptError: if one of them is out of order
+        """
+        for event in events:
+            if not follows(event.id, self._last_id):
+                raise AttemptError("out_of_order", ran=Ran.UNKNOWN)
+            self._last_id = event.id or self._last_id
+        if events:
+            self._record_events(head, len(events))
+            await self._write(answer, events)
+
+    def _record_events(self, head: Host, count: int) -> None:
+        """Record what events show about the head that sent them."""
+        self._forwarder.health.record_data(head.id)
+        if not self._event_received:
+            self._forwarder.quarantine.record_answer(self._call.info.prompt_parts)
+            self._record_outcome(head, Outcome.ANSWERED)
+        self._event_received = True
+        self._mark_begun()
+        self._record_event_time(count)
+
     async def _has_ended(self, head: Host) -> bool:
         """Return whether a head has ended without notice, as far as a check can tell.
 
@@ -632,11 +636,12 @@
             self._longest_pause_s = max(self._longest_pause_s, pause_s)
         self._last_event_at = now
 
-    async def _write(self, answer: ClientResponse, data: bytes) -> None:
+    async def _write(self, answer: ClientResponse, events: Sequence[Event]) -> None:
         self._writing = True
         if self._response is None:
             await self._start_response(answer)
         assert self._response is not None
+        data = b"".join(event.data for event in events)
         await self._response.write(data)
         self._writing = False
         self._written_at = loop_time()
@@ -737,5 +742,16 @@
         )
 
 
+async def _read(answer: ClientResponse) -> bytes:
+    """Return the next bytes of a response, none at its end.
+
+    :raises AttemptError: if it broke off
+    """
+    try:
+        return await answer.content.readany()
+    except (ClientError, OSError) as error:
+        raise AttemptError(BROKEN, ran=Ran.UNKNOWN) from error
+
+
 def _do_nothing() -> None:
     """Do nothing; placeholder until a try is tracked."""
--- a/features/fakes/endless.py
+++ b/features/fakes/endless.py
@@ -12,6 +12,14 @@
 STAMP = "3e1b.07.5a2"
 
 
+FLOOD_BY_NAME = {
+    "line ends": b"\n",
+    "line ends of CRLF": b"\r\n",
+    "mixed line ends": b"\n\r\n\r",
+    "comments": b":\n\n",
+    "id fields": b"id: 4\n\n",
+}
+"""Bytes that have the form of an event stream and no event, by name."""
 ENDLESS = (
     "a head line",
     "head lines",
--- a/features/fakes/pausing_sender.py
+++ b/features/fakes/pausing_sender.py
@@ -10,22 +10,18 @@
 from auburnproxy.gateway.call import AttemptError, Call
 from auburnproxy.gateway.header_codec import Dispatch, RequestInfo, ResponseInfo
 from auburnproxy.gateway.host import Host, ReplicaPart, ReplicaPartState
-from auburnproxy.gateway.liveness import LivenessChecker
 from auburnproxy.gateway.plain_forwarder import PlainForwarder
-from auburnproxy.gateway.process_exits import ProcessExits
-from auburnproxy.gateway.reachability import UpstreamReachability
 from auburnproxy.gateway.retry_budget import RetryAllowance, RetryBudget
 from auburnproxy.gateway.route import Route, RouteKind, Target
 from auburnproxy.gateway.sender import Sender, UpstreamResponse
-from auburnproxy.gateway.stream_forwarder import StreamAbortedError, StreamForwarder
+from auburnproxy.gateway.stream_forwarder import StreamAbortedError
 from auburnproxy.gossip import FactTable
-from auburnproxy.quarantine import PartQuarantine
-from auburnproxy.telemetry import Telemetry
 from auburnproxy.telemetry.decisions import DecisionLog
 from auburnproxy.upstreams.client import TrackedResponse
 from emulator.in_memory_request import CallerWriter, make_request
 from emulator.upstreams import EmulatedResponse
-from features.fakes.fleet import ENGINE, SERVICE, host
+from features.fakes.fleet import SERVICE, host
+from features.fakes.forwarding import ANSWER_BYTES, make_stream_forwarder
 from features.fakes.selection import SelectionFixture
 from features.fakes.store import devnull
 
@@ -111,25 +107,15 @@
         self._pausing = pausing
         self._first_status = first_status
         self.facts = FactTable()
-        common = (self.fixture.selector, self.fixture.health)
-        self._streams = StreamForwarder(
-            self,
-            *common,
-            LivenessChecker(self.report, self.fixture.health.heard_at, self.decisions),
-            ProcessExits(
-                self.facts,
-                self.report,
-                self.decisions,
-                UpstreamReachability(self.decisions),
-            ),
-            PartQuarantine(self.facts, self.decisions),
-            lambda service: ENGINE,
-            self.decisions,
-            Telemetry(),
-            answer_bytes=1_000_000,
+        self._streams = make_stream_forwarder(
+            self, self.fixture, self.facts, self.decisions, report=self.report
         )
         self._plain = PlainForwarder(
-            self, *common, self.decisions, answer_bytes=1_000_000
+            self,
+            self.fixture.selector,
+            self.fixture.health,
+            self.decisions,
+            answer_bytes=ANSWER_BYTES,
         )
 
     @property
--- a/features/fakes/platform.py
+++ b/features/fakes/platform.py
@@ -20,7 +20,12 @@
 from auburnproxy.daemon.gateway_services import callers_listener
 from auburnproxy.daemon.listener import Listener
 from auburnproxy.platform.adapter import PlatformAdapter
-from features.fakes.endless import STAMP, send_endless_response
+from features.fakes.endless import (
+    FLOOD_BY_NAME,
+    STAMP,
+    send_endless_response,
+    send_endlessly,
+)
 from features.fakes.heads import RawHead
 from features.fakes.store import null_decisions
 from features.loopback import free_addresses
@@ -337,6 +342,10 @@
             await self._respond_raw(action, writer, path, headers)
         elif action == "endless event":
             await send_endless_response("an event", writer, headers["attempt-id"])
+        elif action.startswith("flood of "):
+            self._begin_stream(writer, headers, framed=False)
+            block = FLOOD_BY_NAME[action.removeprefix("flood of ")]
+            await send_endlessly(writer, block * 8_000)
         elif path.startswith(STREAM_PATH) and action not in (
             "shed",
             "silent",
--- a/features/fakes/stalling_sender.py
+++ b/features/fakes/stalling_sender.py
@@ -11,20 +11,17 @@
 from auburnproxy.gateway.call import Call
 from auburnproxy.gateway.header_codec import Dispatch, RequestInfo, ResponseInfo
 from auburnproxy.gateway.host import Host
-from auburnproxy.gateway.liveness import Liveness, LivenessChecker, check_liveness
-from auburnproxy.gateway.process_exits import ProcessExits
-from auburnproxy.gateway.reachability import UpstreamReachability
+from auburnproxy.gateway.liveness import Liveness, check_liveness
 from auburnproxy.gateway.retry_budget import RetryAllowance, RetryBudget
 from auburnproxy.gateway.route import Route, RouteKind, Target
 from auburnproxy.gateway.sender import Sender, UpstreamResponse
-from auburnproxy.gateway.stream_forwarder import StreamAbortedError, StreamForwarder
+from auburnproxy.gateway.stream_forwarder import StreamAbortedError
 from auburnproxy.gossip import FactTable
-from auburnproxy.quarantine import PartQuarantine
-from auburnproxy.telemetry import Telemetry
 from auburnproxy.upstreams.client import TrackedResponse
 from emulator.in_memory_request import CallerWriter, make_request
 from emulator.upstreams import EmulatedResponse
-from features.fakes.fleet import ENGINE, SERVICE
+from features.fakes.fleet import SERVICE
+from features.fakes.forwarding import make_stream_forwarder
 from features.fakes.selection import SelectionFixture
 from features.fakes.store import null_decisions
 
@@ -78,24 +75,8 @@
         self._probes_by_engine: dict[str, int] = {}
         self.fixture.health._probe = self._probe
         self.facts = FactTable()
-        self._streams = StreamForwarder(
-            self,
-            self.fixture.selector,
-            self.fixture.health,
-            LivenessChecker(
-                self.report, self.fixture.health.heard_at, null_decisions()
-            ),
-            ProcessExits(
-                self.facts,
-                self.report,
-                null_decisions(),
-                UpstreamReachability(null_decisions()),
-            ),
-            PartQuarantine(self.facts, null_decisions()),
-            lambda service: ENGINE,
-            null_decisions(),
-            Telemetry(),
-            answer_bytes=1_000_000,
+        self._streams = make_stream_forwarder(
+            self, self.fixture, self.facts, null_decisions(), report=self.report
         )
 
     @property
--- a/features/steps/trouble.py
+++ b/features/steps/trouble.py
@@ -261,7 +261,8 @@
     reader, events = EventReader(), []
     began = time.process_time()
     for start in range(0, len(data), block):
-        events += reader.feed(data[start : start + block])
+        for batch in reader.feed(data[start : start + block]):
+            events += batch
     assert [event.data for event in events] == [data]
     assert time.process_time() - began < most, time.process_time() - began
 
