Write the events before a bad one, and resume after what was written

Seen: an engine sent events 10, 11 and 11 again in one piece.

Cause: the id after which a stream is resumed moved as events were read. An event out of order then ended the try before any event of the read had been written, and the next engine went on behind those that were never sent.

Ruled out: the engine that took over (it got Last-Event-Id 11 and sent from 12), and the order of writes (no byte of the piece was written).

Why this works: events up to the first bad one are written, and then the try fails. The id moves in the step that hands bytes to the connection, without a wait in between, so that neither an error nor a cancelled wait can part them.

Of the same kind: after an event without an id, resuming after the last id made it come twice; such a stream is aborted now, with the obstacle no_event_id.

--- a/auburnproxy/gateway/call.py
+++ b/auburnproxy/gateway/call.py
@@ -69,6 +69,8 @@
 
     NOT_REPEATABLE = "not_repeatable"
     """It may have run, and its route allows it to run only once."""
+    NO_EVENT_ID = "no_event_id"
+    """Its caller has events without an id, after which it can't be resumed."""
     ATTEMPTS = "attempts"
     """It may be running on as many upstreams as its route allows."""
     RETRY_BUDGET = "retry_budget"
--- a/auburnproxy/gateway/events.py
+++ b/auburnproxy/gateway/events.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import re
-from collections.abc import Iterator
+from collections.abc import Iterator, Sequence
 from typing import NamedTuple
 
 from ..errors import UnreadableError
@@ -118,6 +118,28 @@
     return event_id != last_id
 
 
+def events_in_order(events: Sequence[Event], last_id: str) -> Sequence[Event]:
+    """Return the events before the first one that is not a valid successor.
+
+    :param events: consecutive events of a stream
+    :param last_id: id of the event before them, empty if there is none
+    """
+    for number, event in enumerate(events):
+        if not follows(event.id, last_id):
+            return events[:number]
+        last_id = event.id or last_id
+    return events
+
+
+def last_id(events: Sequence[Event], before: str) -> str:
+    """Return the id of the last of some events that has one.
+
+    :param events: consecutive events of a stream
+    :param before: id of the event before them
+    """
+    return next((event.id for event in reversed(events) if event.id), before)
+
+
 def _is_number(event_id: str) -> bool:
     return event_id.isascii() and event_id.isdecimal()
 
--- a/auburnproxy/gateway/stream_forwarder.py
+++ b/auburnproxy/gateway/stream_forwarder.py
@@ -22,7 +22,7 @@
 from .call import MAX_UNREACHABLE, UNSENT_RETRY_S, AttemptError, Call, Obstacle
 from .caller_response import forward_response, forward_stream
 from .cost_model import RequestSize
-from .events import Event, EventReader, follows
+from .events import Event, EventReader, events_in_order, last_id
 from .header_codec import Dispatch
 from .health import Health
 from .host import Host
@@ -162,6 +162,9 @@
         """Requests at the current head when it was selected."""
         self._response: web.StreamResponse | None = None
         self._last_id = call.info.resume_after
+        """Id of the last event that was written to the caller and has one."""
+        self._resumable = True
+        """Whether the stream can go on after that event: nothing was written since."""
         self._event_received = False
         self._writing = False
         """Whether this stream is waiting for the caller to read."""
@@ -281,6 +284,8 @@
             return Obstacle.BLOCKED_PART
         if not self._attempts.may_end_another:
             return Obstacle.EXITS
+        if not self._resumable:
+            return Obstacle.NO_EVENT_ID
         if self._replacement is not None:
             return None
         if not error.sent:
@@ -384,6 +389,8 @@
         """Return what rules out another try while a head is silent, if anything."""
         if not self._call.route.repeatable:
             return Obstacle.NOT_REPEATABLE
+        if not self._resumable:
+            return Obstacle.NO_EVENT_ID
         if self._retry_limit.remaining < 1:
             return Obstacle.RETRY_BUDGET
         self._count_attempt(head)
@@ -593,17 +600,16 @@
     async def _forward_batch(
         self, answer: ClientResponse, head: Host, events: Sequence[Event]
     ) -> None:
-        """Forward consecutive events.
+        """Forward events up to the first one that is out of order.
 
-        :raises AttemptError: if one of them is out of order
+        :raises AttemptError: if there is such an event
         """
-        for event in events:
-            if not follows(event.id, self._last_id):
-                raise AttemptError("out_of_order", ran=Ran.UNKNOWN)
-            self._last_id = event.id or self._last_id
-        if events:
-            self._record_events(head, len(events))
-            await self._write(answer, events)
+        in_order = events_in_order(events, self._last_id)
+        if in_order:
+            self._record_events(head, len(in_order))
+            await self._write(answer, in_order)
+        if len(in_order) < len(events):
+            raise AttemptError("out_of_order", ran=Ran.UNKNOWN)
 
     def _record_events(self, head: Host, count: int) -> None:
         """Record what events show about the head that sent them."""
@@ -637,11 +643,16 @@
         self._last_event_at = now
 
     async def _write(self, answer: ClientResponse, events: Sequence[Event]) -> None:
+        """Write events to the caller, who has them from then on."""
         self._writing = True
         if self._response is None:
             await self._start_response(answer)
         assert self._response is not None
         data = b"".join(event.data for event in events)
+        # Without a wait in between: the write passes the data on before it waits for
+        # the caller, so that these fields hold even if that wait is cancelled.
+        self._last_id = last_id(events, self._last_id)
+        self._resumable = bool(events[-1].id)
         await self._response.write(data)
         self._writing = False
         self._written_at = loop_time()
