Don't apply records that a copy of a topic already contains

Cause: records of a late page were compared with the known record of their key. A key that newer records, of a peer, had deleted meanwhile has none, so that the older record counted as new. The end of the copy stayed, and the deletion was never read again.

Ruled out: the directory (it followed each change as it was told) and the peer (its records were right); a page that isn't held up has nothing older.

Why this works: a complete copy contains the effect of every record of its era before its end. Such records of a page or of a peer are skipped, and the log says so (read_overtaken). The store itself prevails where a daemon loads the topic.

Of the same kind: a peer's copy that is behind, and is taken for what it carries over from the previous era, brought keys back that had been deleted in this one; and after it, a daemon sent its peers changes without those that lie between the two ends, which they then lacked for good.

--- a/auburnproxy/store/follower.py
+++ b/auburnproxy/store/follower.py
@@ -279,17 +279,26 @@
         if self._store.era.number != era or (self.awaiting_writer and page.changes):
             await self._load()
             return
-        for change in page.changes:
+        newer = [change for change in page.changes if not self._reflects(change)]
+        if len(newer) < len(page.changes):
+            self._decisions.belief(
+                "read_overtaken",
+                topic=self._topic,
+                skipped=len(page.changes) - len(newer),
+                end=self.end,
+            )
+        for change in newer:
             self._apply_if_newer(change)
         self.end = max(self.end, page.next_offset)
-        if page.changes:
+        if newer:
             self.changed.notify()
 
     async def _load(self) -> None:
         era, newest = await self._read_all()
         if newest.end or not era or self._era_policy is not EraChangePolicy.NEW_TOPIC:
             self.apply_update(
-                TopicUpdate(newest.changes, newest.end, complete=True, era=era)
+                TopicUpdate(newest.changes, newest.end, complete=True, era=era),
+                from_store=True,
             )
         else:
             await self._use_previous_era(era)
@@ -369,10 +378,12 @@
             awaiting_writer=self.awaiting_writer,
         )
 
-    def apply_update(self, update: TopicUpdate) -> None:
+    def apply_update(self, update: TopicUpdate, *, from_store: bool = False) -> None:
         """Apply records from a peer or the store, unless this copy is newer.
 
         :param update: all keys that have a value, or the changes since this end
+        :param from_store: whether the records come from the store itself, so that they
+            prevail over this copy
         """
         self._store.era.advance(update.era, source="peer")
         if update.era != self._store.era.number:
@@ -397,7 +408,11 @@
             if becomes_filled:
                 self._replace_all(update)
             else:
-                self._merge_same_era(update, sender_carries_more=sender_carries_more)
+                self._merge_same_era(
+                    update,
+                    sender_carries_more=sender_carries_more,
+                    from_store=from_store,
+                )
             if sender_carries_more:
                 self.previous_era_end = update.previous_era_end
                 self._transition_end = update.transition_end
@@ -417,11 +432,12 @@
         self.changed.notify()
 
     def _merge_same_era(
-        self, update: TopicUpdate, *, sender_carries_more: bool
+        self, update: TopicUpdate, *, sender_carries_more: bool, from_store: bool
     ) -> None:
         """Apply records of the same era.
 
         :param sender_carries_more: of the records from the previous era
+        :param from_store: whether they come from the store itself
         """
         if update.complete:
             present_keys = {change.key for change in update.changes}
@@ -430,17 +446,35 @@
                 if key not in present_keys and known.offset < update.end and not stays:
                     self._apply_if_newer(Change(key, b"", max(update.end, 0)))
         for change in update.changes:
-            known_change = self._by_key.get(change.key)
-            replaceable = (
-                known_change is None or known_change.offset < update.transition_end
-            )
             if change.offset != PREVIOUS_ERA_OFFSET:
-                self._apply_if_newer(change)
-            elif replaceable and (sender_carries_more or not self.complete):
+                if from_store or not self._reflects(change):
+                    self._apply_if_newer(change)
+            elif self._lacks_previous(change.key, update.transition_end) and (
+                sender_carries_more or not self.complete
+            ):
                 self._apply(change)
         if update.complete:
             self._recent.clear()
-            self._recent_start = update.end
+            self._recent_start = max(update.end, self.end)
+
+    def _reflects(self, change: Change) -> bool:
+        """Return whether this copy already contains the effect of a record of its era.
+
+        It does for all records before its end. What it says of their keys is as new or
+        newer, also where it says nothing: a deleted key leaves no record.
+        """
+        return self.complete and change.offset < self.end
+
+    def _lacks_previous(self, key: str, transition_end: int) -> bool:
+        """Return whether a peer's record from the previous era may be new to this copy.
+
+        :param key: key of the record
+        :param transition_end: end of the records that the peer has merged with it
+        """
+        known = self._by_key.get(key)
+        if known is None:
+            return key not in self._recent
+        return known.offset < transition_end
 
     def _enter_era(self, update: TopicUpdate) -> None:
         """Move this copy to the era of the given records."""
