Find the fields of an event in fewer steps, and ids that can't be sent back

Cause: the search for a field tried each byte, and each id of an event was matched to find its last one.

Why this works: the names of the fields are literal prefixes of their patterns, and the last id is matched from the end. An id with blanks at its ends doesn't come back from a header as it was, and counts as none; the new row of the event table shows it.

--- a/auburnproxy/gateway/events.py
+++ b/auburnproxy/gateway/events.py
@@ -18,8 +18,11 @@
 _LONGEST_SEPARATOR_BYTES = 4
 _BLANK_LINES = re.compile(rb"(?>\r\n|\r|\n)[\r\n]+")
 """The end of a line and all blank lines after it, which end a block of lines."""
-_DATA = re.compile(rb"(?:\A|[\r\n])data[:\r\n]")
-_ID = re.compile(rb"(?:\A|[\r\n])id(?::[ ]?([^\r\n\0]*))?(?=[\r\n])")
+# The names come before what must precede them, as literal prefixes are searched fast.
+_DATA = re.compile(rb"data(?<![^\r\n]data)[:\r\n]")
+_ID_FIELD = rb"id(?<![^\r\n]id)(?::[ ]?([^\r\n\0]*))?(?=[\r\n])"
+_ID = re.compile(_ID_FIELD)
+_LAST_ID = re.compile(rb"(?s:.*)" + _ID_FIELD)
 
 
 class Event(NamedTuple):
@@ -151,7 +154,7 @@
         return ""
     rest = match.end()
     if event.find(b"\nid", rest) >= 0 or event.find(b"\rid", rest) >= 0:
-        *_, match = _ID.finditer(event)
+        match = _LAST_ID.match(event) or match
     value = match.group(1) or b""
     if len(value) > MAX_ID_LENGTH:
         return ""
@@ -159,4 +162,5 @@
         text = value.decode()
     except UnicodeDecodeError:
         return ""
-    return text if text.isprintable() else ""
+    # Other text can't be sent back in a header as it came.
+    return text if text.isprintable() and text == text.strip() else ""
--- a/features/event_streams.feature
+++ b/features/event_streams.feature
@@ -77,6 +77,7 @@
       | data: a\nidea: 3\n\n                 | 1      | -    |
       | data: a\n: id: 3\n\n                 | 1      | -    |
       | id: \xff\ndata: a\n\n                | 1      | -    |
+      | id:  4\ndata: a\n\n                  | 1      | -    |
       | database: a\n\n                      | 0      | -    |
       | id: 1\ndata: a\n                     | 0      | -    |
 
